Fix the crates' boundaries and the shared types

Workspace of small crates around mustard-core. The messages between the processes, the platform's and the backend servers' interfaces are fixed first, so that the parts can be built side by side.

Entry drives each step: the entry sends a step to the first agent, each agent runs its stage and passes the step on, and the token comes back through the same calls. Weighed against a last stage that posts the token to the entry by itself: that saves the return through the middle stages but needs correlation of late answers; nested calls name the failed stage in the answer. To be measured once the path stands.

--- /dev/null
+++ b/crates/mustard-agent/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/mustard-backend/src/engine.rs
@@ -0,0 +1,113 @@
+//! A model engine that holds a range of layers.
+
+use serde::{Deserialize, Serialize};
+
+use mustard_core::ids::{Epoch, Fence, Layers, RequestId};
+use mustard_proto::agent::Load;
+use mustard_proto::step::Input;
+
+use crate::errors::Result;
+
+/// Names a sequence at an engine: one attempt at one request.
+///
+/// Each attempt has a sequence of its own, so a late step of a superseded attempt never
+/// changes the state of its successor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct SeqId {
+    /// The request.
+    pub request: RequestId,
+    /// The attempt.
+    pub epoch: Epoch,
+}
+
+impl std::fmt::Display for SeqId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}-{}", self.request, self.epoch)
+    }
+}
+
+/// Runs positions of a sequence through the engine's layers; position zero opens it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StepBody {
+    /// The model.
+    pub model: String,
+    /// The position of the first element of the input.
+    pub pos: u32,
+    /// Higher goes first.
+    pub priority: u8,
+    /// Tokens at the first layer, activations at a later one.
+    pub input: Input,
+}
+
+/// What the engine's layers made of a step.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StepOut {
+    /// Activations for the next layer, one per position.
+    Acts(Vec<u64>),
+    /// The token after the last position, if the engine holds the last layer.
+    Token(u32),
+}
+
+/// What an engine holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// The model; empty if none is loaded.
+    pub model: String,
+    /// The version of the weights.
+    pub version: String,
+    /// The layers.
+    pub layers: Layers,
+    /// The number of layers of the whole model.
+    pub total: u32,
+    /// The kind of accelerator.
+    pub accelerator: String,
+    /// The fencing number of the last order; none if the engine ignores the numbers.
+    pub fence: Option<Fence>,
+}
+
+/// An order to load layers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadOrder {
+    /// The fencing number.
+    pub fence: Fence,
+    /// The model.
+    pub model: String,
+    /// The version of the weights.
+    pub version: String,
+    /// The layers.
+    pub layers: Layers,
+}
+
+/// The exported state of a sequence.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KvCache {
+    /// The next position.
+    pub pos: u32,
+    /// One state per layer.
+    pub state: Vec<u64>,
+}
+
+/// A model engine.
+#[allow(async_fn_in_trait)]
+pub trait Engine {
+    /// Runs a step. The engine answers when its batch has run.
+    async fn step(&self, seq: SeqId, body: StepBody, limit_ms: u64) -> Result<StepOut>;
+
+    /// Ends a sequence and frees its memory.
+    async fn cancel(&self, seq: SeqId) -> Result<()>;
+
+    /// Exports the state of a sequence.
+    async fn export(&self, seq: SeqId) -> Result<KvCache>;
+
+    /// Opens a sequence from an exported state.
+    async fn import(&self, seq: SeqId, cache: KvCache) -> Result<()>;
+
+    /// Returns the load, as the engine knew it a while ago.
+    async fn load(&self) -> Result<Load>;
+
+    /// Returns what the engine holds.
+    async fn held(&self) -> Result<Held>;
+
+    /// Orders the engine to load layers; it answers when it holds them.
+    async fn order(&self, order: LoadOrder) -> Result<Held>;
+}
--- /dev/null
+++ b/crates/mustard-core/src/arena.rs
@@ -0,0 +1,164 @@
+//! A generational arena addressed by small `Copy` keys.
+
+use std::fmt;
+use std::hash::{Hash, Hasher};
+use std::marker::PhantomData;
+
+/// Addresses one value of an [`Arena`]; stale keys never resolve to a newer value.
+pub struct Key<T> {
+    index: u32,
+    generation: u32,
+    kind: PhantomData<fn() -> T>,
+}
+
+impl<T> Key<T> {
+    /// Returns the slot number, which is dense and suited to index side tables.
+    pub fn index(self) -> usize {
+        self.index as usize
+    }
+}
+
+impl<T> Clone for Key<T> {
+    fn clone(&self) -> Self {
+        *self
+    }
+}
+
+impl<T> Copy for Key<T> {}
+
+impl<T> PartialEq for Key<T> {
+    fn eq(&self, other: &Self) -> bool {
+        (self.index, self.generation) == (other.index, other.generation)
+    }
+}
+
+impl<T> Eq for Key<T> {}
+
+impl<T> PartialOrd for Key<T> {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<T> Ord for Key<T> {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.index, self.generation).cmp(&(other.index, other.generation))
+    }
+}
+
+impl<T> Hash for Key<T> {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.index.hash(state);
+        self.generation.hash(state);
+    }
+}
+
+impl<T> fmt::Debug for Key<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "#{}.{}", self.index, self.generation)
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Slot<T> {
+    generation: u32,
+    value: Option<T>,
+}
+
+/// Stores values in reusable slots.
+#[derive(Clone, Debug)]
+pub struct Arena<T> {
+    slots: Vec<Slot<T>>,
+    free: Vec<u32>,
+}
+
+impl<T> Default for Arena<T> {
+    fn default() -> Self {
+        Arena {
+            slots: Vec::new(),
+            free: Vec::new(),
+        }
+    }
+}
+
+impl<T> Arena<T> {
+    /// Creates an empty arena.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Stores a value and returns its key.
+    pub fn insert(&mut self, value: T) -> Key<T> {
+        if let Some(index) = self.free.pop() {
+            let slot = &mut self.slots[index as usize];
+            slot.value = Some(value);
+            return Key {
+                index,
+                generation: slot.generation,
+                kind: PhantomData,
+            };
+        }
+        let index = self.slots.len() as u32;
+        self.slots.push(Slot {
+            generation: 0,
+            value: Some(value),
+        });
+        Key {
+            index,
+            generation: 0,
+            kind: PhantomData,
+        }
+    }
+
+    /// Removes the value of a key, if it is still there.
+    pub fn remove(&mut self, key: Key<T>) -> Option<T> {
+        let slot = self.slots.get_mut(key.index())?;
+        if slot.generation != key.generation {
+            return None;
+        }
+        let value = slot.value.take()?;
+        slot.generation = slot.generation.wrapping_add(1);
+        self.free.push(key.index);
+        Some(value)
+    }
+
+    /// Returns the value of a key.
+    pub fn get(&self, key: Key<T>) -> Option<&T> {
+        let slot = self.slots.get(key.index())?;
+        if slot.generation != key.generation {
+            return None;
+        }
+        slot.value.as_ref()
+    }
+
+    /// Returns the value of a key for change.
+    pub fn get_mut(&mut self, key: Key<T>) -> Option<&mut T> {
+        let slot = self.slots.get_mut(key.index())?;
+        if slot.generation != key.generation {
+            return None;
+        }
+        slot.value.as_mut()
+    }
+
+    /// Returns the number of stored values.
+    pub fn len(&self) -> usize {
+        self.slots.len() - self.free.len()
+    }
+
+    /// Tells whether the arena holds no value.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Visits every value with its key, in slot order.
+    pub fn iter(&self) -> impl Iterator<Item = (Key<T>, &T)> {
+        self.slots.iter().enumerate().filter_map(|(i, slot)| {
+            let key = Key {
+                index: i as u32,
+                generation: slot.generation,
+                kind: PhantomData,
+            };
+            slot.value.as_ref().map(|value| (key, value))
+        })
+    }
+}
--- /dev/null
+++ b/crates/mustard-core/src/clock.rs
@@ -0,0 +1,87 @@
+//! Time as the policy sees it: a monotonic count of microseconds that is passed in.
+
+use std::fmt;
+use std::ops::{Add, Sub};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use serde::{Deserialize, Serialize};
+
+/// A point of monotonic time, in microseconds since an arbitrary origin of this process.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Moment(pub u64);
+
+impl Moment {
+    /// Returns the moment that lies the given milliseconds after the origin.
+    pub const fn from_millis(ms: u64) -> Self {
+        Moment(ms * 1_000)
+    }
+
+    /// Returns the time passed since an earlier moment, or zero if it lies ahead.
+    pub fn since(self, earlier: Moment) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Returns the time left until a later moment, or zero if it has passed.
+    pub fn until(self, later: Moment) -> Duration {
+        later.since(self)
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Moment;
+
+    fn add(self, d: Duration) -> Moment {
+        Moment(self.0.saturating_add(d.as_micros() as u64))
+    }
+}
+
+impl Sub<Duration> for Moment {
+    type Output = Moment;
+
+    fn sub(self, d: Duration) -> Moment {
+        Moment(self.0.saturating_sub(d.as_micros() as u64))
+    }
+}
+
+impl fmt::Display for Moment {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:06}s", self.0 / 1_000_000, self.0 % 1_000_000)
+    }
+}
+
+/// Gives the current time.
+pub trait Clock: Send + Sync {
+    /// Returns the current monotonic time.
+    fn now(&self) -> Moment;
+
+    /// Returns the wall clock, in milliseconds since the Unix epoch.
+    fn wall_ms(&self) -> u64;
+}
+
+/// The clock of the operating system.
+#[derive(Clone, Debug)]
+pub struct SystemClock {
+    origin: Instant,
+}
+
+impl Default for SystemClock {
+    fn default() -> Self {
+        SystemClock {
+            origin: Instant::now(),
+        }
+    }
+}
+
+impl Clock for SystemClock {
+    fn now(&self) -> Moment {
+        Moment(self.origin.elapsed().as_micros() as u64)
+    }
+
+    fn wall_ms(&self) -> u64 {
+        SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |d| d.as_millis() as u64)
+    }
+}
--- /dev/null
+++ b/crates/mustard-core/src/errors.rs
@@ -0,0 +1,29 @@
+//! Errors of the common types.
+
+use thiserror::Error;
+
+/// The result of operations in this crate.
+pub type Result<T> = std::result::Result<T, CoreError>;
+
+/// A fault in a common type.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum CoreError {
+    /// A text does not spell an identifier.
+    #[error("{text:?} is not a {kind} id")]
+    BadId {
+        /// What the text should identify.
+        kind: &'static str,
+        /// The text as read.
+        text: String,
+    },
+}
+
+impl CoreError {
+    /// Creates an error for a text that does not spell an identifier.
+    pub fn bad_id(kind: &'static str, text: &str) -> Self {
+        CoreError::BadId {
+            kind,
+            text: text.to_owned(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustard-core/src/ids.rs
@@ -0,0 +1,131 @@
+//! Identifiers shared by all processes.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::errors::{CoreError, Result};
+
+/// Identifies one request of a caller over all processes.
+///
+/// Spelled as 32 hexadecimal digits in text formats and as 16 bytes in binary ones.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub u128);
+
+crate::wide::wide_serde!(RequestId);
+
+impl RequestId {
+    /// Draws a new identifier.
+    pub fn random() -> Self {
+        RequestId(rand::random())
+    }
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl fmt::Debug for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl FromStr for RequestId {
+    type Err = CoreError;
+
+    fn from_str(s: &str) -> Result<Self> {
+        u128::from_str_radix(s, 16)
+            .map(RequestId)
+            .map_err(|_| CoreError::bad_id("request", s))
+    }
+}
+
+macro_rules! number {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// Returns the number after this one.
+            pub fn next(self) -> Self {
+                $name(self.0 + 1)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+    };
+}
+
+number! {
+    /// Counts the attempts at one request; a higher epoch supersedes every lower one.
+    Epoch
+}
+number! {
+    /// Numbers the accepted changes of the catalogue; one change, one number.
+    Seq
+}
+number! {
+    /// Numbers the versions of one catalogue entry.
+    Revision
+}
+number! {
+    /// Grows with every holder of a lease; an order with a lower number is refused.
+    Fence
+}
+number! {
+    /// Distinguishes the lives of a process at one address; drawn at random at start.
+    Incarnation
+}
+
+impl Incarnation {
+    /// Draws the number of a new process life.
+    pub fn random() -> Self {
+        Incarnation(rand::random::<u64>() >> 1)
+    }
+}
+
+/// A half-open range of model layers, `first..end`.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Layers {
+    /// The first layer of the range.
+    pub first: u32,
+    /// The layer after the last one of the range.
+    pub end: u32,
+}
+
+impl Layers {
+    /// Creates the range `first..end`.
+    pub const fn new(first: u32, end: u32) -> Self {
+        Layers { first, end }
+    }
+
+    /// Returns the number of layers.
+    pub fn count(self) -> u32 {
+        self.end.saturating_sub(self.first)
+    }
+
+    /// Tells whether the range holds no layer.
+    pub fn is_empty(self) -> bool {
+        self.end <= self.first
+    }
+}
+
+impl fmt::Display for Layers {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}..{}", self.first, self.end)
+    }
+}
--- /dev/null
+++ b/crates/mustard-core/src/lib.rs
@@ -0,0 +1,18 @@
+//! Common types of mustardfield: identifiers, clocks, events, errors and the catalogue aggregate.
+//!
+//! This crate performs no I/O. Everything that the policy, the messages and the daemons share
+//! is defined here once.
+
+#![forbid(unsafe_code)]
+
+pub mod arena;
+pub mod catalogue;
+pub mod clock;
+pub mod collections;
+pub mod errors;
+pub mod event;
+pub mod fingerprint;
+pub mod hlc;
+pub mod ids;
+pub mod outcome;
+mod wide;
--- /dev/null
+++ b/crates/mustard-fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/mustard-net/src/http.rs
@@ -0,0 +1,127 @@
+//! One HTTP exchange with a time limit that does not depend on coarse timers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ntex::client::error::{ClientError, ConnectError};
+use ntex::client::{Client as HttpClient, ClientResponse, Connector};
+use ntex::http::Method;
+use ntex::time::Seconds;
+use ntex::util::Bytes;
+
+use crate::errors::{CallError, Result};
+
+/// The largest answer body that a client reads, in bytes.
+pub const MAX_ANSWER: usize = 16 * 1024 * 1024;
+
+const KEEP_ALIVE: Seconds = Seconds(15);
+const LIFETIME: Seconds = Seconds(600);
+
+/// A request to another process or to an outside system.
+#[derive(Clone, Debug)]
+pub struct Request<'a> {
+    /// The receiver.
+    pub to: SocketAddr,
+    /// The method.
+    pub method: Method,
+    /// The path with its query.
+    pub path: &'a str,
+    /// The media type of the body.
+    pub content_type: &'a str,
+    /// Further headers.
+    pub headers: &'a [(&'a str, &'a str)],
+    /// The body.
+    pub body: Vec<u8>,
+    /// The time for the whole exchange.
+    pub limit: Duration,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// The media type of the body.
+    pub content_type: String,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Creates an HTTP client; it belongs to the calling thread.
+pub async fn new_client() -> HttpClient {
+    let connector = Connector::new()
+        .limit(0)
+        .keep_alive(KEEP_ALIVE)
+        .lifetime(LIFETIME);
+    HttpClient::builder()
+        .connector::<()>(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .no_default_headers()
+        .response_payload_limit(MAX_ANSWER)
+        .response_payload_timeout(ntex::time::Millis::ZERO)
+        .build(ntex::SharedCfg::default())
+        .await
+        .expect("an HTTP client without TLS is always built")
+}
+
+/// Sends a request and reads the whole answer.
+///
+/// # Errors
+///
+/// [`CallError::NotSent`] means that the receiver saw nothing; any other error leaves open
+/// whether it acted.
+pub async fn exchange(client: &HttpClient, request: Request<'_>) -> Result<Answer> {
+    let limit = request.limit;
+    let whole = async {
+        let response = send(client, request).await?;
+        read(response).await
+    };
+    match tokio::time::timeout(limit, whole).await {
+        Ok(answer) => answer,
+        Err(_) => Err(CallError::TimedOut(limit.as_millis() as u64)),
+    }
+}
+
+/// Sends a request and returns the answer with its body still to be read.
+pub async fn send(client: &HttpClient, request: Request<'_>) -> Result<ClientResponse> {
+    let url = format!("http://{}{}", request.to, request.path);
+    let mut out = client
+        .request(request.method, url)
+        .address(request.to)
+        .header("content-type", request.content_type);
+    for (name, value) in request.headers {
+        out = out.header(*name, *value);
+    }
+    out.send_body(Bytes::from(request.body))
+        .await
+        .map_err(|e| sort_error(&e))
+}
+
+async fn read(response: ClientResponse) -> Result<Answer> {
+    let status = response.status().as_u16();
+    let content_type = response
+        .header("content-type")
+        .and_then(|v| v.to_str().ok())
+        .unwrap_or_default()
+        .to_owned();
+    let body = response
+        .body()
+        .await
+        .map_err(|e| CallError::Lost(e.to_string()))?;
+    Ok(Answer {
+        status,
+        content_type,
+        body,
+    })
+}
+
+fn sort_error(e: &ClientError) -> CallError {
+    match e {
+        // A pooled connection that closes while the request is sent is reported as
+        // disconnected too, so only errors before a connection exists mean "not sent".
+        ClientError::Connect(ConnectError::Disconnected(None)) => CallError::Lost(e.to_string()),
+        ClientError::Url(_) | ClientError::Connect(_) => CallError::NotSent(e.to_string()),
+        _ => CallError::Lost(e.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/mustard-net/src/lib.rs
@@ -0,0 +1,18 @@
+//! What the daemons share: MessagePack over HTTP, settings, logs, metrics and shutdown.
+
+#![forbid(unsafe_code)]
+
+pub mod client;
+pub mod daemon;
+pub mod errors;
+pub mod http;
+pub mod log;
+pub mod metric;
+pub mod process;
+pub mod server;
+pub mod settings;
+pub mod shutdown;
+
+pub use client::Client;
+pub use errors::{CallError, Result};
+pub use process::Process;
--- /dev/null
+++ b/crates/mustard-net/src/metric.rs
@@ -0,0 +1,23 @@
+//! Metrics in the Prometheus text format.
+
+use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
+use ntex::web::HttpResponse;
+
+/// The result of setting up metrics.
+pub type Result<T> = std::result::Result<T, BuildError>;
+
+/// Installs the recorder of this process and returns the handle that renders it.
+///
+/// # Errors
+///
+/// Returns an error if a recorder is installed already.
+pub fn install() -> Result<PrometheusHandle> {
+    PrometheusBuilder::new().install_recorder()
+}
+
+/// Answers a scrape.
+pub fn scrape(handle: &PrometheusHandle) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(handle.render())
+}
--- /dev/null
+++ b/crates/mustard-net/src/server.rs
@@ -0,0 +1,68 @@
+//! Answers to messages of other processes.
+
+use std::sync::Arc;
+
+use ntex::util::Bytes;
+use ntex::web::HttpResponse;
+
+use mustard_core::ids::Incarnation;
+use mustard_proto::timeline::{Events, Timeline};
+use mustard_proto::{Envelope, Message, ProtoError, Refusal, Reply, codec};
+
+use crate::process::Process;
+
+/// The largest message body that a process reads, in bytes.
+pub const MAX_MESSAGE: usize = 4 * 1024 * 1024;
+
+/// Decodes a message, checks that it is meant for this life and takes in its head.
+///
+/// # Errors
+///
+/// Returns the refusal to answer with.
+pub fn receive<M: Message>(process: &Process, body: &[u8]) -> Result<Envelope<M>, Refusal> {
+    let envelope = codec::decode_message::<M>(body).map_err(refuse_body)?;
+    let head = &envelope.head;
+    if head.to != Incarnation(0) && head.to != process.incarnation() {
+        return Err(Refusal::WrongIncarnation {
+            current: process.incarnation(),
+        });
+    }
+    process.observe(head.at, head.seq);
+    Ok(envelope)
+}
+
+fn refuse_body(e: ProtoError) -> Refusal {
+    match e {
+        ProtoError::Version { got, supported } => Refusal::Version { got, supported },
+        other => Refusal::Malformed {
+            detail: other.to_string(),
+        },
+    }
+}
+
+/// Encodes an answer or a refusal.
+pub fn reply<M: Message>(process: &Process, result: Result<M::Answer, Refusal>) -> HttpResponse {
+    let reply = Reply {
+        at: process.tick(),
+        seq: process.newest(),
+        from: process.incarnation(),
+        result,
+    };
+    match codec::encode(&reply) {
+        Ok(body) => HttpResponse::Ok()
+            .content_type(codec::MEDIA_TYPE)
+            .body(body),
+        Err(_) => HttpResponse::InternalServerError().finish(),
+    }
+}
+
+/// Answers a request for the time line.
+pub fn timeline(process: &Arc<Process>, body: &Bytes) -> HttpResponse {
+    let result = receive::<Timeline>(process, body).map(|envelope| {
+        let wanted = envelope.message;
+        Events {
+            events: process.ring().after(wanted.after, wanted.request),
+        }
+    });
+    reply::<Timeline>(process, result)
+}
--- /dev/null
+++ b/crates/mustard-platform/src/http.rs
@@ -0,0 +1,181 @@
+//! HTTP clients of the platform's services.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ntex::client::Client as HttpClient;
+use ntex::http::Method;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use mustard_net::CallError;
+use mustard_net::http::{Answer, Request, exchange};
+use mustard_proto::Ran;
+
+use crate::errors::{PlatformError, Result};
+use crate::object::Objects;
+use crate::table::{Commit, Row, Scan, Table, Txn};
+use crate::vms::{VmChanges, VmList};
+
+const JSON: &str = "application/json";
+const BYTES: &str = "application/octet-stream";
+const DEFAULT_RETRY_MS: u64 = 1_000;
+
+/// One of the platform's services over HTTP.
+#[derive(Clone)]
+pub struct HttpService {
+    client: Rc<HttpClient>,
+    addr: SocketAddr,
+    limit: Duration,
+    name: &'static str,
+}
+
+impl HttpService {
+    /// Creates a client; `limit` is the time for one call.
+    pub fn new(
+        client: Rc<HttpClient>,
+        addr: SocketAddr,
+        limit: Duration,
+        name: &'static str,
+    ) -> Self {
+        HttpService {
+            client,
+            addr,
+            limit,
+            name,
+        }
+    }
+
+    async fn send(&self, method: Method, path: &str, media: &str, body: Vec<u8>) -> Result<Answer> {
+        let request = Request {
+            to: self.addr,
+            method,
+            path,
+            content_type: media,
+            headers: &[],
+            body,
+            limit: self.limit,
+        };
+        let answer = exchange(&self.client, request)
+            .await
+            .map_err(|e| self.sort_error(&e))?;
+        // The services refuse with 429 or 503 before they act.
+        if matches!(answer.status, 429 | 503) {
+            return Err(self.unavailable());
+        }
+        Ok(answer)
+    }
+
+    async fn post<T: DeserializeOwned>(&self, path: &str, body: &impl Serialize) -> Result<T> {
+        let body = serde_json::to_vec(body).map_err(|e| self.bad(0, &e.to_string()))?;
+        let answer = self.send(Method::POST, path, JSON, body).await?;
+        self.parse(&answer)
+    }
+
+    fn parse<T: DeserializeOwned>(&self, answer: &Answer) -> Result<T> {
+        if answer.status != 200 {
+            return Err(self.bad(answer.status, &String::from_utf8_lossy(&answer.body)));
+        }
+        serde_json::from_slice(&answer.body).map_err(|e| self.bad(200, &e.to_string()))
+    }
+
+    fn sort_error(&self, e: &CallError) -> PlatformError {
+        match e.ran() {
+            Ran::No => self.unavailable(),
+            Ran::Maybe => PlatformError::InDoubt {
+                service: self.name,
+                detail: e.to_string(),
+            },
+        }
+    }
+
+    fn unavailable(&self) -> PlatformError {
+        PlatformError::Unavailable {
+            service: self.name,
+            retry_ms: DEFAULT_RETRY_MS,
+        }
+    }
+
+    fn bad(&self, status: u16, detail: &str) -> PlatformError {
+        PlatformError::BadAnswer {
+            service: self.name,
+            status,
+            detail: detail.to_owned(),
+        }
+    }
+}
+
+/// The body of a read of rows by key.
+#[derive(Clone, Debug, Serialize, serde::Deserialize)]
+pub struct ReadKeys {
+    /// The keys.
+    pub keys: Vec<String>,
+}
+
+/// The body of a scan.
+#[derive(Clone, Debug, Serialize, serde::Deserialize)]
+pub struct ScanKeys {
+    /// What the keys start with.
+    pub prefix: String,
+    /// The key before the first one wanted.
+    pub after: String,
+    /// The most rows to return.
+    pub limit: usize,
+}
+
+impl Table for HttpService {
+    async fn commit(&self, txn: Txn) -> Result<Commit> {
+        self.post("/table/commit", &txn).await
+    }
+
+    async fn read(&self, keys: &[String]) -> Result<Vec<Row>> {
+        self.post(
+            "/table/read",
+            &ReadKeys {
+                keys: keys.to_vec(),
+            },
+        )
+        .await
+    }
+
+    async fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Scan> {
+        let body = ScanKeys {
+            prefix: prefix.to_owned(),
+            after: after.to_owned(),
+            limit,
+        };
+        self.post("/table/scan", &body).await
+    }
+}
+
+impl Objects for HttpService {
+    async fn put(&self, key: &str, body: Vec<u8>) -> Result<()> {
+        let answer = self
+            .send(Method::PUT, &format!("/objects/{key}"), BYTES, body)
+            .await?;
+        match answer.status {
+            200 | 201 | 204 => Ok(()),
+            status => Err(self.bad(status, "object was not written")),
+        }
+    }
+
+    async fn get(&self, key: &str) -> Result<Option<Vec<u8>>> {
+        let answer = self
+            .send(Method::GET, &format!("/objects/{key}"), BYTES, Vec::new())
+            .await?;
+        match answer.status {
+            200 => Ok(Some(answer.body.to_vec())),
+            404 => Ok(None),
+            status => Err(self.bad(status, "object was not read")),
+        }
+    }
+}
+
+impl VmList for HttpService {
+    async fn changes(&self, after: u64) -> Result<VmChanges> {
+        let path = format!("/vms?after={after}");
+        let answer = self.send(Method::GET, &path, JSON, Vec::new()).await?;
+        self.parse(&answer)
+    }
+}
--- /dev/null
+++ b/crates/mustard-platform/src/object.rs
@@ -0,0 +1,13 @@
+//! The object store.
+
+use crate::errors::Result;
+
+/// The object store.
+#[allow(async_fn_in_trait)]
+pub trait Objects {
+    /// Writes a whole object.
+    async fn put(&self, key: &str, body: Vec<u8>) -> Result<()>;
+
+    /// Reads a whole object, or none if it does not exist.
+    async fn get(&self, key: &str) -> Result<Option<Vec<u8>>>;
+}
--- /dev/null
+++ b/crates/mustard-platform/src/table.rs
@@ -0,0 +1,112 @@
+//! The transactional table service.
+
+use serde::{Deserialize, Serialize};
+
+use crate::errors::Result;
+
+/// A row; version zero means that it does not exist.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// The key.
+    pub key: String,
+    /// The content, JSON text by convention.
+    pub value: String,
+    /// Grows with each write of this row.
+    pub version: u64,
+}
+
+/// Requires that a row has a version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Check {
+    /// The key.
+    pub key: String,
+    /// The version; zero requires that the row does not exist.
+    pub version: u64,
+}
+
+/// Writes or deletes a row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Write {
+    /// The key.
+    pub key: String,
+    /// The new content, or none to delete the row.
+    pub value: Option<String>,
+}
+
+/// Writes that take effect together if every check holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Txn {
+    /// What must hold.
+    pub checks: Vec<Check>,
+    /// What to write.
+    pub writes: Vec<Write>,
+}
+
+impl Txn {
+    /// Adds a check.
+    #[must_use]
+    pub fn check(mut self, key: impl Into<String>, version: u64) -> Self {
+        self.checks.push(Check {
+            key: key.into(),
+            version,
+        });
+        self
+    }
+
+    /// Adds a write.
+    #[must_use]
+    pub fn put(mut self, key: impl Into<String>, value: impl Into<String>) -> Self {
+        self.writes.push(Write {
+            key: key.into(),
+            value: Some(value.into()),
+        });
+        self
+    }
+
+    /// Adds a deletion.
+    #[must_use]
+    pub fn delete(mut self, key: impl Into<String>) -> Self {
+        self.writes.push(Write {
+            key: key.into(),
+            value: None,
+        });
+        self
+    }
+}
+
+/// What became of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Commit {
+    /// Every write took effect.
+    Done,
+    /// No write took effect; the rows whose checks failed, as they are.
+    Conflict(Vec<Row>),
+}
+
+/// A page of rows in key order.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Scan {
+    /// The rows.
+    pub rows: Vec<Row>,
+    /// Whether more rows follow.
+    pub more: bool,
+}
+
+/// The transactional table service.
+#[allow(async_fn_in_trait)]
+pub trait Table {
+    /// Commits a transaction.
+    ///
+    /// # Errors
+    ///
+    /// After [`PlatformError::InDoubt`](crate::PlatformError::InDoubt) the writes may have taken
+    /// effect; the caller reads back.
+    async fn commit(&self, txn: Txn) -> Result<Commit>;
+
+    /// Reads rows by key; a row that does not exist comes back with version zero.
+    async fn read(&self, keys: &[String]) -> Result<Vec<Row>>;
+
+    /// Reads rows whose keys start with `prefix` and follow `after`, in key order.
+    async fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Scan>;
+}
--- /dev/null
+++ b/crates/mustard-proto/src/codec.rs
@@ -0,0 +1,62 @@
+//! MessagePack encoding of messages.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::envelope::{Envelope, Message, Reply, VERSION};
+use crate::errors::{ProtoError, Result};
+
+/// The media type of message bodies.
+pub const MEDIA_TYPE: &str = "application/msgpack";
+
+/// Encodes any serializable value.
+pub fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>> {
+    Ok(rmp_serde::to_vec(value)?)
+}
+
+/// Decodes an answer.
+pub fn decode_reply<T: DeserializeOwned>(body: &[u8]) -> Result<Reply<T>> {
+    Ok(rmp_serde::from_slice(body)?)
+}
+
+/// Decodes a message and checks its version.
+///
+/// The version is read before the rest, so that a newer sender gets
+/// [`ProtoError::Version`] even if the rest has another shape.
+pub fn decode_message<M: Message>(body: &[u8]) -> Result<Envelope<M>> {
+    // The body is an array: the version, the head, then the message.
+    let mut reader = rmp_serde::Deserializer::new(body);
+    let got = leading_version(&mut reader).unwrap_or(VERSION);
+    if got != VERSION {
+        return Err(ProtoError::Version {
+            got,
+            supported: VERSION,
+        });
+    }
+    Ok(rmp_serde::from_slice(body)?)
+}
+
+fn leading_version<R>(reader: &mut rmp_serde::Deserializer<R>) -> Option<u16>
+where
+    for<'a> &'a mut rmp_serde::Deserializer<R>: serde::Deserializer<'a>,
+{
+    use serde::de::{Deserializer, SeqAccess, Visitor};
+
+    struct First;
+
+    impl<'de> Visitor<'de> for First {
+        type Value = u16;
+
+        fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+            f.write_str("an array that starts with a version")
+        }
+
+        fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> std::result::Result<u16, A::Error> {
+            let version = seq.next_element()?;
+            while seq.next_element::<serde::de::IgnoredAny>()?.is_some() {}
+            version.ok_or_else(|| serde::de::Error::invalid_length(0, &self))
+        }
+    }
+
+    reader.deserialize_any(First).ok()
+}
--- /dev/null
+++ b/crates/mustard-proto/src/limits.rs
@@ -0,0 +1,61 @@
+//! Messages between entry processes: grants of a customer's limits, and strikes.
+
+use serde::{Deserialize, Serialize};
+
+use mustard_core::fingerprint::Fingerprint;
+
+use crate::envelope::Message;
+
+/// Asks the grantor of a catalogue entry for a part of its limits.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantAsk {
+    /// The name of the asking process.
+    pub from: String,
+    /// The catalogue entry.
+    pub entry: String,
+    /// Requests wanted in the coming period.
+    pub want: u32,
+    /// Requests in flight at the asking process.
+    pub running: u32,
+}
+
+/// A part of the limits, valid for a time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Requests that may be admitted.
+    pub requests: u32,
+    /// Requests that may be in flight at once.
+    pub slots: u32,
+    /// How long the grant is valid, in milliseconds.
+    pub valid_ms: u64,
+    /// When to ask again if the grant is empty, in milliseconds.
+    pub retry_ms: u64,
+}
+
+impl Message for GrantAsk {
+    const PATH: &'static str = "/x/v1/grant";
+    type Answer = Grant;
+}
+
+/// One server that died while it ran a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Strike {
+    /// The content of the request.
+    pub fingerprint: Fingerprint,
+    /// The VM whose server died.
+    pub vm: String,
+    /// The number of different requests that ran there when it died.
+    pub shared: u32,
+}
+
+/// Shares strikes between entry processes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Strikes {
+    /// The strikes.
+    pub strikes: Vec<Strike>,
+}
+
+impl Message for Strikes {
+    const PATH: &'static str = "/x/v1/strikes";
+    type Answer = ();
+}
