Add the platform's services in memory

They share one set of switches: down, answer lost after the write, write lost, calls that suspend. The row version is drawn from one counter for all rows, so a row that is deleted and written anew never has an old version.

--- a/crates/mustard-fakes/src/lib.rs
+++ b/crates/mustard-fakes/src/lib.rs
@@ -1,1 +1,8 @@
-//! Placeholder.
+//! Small stand-ins for engines, plain services and the platform.
+//!
+//! The stand-ins keep ledgers of what they did, so that tests judge the system by them, and can
+//! be told to be slow, down, to lose answers, to freeze and to die.
+
+#![forbid(unsafe_code)]
+
+pub mod memory;
--- /dev/null
+++ b/crates/mustard-fakes/src/memory/object.rs
@@ -0,0 +1,48 @@
+//! The object store in memory.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use mustard_core::collections::Map;
+use mustard_platform::errors::Result;
+use mustard_platform::object::Objects;
+
+use super::fault::Switches;
+
+const SERVICE: &str = "objects";
+
+/// The object store in memory; clones share the objects.
+#[derive(Clone, Debug, Default)]
+pub struct MemObjects {
+    objects: Arc<Mutex<Map<String, Vec<u8>>>>,
+    switches: Arc<Switches>,
+}
+
+impl MemObjects {
+    /// Creates an empty store.
+    pub fn new() -> Self {
+        MemObjects::default()
+    }
+
+    /// Returns the switches and counters.
+    pub fn switches(&self) -> &Switches {
+        &self.switches
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Map<String, Vec<u8>>> {
+        self.objects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Objects for MemObjects {
+    async fn put(&self, key: &str, body: Vec<u8>) -> Result<()> {
+        let store = || {
+            self.lock().insert(key.to_owned(), body);
+        };
+        self.switches.write(SERVICE, store).await
+    }
+
+    async fn get(&self, key: &str) -> Result<Option<Vec<u8>>> {
+        self.switches.read(SERVICE).await?;
+        Ok(self.lock().get(key).cloned())
+    }
+}
--- /dev/null
+++ b/crates/mustard-fakes/src/memory/table.rs
@@ -0,0 +1,135 @@
+//! The transactional table service in memory.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use mustard_platform::errors::Result;
+use mustard_platform::table::{Check, Commit, Row, Scan, Table, Txn, Write};
+
+use super::fault::Switches;
+
+const SERVICE: &str = "table";
+
+/// The transactional table service in memory; clones share the rows.
+#[derive(Clone, Debug, Default)]
+pub struct MemTable {
+    rows: Arc<Mutex<Rows>>,
+    switches: Arc<Switches>,
+}
+
+#[derive(Debug, Default)]
+struct Rows {
+    by_key: BTreeMap<String, Row>,
+    // One counter for all rows: a row that is deleted and written anew gets a new version.
+    version: u64,
+}
+
+impl Rows {
+    fn get(&self, key: &str) -> Row {
+        self.by_key.get(key).cloned().unwrap_or_else(|| Row {
+            key: key.to_owned(),
+            ..Row::default()
+        })
+    }
+
+    fn commit(&mut self, txn: &Txn) -> Commit {
+        let failed = |c: &Check| {
+            let row = self.get(&c.key);
+            (row.version != c.version).then_some(row)
+        };
+        let conflicts: Vec<_> = txn.checks.iter().filter_map(failed).collect();
+        if !conflicts.is_empty() {
+            return Commit::Conflict(conflicts);
+        }
+        for write in &txn.writes {
+            self.write(write);
+        }
+        Commit::Done
+    }
+
+    fn write(&mut self, write: &Write) {
+        self.version += 1;
+        let key = write.key.clone();
+        match &write.value {
+            None => {
+                self.by_key.remove(&key);
+            }
+            Some(value) => {
+                let row = Row {
+                    key: key.clone(),
+                    value: value.clone(),
+                    version: self.version,
+                };
+                self.by_key.insert(key, row);
+            }
+        }
+    }
+
+    fn scan(&self, prefix: &str, after: &str, limit: usize) -> Scan {
+        let start = match after {
+            after if after >= prefix && !after.is_empty() => Bound::Excluded(after),
+            _ => Bound::Included(prefix),
+        };
+        let mut rows: Vec<_> = self
+            .by_key
+            .range::<str, _>((start, Bound::Unbounded))
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .take(limit + 1)
+            .map(|(_, row)| row.clone())
+            .collect();
+        let more = rows.len() > limit;
+        rows.truncate(limit);
+        Scan { rows, more }
+    }
+}
+
+impl MemTable {
+    /// Creates an empty table.
+    pub fn new() -> Self {
+        MemTable::default()
+    }
+
+    /// Returns the switches and counters.
+    pub fn switches(&self) -> &Switches {
+        &self.switches
+    }
+
+    /// Returns a row as it is, past every switch; version zero means that it does not exist.
+    pub fn peek(&self, key: &str) -> Row {
+        self.lock().get(key)
+    }
+
+    /// Returns the rows of a prefix as they are, past every switch.
+    pub fn peek_all(&self, prefix: &str) -> Vec<Row> {
+        self.lock().scan(prefix, "", usize::MAX - 1).rows
+    }
+
+    /// Commits a transaction past every switch.
+    pub fn apply(&self, txn: &Txn) -> Commit {
+        self.lock().commit(txn)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Rows> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Table for MemTable {
+    async fn commit(&self, txn: Txn) -> Result<Commit> {
+        self.switches
+            .write(SERVICE, || self.lock().commit(&txn))
+            .await
+    }
+
+    async fn read(&self, keys: &[String]) -> Result<Vec<Row>> {
+        self.switches.read(SERVICE).await?;
+        let rows = self.lock();
+        Ok(keys.iter().map(|key| rows.get(key)).collect())
+    }
+
+    async fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Scan> {
+        self.switches.read(SERVICE).await?;
+        Ok(self.lock().scan(prefix, after, limit))
+    }
+}
