Add the stand-in engine, plain service and platform as programs

The next token folds (layer, position, token) into a state per layer, so one comparison with reference::generate shows a skipped, repeated or reordered layer.

--- /dev/null
+++ b/crates/mustard-fakes/src/bin/fake_reference.rs
@@ -0,0 +1,28 @@
+//! Prints the tokens that a correct run of the stand-in model yields.
+
+#![forbid(unsafe_code)]
+
+use clap::Parser;
+use mustard_fakes::reference;
+
+/// Prints the expected tokens, as the caller sees their text.
+#[derive(Debug, Parser)]
+#[command(name = "fake-reference", about, version)]
+struct Flags {
+    /// The number of layers of the whole model.
+    #[arg(long)]
+    layers: u32,
+    /// The ids of the prompt's tokens, with commas.
+    #[arg(long, value_delimiter = ',')]
+    prompt: Vec<u32>,
+    /// The number of tokens to generate.
+    #[arg(long)]
+    tokens: usize,
+}
+
+fn main() {
+    let flags = Flags::parse();
+    let tokens = reference::generate(flags.layers, &flags.prompt, flags.tokens);
+    let text: String = tokens.iter().map(|t| format!(" t{t}")).collect();
+    println!("{text}");
+}
--- /dev/null
+++ b/crates/mustard-fakes/src/engine/ledger.rs
@@ -0,0 +1,53 @@
+//! The record of what the engine ran.
+
+use std::collections::VecDeque;
+
+use mustard_core::collections::Map;
+use serde::{Deserialize, Serialize};
+
+const MAX_RECORDS: usize = 65_536;
+
+/// What the engine ran of one sequence.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeqRecord {
+    /// Positions run, each once.
+    pub positions: u32,
+    /// Steps refused because they were out of order.
+    pub refused: u32,
+    /// Whether it was cancelled.
+    pub cancelled: bool,
+}
+
+/// What the engine ran.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ledger {
+    /// Batches run.
+    pub batches: u64,
+    /// Steps run.
+    pub steps: u64,
+    /// Positions run.
+    pub positions: u64,
+    /// Steps refused because they were out of order.
+    pub refused: u64,
+    /// Sequences that are open.
+    pub open: usize,
+    /// The latest sequences by name.
+    pub sequences: Map<String, SeqRecord>,
+    #[serde(skip)]
+    order: VecDeque<String>,
+}
+
+impl Ledger {
+    /// Returns the record of a sequence; the oldest record goes when there are too many.
+    pub(super) fn record(&mut self, seq: &str) -> &mut SeqRecord {
+        if !self.sequences.contains_key(seq) {
+            self.order.push_back(seq.to_owned());
+        }
+        if self.order.len() > MAX_RECORDS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.sequences.remove(&oldest);
+        }
+        self.sequences.entry(seq.to_owned()).or_default()
+    }
+}
--- /dev/null
+++ b/crates/mustard-fakes/src/engine/sequence.rs
@@ -0,0 +1,59 @@
+//! The state of one sequence in the engine's layers.
+
+use mustard_backend::engine::{KvCache, StepOut};
+use mustard_core::ids::Layers;
+use mustard_proto::step::Input;
+
+use crate::digest::{embed, run_layer, token};
+
+/// One open sequence.
+#[derive(Clone, Debug)]
+pub(super) struct Sequence {
+    pub(super) pos: u32,
+    state: Vec<u64>,
+}
+
+impl Sequence {
+    pub(super) fn new(layers: Layers) -> Self {
+        Sequence {
+            pos: 0,
+            state: vec![0; layers.count() as usize],
+        }
+    }
+
+    pub(super) fn from_cache(cache: KvCache) -> Self {
+        Sequence {
+            pos: cache.pos,
+            state: cache.state,
+        }
+    }
+
+    pub(super) fn to_cache(&self) -> KvCache {
+        KvCache {
+            pos: self.pos,
+            state: self.state.clone(),
+        }
+    }
+
+    /// Runs an input through the layers; a token comes out of the last layer only.
+    pub(super) fn run(&mut self, layers: Layers, last: bool, input: &Input) -> StepOut {
+        let fed: Vec<u64> = match input {
+            Input::Tokens(tokens) => tokens.iter().map(|t| embed(*t)).collect(),
+            Input::Acts(acts) => acts.clone(),
+        };
+        let acts: Vec<u64> = fed.into_iter().map(|x| self.run_one(layers, x)).collect();
+        match acts.last() {
+            Some(x) if last => StepOut::Token(token(*x)),
+            _ => StepOut::Acts(acts),
+        }
+    }
+
+    fn run_one(&mut self, layers: Layers, fed: u64) -> u64 {
+        let mut x = fed;
+        for (layer, state) in (layers.first..layers.end).zip(&mut self.state) {
+            x = run_layer(layer, self.pos, state, x);
+        }
+        self.pos += 1;
+        x
+    }
+}
--- a/crates/mustard-fakes/src/lib.rs
+++ b/crates/mustard-fakes/src/lib.rs
@@ -5,4 +5,14 @@
 
 #![forbid(unsafe_code)]
 
+pub mod digest;
+pub mod engine;
+pub mod errors;
+pub mod fault;
 pub mod memory;
+pub mod platform;
+pub mod reference;
+pub mod serve;
+pub mod service;
+
+pub use errors::{FakeError, Result};
