Add the lease row with fencing numbers

A lease is needed for placement orders. Weighed: an expiry by wall clock in the row, which needs synchronised clocks; and a term counted by each process on its own monotonic clock from the row's version, which does not. The second is built.

--- a/crates/mustard-platform/src/lib.rs
+++ b/crates/mustard-platform/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod errors;
 pub mod http;
+pub mod lease;
 pub mod object;
 pub mod table;
 pub mod vms;
