Wake callers that wait for a connection; add the token vocabulary

Cause: the connection pool of the HTTP client wakes callers that wait while a connection to the same address is being opened only when 'acquired < limit', which is never true for a limit of zero ('no limit'). A second call to an address in the middle of its first connection waited until its own time limit. Change: the pool has a limit above any use. Vocabulary of the callers' interface in mustard-core; settings take lists of texts.

--- a/crates/mustard-core/src/lib.rs
+++ b/crates/mustard-core/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod hlc;
 pub mod ids;
 pub mod outcome;
+pub mod tokens;
 mod wide;
--- a/crates/mustard-net/src/http.rs
+++ b/crates/mustard-net/src/http.rs
@@ -14,6 +14,8 @@
 /// The largest answer body that a client reads, in bytes.
 pub const MAX_ANSWER: usize = 16 * 1024 * 1024;
 
+// The pool wakes callers that wait for a connection only if it has a limit above zero.
+const MAX_CONNECTIONS: usize = 65_536;
 const KEEP_ALIVE: Seconds = Seconds(15);
 const LIFETIME: Seconds = Seconds(600);
 
@@ -50,7 +52,7 @@
 /// Creates an HTTP client; it belongs to the calling thread.
 pub async fn new_client() -> HttpClient {
     let connector = Connector::new()
-        .limit(0)
+        .limit(MAX_CONNECTIONS)
         .keep_alive(KEEP_ALIVE)
         .lifetime(LIFETIME);
     HttpClient::builder()
--- a/crates/mustard-net/src/settings.rs
+++ b/crates/mustard-net/src/settings.rs
@@ -24,6 +24,8 @@
     Addr,
     /// A list of IP addresses with ports.
     Addrs,
+    /// A list of texts that are not empty.
+    Texts,
     /// A whole number in a range.
     Int(i64, i64),
     /// A number in a range.
@@ -39,6 +41,7 @@
             Kind::OneOf(words) => write!(f, "one of {}", words.join(", ")),
             Kind::Addr => f.write_str("an IP address with a port"),
             Kind::Addrs => f.write_str("a list of IP addresses with ports"),
+            Kind::Texts => f.write_str("a list of texts that are not empty"),
             Kind::Int(low, high) => write!(f, "a whole number from {low} to {high}"),
             Kind::Float(low, high) => write!(f, "a number from {low} to {high}"),
             Kind::Bool => f.write_str("true or false"),
@@ -261,9 +264,13 @@
 }
 
 fn fits(value: &Value, kind: Kind) -> bool {
+    let is_text = |v: &Value| v.as_str().is_some_and(|s| !s.is_empty());
     let is_addr = |v: &Value| v.as_str().is_some_and(|s| s.parse::<SocketAddr>().is_ok());
     match kind {
-        Kind::Text => value.as_str().is_some_and(|s| !s.is_empty()),
+        Kind::Text => is_text(value),
+        Kind::Texts => value
+            .as_array()
+            .is_some_and(|list| list.iter().all(is_text)),
         Kind::OneOf(words) => value.as_str().is_some_and(|s| words.contains(&s)),
         Kind::Addr => is_addr(value),
         Kind::Addrs => value
