--- a/crates/mustard-bench/src/main.rs
+++ b/crates/mustard-bench/src/main.rs
@@ -1,2 +1,31 @@
-//! Placeholder.
-fn main() {}
+//! `mustard-bench`: load and experiment tool.
+
+#![forbid(unsafe_code)]
+
+mod compare;
+mod decide;
+
+use clap::{Parser, Subcommand};
+
+/// Measures mustardfield.
+#[derive(Debug, Parser)]
+#[command(name = "mustard-bench", version, about)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Measures the cost and quality of single decisions.
+    Decide(decide::Args),
+    /// Compares the product's policy with plain baselines.
+    Compare(compare::Args),
+}
+
+fn main() -> anyhow::Result<()> {
+    match Cli::parse().command {
+        Command::Decide(args) => decide::run(&args),
+        Command::Compare(args) => compare::run(&args),
+    }
+}
