Add the harness of the process tests

A Cluster starts the real programs on loopback with ports chosen by the system and ends them by process id. Several plain services share the books of the first one, as booking servers in front of one database do.

--- a/crates/mustard-fakes/src/service.rs
+++ b/crates/mustard-fakes/src/service.rs
@@ -12,6 +12,9 @@
 use crate::fault::{Command, Faults};
 use crate::serve::{Answer, Call, StandIn};
 
+const REFERENCE: &str = "x-reference";
+const BOOKS_LIMIT: Duration = Duration::from_secs(30);
+
 /// The flags of the plain service.
 #[derive(Clone, Debug, Parser)]
 #[command(name = "fake-service", about = "Stands in for a booking service")]
@@ -22,6 +25,9 @@
     /// Time that each call takes, in milliseconds.
     #[arg(long, default_value_t = 1)]
     pub call_ms: u64,
+    /// The stand-in that keeps the books; this one does if absent.
+    #[arg(long)]
+    pub books: Option<SocketAddr>,
     /// Offers no read by reference.
     #[arg(long)]
     pub no_lookup: bool,
@@ -108,6 +114,37 @@
     }
 }
 
+/// Hands a call to the stand-in that keeps the books.
+async fn forward(books: SocketAddr, call: Call) -> Answer {
+    let client = mustard_net::http::new_client().await;
+    let path = match call.query.as_str() {
+        "" => call.path,
+        query => format!("{}?{query}", call.path),
+    };
+    let reference: Vec<_> = call
+        .reference
+        .iter()
+        .map(|r| (REFERENCE, r.as_str()))
+        .collect();
+    let request = mustard_net::http::Request {
+        to: books,
+        method: call.method,
+        path: &path,
+        content_type: "application/json",
+        headers: &reference,
+        body: call.body.to_vec(),
+        limit: BOOKS_LIMIT,
+    };
+    match mustard_net::http::exchange(&client, request).await {
+        Ok(answer) => Answer {
+            status: answer.status,
+            media: "application/json",
+            body: answer.body.to_vec(),
+        },
+        Err(e) => Answer::text(502, &e.to_string()),
+    }
+}
+
 impl StandIn for Service {
     fn faults(&self, _: &Call) -> &Faults {
         &self.faults
@@ -119,12 +156,16 @@
 
     async fn answer(&self, call: Call) -> Answer {
         match (&call.method, call.path.as_str()) {
+            (&Method::GET, "/lookup") if !self.flags.no_lookup && self.flags.books.is_some() => {}
             (&Method::GET, "/ledger") => return Answer::json(200, &*self.ledger()),
             (&Method::GET, "/lookup") => return self.lookup(call.query("reference")),
             _ => {}
         }
         let work = Duration::from_millis(self.flags.call_ms);
         time::sleep(self.faults.stretch(work)).await;
+        if let Some(books) = self.flags.books {
+            return forward(books, call).await;
+        }
         match call.method {
             Method::GET => self.status(&call.path),
             _ => self.book(&call),
--- /dev/null
+++ b/crates/mustard-tests/src/cluster.rs
@@ -0,0 +1,351 @@
+//! A whole system of processes on loopback.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use serde::de::DeserializeOwned;
+
+use mustard_core::catalogue::{Entry, Limits, Target};
+use mustard_core::fingerprint::KeyHash;
+use mustard_core::ids::Layers;
+use mustard_fakes::engine::Ledger;
+use mustard_fakes::fault::Command;
+use mustard_fakes::service::Booking;
+use mustard_platform::vms::{Vm, VmKind, VmState};
+
+use crate::caller::Caller;
+use crate::child::Child;
+use crate::errors::Result;
+use crate::http::Ask;
+use crate::operator::Operator;
+use crate::plan::{CUSTOMER_KEY, DOMAINS, MODEL, OPERATOR_KEY, Plan, SERVICE};
+use crate::wait::eventually;
+
+const ANY_PORT: &str = "127.0.0.1:0";
+
+static COUNTER: AtomicU64 = AtomicU64::new(0);
+
+/// A backend server with the agent beside it.
+#[derive(Debug)]
+pub struct Node {
+    /// The engine or the plain service.
+    pub server: Child,
+    /// The agent.
+    pub agent: Child,
+    /// The layers, for an engine.
+    pub layers: Layers,
+    settings: Vec<String>,
+    domain: String,
+}
+
+impl Node {
+    /// Returns the name of the VM.
+    pub fn vm(&self) -> &str {
+        self.agent.name()
+    }
+}
+
+/// A whole system of processes on loopback.
+#[derive(Debug)]
+pub struct Cluster {
+    /// The platform's services.
+    pub platform: Child,
+    /// The entry processes.
+    pub entries: Vec<Child>,
+    /// The stages, replica by replica.
+    pub stages: Vec<Node>,
+    /// The plain services.
+    pub services: Vec<Node>,
+    plan: Plan,
+    dir: PathBuf,
+    born: usize,
+}
+
+impl Cluster {
+    /// Starts the processes of a plan and waits until each entry serves both workloads.
+    pub fn start(plan: &Plan) -> Result<Self> {
+        let number = COUNTER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("mustard-tests-{}-{number}", std::process::id());
+        let dir = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&dir)?;
+        let platform = Child::start("fake-platform", "platform", &plan.platform_flags, &dir)?;
+        let mut cluster = Cluster {
+            platform,
+            entries: Vec::new(),
+            stages: Vec::new(),
+            services: Vec::new(),
+            plan: plan.clone(),
+            dir,
+            born: 0,
+        };
+        cluster.fill()?;
+        Ok(cluster)
+    }
+
+    fn fill(&mut self) -> Result<()> {
+        for _ in 0..self.plan.replicas {
+            for layers in self.plan.ranges.clone() {
+                self.add_stage(layers)?;
+            }
+        }
+        for _ in 0..self.plan.services {
+            self.add_service()?;
+        }
+        for _ in 0..self.plan.entries {
+            self.add_entry()?;
+        }
+        if self.plan.seeded {
+            self.seed()?;
+        }
+        Ok(())
+    }
+
+    /// Starts one more stage and returns its index.
+    pub fn add_stage(&mut self, layers: Layers) -> Result<usize> {
+        let vm = self.next_name("stage");
+        let mut flags = vec![
+            "--model".to_owned(),
+            MODEL.to_owned(),
+            "--layers".to_owned(),
+            layers.to_string(),
+            "--total-layers".to_owned(),
+            self.plan.layers().to_string(),
+        ];
+        flags.extend(self.plan.engine_flags.iter().cloned());
+        let node = self.start_node(&vm, "fake-engine", &flags, "engine", layers)?;
+        self.stages.push(node);
+        Ok(self.stages.len() - 1)
+    }
+
+    /// Starts one more plain service and returns its index.
+    pub fn add_service(&mut self) -> Result<usize> {
+        let vm = self.next_name("booking");
+        let mut flags = self.plan.service_flags.clone();
+        // All services of a cluster share the books of the first one.
+        if let Some(first) = self.services.first() {
+            flags.extend(["--books".to_owned(), first.server.addr().to_string()]);
+        }
+        let node = self.start_node(&vm, "fake-service", &flags, "service", Layers::default())?;
+        self.services.push(node);
+        Ok(self.services.len() - 1)
+    }
+
+    /// Starts one more entry process and returns its index.
+    pub fn add_entry(&mut self) -> Result<usize> {
+        let name = self.next_name("entry");
+        let child = self.start_entry(&name, ANY_PORT)?;
+        self.entries.push(child);
+        Ok(self.entries.len() - 1)
+    }
+
+    /// Starts an ended entry process again at its address, with an empty memory.
+    pub fn restart_entry(&mut self, index: usize) -> Result<()> {
+        let (name, addr) = {
+            let old = &mut self.entries[index];
+            let _ = old.kill();
+            (old.name().to_owned(), old.addr().to_string())
+        };
+        self.entries[index] = self.start_entry(&name, &addr)?;
+        Ok(())
+    }
+
+    fn start_entry(&self, name: &str, listen: &str) -> Result<Child> {
+        let platform = self.platform.addr();
+        let hash = KeyHash::of(OPERATOR_KEY).0;
+        let domain = DOMAINS[self.entries.len() % DOMAINS.len()];
+        let text = format!(
+            "name = \"{name}\"\nlisten = \"{listen}\"\ndomain = \"{domain}\"\n\
+             operators = [\"anna:{hash}\"]\n{}\n\
+             [platform]\ntable = \"{platform}\"\nobjects = \"{platform}\"\nvms = \"{platform}\"\n",
+            self.plan.entry_settings,
+        );
+        let child = self.start_configured("mustard-entry", name, &text)?;
+        self.list(&child, VmKind::Entry, domain, VmState::Live)?;
+        Ok(child)
+    }
+
+    fn start_node(
+        &mut self,
+        vm: &str,
+        program: &str,
+        flags: &[String],
+        kind: &str,
+        layers: Layers,
+    ) -> Result<Node> {
+        let server = Child::start(program, &format!("{vm}-server"), flags, &self.dir)?;
+        let domain = DOMAINS[self.born % DOMAINS.len()].to_owned();
+        let mut settings = vec![
+            format!("vm = \"{vm}\""),
+            format!("domain = \"{domain}\""),
+            format!("kind = \"{kind}\""),
+            format!("server = \"{}\"", server.addr()),
+            format!("table = \"{}\"", self.platform.addr()),
+        ];
+        if kind == "service" {
+            settings.push(format!("service = \"{SERVICE}\""));
+        }
+        let agent = self.start_agent(vm, &settings, ANY_PORT)?;
+        self.list(&agent, VmKind::Agent, &domain, VmState::Live)?;
+        Ok(Node {
+            server,
+            agent,
+            layers,
+            settings,
+            domain,
+        })
+    }
+
+    fn start_agent(&self, vm: &str, settings: &[String], listen: &str) -> Result<Child> {
+        let text = format!("{}\nlisten = \"{listen}\"\n", settings.join("\n"));
+        self.start_configured("mustard-agent", vm, &text)
+    }
+
+    /// Starts an ended agent again at its address, with an empty memory.
+    pub fn restart_agent(&self, node: &mut Node) -> Result<()> {
+        let _ = node.agent.kill();
+        let (vm, addr) = (node.vm().to_owned(), node.agent.addr().to_string());
+        node.agent = self.start_agent(&vm, &node.settings, &addr)?;
+        Ok(())
+    }
+
+    fn start_configured(&self, program: &str, name: &str, text: &str) -> Result<Child> {
+        let file = self.dir.join(format!("{name}.toml"));
+        std::fs::write(&file, text)?;
+        let args = ["--config".to_owned(), file.display().to_string()];
+        Child::start(program, name, &args, &self.dir)
+    }
+
+    fn next_name(&mut self, kind: &str) -> String {
+        self.born += 1;
+        format!("{kind}-{}", self.born)
+    }
+
+    /// Changes the platform's list of VMs.
+    pub fn list(&self, child: &Child, kind: VmKind, domain: &str, state: VmState) -> Result<()> {
+        let vm = Vm {
+            name: child.name().to_owned(),
+            kind,
+            addr: child.addr(),
+            domain: domain.to_owned(),
+            state,
+        };
+        let mut ask = Ask::post(self.platform.addr(), "/vms", serde_json::to_string(&vm)?);
+        ask.method = "PUT";
+        ask.send()?;
+        Ok(())
+    }
+
+    /// Reports a node as gone in the platform's list.
+    pub fn list_gone(&self, node: &Node) -> Result<()> {
+        self.list(&node.agent, VmKind::Agent, &node.domain, VmState::Gone)
+    }
+
+    /// Returns the entry that gives the customer the model.
+    pub fn model_entry(&self) -> Entry {
+        Entry {
+            name: MODEL.to_owned(),
+            owner: "peachtree".to_owned(),
+            class: mustard_core::catalogue::Class::Interactive,
+            target: Target::Model {
+                model: MODEL.to_owned(),
+                layers: self.plan.layers(),
+            },
+            limits: Limits {
+                rate: 10_000.0,
+                burst: 10_000,
+                concurrency: 10_000,
+                max_tokens: 4096,
+                ..Limits::default()
+            },
+            keys: vec![KeyHash::of(CUSTOMER_KEY)],
+        }
+    }
+
+    /// Returns the entry that gives the customer the plain service.
+    pub fn service_entry(&self) -> Entry {
+        Entry {
+            name: SERVICE.to_owned(),
+            target: Target::Service {
+                service: SERVICE.to_owned(),
+                repeatable: false,
+            },
+            ..self.model_entry()
+        }
+    }
+
+    fn seed(&self) -> Result<()> {
+        for entry in [self.model_entry(), self.service_entry()] {
+            let add = || self.operator(0).put(&entry, 0).ok();
+            eventually("the catalogue takes an entry", add)?;
+        }
+        for entry in 0..self.entries.len() {
+            self.wait_ready(entry)?;
+        }
+        Ok(())
+    }
+
+    /// Waits until an entry process serves both workloads.
+    pub fn wait_ready(&self, entry: usize) -> Result<()> {
+        let caller = self.caller(entry);
+        eventually("a first draft", || {
+            let draft = caller.stream(MODEL, &[1], 1).ok()?;
+            draft.is_whole().then_some(())
+        })?;
+        if self.services.is_empty() {
+            return Ok(());
+        }
+        eventually("a first read", || {
+            let read = caller.read(&format!("{SERVICE}/warm")).ok()?;
+            (read.status == 200).then_some(())
+        })
+    }
+
+    /// Returns the customer's client of an entry process.
+    pub fn caller(&self, entry: usize) -> Caller {
+        Caller::new(self.entries[entry].addr(), CUSTOMER_KEY)
+    }
+
+    /// Returns the operator's client of an entry process.
+    pub fn operator(&self, entry: usize) -> Operator {
+        Operator::new(self.entries[entry].addr(), OPERATOR_KEY)
+    }
+
+    /// Returns the ledger of an engine.
+    pub fn engine_ledger(&self, stage: usize) -> Result<Ledger> {
+        ledger(self.stages[stage].server.addr())
+    }
+
+    /// Returns every booking that the plain services made.
+    pub fn bookings(&self) -> Result<Vec<Booking>> {
+        ledger(self.services[0].server.addr())
+    }
+
+    /// Returns the number of layers of the model.
+    pub fn layers(&self) -> u32 {
+        self.plan.layers()
+    }
+}
+
+/// Returns the ledger of a stand-in.
+pub fn ledger<T: DeserializeOwned>(addr: SocketAddr) -> Result<T> {
+    Ask::get(addr, "/ledger").send()?.json()
+}
+
+/// Tells a stand-in to have a fault.
+pub fn command(child: &Child, command: &Command) -> Result<()> {
+    let body = serde_json::to_string(command)?;
+    Ask::post(child.addr(), "/control", body).send()?;
+    Ok(())
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        // The logs of a failed test are kept for reading.
+        if std::thread::panicking() {
+            eprintln!("logs are kept in {}", self.dir.display());
+        } else {
+            let _ = std::fs::remove_dir_all(&self.dir);
+        }
+    }
+}
--- a/crates/mustard-tests/src/lib.rs
+++ b/crates/mustard-tests/src/lib.rs
@@ -1,1 +1,22 @@
-//! Placeholder.
+//! Runs the real programs as processes on loopback, for tests of whole paths.
+//!
+//! A [`Cluster`] starts the platform's stand-in, engines, plain services, agents and entries
+//! with ports chosen by the system, and ends them by process id when it is dropped.
+
+#![forbid(unsafe_code)]
+
+pub mod caller;
+pub mod child;
+pub mod cluster;
+pub mod errors;
+pub mod http;
+pub mod operator;
+pub mod plan;
+pub mod wait;
+
+pub use caller::Caller;
+pub use cluster::Cluster;
+pub use errors::{Result, TestError};
+pub use operator::Operator;
+pub use plan::Plan;
+pub use wait::eventually;
