Add the entry daemon's thin path

Servers keep idle connections for 75 s, clients for 15 s, so that a client never sends on a connection that its server closes at that moment. Headers are limited in number, size and time.

--- /dev/null
+++ b/crates/mustard-entry/src/drive/attempt.rs
@@ -0,0 +1,151 @@
+//! One attempt: a chain of agents under one epoch, cancelled when dropped.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use mustard_core::ids::Epoch;
+use mustard_net::CallError;
+use mustard_proto::step::{Input, Opening, Output, Step};
+use mustard_proto::{Ran, Refusal};
+
+use super::Job;
+use super::failure::{Failure, Verdict, worse};
+use super::limit::StepLimits;
+use super::ports::{Chain, Ports};
+
+/// An attempt in progress; dropping it ends it at every agent of its chain.
+pub(super) struct Attempt<'a, P: Ports> {
+    ports: &'a P,
+    job: Job,
+    epoch: Epoch,
+    chain: Chain,
+    pos: u32,
+    input: Vec<u32>,
+    opened: bool,
+}
+
+impl<'a, P: Ports> Attempt<'a, P> {
+    /// Starts an attempt that first feeds the prompt and the delivered tokens.
+    pub(super) fn open(
+        ports: &'a P,
+        job: &Job,
+        delivered: &[u32],
+        epoch: Epoch,
+        chain: Chain,
+    ) -> Self {
+        let mut input = job.prompt.clone();
+        input.extend_from_slice(delivered);
+        Attempt {
+            ports,
+            job: job.clone(),
+            epoch,
+            chain,
+            pos: 0,
+            input,
+            opened: false,
+        }
+    }
+
+    /// Runs the next step and returns its token.
+    pub(super) async fn step(
+        &mut self,
+        limits: &mut StepLimits,
+        ran: &mut Ran,
+    ) -> Result<u32, Failure> {
+        let started = Instant::now();
+        let count = self.input.len() as u32;
+        let left = self.job.deadline.saturating_duration_since(started);
+        if left.is_zero() {
+            return Err(self.expired());
+        }
+        let limit = limits.of(count).min(left);
+        let step = self.message(limit, left);
+        // From here on a cancellation must reach the agents, also if no answer comes.
+        self.opened = true;
+        match self.ports.step(&self.chain, step, limit).await {
+            Ok(output) => {
+                *ran = Ran::Maybe;
+                if count == 1 {
+                    limits.observe(started.elapsed());
+                }
+                self.accept(&output, count)
+            }
+            Err(error) => {
+                *ran = worse(*ran, error.ran());
+                Err(self.sort(&error).await)
+            }
+        }
+    }
+
+    /// Ends the attempt after its last token.
+    pub(super) fn finish(self) {
+        for name in &self.chain.names {
+            self.ports.report(name, None);
+        }
+    }
+
+    fn message(&mut self, limit: Duration, left: Duration) -> Step {
+        let opening = (!self.opened).then(|| Opening {
+            chain: self.chain.hops.clone(),
+            model: self.job.model.clone(),
+            fingerprint: self.job.fingerprint,
+            priority: self.job.priority,
+            deadline_ms: left.as_millis() as u64,
+        });
+        Step {
+            request: self.job.request,
+            epoch: self.epoch,
+            stage: 0,
+            pos: self.pos,
+            input: Input::Tokens(self.input.clone()),
+            opening,
+            limit_ms: limit.as_millis().max(1) as u32,
+        }
+    }
+
+    fn accept(&mut self, output: &Output, count: u32) -> Result<u32, Failure> {
+        let next = self.pos + count;
+        if output.pos != next {
+            return Err(Failure::mismatch(&self.chain, next, output.pos));
+        }
+        self.pos = next;
+        self.input.clear();
+        self.input.push(output.token);
+        Ok(output.token)
+    }
+
+    async fn sort(&self, error: &CallError) -> Failure {
+        let mut failure = Failure::of(&self.chain, error);
+        if matches!(error, CallError::TimedOut(_)) {
+            // A silent chain does not say which of its agents is at fault.
+            let silent = self.ports.probe(&self.chain).await;
+            if !silent.is_empty() {
+                failure.agent = silent.first().cloned();
+                failure.verdict = Verdict::Avoid(silent);
+            }
+        }
+        if let Verdict::Avoid(suspects) = &failure.verdict {
+            for name in suspects {
+                self.ports.report(name, Some(error));
+            }
+        }
+        failure
+    }
+
+    fn expired(&self) -> Failure {
+        Failure {
+            agent: None,
+            reason: Refusal::Expired.to_string(),
+            verdict: Verdict::Final(Refusal::Expired),
+        }
+    }
+}
+
+impl<P: Ports> Drop for Attempt<'_, P> {
+    fn drop(&mut self) {
+        if self.opened {
+            self.ports.cancel(&self.chain, self.job.request, self.epoch);
+        }
+    }
+}
--- a/crates/mustard-net/src/http.rs
+++ b/crates/mustard-net/src/http.rs
@@ -17,6 +17,11 @@
 // The pool wakes callers that wait for a connection only if it has a limit above zero.
 const MAX_CONNECTIONS: usize = 65_536;
 const KEEP_ALIVE: Seconds = Seconds(15);
+/// How long a server keeps an idle connection; longer than any client, so that a client never
+/// sends on a connection that the server closes at that moment.
+pub(crate) const SERVER_KEEP_ALIVE: Seconds = Seconds(75);
+/// How long the header of a request may take in all.
+pub(crate) const HEADER_TIME: Seconds = Seconds(5);
 const LIFETIME: Seconds = Seconds(600);
 
 /// A request to another process or to an outside system.
--- a/crates/mustard-net/src/server.rs
+++ b/crates/mustard-net/src/server.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use ntex::SharedCfg;
+use ntex::http::HttpServiceConfig;
 use ntex::util::Bytes;
 use ntex::web::HttpResponse;
 
@@ -9,11 +11,28 @@
 use mustard_proto::timeline::{Events, Timeline};
 use mustard_proto::{Envelope, Message, ProtoError, Refusal, Reply, codec};
 
+use crate::http::{HEADER_TIME, SERVER_KEEP_ALIVE};
 use crate::process::Process;
 
 /// The largest message body that a process reads, in bytes.
 pub const MAX_MESSAGE: usize = 4 * 1024 * 1024;
 
+const MAX_HEADER: usize = 32 * 1024;
+const HEADER_RATE: u32 = 256;
+
+/// Returns the configuration of a daemon's HTTP server.
+///
+/// A header that has too many fields or too many bytes, or that arrives too slowly, is refused
+/// and its connection closed.
+pub fn config(name: &'static str, headers: usize) -> SharedCfg {
+    let http = HttpServiceConfig::new()
+        .set_keepalive_timeout(SERVER_KEEP_ALIVE)
+        .set_headers_read_rate(HEADER_TIME, HEADER_TIME, HEADER_RATE)
+        .set_max_headers(headers)
+        .set_max_buf_size(MAX_HEADER);
+    SharedCfg::new(name).add(http).into()
+}
+
 /// Decodes a message, checks that it is meant for this life and takes in its head.
 ///
 /// # Errors
