Run the steps of a stage in the agent

The agent beside an engine opens sessions, runs steps in order, passes them on and answers repeats from what it kept.

Refusals that name a dead server carry the number of request contents that shared its batch, so that suspicion can be narrowed. Steps of an attempt that is open are taken under the catalogue it was admitted with; only new attempts and calls are refused for an older catalogue.

--- /dev/null
+++ b/crates/mustard-agent/src/lib.rs
@@ -0,0 +1,20 @@
+//! The agent: a daemon that stands beside one backend server.
+//!
+//! Beside a model engine it runs the steps of attempts in order and passes them on to the next
+//! stage. Beside a plain service it makes calls, each with an idempotency key at most once.
+
+#![forbid(unsafe_code)]
+
+pub mod calls;
+pub mod errors;
+pub mod names;
+pub mod run;
+pub mod server;
+pub mod session;
+pub mod settings;
+pub mod shared;
+pub mod stage;
+pub mod watch;
+pub mod worker;
+
+pub use errors::{AgentError, Result};
--- /dev/null
+++ b/crates/mustard-agent/src/names.rs
@@ -0,0 +1,22 @@
+//! Names of the metrics; docs/operations/agent.md describes each.
+
+/// Steps by `result`: `run`, `replay`, `resend` or the name of a refusal.
+pub const STEPS: &str = "mustard_agent_steps_total";
+/// Positions that the engine ran.
+pub const POSITIONS: &str = "mustard_agent_positions_total";
+/// Time of a step at the engine, in seconds.
+pub const ENGINE_SECONDS: &str = "mustard_agent_engine_seconds";
+/// Open sessions.
+pub const SESSIONS: &str = "mustard_agent_sessions";
+/// Ended sessions by `why`.
+pub const SESSIONS_ENDED: &str = "mustard_agent_sessions_ended_total";
+/// Calls of the plain service by `result`.
+pub const CALLS: &str = "mustard_agent_calls_total";
+/// Refused messages by `path` and `reason`.
+pub const REFUSALS: &str = "mustard_agent_refusals_total";
+/// Whether the backend server answers, 0 or 1.
+pub const SERVER_UP: &str = "mustard_agent_server_up";
+/// Whether new work is refused, 0 or 1.
+pub const LEAVING: &str = "mustard_agent_leaving";
+/// Deaths of the backend server as seen by running work.
+pub const SERVER_DEATHS: &str = "mustard_agent_server_deaths_total";
--- /dev/null
+++ b/crates/mustard-agent/src/run.rs
@@ -0,0 +1,79 @@
+//! Starts the agent, serves and stops it.
+
+use std::sync::Arc;
+
+use metrics_exporter_prometheus::PrometheusHandle;
+use ntex::server::Server;
+use ntex::web::{self, App};
+
+use mustard_net::daemon::Daemon;
+use mustard_net::shutdown::Gate;
+use mustard_net::{Process, log, metric};
+
+use crate::errors::{AgentError, Result};
+use crate::server;
+use crate::settings::AgentSettings;
+use crate::shared::Shared;
+use crate::watch;
+use crate::worker::Worker;
+
+/// Runs the agent until it is told to stop and returns the exit code.
+///
+/// # Errors
+///
+/// Returns an error if the agent does not start.
+pub async fn run(settings: AgentSettings) -> Result<u8> {
+    let log = log::root(&settings.log, &settings.vm);
+    let process = Process::new(&settings.vm, settings.events);
+    let gate = Gate::new();
+    let handle = metric::install()?;
+    let listen = settings.listen;
+    let (notice, grace) = (settings.notice(), settings.grace());
+    let shared = Shared::new(
+        Arc::clone(&process),
+        Arc::clone(&gate),
+        settings,
+        log.clone(),
+    );
+    // The role is known before the first heartbeat is answered.
+    let worker = Worker::new(Arc::clone(&shared)).await;
+    watch::look(&worker).await;
+    tokio::task::spawn_local(watch::watch(worker.clone()));
+    tokio::task::spawn_local(watch::sweep(worker));
+    let (daemon, listener) = Daemon::new(process, gate, log)
+        .bind(listen)
+        .map_err(|source| AgentError::Bind {
+            addr: listen,
+            source,
+        })?;
+    let server = serve(&shared, &handle, listener)?;
+    let drained = daemon.drain(notice, grace, || shared.stop()).await?;
+    let code = drained
+        .finish(async {
+            server.stop(true).await;
+        })
+        .await;
+    Ok(code)
+}
+
+fn serve(
+    shared: &Arc<Shared>,
+    handle: &PrometheusHandle,
+    listener: std::net::TcpListener,
+) -> Result<Server> {
+    let workers = shared.settings.workers;
+    let shared = Arc::clone(shared);
+    let handle = handle.clone();
+    let server = web::HttpServer::new(async move || {
+        let worker = Worker::new(Arc::clone(&shared)).await;
+        App::new()
+            .state(worker)
+            .state(handle.clone())
+            .configure(server::configure)
+    })
+    .workers(workers)
+    .disable_signals()
+    .listen(listener)?
+    .run();
+    Ok(server)
+}
--- /dev/null
+++ b/crates/mustard-agent/src/server/mod.rs
@@ -0,0 +1,6 @@
+//! The agent's HTTP server.
+
+mod body;
+mod routes;
+
+pub use routes::configure;
--- /dev/null
+++ b/crates/mustard-agent/src/watch.rs
@@ -0,0 +1,86 @@
+//! Background tasks: the state of the backend server and the sweep of sessions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use metrics::gauge;
+use tokio::time;
+
+use mustard_backend::engine::Engine;
+use mustard_core::event::EventKind;
+use mustard_proto::agent::{AgentState, Load};
+
+use crate::names;
+use crate::settings::ServerKind;
+use crate::shared::Server;
+use crate::worker::Worker;
+
+const WATCH_EVERY: Duration = Duration::from_millis(250);
+const SWEEP_EVERY: Duration = Duration::from_millis(200);
+
+/// Watches the backend server until the process ends.
+pub async fn watch(worker: Worker) {
+    loop {
+        look(&worker).await;
+        time::sleep(jittered(WATCH_EVERY)).await;
+    }
+}
+
+/// Ends expired sessions until the process ends.
+pub async fn sweep(worker: Worker) {
+    loop {
+        time::sleep(SWEEP_EVERY).await;
+        let now = worker.shared.process.now();
+        let closed = worker.shared.sessions().sweep(now);
+        worker.cancel_all(closed);
+        gauge!(names::SESSIONS).set(worker.shared.sessions().len() as f64);
+        let leaving = worker.shared.state() == AgentState::Leaving;
+        gauge!(names::LEAVING).set(f64::from(u8::from(leaving)));
+    }
+}
+
+/// Asks the backend server once for what it holds and how loaded it is.
+pub async fn look(worker: &Worker) {
+    let shared = &worker.shared;
+    let seen = match shared.settings.kind {
+        ServerKind::Engine => engine(worker).await,
+        ServerKind::Service => Server {
+            up: answers(worker).await,
+            held: None,
+            load: Load::default(),
+        },
+    };
+    let up = seen.up;
+    gauge!(names::SERVER_UP).set(f64::from(u8::from(up)));
+    let before = shared.server.swap(Arc::new(seen));
+    if before.up != up {
+        let service = "server".to_owned();
+        shared
+            .process
+            .emit(None, EventKind::PlatformState { service, up });
+        slog::info!(shared.log, "watch: Server changed."; "up" => up);
+    }
+}
+
+async fn engine(worker: &Worker) -> Server {
+    match worker.server.held().await {
+        Ok(held) => Server {
+            up: true,
+            held: Some(held),
+            load: worker.server.load().await.unwrap_or_default(),
+        },
+        Err(_) => Server {
+            // The layers held are kept, so that running attempts are judged by them.
+            held: worker.shared.server.load().held.clone(),
+            ..Server::default()
+        },
+    }
+}
+
+async fn answers(worker: &Worker) -> bool {
+    worker.server.reachable().await
+}
+
+fn jittered(base: Duration) -> Duration {
+    base.mul_f64(0.75 + rand::random::<f64>() / 2.0)
+}
--- /dev/null
+++ b/crates/mustard-agent/src/worker.rs
@@ -0,0 +1,63 @@
+//! What one worker thread of the agent has for itself.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use metrics::counter;
+
+use mustard_backend::engine::{Engine, SeqId};
+use mustard_backend::http::HttpBackend;
+use mustard_core::event::EventKind;
+use mustard_net::Client;
+
+use crate::names;
+use crate::session::Closed;
+use crate::shared::Shared;
+
+/// The connections of one thread and the state shared with the others.
+#[derive(Clone)]
+pub struct Worker {
+    /// The state shared with the other threads.
+    pub shared: Arc<Shared>,
+    /// Sends messages to other agents.
+    pub client: Client,
+    /// The backend server.
+    pub server: HttpBackend,
+}
+
+impl Worker {
+    /// Creates the connections of the calling thread.
+    pub async fn new(shared: Arc<Shared>) -> Self {
+        let client = Client::new(Arc::clone(&shared.process)).await;
+        let http = Rc::new(client.http().clone());
+        let server = HttpBackend::new(http, shared.settings.server);
+        Worker {
+            shared,
+            client,
+            server,
+        }
+    }
+
+    /// Cancels the sequences of ended sessions at the engine, in the background.
+    pub fn cancel_all(&self, closed: impl IntoIterator<Item = Closed>) {
+        for c in closed {
+            self.cancel(c);
+        }
+    }
+
+    fn cancel(&self, closed: Closed) {
+        let epoch = closed.epoch;
+        let request = closed.request;
+        counter!(names::SESSIONS_ENDED, "why" => closed.why.name()).increment(1);
+        self.shared
+            .process
+            .emit(Some(request), EventKind::Cancelled { epoch });
+        slog::debug!(self.shared.log, "stage: Session ended.";
+            "request" => %request, "epoch" => epoch.0, "why" => closed.why.name());
+        let server = self.server.clone();
+        tokio::task::spawn_local(async move {
+            // An engine that does not answer loses the sequence anyway when it dies.
+            let _ = server.cancel(SeqId { request, epoch }).await;
+        });
+    }
+}
--- a/crates/mustard-backend/src/errors.rs
+++ b/crates/mustard-backend/src/errors.rs
@@ -14,7 +14,10 @@
     /// No connection was made, so nothing was sent.
     #[error("server is unreachable: {0}")]
     Unreachable(String),
-    /// The call was sent and no whole answer came back.
+    /// The call was sent and the connection broke before a whole answer.
+    #[error("connection broke before the answer: {0}")]
+    Broken(String),
+    /// The call was sent and no whole answer came in time.
     #[error("server gave no answer: {0}")]
     NoAnswer(String),
     /// The engine expects another position of the sequence.
@@ -52,7 +55,9 @@
     /// Tells whether the server may have acted on the call.
     pub fn ran(&self) -> Ran {
         match self {
-            BackendError::NoAnswer(_) | BackendError::BadAnswer { .. } => Ran::Maybe,
+            BackendError::Broken(_)
+            | BackendError::NoAnswer(_)
+            | BackendError::BadAnswer { .. } => Ran::Maybe,
             _ => Ran::No,
         }
     }
--- a/crates/mustard-backend/src/http.rs
+++ b/crates/mustard-backend/src/http.rs
@@ -51,6 +51,13 @@
         HttpBackend { client, addr }
     }
 
+    /// Tells whether the server accepts connections.
+    pub async fn reachable(&self) -> bool {
+        let connect = tokio::net::TcpStream::connect(self.addr);
+        let connected = tokio::time::timeout(SHORT_LIMIT, connect).await;
+        matches!(connected, Ok(Ok(_)))
+    }
+
     async fn send(
         &self,
         method: Method,
@@ -97,6 +104,7 @@
 fn sort_error(e: CallError) -> BackendError {
     match e {
         CallError::NotSent(detail) => BackendError::Unreachable(detail),
+        CallError::Lost(detail) => BackendError::Broken(detail),
         other => BackendError::NoAnswer(other.to_string()),
     }
 }
--- a/crates/mustard-net/src/settings.rs
+++ b/crates/mustard-net/src/settings.rs
@@ -81,6 +81,11 @@
 pub trait Settings: DeserializeOwned {
     /// Every key of the file.
     const FIELDS: &'static [Field];
+
+    /// Returns the faults that only show when several keys are read together.
+    fn check(&self) -> Vec<Fault> {
+        Vec::new()
+    }
 }
 
 /// A fault of one key.
@@ -188,9 +193,17 @@
             faults,
         });
     }
-    Value::Table(table)
+    let settings: T = Value::Table(table)
         .try_into()
-        .map_err(|e: toml::de::Error| syntax(e.to_string()))
+        .map_err(|e: toml::de::Error| syntax(e.to_string()))?;
+    let faults = settings.check();
+    if !faults.is_empty() {
+        return Err(SettingsError::Faults {
+            file: file.to_owned(),
+            faults,
+        });
+    }
+    Ok(settings)
 }
 
 fn check(table: &Table, fields: &[Field]) -> Vec<Fault> {
--- a/crates/mustard-proto/src/agent.rs
+++ b/crates/mustard-proto/src/agent.rs
@@ -161,6 +161,33 @@
     type Answer = VoidAnswer;
 }
 
+/// How an operator ends the doubt about a call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// The call ran; this is its answer.
+    Done(CallAnswer),
+    /// The call did not run and never will.
+    Void,
+}
+
+/// Makes a key in doubt final, on the word of an operator.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Settle {
+    /// The owner of the key.
+    pub owner: String,
+    /// The service.
+    pub service: String,
+    /// The key.
+    pub key: String,
+    /// What the operator found; none asks only what can be told without one.
+    pub verdict: Option<Verdict>,
+}
+
+impl Message for Settle {
+    const PATH: &'static str = "/x/v1/settle";
+    type Answer = VoidAnswer;
+}
+
 /// Tells an agent to take no new work.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Drain {
--- a/crates/mustard-proto/src/refusal.rs
+++ b/crates/mustard-proto/src/refusal.rs
@@ -89,6 +89,10 @@
         ran: Ran,
         /// What was seen.
         detail: String,
+        /// The number of different request contents that ran on the server when it died, this
+        /// one included; zero if it did not die.
+        #[serde(default)]
+        suspects: u32,
     },
     /// The next agent of the chain failed or refused.
     #[error("stage {stage} failed: {cause}")]
