--- a/crates/mustard-tests/src/cluster.rs
+++ b/crates/mustard-tests/src/cluster.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use serde::de::DeserializeOwned;
 
@@ -23,10 +24,14 @@
 use crate::plan::{CUSTOMER_KEY, DOMAINS, MODEL, OPERATOR_KEY, Plan, SERVICE};
 use crate::wait::eventually;
 
+const JOINED: &str = "members: Agent joined.";
 const ANY_PORT: &str = "127.0.0.1:0";
 
 static COUNTER: AtomicU64 = AtomicU64::new(0);
 
+/// Held by the running cluster, so that tests of one executable do not crowd the VM.
+static ALONE: Mutex<()> = Mutex::new(());
+
 /// A backend server with the agent beside it.
 #[derive(Debug)]
 pub struct Node {
@@ -41,12 +46,27 @@
 }
 
 impl Node {
+    /// Ends the server and the agent at once, as when the VM dies.
+    pub fn kill(&mut self) -> Result<()> {
+        self.agent.kill()?;
+        self.server.kill()
+    }
+
     /// Returns the name of the VM.
     pub fn vm(&self) -> &str {
         self.agent.name()
     }
 }
 
+/// Names a node of a cluster.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pick {
+    /// A stage by its index.
+    Stage(usize),
+    /// A plain service by its index.
+    Service(usize),
+}
+
 /// A whole system of processes on loopback.
 #[derive(Debug)]
 pub struct Cluster {
@@ -61,11 +81,13 @@
     plan: Plan,
     dir: PathBuf,
     born: usize,
+    _alone: MutexGuard<'static, ()>,
 }
 
 impl Cluster {
     /// Starts the processes of a plan and waits until each entry serves both workloads.
     pub fn start(plan: &Plan) -> Result<Self> {
+        let alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
         let number = COUNTER.fetch_add(1, Ordering::Relaxed);
         let name = format!("mustard-tests-{}-{number}", std::process::id());
         let dir = std::env::temp_dir().join(name);
@@ -79,6 +101,7 @@
             plan: plan.clone(),
             dir,
             born: 0,
+            _alone: alone,
         };
         cluster.fill()?;
         Ok(cluster)
@@ -203,13 +226,23 @@
     }
 
     /// Starts an ended agent again at its address, with an empty memory.
-    pub fn restart_agent(&self, node: &mut Node) -> Result<()> {
+    pub fn restart_agent(&mut self, pick: Pick) -> Result<()> {
+        let node = self.node_mut(pick);
         let _ = node.agent.kill();
         let (vm, addr) = (node.vm().to_owned(), node.agent.addr().to_string());
-        node.agent = self.start_agent(&vm, &node.settings, &addr)?;
+        let settings = node.settings.clone();
+        let agent = self.start_agent(&vm, &settings, &addr)?;
+        self.node_mut(pick).agent = agent;
         Ok(())
     }
 
+    fn node_mut(&mut self, pick: Pick) -> &mut Node {
+        match pick {
+            Pick::Stage(i) => &mut self.stages[i],
+            Pick::Service(i) => &mut self.services[i],
+        }
+    }
+
     fn start_configured(&self, program: &str, name: &str, text: &str) -> Result<Child> {
         let file = self.dir.join(format!("{name}.toml"));
         std::fs::write(&file, text)?;
@@ -303,6 +336,9 @@
 
     /// Waits until an entry process serves both workloads.
     pub fn wait_ready(&self, entry: usize) -> Result<()> {
+        let nodes = self.stages.len() + self.services.len();
+        let joined = || self.entries[entry].log().matches(JOINED).count() >= nodes;
+        eventually("all agents join", || joined().then_some(()))?;
         let caller = self.caller(entry);
         eventually("a first draft", || {
             let draft = caller.stream(MODEL, &[1], 1).ok()?;
@@ -332,6 +368,14 @@
         ledger(self.stages[stage].server.addr())
     }
 
+    /// Returns the stage that runs a sequence of the given layers at present.
+    pub fn busy_stage(&self, layers: Layers) -> Option<usize> {
+        let busy = |i: &usize| {
+            self.stages[*i].layers == layers && self.engine_ledger(*i).is_ok_and(|l| l.open > 0)
+        };
+        (0..self.stages.len()).find(busy)
+    }
+
     /// Returns every booking that the plain services made.
     pub fn bookings(&self) -> Result<Vec<Booking>> {
         ledger(self.services[0].server.addr())
