Test pooled connections: late answers, first calls at once, cut connections

The hazard of a connection that is used again after a timeout: when a caller gives up on an exchange, its connection is closed and not returned to the pool. With the limit of the pool set back to zero, exchange_first_calls fails: calls that find a connection to their address being opened wait for the whole limit of 20 s; with the limit above zero it passes.

--- /dev/null
+++ b/crates/mustard-net/tests/exchange.rs
@@ -0,0 +1,176 @@
+//! Exchanges over pooled connections: late answers, first calls at once, callers that give up.
+#![allow(clippy::unwrap_used)]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+use bolero::{TypeGenerator, check};
+use ntex::client::Client as HttpClient;
+use ntex::http::Method;
+
+use mustard_net::CallError;
+use mustard_net::http::{Answer, Request, exchange, new_client};
+
+const GENEROUS: Duration = Duration::from_secs(20);
+
+/// Starts a server that waits as long as each body says and then returns the body.
+fn start_echo() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || serve(&stream));
+        }
+    });
+    addr
+}
+
+fn serve(stream: &TcpStream) {
+    let mut reader = BufReader::new(stream);
+    while let Some(body) = read_request(&mut reader) {
+        let wait: u64 = body.split(' ').next().unwrap().parse().unwrap();
+        thread::sleep(Duration::from_millis(wait));
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let mut out = stream;
+        if out.write_all(answer.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+fn read_request(reader: &mut BufReader<&TcpStream>) -> Option<String> {
+    let mut length = 0;
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let line = line.trim().to_ascii_lowercase();
+        if let Some(text) = line.strip_prefix("content-length:") {
+            length = text.trim().parse().unwrap();
+        }
+        if line.is_empty() {
+            break;
+        }
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    String::from_utf8(body).ok()
+}
+
+async fn send(
+    client: &HttpClient,
+    to: SocketAddr,
+    body: String,
+    limit: Duration,
+) -> Result<Answer, CallError> {
+    let request = Request {
+        to,
+        method: Method::POST,
+        path: "/",
+        content_type: "text/plain",
+        headers: &[],
+        body: body.into_bytes(),
+        limit,
+    };
+    exchange(client, request).await
+}
+
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+struct Exchange {
+    /// How long the server waits, in milliseconds.
+    #[generator(0_u64..12)]
+    wait: u64,
+    /// How long the caller waits, in milliseconds.
+    #[generator(1_u64..8)]
+    limit: u64,
+    /// How many callers send at once.
+    #[generator(1_usize..4)]
+    callers: usize,
+}
+
+/// Whatever was given up before, an answer belongs to its own request.
+#[test]
+fn exchange_after_timeout() {
+    let addr = start_echo();
+    check!()
+        .with_type::<[Exchange; 6]>()
+        .with_iterations(40)
+        .for_each(|plan| {
+            ntex::rt::System::new("exchange", ntex::rt::DefaultRuntime)
+                .block_on(run_plan(addr, *plan));
+        });
+}
+
+async fn run_plan(addr: SocketAddr, plan: [Exchange; 6]) {
+    let client = new_client().await;
+    for (n, step) in plan.into_iter().enumerate() {
+        let callers = (0..step.callers).map(|i| {
+            let client = client.clone();
+            let body = format!("{} {n}-{i}", step.wait);
+            ntex::rt::spawn(async move {
+                let limit = Duration::from_millis(step.limit);
+                (send(&client, addr, body.clone(), limit).await, body)
+            })
+        });
+        for caller in callers.collect::<Vec<_>>() {
+            match caller.await.unwrap() {
+                (Ok(answer), body) => assert_eq!(answer.body, body.as_bytes()),
+                (Err(e), _) => assert!(matches!(e, CallError::TimedOut(_)), "{e}"),
+            }
+        }
+    }
+    let last = send(&client, addr, "0 last".to_owned(), GENEROUS).await;
+    assert_eq!(last.unwrap().body, b"0 last".as_slice());
+}
+
+/// Calls that find a connection to their address being opened are all answered.
+#[ntex::test]
+async fn exchange_first_calls() {
+    let addr = start_echo();
+    let client = new_client().await;
+    let mut calls = Vec::new();
+    for n in 0..32 {
+        let client = client.clone();
+        calls.push(ntex::rt::spawn(async move {
+            send(&client, addr, format!("0 {n}"), GENEROUS).await
+        }));
+        // The connections opened so far make progress before the next call begins.
+        tokio::task::yield_now().await;
+    }
+    for (n, call) in calls.into_iter().enumerate() {
+        assert_eq!(call.await.unwrap().unwrap().body, format!("0 {n}"));
+    }
+}
+
+/// A refused connection is a call that was certainly not sent.
+#[ntex::test]
+async fn exchange_refused() {
+    let addr = TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    let client = new_client().await;
+    let error = send(&client, addr, "0".to_owned(), GENEROUS).await;
+    assert!(matches!(error, Err(CallError::NotSent(_))));
+}
+
+/// A connection that closes in the middle of a call leaves open whether the call ran.
+#[ntex::test]
+async fn exchange_cut() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            read_request(&mut BufReader::new(&stream));
+        }
+    });
+    let client = new_client().await;
+    let error = send(&client, addr, "0".to_owned(), GENEROUS).await;
+    assert!(matches!(error, Err(CallError::Lost(_))), "{error:?}");
+}
