Claim idempotency keys in the table before a call

One task writes the rows of all threads, many in one transaction; a row in the way ends only its own write. Results are written behind the answer and keep a planned stop waiting.

--- a/crates/mustard-agent/src/calls.rs
+++ b/crates/mustard-agent/src/calls.rs
@@ -1,12 +1,14 @@
 //! Calls of the plain service.
 
 use metrics::counter;
+use tokio::sync::oneshot;
 
 use mustard_backend::BackendError;
 use mustard_backend::service::{PlainService, ServiceAnswer, ServiceCall};
 use mustard_core::ids::Seq;
+use mustard_net::shutdown::Pass;
 use mustard_proto::Refusal;
-use mustard_proto::agent::{Call, CallAnswer};
+use mustard_proto::agent::{Call, CallAnswer, Settle, Void, VoidAnswer};
 
 use crate::names;
 use crate::session::Result;
@@ -22,20 +24,66 @@
     if seq < have {
         return Err(Refusal::StaleCatalogue { have });
     }
-    if worker.shared.settings.service.as_deref() != Some(call.service.as_str()) {
-        let what = call.service;
-        return Err(Refusal::NotHeld { what });
-    }
+    check_service(worker, &call.service)?;
     if call.deadline_ms == 0 {
         return Err(Refusal::Expired);
     }
-    let _pass = worker.shared.gate.enter().ok_or(Refusal::Leaving)?;
-    let result = plain(worker, call).await;
+    let pass = worker.shared.gate.enter().ok_or(Refusal::Leaving)?;
+    let result = match call.key {
+        Some(_) => keyed(worker, call, pass).await,
+        None => plain(worker, call).await,
+    };
     let name = result.as_ref().map_or_else(Refusal::name, |_| "done");
     counter!(names::CALLS, "result" => name).increment(1);
     result
 }
 
+/// Makes a key final that has not run.
+///
+/// # Errors
+///
+/// See [`Claims::void`](crate::claims::Claims::void).
+pub async fn void(worker: &Worker, message: &Void) -> Result<VoidAnswer> {
+    check_service(worker, &message.service)?;
+    worker.shared.claims.void(&worker.server, message).await
+}
+
+/// Ends the doubt about a key.
+///
+/// # Errors
+///
+/// See [`Claims::settle`](crate::claims::Claims::settle).
+pub async fn settle(worker: &Worker, message: &Settle) -> Result<VoidAnswer> {
+    check_service(worker, &message.service)?;
+    worker.shared.claims.settle(&worker.server, message).await
+}
+
+fn check_service(worker: &Worker, service: &str) -> Result<()> {
+    if worker.shared.settings.service.as_deref() == Some(service) {
+        return Ok(());
+    }
+    let what = service.to_owned();
+    Err(Refusal::NotHeld { what })
+}
+
+/// Makes a call with an idempotency key; it runs to its end even if the entry goes away.
+async fn keyed(worker: &Worker, call: Call, pass: Pass) -> Result<CallAnswer> {
+    let (tell, told) = oneshot::channel();
+    let Worker {
+        shared,
+        server,
+        table,
+        ..
+    } = worker.clone();
+    tokio::task::spawn_local(async move {
+        let result = shared.claims.call(&server, &table, call).await;
+        drop(pass);
+        let _ = tell.send(result);
+    });
+    told.await.unwrap_or(Err(Refusal::InDoubt))
+}
+
+/// Makes a call that may be repeated.
 async fn plain(worker: &Worker, call: Call) -> Result<CallAnswer> {
     let out = ServiceCall {
         method: call.method,
--- /dev/null
+++ b/crates/mustard-agent/src/claims/call.rs
@@ -0,0 +1,377 @@
+//! One call with an idempotency key, from the claim to the kept answer.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use slog::{Logger, info, warn};
+use tokio::sync::oneshot;
+use tokio::time::{self, Instant};
+
+use mustard_backend::service::{PlainService, ServiceCall};
+use mustard_core::event::EventKind;
+use mustard_core::ids::RequestId;
+use mustard_net::Process;
+use mustard_net::shutdown::Gate;
+use mustard_platform::table::{Row, Table};
+use mustard_proto::agent::{Call, CallAnswer};
+use mustard_proto::{Ran, Refusal};
+
+use super::book::{Book, Found, Hold, Rest, differ};
+use super::keeper::Keeper;
+use super::op::{Commit, Expect};
+use super::row::{ClaimState, KeptAnswer, reference, row_key};
+use super::{Result, TABLE};
+use crate::calls;
+
+const MAX_KEY_LEN: usize = 256;
+const CLAIM_ROUNDS: usize = 4;
+const RETRY_MS: u64 = 1_000;
+
+/// Bounds of calls with an idempotency key.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// The most results that wait to be written.
+    pub journal: usize,
+    /// How long a call waits for the result of another agent's claim.
+    pub join: Duration,
+}
+
+/// The aggregate of all keys at this agent.
+pub struct Claims {
+    pub(super) process: Arc<Process>,
+    pub(super) gate: Arc<Gate>,
+    pub(super) log: Logger,
+    pub(super) keeper: Keeper,
+    pub(super) book: Arc<Book>,
+    pub(super) bounds: Bounds,
+    count: AtomicU64,
+}
+
+/// One key with what identifies it to the table and to the service.
+#[derive(Clone, Debug)]
+pub(super) struct Key {
+    /// The key of the row.
+    pub(super) row: String,
+    /// The reference at the service.
+    pub(super) reference: String,
+}
+
+impl Key {
+    /// Checks the parts of a key and puts them together.
+    pub(super) fn new(service: &str, owner: &str, key: &str) -> Result<Self> {
+        let fits = !key.is_empty() && key.len() <= MAX_KEY_LEN && !owner.contains('/');
+        if !fits {
+            let detail = format!("key needs 1 to {MAX_KEY_LEN} bytes");
+            return Err(Refusal::Malformed { detail });
+        }
+        Ok(Key {
+            row: row_key(service, owner, key),
+            reference: reference(service, owner, key),
+        })
+    }
+}
+
+/// A claim that was written.
+struct Claim {
+    number: u64,
+    over: u64,
+    key: Key,
+    deadline: Instant,
+}
+
+/// The end of a call and what remains of its key in memory.
+type Ended = (Result<CallAnswer>, Rest, Option<oneshot::Receiver<Commit>>);
+
+fn plainly(result: Result<CallAnswer>) -> Ended {
+    (result, Rest::Nothing, None)
+}
+
+pub(super) fn table_down(retry_ms: u64) -> Refusal {
+    Refusal::PlatformDown {
+        service: TABLE.to_owned(),
+        retry_ms,
+    }
+}
+
+impl Claims {
+    /// Creates the aggregate of a process that starts now.
+    pub fn new(
+        process: Arc<Process>,
+        gate: Arc<Gate>,
+        log: Logger,
+        keeper: Keeper,
+        bounds: Bounds,
+    ) -> Arc<Self> {
+        Arc::new(Claims {
+            process,
+            gate,
+            log,
+            keeper,
+            book: Arc::default(),
+            bounds,
+            count: AtomicU64::new(0),
+        })
+    }
+
+    /// Makes a call with an idempotency key, at most once over all agents.
+    ///
+    /// The future must not be dropped before its end, or the key is left in doubt.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::ran`] tells whether the service may have run the call.
+    pub async fn call<S: PlainService, T: Table>(
+        &self,
+        service: &S,
+        table: &T,
+        call: Call,
+    ) -> Result<CallAnswer> {
+        let deadline = Instant::now() + Duration::from_millis(call.deadline_ms);
+        let text = call.key.as_deref().unwrap_or_default();
+        let key = Key::new(&call.service, &call.owner, text)?;
+        match self.book.enter(&key.row, Some(call.fingerprint)) {
+            Found::Reused => Err(Refusal::KeyReused),
+            Found::Freeing => Err(table_down(RETRY_MS)),
+            Found::Kept(answer) => Ok(replay(&answer)),
+            Found::Running(mut joined) => {
+                let ended = joined.wait_for(Option::is_some);
+                match time::timeout_at(deadline, ended).await {
+                    Ok(Ok(result)) => result
+                        .clone()
+                        .unwrap_or(Err(Refusal::InDoubt))
+                        .map(|a| replay(&a)),
+                    _ => Err(Refusal::InDoubt),
+                }
+            }
+            Found::Mine(hold) => {
+                let ended = self
+                    .claim(service, table, call, key.clone(), deadline)
+                    .await;
+                self.leave(hold, &key, ended)
+            }
+        }
+    }
+
+    /// Ends the work on a key; what waits to be written stays until it is.
+    fn leave(&self, hold: Hold, key: &Key, ended: Ended) -> Result<CallAnswer> {
+        let (result, rest, written) = ended;
+        hold.end(result.clone(), rest);
+        if let Some(written) = written {
+            let book = Arc::clone(&self.book);
+            let row = key.row.clone();
+            tokio::task::spawn_local(async move {
+                let _ = written.await;
+                book.forget(&row);
+            });
+        }
+        result
+    }
+
+    async fn claim<S: PlainService, T: Table>(
+        &self,
+        service: &S,
+        table: &T,
+        call: Call,
+        key: Key,
+        deadline: Instant,
+    ) -> Ended {
+        if self.keeper.behind() >= self.bounds.journal {
+            return plainly(Err(Refusal::Busy { retry_ms: RETRY_MS }));
+        }
+        let mut over = 0;
+        for _ in 0..CLAIM_ROUNDS {
+            let number = self.count.fetch_add(1, Ordering::Relaxed);
+            let state = self.claimed(number, &call, deadline);
+            let claim = Claim {
+                number,
+                over,
+                key: key.clone(),
+                deadline,
+            };
+            let expect = Expect::Version(over);
+            match self.keeper.write(&key.row, expect, &state, deadline).await {
+                Commit::Done => return self.send(service, call, claim).await,
+                Commit::Down { retry_ms, maybe } => {
+                    let refusal = table_down(retry_ms);
+                    return match maybe {
+                        true => self.give_up(&claim, refusal),
+                        false => plainly(Err(refusal)),
+                    };
+                }
+                Commit::Found(row) => match self
+                    .found(service, table, &call, &key, &row, deadline)
+                    .await
+                {
+                    Some(ended) => return ended,
+                    None => over = self.free_version(table, &key, &row).await,
+                },
+            }
+        }
+        plainly(Err(Refusal::Busy { retry_ms: RETRY_MS }))
+    }
+
+    /// Returns the version that the next attempt to claim a free row replaces.
+    async fn free_version<T: Table>(&self, table: &T, key: &Key, row: &Row) -> u64 {
+        if matches!(ClaimState::read(row), Some(ClaimState::Free { .. })) {
+            return row.version;
+        }
+        let rows = table.read(std::slice::from_ref(&key.row)).await;
+        let row = rows.ok().and_then(|rows| rows.into_iter().next());
+        row.filter(|r| matches!(ClaimState::read(r), Some(ClaimState::Free { .. })))
+            .map_or(0, |r| r.version)
+    }
+
+    fn claimed(&self, number: u64, call: &Call, deadline: Instant) -> ClaimState {
+        let at = self.process.wall_ms();
+        let left = deadline.saturating_duration_since(Instant::now());
+        ClaimState::Claimed {
+            by: self.process.incarnation(),
+            number,
+            vm: self.process.name().to_owned(),
+            fingerprint: call.fingerprint,
+            at,
+            until: at + left.as_millis() as u64,
+        }
+    }
+
+    /// Judges a row that is in the way; none means that the key may be claimed again.
+    async fn found<S: PlainService, T: Table>(
+        &self,
+        service: &S,
+        table: &T,
+        call: &Call,
+        key: &Key,
+        row: &Row,
+        deadline: Instant,
+    ) -> Option<Ended> {
+        let state = ClaimState::read(row)?;
+        if differ(state.fingerprint(), Some(call.fingerprint)) {
+            return Some(plainly(Err(Refusal::KeyReused)));
+        }
+        match state {
+            ClaimState::Free { .. } => None,
+            ClaimState::Void { .. } => Some(plainly(Err(Refusal::Voided))),
+            ClaimState::Done { answer, .. } => {
+                Some(plainly(self.recall(service, key, answer).await))
+            }
+            ClaimState::Claimed { by, .. } => {
+                let until = deadline.min(Instant::now() + self.bounds.join);
+                let wait = (by != self.process.incarnation()).then_some(until);
+                let result = self.foreign(service, table, key, row, wait).await;
+                result.map(plainly)
+            }
+            ClaimState::Other => Some(plainly(Err(Refusal::InDoubt))),
+        }
+    }
+
+    /// Returns the kept answer, or asks the service's record for one that was too large.
+    pub(super) async fn recall<S: PlainService>(
+        &self,
+        service: &S,
+        key: &Key,
+        answer: Option<KeptAnswer>,
+    ) -> Result<CallAnswer> {
+        if let Some(kept) = answer {
+            return Ok(kept.replay());
+        }
+        match service.lookup(&key.reference).await {
+            Ok(Some(found)) => Ok(calls::into_answer(found, true)),
+            _ => Err(Refusal::InDoubt),
+        }
+    }
+
+    /// Sends a claimed call to the service.
+    async fn send<S: PlainService>(&self, service: &S, call: Call, claim: Claim) -> Ended {
+        let request = Some(call.request);
+        let reference = claim.key.reference.clone();
+        let key = reference.clone();
+        self.process.emit(request, EventKind::Claimed { key });
+        // A claimant that was paused past its deadline must not send any more.
+        let left = claim.deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return self.give_up(&claim, Refusal::Expired);
+        }
+        let key = reference.clone();
+        self.process.emit(request, EventKind::CallSent { key });
+        let content = call.fingerprint;
+        let id = call.request;
+        let out = ServiceCall {
+            method: call.method,
+            path: call.path,
+            content_type: call.content_type,
+            reference: Some(reference),
+            body: call.body,
+            limit_ms: left.as_millis() as u64,
+        };
+        match service.call(out).await {
+            Ok(answer) => {
+                let answer = calls::into_answer(answer, false);
+                self.record(id, content, answer, &claim)
+            }
+            Err(e) if e.ran() == Ran::No => self.give_up(&claim, calls::refuse(&e)),
+            Err(e) => {
+                warn!(self.log, "claims: Call gave no answer."; "request" => %id, "cause" => %e);
+                match service.lookup(&claim.key.reference).await {
+                    Ok(Some(found)) => {
+                        let answer = calls::into_answer(found, false);
+                        self.record(id, content, answer, &claim)
+                    }
+                    _ => plainly(Err(calls::refuse(&e))),
+                }
+            }
+        }
+    }
+
+    /// Keeps the answer of a call and writes it behind.
+    fn record(
+        &self,
+        request: RequestId,
+        content: mustard_core::fingerprint::Fingerprint,
+        answer: CallAnswer,
+        claim: &Claim,
+    ) -> Ended {
+        let key = claim.key.reference.clone();
+        let status = answer.status;
+        self.process
+            .emit(Some(request), EventKind::CallDone { key, status });
+        info!(self.log, "claims: Call done."; "request" => %request, "status" => status);
+        let state = ClaimState::Done {
+            fingerprint: Some(content),
+            answer: KeptAnswer::of(&answer),
+            at: self.process.wall_ms(),
+        };
+        let written = self.behind(claim, &state);
+        (
+            Ok(answer.clone()),
+            Rest::Kept(Some(content), answer),
+            Some(written),
+        )
+    }
+
+    /// Gives up a claim whose call was certainly not sent.
+    fn give_up(&self, claim: &Claim, refusal: Refusal) -> Ended {
+        let at = self.process.wall_ms();
+        let written = self.behind(claim, &ClaimState::Free { at });
+        (Err(refusal), Rest::Freeing, Some(written))
+    }
+
+    fn behind(&self, claim: &Claim, state: &ClaimState) -> oneshot::Receiver<Commit> {
+        let expect = Expect::Claim {
+            by: self.process.incarnation(),
+            number: claim.number,
+            over: claim.over,
+        };
+        let pass = self.gate.enter_always();
+        self.keeper
+            .write_behind(&claim.key.row, expect, state, pass)
+    }
+}
+
+/// Marks an answer as a replay.
+pub(super) fn replay(answer: &CallAnswer) -> CallAnswer {
+    CallAnswer {
+        replayed: true,
+        ..answer.clone()
+    }
+}
--- /dev/null
+++ b/crates/mustard-agent/src/claims/foreign.rs
@@ -0,0 +1,83 @@
+//! A key that another process claimed, or this one without a result.
+
+use std::time::Duration;
+
+use tokio::time::{self, Instant};
+
+use mustard_backend::service::PlainService;
+use mustard_platform::table::{Row, Table};
+use mustard_proto::Refusal;
+use mustard_proto::agent::CallAnswer;
+
+use super::Result;
+use super::call::{Claims, Key};
+use super::op::Expect;
+use super::row::{ClaimState, KeptAnswer};
+use crate::calls;
+
+const FIRST_POLL: Duration = Duration::from_millis(50);
+const LAST_POLL: Duration = Duration::from_millis(800);
+
+impl Claims {
+    /// Finds out what became of a claim, waiting for its claimant until `wait`.
+    ///
+    /// The call is never made here. Returns none if the claim was given up, so that the key may
+    /// be claimed again.
+    pub(super) async fn foreign<S: PlainService, T: Table>(
+        &self,
+        service: &S,
+        table: &T,
+        key: &Key,
+        row: &Row,
+        wait: Option<Instant>,
+    ) -> Option<Result<CallAnswer>> {
+        let mut row = row.clone();
+        let mut pause = FIRST_POLL;
+        loop {
+            match ClaimState::read(&row) {
+                Some(ClaimState::Claimed { .. }) => {}
+                Some(ClaimState::Done { answer, .. }) => {
+                    return Some(self.recall(service, key, answer).await);
+                }
+                Some(ClaimState::Void { .. }) => return Some(Err(Refusal::Voided)),
+                Some(ClaimState::Other) => return Some(Err(Refusal::InDoubt)),
+                Some(ClaimState::Free { .. }) | None => return None,
+            }
+            if let Some(answer) = self.settle_by_record(service, key, &row).await {
+                return Some(Ok(answer));
+            }
+            let next = Instant::now() + pause;
+            if wait.is_none_or(|until| next > until) {
+                return Some(Err(Refusal::InDoubt));
+            }
+            time::sleep_until(next).await;
+            pause = (pause * 2).min(LAST_POLL);
+            if let Ok(rows) = table.read(std::slice::from_ref(&key.row)).await {
+                row = rows.into_iter().next().unwrap_or(row);
+            }
+        }
+    }
+
+    /// Records a call as done if the service has it on record.
+    pub(super) async fn settle_by_record<S: PlainService>(
+        &self,
+        service: &S,
+        key: &Key,
+        row: &Row,
+    ) -> Option<CallAnswer> {
+        let found = service.lookup(&key.reference).await.ok().flatten()?;
+        let answer = calls::into_answer(found, true);
+        let state = ClaimState::Done {
+            fingerprint: ClaimState::read(row).and_then(|s| s.fingerprint()),
+            answer: KeptAnswer::of(&answer),
+            at: self.process.wall_ms(),
+        };
+        let pass = self.gate.enter_always();
+        // Nobody waits: whoever finds the row first records the same call.
+        drop(
+            self.keeper
+                .write_behind(&key.row, Expect::Version(row.version), &state, pass),
+        );
+        Some(answer)
+    }
+}
--- /dev/null
+++ b/crates/mustard-agent/src/claims/mod.rs
@@ -0,0 +1,29 @@
+//! Calls with an idempotency key: each runs at most once.
+//!
+//! A claim row is written to the platform's table before the call is made, so a key that any
+//! agent may have run is never run again. The result is kept in memory and written behind the
+//! answer. A key whose claimant gave no result is settled by the service's own record or by an
+//! operator, or stays in doubt.
+
+mod book;
+mod call;
+mod foreign;
+mod keeper;
+mod op;
+mod row;
+mod settle;
+mod sweep;
+
+pub use call::{Bounds, Claims};
+pub use keeper::{Keeper, KeeperLoop, Pace};
+pub use op::{Commit, Expect};
+pub use row::{ClaimState, KeptAnswer, reference, row_key};
+pub use sweep::{Sweeper, Swept};
+
+use mustard_proto::Refusal;
+
+/// The result of operations on claims.
+pub type Result<T> = std::result::Result<T, Refusal>;
+
+/// The name of the table in refusals.
+const TABLE: &str = "table";
--- a/crates/mustard-agent/src/lib.rs
+++ b/crates/mustard-agent/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 
 pub mod calls;
+pub mod claims;
 pub mod errors;
 pub mod names;
 pub mod run;
--- a/crates/mustard-agent/src/names.rs
+++ b/crates/mustard-agent/src/names.rs
@@ -20,3 +20,15 @@
 pub const LEAVING: &str = "mustard_agent_leaving";
 /// Deaths of the backend server as seen by running work.
 pub const SERVER_DEATHS: &str = "mustard_agent_server_deaths_total";
+/// Writes behind that are not settled yet.
+pub const JOURNAL: &str = "mustard_agent_journal";
+/// Rows in one transaction.
+pub const BATCH_ROWS: &str = "mustard_agent_batch_rows";
+/// Transactions sent to the table.
+pub const TABLE_COMMITS: &str = "mustard_agent_table_commits_total";
+/// Reads sent to the table.
+pub const TABLE_READS: &str = "mustard_agent_table_reads_total";
+/// Calls of the table without a usable answer.
+pub const TABLE_FAILURES: &str = "mustard_agent_table_failures_total";
+/// Claims older than the retention without a result, as the last sweep found them.
+pub const DOUBTFUL: &str = "mustard_agent_doubtful_claims";
--- a/crates/mustard-agent/src/run.rs
+++ b/crates/mustard-agent/src/run.rs
@@ -1,6 +1,8 @@
 //! Starts the agent, serves and stops it.
 
+use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use metrics_exporter_prometheus::PrometheusHandle;
 use ntex::server::Server;
@@ -8,8 +10,10 @@
 
 use mustard_net::daemon::Daemon;
 use mustard_net::shutdown::Gate;
-use mustard_net::{Process, log, metric};
+use mustard_net::{Process, http, log, metric};
+use mustard_platform::http::HttpService;
 
+use crate::claims::{Keeper, Pace};
 use crate::errors::{AgentError, Result};
 use crate::server;
 use crate::settings::AgentSettings;
@@ -29,17 +33,21 @@
     let handle = metric::install()?;
     let listen = settings.listen;
     let (notice, grace) = (settings.notice(), settings.grace());
+    let (keeper, writer) = Keeper::new(table(&settings).await, pace(&settings));
+    tokio::task::spawn_local(writer.run());
     let shared = Shared::new(
         Arc::clone(&process),
         Arc::clone(&gate),
         settings,
         log.clone(),
+        keeper,
     );
     // The role is known before the first heartbeat is answered.
     let worker = Worker::new(Arc::clone(&shared)).await;
     watch::look(&worker).await;
     tokio::task::spawn_local(watch::watch(worker.clone()));
-    tokio::task::spawn_local(watch::sweep(worker));
+    tokio::task::spawn_local(watch::sweep(worker.clone()));
+    tokio::task::spawn_local(watch::sweep_claims(worker));
     let (daemon, listener) = Daemon::new(process, gate, log)
         .bind(listen)
         .map_err(|source| AgentError::Bind {
@@ -56,6 +64,19 @@
     Ok(code)
 }
 
+async fn table(settings: &AgentSettings) -> HttpService {
+    let http = Rc::new(http::new_client().await);
+    let limit = Duration::from_millis(settings.claims.table_ms);
+    HttpService::new(http, settings.table, limit, "table")
+}
+
+fn pace(settings: &AgentSettings) -> Pace {
+    Pace {
+        batch: settings.claims.batch,
+        linger: Duration::from_millis(settings.claims.linger_ms),
+    }
+}
+
 fn serve(
     shared: &Arc<Shared>,
     handle: &PrometheusHandle,
--- a/crates/mustard-agent/src/server/routes.rs
+++ b/crates/mustard-agent/src/server/routes.rs
@@ -6,12 +6,13 @@
 use ntex::web::{self, HttpResponse, ServiceConfig};
 
 use mustard_net::{metric, server};
-use mustard_proto::agent::{Call, Drain, Heartbeat};
+use mustard_proto::agent::{Call, Drain, Heartbeat, Settle, Void};
 use mustard_proto::step::{Cancel, Step};
 use mustard_proto::timeline::Timeline;
 use mustard_proto::{Envelope, Message, Refusal};
 
 use super::body;
+use crate::calls;
 use crate::names;
 use crate::stage;
 use crate::worker::Worker;
@@ -23,6 +24,8 @@
         .route(Cancel::PATH, web::post().to(cancel))
         .route(Heartbeat::PATH, web::post().to(heartbeat))
         .route(Call::PATH, web::post().to(call))
+        .route(Void::PATH, web::post().to(void))
+        .route(Settle::PATH, web::post().to(settle))
         .route(Drain::PATH, web::post().to(drain))
         .route(Timeline::PATH, web::post().to(timeline))
         .route("/metrics", web::get().to(scrape))
@@ -65,12 +68,34 @@
 
 async fn call(worker: State<Worker>, payload: Payload) -> HttpResponse {
     let result = match receive::<Call>(&worker, payload).await {
-        Ok(e) => crate::calls::call(&worker, e.head.seq, e.message).await,
+        Ok(e) => calls::call(&worker, e.head.seq, e.message).await,
         Err(r) => Err(r),
     };
     reply::<Call>(&worker, result)
 }
 
+async fn void(worker: State<Worker>, payload: Payload) -> HttpResponse {
+    let result = match receive::<Void>(&worker, payload).await {
+        Ok(e) => calls::void(&worker, &e.message).await,
+        Err(r) => Err(r),
+    };
+    reply::<Void>(&worker, result)
+}
+
+async fn settle(worker: State<Worker>, payload: Payload) -> HttpResponse {
+    let result = match receive::<Settle>(&worker, payload).await {
+        Ok(e) => {
+            worker
+                .shared
+                .claims
+                .settle(&worker.server, &e.message)
+                .await
+        }
+        Err(r) => Err(r),
+    };
+    reply::<Settle>(&worker, result)
+}
+
 async fn drain(worker: State<Worker>, payload: Payload) -> HttpResponse {
     let result = receive::<Drain>(&worker, payload).await;
     let result = result.map(|e| {
--- a/crates/mustard-agent/src/settings.rs
+++ b/crates/mustard-agent/src/settings.rs
@@ -124,6 +124,8 @@
     pub linger_ms: u64,
     /// The most results that wait to be written.
     pub journal: usize,
+    /// How long a call waits for the result of another agent's claim, in milliseconds.
+    pub join_ms: u64,
     /// The time for one call of the table, in milliseconds.
     pub table_ms: u64,
     /// How long rows are kept, in milliseconds.
@@ -138,6 +140,7 @@
             batch: 64,
             linger_ms: 50,
             journal: 1_024,
+            join_ms: 2_000,
             table_ms: 1_000,
             retain_ms: 7 * DAY_MS as u64,
             sweep_ms: HOUR_MS as u64,
@@ -165,6 +168,7 @@
         Field::optional("claims.batch", Kind::Int(1, 1_000)),
         Field::optional("claims.linger_ms", Kind::Int(0, 10 * SECOND_MS)),
         Field::optional("claims.journal", Kind::Int(1, 1 << 20)),
+        Field::optional("claims.join_ms", Kind::Int(0, 60 * SECOND_MS)),
         Field::optional("claims.table_ms", Kind::Int(10, 60 * SECOND_MS)),
         Field::optional("claims.retain_ms", Kind::Int(60 * SECOND_MS, 400 * DAY_MS)),
         Field::optional("claims.sweep_ms", Kind::Int(SECOND_MS, 30 * DAY_MS)),
--- a/crates/mustard-agent/src/shared.rs
+++ b/crates/mustard-agent/src/shared.rs
@@ -13,6 +13,7 @@
 use mustard_net::shutdown::{Gate, Pass};
 use mustard_proto::agent::{AgentInfo, AgentState, Load, Role};
 
+use crate::claims::{Bounds, Claims, Keeper};
 use crate::session::{Limits, Sessions};
 use crate::settings::{AgentSettings, ServerKind};
 use crate::stage::deaths::Deaths;
@@ -45,6 +46,8 @@
     pub server: ArcSwap<Server>,
     /// Whether a change of role keeps new attempts out.
     pub changing: AtomicBool,
+    /// Keys of calls of the plain service.
+    pub claims: Arc<Claims>,
     /// Deaths of the engine.
     pub deaths: Mutex<Deaths>,
     stopping: AtomicBool,
@@ -60,7 +63,19 @@
         gate: Arc<Gate>,
         settings: AgentSettings,
         log: Logger,
+        keeper: Keeper,
     ) -> Arc<Self> {
+        let bounds = Bounds {
+            journal: settings.claims.journal,
+            join: Duration::from_millis(settings.claims.join_ms),
+        };
+        let claims = Claims::new(
+            Arc::clone(&process),
+            Arc::clone(&gate),
+            log.clone(),
+            keeper,
+            bounds,
+        );
         let s = &settings.session;
         let limits = Limits {
             sessions: s.most,
@@ -76,6 +91,7 @@
             log,
             server: ArcSwap::default(),
             changing: AtomicBool::new(false),
+            claims,
             deaths: Mutex::default(),
             stopping: AtomicBool::new(false),
             sessions: Mutex::new(Sessions::new(limits)),
--- a/crates/mustard-agent/src/watch.rs
+++ b/crates/mustard-agent/src/watch.rs
@@ -10,6 +10,7 @@
 use mustard_core::event::EventKind;
 use mustard_proto::agent::{AgentState, Load};
 
+use crate::claims::Sweeper;
 use crate::names;
 use crate::settings::ServerKind;
 use crate::shared::Server;
@@ -39,6 +40,35 @@
     }
 }
 
+/// Deletes rows of old keys until the process ends.
+pub async fn sweep_claims(worker: Worker) {
+    let settings = &worker.shared.settings;
+    let Some(service) = settings.service.clone() else {
+        return;
+    };
+    let every = Duration::from_millis(settings.claims.sweep_ms);
+    let retain = Duration::from_millis(settings.claims.retain_ms);
+    let sweeper = Sweeper {
+        service,
+        retain,
+        every,
+    };
+    let me = worker.shared.process.incarnation();
+    loop {
+        time::sleep(jittered(every)).await;
+        let now = worker.shared.process.wall_ms();
+        match sweeper.run(&worker.table, me, now).await {
+            Ok(Some(swept)) => {
+                gauge!(names::DOUBTFUL).set(swept.doubtful as f64);
+                slog::info!(worker.shared.log, "claims: Swept old keys.";
+                    "read" => swept.read, "deleted" => swept.deleted, "doubtful" => swept.doubtful);
+            }
+            Ok(None) => {}
+            Err(e) => slog::info!(worker.shared.log, "claims: Sweep failed."; "cause" => %e),
+        }
+    }
+}
+
 /// Asks the backend server once for what it holds and how loaded it is.
 pub async fn look(worker: &Worker) {
     let shared = &worker.shared;
--- a/crates/mustard-agent/src/worker.rs
+++ b/crates/mustard-agent/src/worker.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use metrics::counter;
 
@@ -9,6 +10,7 @@
 use mustard_backend::http::HttpBackend;
 use mustard_core::event::EventKind;
 use mustard_net::Client;
+use mustard_platform::http::HttpService;
 
 use crate::names;
 use crate::session::Closed;
@@ -23,6 +25,8 @@
     pub client: Client,
     /// The backend server.
     pub server: HttpBackend,
+    /// The platform's table.
+    pub table: HttpService,
 }
 
 impl Worker {
@@ -30,11 +34,14 @@
     pub async fn new(shared: Arc<Shared>) -> Self {
         let client = Client::new(Arc::clone(&shared.process)).await;
         let http = Rc::new(client.http().clone());
-        let server = HttpBackend::new(http, shared.settings.server);
+        let server = HttpBackend::new(Rc::clone(&http), shared.settings.server);
+        let limit = Duration::from_millis(shared.settings.claims.table_ms);
+        let table = HttpService::new(http, shared.settings.table, limit, "table");
         Worker {
             shared,
             client,
             server,
+            table,
         }
     }
 
