Test claims under generated schedules

Found by the schedules: a table that was down with nobody waiting was still taken for down by the first call after it, however much later that came. The end of the backoff is now compared before callers are refused.

--- a/crates/mustard-agent/src/claims/keeper.rs
+++ b/crates/mustard-agent/src/claims/keeper.rs
@@ -135,8 +135,8 @@
         while self.receive().await {
             self.refuse_late();
             if let Some(until) = self.down_until {
-                self.refuse_urgent(until);
                 if until > Instant::now() {
+                    self.refuse_urgent(until);
                     continue;
                 }
                 self.down_until = None;
