Add the decision code with simple working bodies

The entry can adopt the API now: fleet, route, subset, admission, limits, retry, breaker, hedge, slow, quarantine and membership. The crate's doc example shows a request's way through it. Not measured yet.

--- /dev/null
+++ b/crates/mustard-policy/src/fleet/links.rs
@@ -0,0 +1,115 @@
+//! Learned cost of the link between each pair of servers.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+const PRIOR_HOP_US: f32 = 300.0;
+const PRIOR_POSITION_US: f32 = 1.0;
+const STEP: f32 = 0.2;
+
+fn pack(hop: f32, position: f32) -> u64 {
+    u64::from(hop.to_bits()) << 32 | u64::from(position.to_bits())
+}
+
+fn unpack(bits: u64) -> (f32, f32) {
+    (
+        f32::from_bits((bits >> 32) as u32),
+        f32::from_bits(bits as u32),
+    )
+}
+
+/// A square table of link costs, by slots of the fleet's arena.
+///
+/// Each cell holds the round trip of a step over the link and the added time per prefilled
+/// position, both in microseconds. It takes eight bytes, so 1,000 servers take 8 MB.
+#[derive(Debug, Default)]
+pub struct Links {
+    side: usize,
+    cells: Vec<AtomicU64>,
+}
+
+impl Links {
+    /// Creates a table for `side` slots that keeps the costs of an older one.
+    pub fn grown(old: &Links, side: usize) -> Self {
+        let cell = |i: usize| {
+            let (from, to) = (i / side, i % side);
+            let known = from < old.side && to < old.side;
+            let (hop, position) = if known {
+                old.get(from, to)
+            } else {
+                (PRIOR_HOP_US, PRIOR_POSITION_US)
+            };
+            AtomicU64::new(pack(hop, position))
+        };
+        Links {
+            side,
+            cells: (0..side * side).map(cell).collect(),
+        }
+    }
+
+    /// Returns the number of slots.
+    pub fn side(&self) -> usize {
+        self.side
+    }
+
+    /// Returns the round trip of a step and the added time per position, in microseconds.
+    pub fn get(&self, from: usize, to: usize) -> (f32, f32) {
+        unpack(self.cells[from * self.side + to].load(Ordering::Relaxed))
+    }
+
+    /// Sets the cost of a pair, as known from settings or from a peer.
+    pub fn set(&self, from: usize, to: usize, hop_us: f32, position_us: f32) {
+        self.cells[from * self.side + to].store(pack(hop_us, position_us), Ordering::Relaxed);
+    }
+
+    /// Takes in a round trip of a step over the link, in microseconds.
+    pub fn observe(&self, from: usize, to: usize, hop_us: f32) {
+        self.update(from, to, |hop, position| {
+            (hop + STEP * (hop_us - hop), position)
+        });
+    }
+
+    /// Takes in the time that a prefill of `positions` spent on the link, in microseconds.
+    pub fn observe_prefill(&self, from: usize, to: usize, positions: u32, us: f32) {
+        let positions = positions.max(1) as f32;
+        self.update(from, to, |hop, position| {
+            let seen = (us - hop).max(0.0) / positions;
+            (hop, position + STEP * (seen - position))
+        });
+    }
+
+    /// Takes in the time that a step spent on all links of a path together.
+    ///
+    /// The difference to the estimate is shared out in proportion to each link's estimate, so
+    /// that paths which cross each other tell a slow link from its neighbours.
+    pub fn observe_path(&self, slots: &[usize], total_us: f32) {
+        let pairs = || slots.windows(2).map(|w| (w[0], w[1]));
+        let known: f32 = pairs().map(|(a, b)| self.get(a, b).0).sum();
+        if known <= 0.0 || !total_us.is_finite() {
+            return;
+        }
+        let ratio = (total_us.max(0.0) / known).clamp(0.1, 10.0);
+        for (from, to) in pairs() {
+            self.update(from, to, |hop, position| {
+                (hop * (1.0 + STEP * (ratio - 1.0)), position)
+            });
+        }
+    }
+
+    /// Forgets what was learned about a slot, for a new server in it.
+    pub fn reset(&self, slot: usize) {
+        for other in 0..self.side {
+            self.set(slot, other, PRIOR_HOP_US, PRIOR_POSITION_US);
+            self.set(other, slot, PRIOR_HOP_US, PRIOR_POSITION_US);
+        }
+    }
+
+    fn update(&self, from: usize, to: usize, f: impl Fn(f32, f32) -> (f32, f32)) {
+        let next = |bits| {
+            let (hop, position) = unpack(bits);
+            let (hop, position) = f(hop, position);
+            Some(pack(hop.max(1.0), position.max(0.0)))
+        };
+        let cell = &self.cells[from * self.side + to];
+        let _ = cell.fetch_update(Ordering::Relaxed, Ordering::Relaxed, next);
+    }
+}
--- a/crates/mustard-policy/src/lib.rs
+++ b/crates/mustard-policy/src/lib.rs
@@ -1,1 +1,68 @@
-//! Placeholder.
+//! Decisions under load and faults as pure state machines.
+//!
+//! Time and random seeds are passed in; nothing here performs I/O, reads a clock or starts a
+//! thread. The daemons and the bench drive the same code.
+//!
+//! A request's way through the modules:
+//!
+//! ```
+//! use mustard_core::catalogue::Class;
+//! use mustard_core::clock::Moment;
+//! use mustard_core::ids::{Incarnation, Layers};
+//! use mustard_policy::admission::{Admission, Ask, Decision, Forecast, Settings};
+//! use mustard_policy::fleet::{Facts, Fleet, Role};
+//! use mustard_policy::route::{Query, choose};
+//! use rand::SeedableRng;
+//!
+//! // Membership publishes a view of the servers.
+//! let mut fleet = Fleet::default();
+//! for (i, layers) in [Layers::new(0, 16), Layers::new(16, 32)].into_iter().enumerate() {
+//!     fleet.upsert(Facts {
+//!         vm: format!("vm-{i}"),
+//!         addr: ([127, 0, 0, 1], 7000 + i as u16).into(),
+//!         domain: "a".into(),
+//!         incarnation: Incarnation(1),
+//!         role: Role::Stage {
+//!             model: "captions".into(),
+//!             layers,
+//!             accelerator: "small".into(),
+//!         },
+//!     });
+//! }
+//!
+//! // A request is offered, and started when a chain has room for it.
+//! let now = Moment::from_millis(5);
+//! let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(7);
+//! let mut admission = Admission::new(Settings::default());
+//! let ask = Ask::new("peachtree", 1, Class::Interactive, 64, Moment::from_millis(9_000));
+//! let ticket = admission.offer(now, ask).unwrap();
+//! let query = Query::new("captions", 32, 20, 64);
+//! let mut plan = None;
+//! let decisions = admission.poll(now, |_| {
+//!     plan = choose(&fleet, &query, now, &mut rng).ok();
+//!     plan.as_ref().map(|p| Forecast::new(p.first_us, p.token_us))
+//! });
+//! assert_eq!(decisions, vec![(ticket, Decision::Run)]);
+//!
+//! // Guards count the request at each stage until it ends.
+//! let plan = plan.unwrap();
+//! let guards = plan.begin(&fleet);
+//! fleet.get(plan.hops[0].server).unwrap().live().observe_step(2_000.0);
+//! drop(guards);
+//! admission.finish(ticket, Moment::from_millis(400), 64);
+//! ```
+
+#![forbid(unsafe_code)]
+
+pub mod admission;
+pub mod breaker;
+pub mod fleet;
+pub mod hedge;
+pub mod learn;
+pub mod limits;
+pub mod membership;
+pub mod quarantine;
+pub mod retry;
+pub mod route;
+pub mod slow;
+pub mod subset;
--- /dev/null
+++ b/crates/mustard-policy/src/retry.rs
@@ -0,0 +1,37 @@
+//! A budget that keeps retries to a share of the first attempts.
+
+/// Allows retries in proportion to first attempts, plus a small reserve.
+///
+/// Retries multiply the load of servers that are ailing already; with a share of 0.1 they add
+/// at most a tenth.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    share: f64,
+    reserve: f64,
+    balance: f64,
+}
+
+impl RetryBudget {
+    /// Creates a budget; `share` retries are earned per first attempt, up to `reserve`.
+    pub fn new(share: f64, reserve: f64) -> Self {
+        RetryBudget {
+            share,
+            reserve,
+            balance: reserve,
+        }
+    }
+
+    /// Takes in a first attempt.
+    pub fn earn(&mut self) {
+        self.balance = (self.balance + self.share).min(self.reserve);
+    }
+
+    /// Takes a retry out of the budget; tells whether it is allowed.
+    pub fn spend(&mut self) -> bool {
+        if self.balance < 1.0 {
+            return false;
+        }
+        self.balance -= 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/crates/mustard-policy/src/route/chain.rs
@@ -0,0 +1,419 @@
+//! Choice of a chain of stages.
+
+use rand::Rng;
+
+use mustard_core::clock::Moment;
+use mustard_core::ids::Layers;
+
+use super::errors::{Result, RouteError};
+use crate::fleet::{Fleet, InFlight, Server, ServerKey, State};
+
+/// The weight of the delay that a request causes to others at the same server.
+const OTHERS_WEIGHT: f32 = 1.0;
+/// The random part of each server's cost, so that entry processes with the same view spread.
+const JITTER: f32 = 0.05;
+/// A chain whose own floor is above the wanted pace may slow down by this factor.
+const STRETCH: f32 = 1.5;
+/// The most servers of one failure domain that a group hands on to the next layers.
+const DOMAIN_BEAM: usize = 8;
+/// The work by which a preferred server may exceed the mean of its group.
+const AFFINITY_SLACK: f32 = 4.0;
+/// The factor by which a preferred server may exceed the mean of its group.
+const AFFINITY_FACTOR: f32 = 1.25;
+
+/// A chain that holds a prefix of the prompt in its caches.
+#[derive(Clone, Copy, Debug)]
+pub struct Prefer<'a> {
+    /// The servers in layer order.
+    pub chain: &'a [ServerKey],
+    /// The number of cached positions.
+    pub cached: u32,
+}
+
+/// What a request needs of a chain.
+#[derive(Clone, Debug)]
+pub struct Query<'a> {
+    model: &'a str,
+    layers: u32,
+    prompt: u32,
+    tokens: u32,
+    pace_us: f32,
+    exclude: &'a [ServerKey],
+    prefer: Option<Prefer<'a>>,
+}
+
+impl<'a> Query<'a> {
+    /// Creates a query for a model of `layers` layers, with `prompt` positions to prefill and
+    /// `tokens` tokens to generate.
+    pub fn new(model: &'a str, layers: u32, prompt: u32, tokens: u32) -> Self {
+        Query {
+            model,
+            layers,
+            prompt,
+            tokens,
+            pace_us: f32::INFINITY,
+            exclude: &[],
+            prefer: None,
+        }
+    }
+
+    /// Sets the longest time per token, in microseconds, that a chain may reach by this request.
+    pub fn pace(mut self, us: f32) -> Self {
+        self.pace_us = us;
+        self
+    }
+
+    /// Leaves out servers, such as those that failed an earlier attempt.
+    pub fn exclude(mut self, servers: &'a [ServerKey]) -> Self {
+        self.exclude = servers;
+        self
+    }
+
+    /// Prefers a chain that has a prefix of the prompt cached, as long as it is not much more
+    /// loaded than others.
+    pub fn prefer(mut self, prefer: Option<Prefer<'a>>) -> Self {
+        self.prefer = prefer;
+        self
+    }
+}
+
+/// One stage of a chosen chain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlanHop {
+    /// The server.
+    pub server: ServerKey,
+    /// The layers that it runs.
+    pub layers: Layers,
+}
+
+/// A chosen chain with its predicted times.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// The stages in layer order.
+    pub hops: Vec<PlanHop>,
+    /// The predicted time to the first token, in microseconds.
+    pub first_us: f32,
+    /// The predicted time per token, in microseconds.
+    pub token_us: f32,
+    /// The time per token that the chain would take without other work, in microseconds.
+    pub floor_us: f32,
+}
+
+impl Plan {
+    /// Counts the request in flight at each stage until the guards are dropped.
+    pub fn begin(&self, fleet: &Fleet) -> Vec<InFlight> {
+        self.servers()
+            .filter_map(|key| fleet.get(key))
+            .map(Server::begin)
+            .collect()
+    }
+
+    /// Visits the servers in layer order.
+    pub fn servers(&self) -> impl Iterator<Item = ServerKey> {
+        self.hops.iter().map(|hop| hop.server)
+    }
+}
+
+/// Chooses the chain with the least predicted cost.
+///
+/// Suspect servers are used only where the layers can't be covered without them.
+///
+/// # Errors
+///
+/// Returns [`RouteError::NoServer`] if no chain holds every layer and [`RouteError::NoRoom`]
+/// if the best chain exceeds the wanted pace.
+pub fn choose(fleet: &Fleet, query: &Query, now: Moment, rng: &mut impl Rng) -> Result<Plan> {
+    let mut search = |limit| Search::new(fleet, query, now, limit).run(rng);
+    let plan = match search(State::Ready) {
+        Ok(plan) => plan,
+        Err(_) => search(State::Suspect)?,
+    };
+    let allowed = query.pace_us.max(plan.floor_us * STRETCH);
+    if plan.token_us > allowed {
+        let token_us = plan.token_us as u32;
+        return Err(RouteError::NoRoom { token_us });
+    }
+    Ok(plan)
+}
+
+/// A server as the end of the best chain up to it.
+#[derive(Clone, Copy, Debug)]
+struct Node {
+    key: ServerKey,
+    layers: Layers,
+    domain: u16,
+    previous: Option<usize>,
+    cost: f32,
+    times: Times,
+}
+
+/// Times of a chain, in microseconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct Times {
+    first: f32,
+    token: f32,
+    floor: f32,
+}
+
+impl Times {
+    fn plus(self, other: Times) -> Times {
+        Times {
+            first: self.first + other.first,
+            token: self.token + other.token,
+            floor: self.floor + other.floor,
+        }
+    }
+}
+
+struct Search<'a> {
+    fleet: &'a Fleet,
+    query: &'a Query<'a>,
+    now: Moment,
+    limit: State,
+}
+
+impl<'a> Search<'a> {
+    fn new(fleet: &'a Fleet, query: &'a Query<'a>, now: Moment, limit: State) -> Self {
+        Search {
+            fleet,
+            query,
+            now,
+            limit,
+        }
+    }
+
+    fn run(&self, rng: &mut impl Rng) -> Result<Plan> {
+        let mut nodes: Vec<Node> = Vec::with_capacity(self.fleet.len());
+        let mut kept: Vec<usize> = Vec::new();
+        let mut reached = 0;
+        for group in self.fleet.groups(self.query.model) {
+            let layers = group.layers;
+            let starts = layers.first == 0;
+            let before: Vec<usize> = kept
+                .iter()
+                .copied()
+                .filter(|&i| nodes[i].layers.end == layers.first)
+                .collect();
+            if layers.is_empty() || layers.end > self.query.layers || (!starts && before.is_empty())
+            {
+                continue;
+            }
+            let begin = nodes.len();
+            for &key in &group.servers {
+                if let Some(node) = self.node(key, layers, &nodes, &before, rng) {
+                    nodes.push(node);
+                }
+            }
+            if nodes.len() > begin {
+                reached = reached.max(layers.end);
+            }
+            if layers.end < self.query.layers {
+                keep_best(&nodes, begin, &mut kept);
+            }
+        }
+        let best = nodes
+            .iter()
+            .enumerate()
+            .filter(|(_, n)| n.layers.end == self.query.layers)
+            .min_by(|(_, a), (_, b)| a.cost.total_cmp(&b.cost));
+        match best {
+            Some((i, _)) => Ok(self.preferred_or(trace(&nodes, i))),
+            None => Err(RouteError::NoServer { layer: reached }),
+        }
+    }
+
+    /// Finds the best chain that ends with a server.
+    fn node(
+        &self,
+        key: ServerKey,
+        layers: Layers,
+        nodes: &[Node],
+        before: &[usize],
+        rng: &mut impl Rng,
+    ) -> Option<Node> {
+        let server = self.available(key)?;
+        let (own, added) = self.server_times(server, self.query.prompt);
+        let own_cost = self.cost(own) + added * self.query.tokens as f32;
+        let own_cost = own_cost * (1.0 + JITTER * rng.random::<f32>());
+        let (previous, link_cost) = self.best_link(key, nodes, before);
+        let link = match previous {
+            Some(i) => self.link_times(nodes[i].key, key),
+            None => self.entry_times(server),
+        };
+        let (so_far, cost) = match previous {
+            Some(i) => (nodes[i].times, link_cost),
+            None => (Times::default(), self.cost(link)),
+        };
+        Some(Node {
+            key,
+            layers,
+            domain: server.domain(),
+            previous,
+            cost: cost + own_cost,
+            times: so_far.plus(link).plus(own),
+        })
+    }
+
+    /// Finds the chain to continue: the least sum of its cost and the link's.
+    fn best_link(&self, key: ServerKey, nodes: &[Node], before: &[usize]) -> (Option<usize>, f32) {
+        let links = self.fleet.links();
+        let prompt = self.query.prompt as f32;
+        let steps = self.query.tokens as f32;
+        let mut best = (None, f32::INFINITY);
+        for &i in before {
+            let (hop, position) = links.get(nodes[i].key.index(), key.index());
+            let cost = nodes[i].cost + hop * steps + position * prompt;
+            if cost < best.1 {
+                best = (Some(i), cost);
+            }
+        }
+        best
+    }
+
+    fn available(&self, key: ServerKey) -> Option<&'a Server> {
+        let server = self.fleet.get(key)?;
+        let live = server.live();
+        let usable = match live.state() {
+            State::Ready => true,
+            State::Suspect => self.limit == State::Suspect,
+            State::Leaving | State::Dead => false,
+        };
+        let usable = usable && !self.query.exclude.contains(&key) && !live.is_full(self.now);
+        usable.then_some(server)
+    }
+
+    /// Predicts the times at a server, and the delay per token that others get by this request.
+    fn server_times(&self, server: &Server, prompt: u32) -> (Times, f32) {
+        let live = server.live();
+        let work = live.work(self.now) / live.weight();
+        let (base, slope) = live.step_line();
+        let step = base + slope * (work + 1.0);
+        let times = Times {
+            first: live.prefill_us() * prompt as f32 + step,
+            token: step,
+            floor: base + slope,
+        };
+        (times, OTHERS_WEIGHT * slope * work)
+    }
+
+    fn entry_times(&self, server: &Server) -> Times {
+        let us = server.live().entry_us();
+        Times {
+            first: us,
+            token: us,
+            floor: us,
+        }
+    }
+
+    fn link_times(&self, from: ServerKey, to: ServerKey) -> Times {
+        let (hop, position) = self.fleet.links().get(from.index(), to.index());
+        Times {
+            first: hop + position * self.query.prompt as f32,
+            token: hop,
+            floor: hop,
+        }
+    }
+
+    fn cost(&self, times: Times) -> f32 {
+        let later = self.query.tokens.saturating_sub(1) as f32;
+        times.first + times.token * later
+    }
+
+    /// Returns the preferred chain if it is predicted to be better and within its bound.
+    fn preferred_or(&self, best: Plan) -> Plan {
+        let preferred = self.query.prefer.and_then(|p| self.preferred(p));
+        let time = |plan: &Plan| {
+            let later = self.query.tokens.saturating_sub(1) as f32;
+            plan.first_us + plan.token_us * later
+        };
+        match preferred {
+            Some(plan) if time(&plan) < time(&best) => plan,
+            _ => best,
+        }
+    }
+
+    fn preferred(&self, prefer: Prefer) -> Option<Plan> {
+        let prompt = self.query.prompt.saturating_sub(prefer.cached);
+        let mut times = Times::default();
+        let mut hops: Vec<PlanHop> = Vec::with_capacity(prefer.chain.len());
+        for &key in prefer.chain {
+            let server = self.available(key)?;
+            let end = hops.last().map_or(0, |hop| hop.layers.end);
+            let groups = self.fleet.groups(self.query.model);
+            let group = groups
+                .iter()
+                .find(|g| g.layers.first == end && g.servers.contains(&key))?;
+            if !self.is_balanced(server, &group.servers) {
+                return None;
+            }
+            let link = match hops.last() {
+                Some(hop) => self.link_times(hop.server, key),
+                None => self.entry_times(server),
+            };
+            times = times.plus(link).plus(self.server_times(server, prompt).0);
+            let layers = group.layers;
+            hops.push(PlanHop {
+                server: key,
+                layers,
+            });
+        }
+        let whole = hops.last()?.layers.end == self.query.layers;
+        whole.then(|| plan(hops, times))
+    }
+
+    fn is_balanced(&self, server: &Server, group: &[ServerKey]) -> bool {
+        let work = |s: &Server| s.live().work(self.now);
+        let servers = || group.iter().filter_map(|&key| self.fleet.get(key));
+        let total: f32 = servers().map(work).sum();
+        let mean = total / servers().count().max(1) as f32;
+        work(server) <= mean * AFFINITY_FACTOR + AFFINITY_SLACK
+    }
+}
+
+/// Marks the best nodes of a group, some of each failure domain, for chains to continue.
+fn keep_best(nodes: &[Node], begin: usize, kept: &mut Vec<usize>) {
+    let mut order: Vec<usize> = (begin..nodes.len()).collect();
+    if order.len() <= DOMAIN_BEAM {
+        kept.extend(order);
+        return;
+    }
+    order.sort_unstable_by(|&a, &b| nodes[a].cost.total_cmp(&nodes[b].cost));
+    let mut counts: Vec<(u16, usize)> = Vec::new();
+    for i in order {
+        let domain = nodes[i].domain;
+        let at = match counts.iter().position(|c| c.0 == domain) {
+            Some(at) => at,
+            None => {
+                counts.push((domain, 0));
+                counts.len() - 1
+            }
+        };
+        if counts[at].1 < DOMAIN_BEAM {
+            counts[at].1 += 1;
+            kept.push(i);
+        }
+    }
+}
+
+fn trace(nodes: &[Node], last: usize) -> Plan {
+    let mut hops = Vec::new();
+    let mut next = Some(last);
+    while let Some(i) = next {
+        hops.push(PlanHop {
+            server: nodes[i].key,
+            layers: nodes[i].layers,
+        });
+        next = nodes[i].previous;
+    }
+    hops.reverse();
+    plan(hops, nodes[last].times)
+}
+
+fn plan(hops: Vec<PlanHop>, times: Times) -> Plan {
+    Plan {
+        hops,
+        first_us: times.first,
+        token_us: times.token,
+        floor_us: times.floor,
+    }
+}
--- /dev/null
+++ b/crates/mustard-policy/src/route/service.rs
@@ -0,0 +1,50 @@
+//! Choice of a server of a plain service.
+
+use rand::Rng;
+
+use mustard_core::clock::Moment;
+
+use super::errors::{Result, RouteError};
+use crate::fleet::{Fleet, Server, ServerKey, State};
+
+/// The random part of each server's cost.
+const JITTER: f32 = 0.05;
+
+/// Chooses the server with the least predicted time for a call.
+///
+/// Suspect servers are used only if there is no other.
+///
+/// # Errors
+///
+/// Returns [`RouteError::NoService`] if no server is available.
+pub fn choose_service(
+    fleet: &Fleet,
+    service: &str,
+    exclude: &[ServerKey],
+    now: Moment,
+    rng: &mut impl Rng,
+) -> Result<ServerKey> {
+    let mut best: Option<(bool, f32, ServerKey)> = None;
+    for &key in fleet.service(service) {
+        let Some(server) = fleet.get(key).filter(|_| !exclude.contains(&key)) else {
+            continue;
+        };
+        let suspect = match server.live().state() {
+            State::Ready => false,
+            State::Suspect => true,
+            State::Leaving | State::Dead => continue,
+        };
+        let cost = call_cost(server, now) * (1.0 + JITTER * rng.random::<f32>());
+        let better = best.is_none_or(|(s, c, _)| (suspect, cost) < (s, c));
+        if better {
+            best = Some((suspect, cost, key));
+        }
+    }
+    best.map(|(_, _, key)| key).ok_or(RouteError::NoService)
+}
+
+fn call_cost(server: &Server, now: Moment) -> f32 {
+    let live = server.live();
+    let work = live.work(now) / live.weight();
+    live.entry_us() + live.call_us() * (work + 1.0)
+}
