--- /dev/null
+++ b/crates/mustard-bench/src/compare/plot.rs
@@ -0,0 +1,55 @@
+//! A drawing of goodput by scenario and policy.
+
+use std::path::Path;
+
+use plotters::prelude::*;
+
+use super::report::Row;
+
+const SIZE: (u32, u32) = (1_200, 560);
+const COLORS: [RGBColor; 5] = [
+    RGBColor(170, 170, 170),
+    RGBColor(120, 160, 200),
+    RGBColor(90, 120, 170),
+    RGBColor(200, 150, 90),
+    RGBColor(200, 160, 0),
+];
+
+/// Draws one bar per row, as a share of the bound.
+pub(crate) fn draw(path: &Path, rows: &[Row]) -> anyhow::Result<()> {
+    let mut scenarios: Vec<&str> = rows.iter().map(|r| r.scenario).collect();
+    scenarios.dedup();
+    let root = SVGBackend::new(path, SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&root)
+        .caption(
+            "Goodput as a share of the hardware's bound",
+            ("sans-serif", 20),
+        )
+        .margin(12)
+        .x_label_area_size(30)
+        .y_label_area_size(50)
+        .build_cartesian_2d(0.0..scenarios.len() as f64, 0.0..1.1)?;
+    chart
+        .configure_mesh()
+        .disable_x_mesh()
+        .disable_x_axis()
+        .draw()?;
+    let width = 1.0 / (COLORS.len() + 1) as f64;
+    for (i, scenario) in scenarios.iter().enumerate() {
+        let style = ("sans-serif", 13);
+        chart.draw_series([Text::new(*scenario, (i as f64 + width / 2.0, 1.08), style)])?;
+        let group = rows.iter().filter(|r| r.scenario == *scenario);
+        for (j, row) in group.enumerate() {
+            let left = i as f64 + width * (j as f64 + 0.5);
+            let bar = Rectangle::new([(left, 0.0), (left + width, row.share)], COLORS[j].filled());
+            chart.draw_series([bar])?;
+            let at = (left + width * 0.1, -0.02 - 0.02 * (j % 2) as f64);
+            if i == 0 {
+                chart.draw_series([Text::new(row.policy, at, ("sans-serif", 10))])?;
+            }
+        }
+    }
+    root.present()?;
+    Ok(())
+}
