Accept, spread and confirm catalogue changes

Accepting is one transaction of the table with a check on the entry's revision; a change id makes a resend safe. Push and pull now carry how long ago the sender knew its catalogue to be newest, because a peer that never knew must not confirm another's empty catalogue.

--- /dev/null
+++ b/crates/mustard-catalogue/src/admin.rs
@@ -0,0 +1,118 @@
+//! The operators' HTTP interface to the catalogue, in JSON.
+
+use std::time::Duration;
+
+use ntex::web::HttpResponse;
+use serde::Serialize;
+
+use mustard_core::outcome::Outcome;
+use mustard_net::problem::Problem;
+use mustard_platform::object::Objects;
+use mustard_platform::table::Table;
+
+use crate::errors::WriteError;
+use crate::operators::Operators;
+use crate::store::Store;
+use crate::writer::{Proposal, Writer};
+
+const JSON: &str = "application/json";
+/// The longest wait for an accepted change to be in force at the process that accepted it.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Returns the operator that an `Authorization` header names, or the answer that refuses it.
+pub fn operator<'a>(
+    operators: &'a Operators,
+    header: Option<&str>,
+) -> std::result::Result<&'a str, Problem> {
+    operators.authenticate(header).ok_or_else(|| {
+        Problem::new(
+            401,
+            "operator-unknown",
+            "Operator key is missing or unknown",
+        )
+        .outcome(Outcome::NotRun)
+    })
+}
+
+/// Answers `GET /admin/catalogue`.
+pub fn list(store: &Store) -> HttpResponse {
+    json(store.load().snapshot())
+}
+
+/// Answers `GET /admin/catalogue/{name}/history`.
+pub async fn history<T: Table, O: Objects>(writer: &Writer<T, O>, name: &str) -> HttpResponse {
+    match writer.history(name).await {
+        Ok(changes) if changes.is_empty() => {
+            Problem::new(404, "entry-unknown", "Entry never existed")
+                .detail(format!("entry {name:?} has no history"))
+                .outcome(Outcome::NotRun)
+                .response()
+        }
+        Ok(changes) => json(&changes),
+        Err(e) => problem(&e).response(),
+    }
+}
+
+/// Answers `POST /admin/catalogue/changes`.
+pub async fn change<T: Table, O: Objects>(
+    writer: &Writer<T, O>,
+    store: &Store,
+    author: &str,
+    body: &[u8],
+) -> HttpResponse {
+    let proposal: Proposal = match serde_json::from_slice(body) {
+        Ok(proposal) => proposal,
+        Err(e) => return malformed(&e).response(),
+    };
+    match writer.accept(&proposal, author).await {
+        Ok(accepted) => {
+            store.catch_up(accepted.seq, IN_FORCE_LIMIT).await;
+            json(&accepted)
+        }
+        Err(e) => problem(&e).response(),
+    }
+}
+
+fn json(value: &impl Serialize) -> HttpResponse {
+    match serde_json::to_vec(value) {
+        Ok(body) => HttpResponse::Ok().content_type(JSON).body(body),
+        Err(_) => HttpResponse::InternalServerError().finish(),
+    }
+}
+
+fn malformed(e: &serde_json::Error) -> Problem {
+    Problem::new(400, "body-malformed", "Body is not a change")
+        .detail(e.to_string())
+        .outcome(Outcome::NotRun)
+}
+
+/// Returns the problem that describes a change that was not accepted.
+pub fn problem(e: &WriteError) -> Problem {
+    let detail = e.to_string();
+    let (status, kind, title) = match e {
+        WriteError::Invalid(_) => (422, "change-invalid", "Change breaks a rule"),
+        WriteError::Conflict { .. } => (409, "revision-conflict", "Entry has another revision"),
+        WriteError::NotInForce { .. } => (422, "entry-not-in-force", "Entry is not in force"),
+        WriteError::IdReused { .. } => (422, "change-id-reused", "Change id was used before"),
+        WriteError::Unavailable { .. } => (503, "table-unavailable", "Table does not answer"),
+        WriteError::InDoubt { .. } => (503, "change-in-doubt", "Change may have been accepted"),
+        WriteError::Row(_) => (500, "row-malformed", "Row of the table does not parse"),
+    };
+    let outcome = match e {
+        WriteError::InDoubt { .. } => Outcome::Unknown,
+        _ => Outcome::NotRun,
+    };
+    let problem = Problem::new(status, kind, title)
+        .detail(detail)
+        .outcome(outcome);
+    match e {
+        WriteError::Conflict { current, .. } => {
+            let current = serde_json::to_value(current).unwrap_or_default();
+            problem.member("current", current)
+        }
+        WriteError::Unavailable { retry_ms } | WriteError::InDoubt { retry_ms } => {
+            problem.retry(Duration::from_millis(*retry_ms))
+        }
+        _ => problem,
+    }
+}
--- /dev/null
+++ b/crates/mustard-catalogue/src/rows.rs
@@ -0,0 +1,105 @@
+//! The catalogue's rows in the table and its snapshot in the object store.
+//!
+//! | key | content |
+//! | --- | --- |
+//! | `cat/head` | [`HeadRow`], the newest change |
+//! | `cat/log/{seq:016}` | [`Change`] |
+//! | `cat/entry/{name}` | [`Versioned`] |
+//! | `cat/id/{change id}` | [`IdRow`], makes a change safe to send again |
+//! | `cat/hist/{name}/{revision:010}` | [`HeadRow`], the change that made a revision |
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use mustard_core::catalogue::Change;
+use mustard_core::fingerprint::Fingerprint;
+use mustard_core::ids::{Revision, Seq};
+use mustard_platform::table::Row;
+
+use crate::errors::RowError;
+
+/// The result of reading and writing rows.
+pub type Result<T> = std::result::Result<T, RowError>;
+
+/// The key of the row that holds the newest change's number.
+pub const HEAD: &str = "cat/head";
+/// What the keys of all entries start with.
+pub const ENTRY_PREFIX: &str = "cat/entry/";
+/// The object that holds a recent snapshot.
+pub const SNAPSHOT_OBJECT: &str = "catalogue/snapshot";
+
+/// The content of the head row and of history rows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeadRow {
+    /// The change.
+    pub seq: Seq,
+}
+
+/// The content of a change id's row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct IdRow {
+    /// The accepted change.
+    pub seq: Seq,
+    /// The revision that it made.
+    pub revision: Revision,
+    /// The digest of the change, which tells a resend from a reuse of the id.
+    pub digest: Fingerprint,
+}
+
+/// Returns the key of a change.
+pub fn log_key(seq: Seq) -> String {
+    format!("cat/log/{:016}", seq.0)
+}
+
+/// Returns the key of an entry.
+pub fn entry_key(name: &str) -> String {
+    format!("{ENTRY_PREFIX}{name}")
+}
+
+/// Returns the key of a change id.
+pub fn id_key(id: &str) -> String {
+    format!("cat/id/{id}")
+}
+
+/// Returns what the history keys of an entry start with.
+pub fn history_prefix(name: &str) -> String {
+    format!("cat/hist/{name}/")
+}
+
+/// Returns the key of a revision in an entry's history.
+pub fn history_key(name: &str, revision: Revision) -> String {
+    format!("{}{:010}", history_prefix(name), revision.0)
+}
+
+/// Parses the content of a row, or returns none if the row does not exist.
+pub fn parse<T: DeserializeOwned>(row: &Row) -> Result<Option<T>> {
+    if row.version == 0 {
+        return Ok(None);
+    }
+    serde_json::from_str(&row.value)
+        .map(Some)
+        .map_err(|e| RowError {
+            key: row.key.clone(),
+            detail: e.to_string(),
+        })
+}
+
+/// Parses the rows of consecutive changes and stops at the first one that is missing.
+pub fn parse_log(rows: &[Row]) -> Result<Vec<Change>> {
+    let mut changes = Vec::with_capacity(rows.len());
+    for row in rows {
+        match parse(row)? {
+            Some(change) => changes.push(change),
+            None => break,
+        }
+    }
+    Ok(changes)
+}
+
+/// Encodes the content of a row.
+pub(crate) fn encode<T: Serialize>(key: &str, value: &T) -> Result<String> {
+    serde_json::to_string(value).map_err(|e| RowError {
+        key: key.to_owned(),
+        detail: e.to_string(),
+    })
+}
--- a/crates/mustard-net/src/lib.rs
+++ b/crates/mustard-net/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod http;
 pub mod log;
 pub mod metric;
+pub mod problem;
 pub mod process;
 pub mod server;
 pub mod settings;
--- a/crates/mustard-proto/src/catalogue.rs
+++ b/crates/mustard-proto/src/catalogue.rs
@@ -16,7 +16,17 @@
 
 /// What a process knows after the given place.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Pulled {
+pub struct Pulled {
+    /// How long ago, in milliseconds, the answering process last knew its catalogue to be the
+    /// newest; none if it never knew.
+    pub confirmed_ms: Option<u64>,
+    /// What follows the given place.
+    pub delta: Delta,
+}
+
+/// The difference between two places in the order of changes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Delta {
     /// The changes, in order; empty if there is none.
     Changes(Vec<Change>),
     /// The whole catalogue, when the changes are no longer kept.
@@ -33,8 +43,9 @@
 pub struct Push {
     /// The changes, in order.
     pub changes: Vec<Change>,
-    /// How long ago, in milliseconds, the sender last knew its catalogue to be the newest.
-    pub confirmed_ms: u64,
+    /// How long ago, in milliseconds, the sender last knew its catalogue to be the newest; none
+    /// if it never knew.
+    pub confirmed_ms: Option<u64>,
 }
 
 /// The last change in force after a push.
