--- a/crates/mustard-catalogue/src/admin.rs
+++ b/crates/mustard-catalogue/src/admin.rs
@@ -5,13 +5,13 @@
 use ntex::web::HttpResponse;
 use serde::Serialize;
 
+use mustard_core::ids::RequestId;
 use mustard_core::outcome::Outcome;
-use mustard_net::problem::Problem;
+use mustard_net::problem::{Problem, REQUEST_ID};
 use mustard_platform::object::Objects;
 use mustard_platform::table::Table;
 
 use crate::errors::WriteError;
-use crate::operators::Operators;
 use crate::store::Store;
 use crate::writer::{Proposal, Writer};
 
@@ -19,37 +19,26 @@
 /// The longest wait for an accepted change to be in force at the process that accepted it.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(2);
 
-/// Returns the operator that an `Authorization` header names, or the answer that refuses it.
-pub fn operator<'a>(
-    operators: &'a Operators,
-    header: Option<&str>,
-) -> std::result::Result<&'a str, Problem> {
-    operators.authenticate(header).ok_or_else(|| {
-        Problem::new(
-            401,
-            "operator-unknown",
-            "Operator key is missing or unknown",
-        )
-        .outcome(Outcome::NotRun)
-    })
-}
-
 /// Answers `GET /admin/catalogue`.
-pub fn list(store: &Store) -> HttpResponse {
-    json(store.load().snapshot())
+pub fn list(store: &Store, request: RequestId) -> HttpResponse {
+    json(store.current().snapshot(), request)
 }
 
 /// Answers `GET /admin/catalogue/{name}/history`.
-pub async fn history<T: Table, O: Objects>(writer: &Writer<T, O>, name: &str) -> HttpResponse {
+pub async fn history<T: Table, O: Objects>(
+    writer: &Writer<T, O>,
+    name: &str,
+    request: RequestId,
+) -> HttpResponse {
     match writer.history(name).await {
         Ok(changes) if changes.is_empty() => {
             Problem::new(404, "entry-unknown", "Entry never existed")
                 .detail(format!("entry {name:?} has no history"))
                 .outcome(Outcome::NotRun)
-                .response()
+                .response(request)
         }
-        Ok(changes) => json(&changes),
-        Err(e) => problem(&e).response(),
+        Ok(changes) => json(&changes, request),
+        Err(e) => problem(&e).response(request),
     }
 }
 
@@ -59,23 +48,27 @@
     store: &Store,
     author: &str,
     body: &[u8],
+    request: RequestId,
 ) -> HttpResponse {
     let proposal: Proposal = match serde_json::from_slice(body) {
         Ok(proposal) => proposal,
-        Err(e) => return malformed(&e).response(),
+        Err(e) => return malformed(&e).response(request),
     };
     match writer.accept(&proposal, author).await {
         Ok(accepted) => {
             store.catch_up(accepted.seq, IN_FORCE_LIMIT).await;
-            json(&accepted)
+            json(&accepted, request)
         }
-        Err(e) => problem(&e).response(),
+        Err(e) => problem(&e).response(request),
     }
 }
 
-fn json(value: &impl Serialize) -> HttpResponse {
+fn json(value: &impl Serialize, request: RequestId) -> HttpResponse {
     match serde_json::to_vec(value) {
-        Ok(body) => HttpResponse::Ok().content_type(JSON).body(body),
+        Ok(body) => HttpResponse::Ok()
+            .content_type(JSON)
+            .set_header(REQUEST_ID, request.to_string())
+            .body(body),
         Err(_) => HttpResponse::InternalServerError().finish(),
     }
 }
--- a/crates/mustard-catalogue/src/errors.rs
+++ b/crates/mustard-catalogue/src/errors.rs
@@ -41,7 +41,8 @@
         /// When to come back, in milliseconds.
         retry_ms: u64,
     },
-    /// The table gave no answer after the write was sent; sending the same change again is safe.
+    /// The table gave no answer, so this send or an earlier one of the same change may have been
+    /// accepted; sending it again is safe.
     #[error("table gave no answer, send the same change again after {retry_ms} ms")]
     InDoubt {
         /// When to come back, in milliseconds.
--- a/crates/mustard-catalogue/src/lib.rs
+++ b/crates/mustard-catalogue/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod confirm;
 pub mod errors;
 mod fetch;
-pub mod operators;
 pub mod peers;
 pub mod relay;
 pub mod rows;
@@ -19,7 +18,6 @@
 pub mod writer;
 
 pub use errors::{Result, WriteError};
-pub use operators::Operators;
 pub use peers::{HttpPeers, Peers};
 pub use store::Store;
 pub use sync::{SyncOptions, Syncer};
--- a/crates/mustard-catalogue/src/store.rs
+++ b/crates/mustard-catalogue/src/store.rs
@@ -32,11 +32,11 @@
 
 /// The catalogue in force at this process.
 ///
-/// Readers get a consistent catalogue by [`Store::load`]. Changes come into force one by one in
+/// Readers get a consistent catalogue by [`Store::current`]. Changes come into force one by one in
 /// the order of their numbers; the number in force never falls.
 pub struct Store {
     process: Arc<Process>,
-    current: ArcSwap<Catalogue>,
+    in_force: ArcSwap<Catalogue>,
     recent: Mutex<VecDeque<Change>>,
     seq: watch::Sender<Seq>,
     wake: Notify,
@@ -49,7 +49,7 @@
     pub fn new(process: Arc<Process>, limit: Duration) -> Arc<Self> {
         Arc::new(Store {
             process,
-            current: ArcSwap::default(),
+            in_force: ArcSwap::default(),
             recent: Mutex::default(),
             seq: watch::Sender::new(Seq(0)),
             wake: Notify::new(),
@@ -59,13 +59,13 @@
     }
 
     /// Returns the catalogue in force.
-    pub fn load(&self) -> Arc<Catalogue> {
-        self.current.load_full()
+    pub fn current(&self) -> Arc<Catalogue> {
+        self.in_force.load_full()
     }
 
     /// Returns the number of the last change in force.
     pub fn seq(&self) -> Seq {
-        self.current.load().seq()
+        self.in_force.load().seq()
     }
 
     /// Returns the process that the store belongs to.
@@ -91,7 +91,7 @@
     /// Brings changes into force that follow those in force; older ones are passed over.
     pub fn apply(&self, changes: &[Change]) -> Applied {
         let mut recent = self.lock();
-        let mut catalogue = Catalogue::clone(&self.current.load());
+        let mut catalogue = Catalogue::clone(&self.in_force.load());
         let mut applied = Applied::default();
         for change in changes {
             match catalogue.apply(change) {
@@ -132,7 +132,7 @@
     /// Returns what follows a place in the order of changes.
     pub fn delta(&self, after: Seq) -> Delta {
         let recent = self.lock();
-        let current = self.load();
+        let current = self.current();
         if after >= current.seq() {
             return Delta::Changes(Vec::new());
         }
@@ -170,7 +170,7 @@
 
     fn publish(&self, catalogue: Catalogue) {
         let seq = catalogue.seq();
-        self.current.store(Arc::new(catalogue));
+        self.in_force.store(Arc::new(catalogue));
         self.process.observe(self.process.tick(), seq);
         self.seq.send_replace(seq);
         metrics::gauge!("mustard_catalogue_seq").set(seq.0 as f64);
--- a/crates/mustard-catalogue/src/writer.rs
+++ b/crates/mustard-catalogue/src/writer.rs
@@ -92,7 +92,10 @@
         let digest = digest(proposal)?;
         let mut attempts = Attempts::default();
         for attempt in 0..ATTEMPTS {
-            let rows = self.read(proposal).await.map_err(|e| attempts.sort(&e))?;
+            let rows = match self.read(proposal).await {
+                Ok(rows) => rows,
+                Err(e) => return Err(Attempts::unread(&e)),
+            };
             if let Some(done) = earlier(proposal, digest, &rows)? {
                 return Ok(done);
             }
@@ -175,7 +178,7 @@
 
     /// Writes the catalogue in force to the object store; a failure only leaves an older one.
     async fn write_snapshot(&self) {
-        let catalogue = self.store.load();
+        let catalogue = self.store.current();
         let Ok(body) = serde_json::to_vec(catalogue.snapshot()) else {
             return;
         };
@@ -187,16 +190,20 @@
 
 impl Attempts {
     fn sort(&self, e: &PlatformError) -> WriteError {
-        let retry_ms = match e {
-            PlatformError::Unavailable { retry_ms, .. } => *retry_ms,
-            _ => COME_BACK_MS,
-        };
+        let retry_ms = come_back(e);
         if self.doubt {
             return WriteError::InDoubt { retry_ms };
         }
         WriteError::Unavailable { retry_ms }
     }
 
+    /// Sorts a failed read: without the row of the change id, an earlier send of the same change
+    /// may have been accepted.
+    fn unread(e: &PlatformError) -> WriteError {
+        let retry_ms = come_back(e);
+        WriteError::InDoubt { retry_ms }
+    }
+
     fn give_up(&self) -> WriteError {
         let retry_ms = COME_BACK_MS;
         if self.doubt {
@@ -206,6 +213,13 @@
     }
 }
 
+fn come_back(e: &PlatformError) -> u64 {
+    match e {
+        PlatformError::Unavailable { retry_ms, .. } => *retry_ms,
+        _ => COME_BACK_MS,
+    }
+}
+
 fn check_proposal(proposal: &Proposal) -> Result<()> {
     let name = proposal.op.name();
     if !is_key_part(&proposal.id) {
--- a/crates/mustard-net/src/problem.rs
+++ b/crates/mustard-net/src/problem.rs
@@ -6,11 +6,15 @@
 use ntex::web::HttpResponse;
 use serde_json::{Map, Value, json};
 
+use mustard_core::ids::RequestId;
 use mustard_core::outcome::Outcome;
 
 /// The media type of a problem.
 pub const MEDIA_TYPE: &str = "application/problem+json";
 
+/// The header that names the request on every answer.
+pub const REQUEST_ID: &str = "x-request-id";
+
 const TYPE_PREFIX: &str = "urn:mustardfield:";
 
 /// A refusal with its machine-readable cause.
@@ -61,16 +65,19 @@
         self
     }
 
-    /// Returns the answer with this problem.
-    pub fn response(&self) -> HttpResponse {
+    /// Returns the answer that refuses a request with this problem.
+    pub fn response(&self, request: RequestId) -> HttpResponse {
         let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let id = request.to_string();
         let mut builder = HttpResponse::build(status);
         builder.content_type(MEDIA_TYPE);
+        builder.set_header(REQUEST_ID, id.as_str());
         if let Some(after) = self.retry {
             // The header counts whole seconds; rounding down would invite a caller too early.
             let seconds = after.as_millis().div_ceil(1000);
             builder.set_header("retry-after", seconds.to_string());
         }
-        builder.body(Value::Object(self.members.clone()).to_string())
+        let body = self.clone().member("request_id", Value::String(id));
+        builder.body(Value::Object(body.members).to_string())
     }
 }
--- a/crates/mustard-platform/src/lease.rs
+++ b/crates/mustard-platform/src/lease.rs
@@ -71,7 +71,12 @@
 impl<T: Table> Lease<T> {
     /// Creates a contender for a lease.
     pub fn new(table: T, options: LeaseOptions) -> Self {
-        Lease { table, options, sighting: None, held: None }
+        Lease {
+            table,
+            options,
+            sighting: None,
+            held: None,
+        }
     }
 
     /// Returns the lease if this process holds it and it still lasts.
@@ -92,10 +97,19 @@
             self.held = None;
             return Ok(None);
         };
-        let next = Content { holder: self.options.holder, fence, free: false };
+        let next = Content {
+            holder: self.options.holder,
+            fence,
+            free: false,
+        };
         let written = self.write(row.version, next).await;
         match written {
-            Ok(true) => self.held = Some(Held { fence, until: now + self.options.term }),
+            Ok(true) => {
+                self.held = Some(Held {
+                    fence,
+                    until: now + self.options.term,
+                })
+            }
             Ok(false) => self.held = None,
             // The write may have taken effect. The next poll reads the row again, and a row
             // of this life counts as its own from that poll on.
@@ -108,16 +122,28 @@
     pub async fn release(&mut self) -> Result<()> {
         self.held = None;
         let row = self.read().await?;
-        let Some(content) = parse(&row)? else { return Ok(()) };
+        let Some(content) = parse(&row)? else {
+            return Ok(());
+        };
         if content.holder != self.options.holder || content.free {
             return Ok(());
         }
-        self.write(row.version, Content { free: true, ..content }).await.map(|_| ())
+        self.write(
+            row.version,
+            Content {
+                free: true,
+                ..content
+            },
+        )
+        .await
+        .map(|_| ())
     }
 
     /// Returns the fencing number to write, or none if another holder's lease may last.
     fn next_fence(&mut self, row: &Row, content: Option<Content>, now: Moment) -> Option<Fence> {
-        let Some(content) = content else { return Some(Fence(1)) };
+        let Some(content) = content else {
+            return Some(Fence(1));
+        };
         let mine = content.holder == self.options.holder;
         if mine && !content.free {
             return Some(content.fence);
@@ -130,7 +156,10 @@
         match self.sighting {
             Some(seen) if seen.version == version => now.since(seen.since) >= self.options.term,
             _ => {
-                self.sighting = Some(Sighting { version, since: now });
+                self.sighting = Some(Sighting {
+                    version,
+                    since: now,
+                });
                 false
             }
         }
@@ -143,7 +172,9 @@
 
     async fn write(&self, version: u64, content: Content) -> Result<bool> {
         let value = serde_json::to_string(&content).map_err(|e| bad_row(&e.to_string()))?;
-        let txn = Txn::default().check(self.key(), version).put(self.key(), value);
+        let txn = Txn::default()
+            .check(self.key(), version)
+            .put(self.key(), value);
         Ok(self.table.commit(txn).await? == Commit::Done)
     }
 
@@ -156,9 +187,15 @@
     if row.version == 0 {
         return Ok(None);
     }
-    serde_json::from_str(&row.value).map(Some).map_err(|e| bad_row(&e.to_string()))
+    serde_json::from_str(&row.value)
+        .map(Some)
+        .map_err(|e| bad_row(&e.to_string()))
 }
 
 fn bad_row(detail: &str) -> PlatformError {
-    PlatformError::BadAnswer { service: "table", status: 200, detail: detail.to_owned() }
+    PlatformError::BadAnswer {
+        service: "table",
+        status: 200,
+        detail: detail.to_owned(),
+    }
 }
