--- a/crates/mustard-catalogue/tests/catalogue/promise.rs
+++ b/crates/mustard-catalogue/tests/catalogue/promise.rs
@@ -1,12 +1,13 @@
 //! An accepted change is in force everywhere and never reverts, under generated faults.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use bolero::{TypeGenerator, check};
 use ntex::util::join;
 
 use crate::support::{Answers, Cluster, prefix, put, retire};
 use mustard_catalogue::{Proposal, SyncOptions, WriteError};
+use mustard_core::catalogue::Snapshot;
 use mustard_core::ids::{Revision, Seq};
 
 const NODES: usize = 3;
@@ -59,12 +60,20 @@
     Restart {
         node: u8,
     },
+    KeepSnapshot {
+        node: u8,
+    },
+    AdoptKept {
+        node: u8,
+        which: u8,
+    },
 }
 
 struct Run {
     cluster: Cluster,
     sent: Vec<Proposal>,
     answers: Answers,
+    kept: Vec<Snapshot>,
     floors: [Seq; NODES],
 }
 
@@ -74,6 +83,7 @@
             cluster: Cluster::new(NODES, options),
             sent: Vec::new(),
             answers: Answers::new(),
+            kept: Vec::new(),
             floors: [Seq(0); NODES],
         }
     }
@@ -138,6 +148,15 @@
                     .switches()
                     .lose_writes(u32::from(count % 3));
             }
+            Act::KeepSnapshot { node: n } => {
+                let current = self.cluster.nodes[node(n)].store.current();
+                self.kept.push(current.snapshot().clone());
+            }
+            Act::AdoptKept { node: n, which } if !self.kept.is_empty() => {
+                let late = self.kept[usize::from(which) % self.kept.len()].clone();
+                self.cluster.nodes[node(n)].store.adopt(late);
+            }
+            Act::AdoptKept { .. } => {}
             Act::Restart { node: n } => {
                 self.cluster.restart(node(n));
                 self.floors[node(n)] = Seq(0);
@@ -199,6 +218,15 @@
         let log = self.cluster.log();
         let ids: BTreeSet<_> = log.iter().map(|c| &c.id).collect();
         assert_eq!(ids.len(), log.len(), "each change id has one effect");
+        let mut revisions = BTreeMap::new();
+        for change in &log {
+            let have = revisions.insert(change.op.name(), change.expected.next());
+            assert_eq!(
+                have.unwrap_or_default(),
+                change.expected,
+                "no change is lost"
+            );
+        }
         for (node, floor) in self.cluster.nodes.iter().zip(&mut self.floors) {
             let current = node.store.current();
             assert!(current.seq() >= *floor, "the number in force never falls");
