--- a/crates/mustard-platform/src/lease.rs
+++ b/crates/mustard-platform/src/lease.rs
@@ -105,10 +105,8 @@
         let written = self.write(row.version, next).await;
         match written {
             Ok(true) => {
-                self.held = Some(Held {
-                    fence,
-                    until: now + self.options.term,
-                })
+                let until = now + self.options.term;
+                self.held = Some(Held { fence, until });
             }
             Ok(false) => self.held = None,
             // The write may have taken effect. The next poll reads the row again, and a row
