--- a/crates/mustard-net/src/client.rs
+++ b/crates/mustard-net/src/client.rs
@@ -14,6 +14,7 @@
 use crate::errors::{CallError, Result};
 use crate::http::{self, Request};
 use crate::process::Process;
+use crate::traffic;
 
 /// Sends messages; each worker thread has its own with its own connections.
 #[derive(Clone)]
@@ -58,6 +59,7 @@
     ) -> Result<M::Answer> {
         let envelope = Envelope::new(self.process.head(life), message);
         let body = codec::encode(&envelope)?;
+        traffic::count_out(M::PATH, body.len());
         let request = Request {
             to,
             method: Method::POST,
@@ -68,6 +70,7 @@
             limit,
         };
         let answer = http::exchange(&self.http, request).await?;
+        traffic::count_in(M::PATH, answer.body.len());
         if answer.status != 200 {
             return Err(CallError::Status(answer.status));
         }
--- a/crates/mustard-net/src/lib.rs
+++ b/crates/mustard-net/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod server;
 pub mod settings;
 pub mod shutdown;
+pub mod traffic;
 
 pub use client::Client;
 pub use errors::{CallError, Result};
--- a/crates/mustard-net/src/server.rs
+++ b/crates/mustard-net/src/server.rs
@@ -10,6 +10,7 @@
 use mustard_proto::{Envelope, Message, ProtoError, Refusal, Reply, codec};
 
 use crate::process::Process;
+use crate::traffic;
 
 /// The largest message body that a process reads, in bytes.
 pub const MAX_MESSAGE: usize = 4 * 1024 * 1024;
@@ -20,6 +21,7 @@
 ///
 /// Returns the refusal to answer with.
 pub fn receive<M: Message>(process: &Process, body: &[u8]) -> Result<Envelope<M>, Refusal> {
+    traffic::count_in(M::PATH, body.len());
     let envelope = codec::decode_message::<M>(body).map_err(refuse_body)?;
     let head = &envelope.head;
     if head.to != Incarnation(0) && head.to != process.incarnation() {
@@ -49,9 +51,12 @@
         result,
     };
     match codec::encode(&reply) {
-        Ok(body) => HttpResponse::Ok()
-            .content_type(codec::MEDIA_TYPE)
-            .body(body),
+        Ok(body) => {
+            traffic::count_out(M::PATH, body.len());
+            HttpResponse::Ok()
+                .content_type(codec::MEDIA_TYPE)
+                .body(body)
+        }
         Err(_) => HttpResponse::InternalServerError().finish(),
     }
 }
--- a/crates/mustard-platform/src/http.rs
+++ b/crates/mustard-platform/src/http.rs
@@ -11,6 +11,7 @@
 
 use mustard_net::CallError;
 use mustard_net::http::{Answer, Request, exchange};
+use mustard_net::traffic;
 use mustard_proto::Ran;
 
 use crate::errors::{PlatformError, Result};
@@ -48,6 +49,7 @@
     }
 
     async fn send(&self, method: Method, path: &str, media: &str, body: Vec<u8>) -> Result<Answer> {
+        traffic::count_out(self.name, path.len() + body.len());
         let request = Request {
             to: self.addr,
             method,
@@ -60,6 +62,7 @@
         let answer = exchange(&self.client, request)
             .await
             .map_err(|e| self.sort_error(&e))?;
+        traffic::count_in(self.name, answer.body.len());
         // The services refuse with 429 or 503 before they act.
         if matches!(answer.status, 429 | 503) {
             return Err(self.unavailable());
