--- a/crates/mustard-entry/src/api/completions.rs
+++ b/crates/mustard-entry/src/api/completions.rs
@@ -5,25 +5,32 @@
 
 use ntex::web::types::Payload;
 use ntex::web::{HttpRequest, HttpResponse};
-use slog::{info, warn};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use mustard_core::catalogue::{Class, Entry, Target};
-use mustard_core::event::EventKind;
 use mustard_core::fingerprint::Fingerprint;
-use mustard_core::outcome::Outcome;
 use mustard_core::tokens;
+use mustard_net::problem::REQUEST_ID;
 use mustard_net::shutdown::Pass;
+use mustard_policy::admission::Ask;
+use mustard_policy::limits::Permit;
+use mustard_policy::quarantine::Standing;
 
+use super::access::{self, Arrival, note_end, note_start};
 use super::draft::{DraftBody, Shape, Usage, deadline_ms};
 use super::errors::{ApiError, Result};
-use super::problem::{Answer, Problem, REQUEST_ID};
+use super::problem::{Answer, problem_of};
 use super::stream::{Events, channel};
-use super::{State, auth, body};
+use super::{State, auth};
+use crate::admit::Wish;
 use crate::app::Worker;
 use crate::drive::{Deliver, Driver, Job, StepLimits};
-use crate::ports::NetPorts;
+use crate::metric;
+use crate::ports::{NetPorts, Rights};
+use crate::quotas;
+
+const KIND: &str = "draft";
 
 /// Handles a drafting request.
 pub async fn handle(request: HttpRequest, mut payload: Payload, state: State) -> HttpResponse {
@@ -33,67 +40,104 @@
         Ok(draft) if draft.stream => stream(worker, draft).await,
         Ok(draft) => whole(&worker, draft).await,
         Err(error) => {
-            note_end(&worker, answer, Err(&error));
-            answer.refuse(&error)
+            let refusal = answer.refuse(&error);
+            note_end(&worker, answer, KIND, &Err(error));
+            refusal
         }
     }
 }
 
-/// An admitted drafting request.
+/// A drafting request that may run.
 struct Draft {
     answer: Answer,
+    arrived: Instant,
     shape: Shape,
     job: Job,
+    wish: Wish,
+    rights: Rights,
     stream: bool,
-    pass: Pass,
+    _pass: Pass,
+    _permit: Permit,
 }
 
 async fn accept(
-    worker: &Worker,
+    worker: &Rc<Worker>,
     answer: Answer,
     request: &HttpRequest,
     payload: &mut Payload,
 ) -> Result<Draft> {
-    let arrived = Instant::now();
     let shared = &worker.shared;
-    let limits = &shared.settings.limits;
-    let pass = shared.gate.enter().ok_or(ApiError::Draining)?;
-    let key = auth::key_of(request);
-    let time = Duration::from_millis(limits.body_ms);
-    let bytes = body::read(payload, limits.body_bytes, time).await?;
-    let key = key?;
+    let arrival = access::receive(worker, request, payload).await?;
+    access::current(worker).await?;
     let catalogue = shared.catalogue.current();
-    if !catalogue.knows(&key) {
+    if !catalogue.knows(&arrival.key) {
         return Err(ApiError::NoKey);
     }
-    let draft = DraftBody::parse(&bytes)?;
-    let entry = auth::open(&catalogue, &key, &draft.model)?;
-    let job = job_of(answer, &draft, &entry, limits, arrived)?;
-    shared.process.emit(
-        Some(answer.request()),
-        EventKind::Admitted {
-            entry: entry.name.clone(),
-        },
+    let body = DraftBody::parse(&arrival.body)?;
+    let entry = auth::open(&catalogue, &arrival.key, &body.model)?;
+    let limits = &shared.settings.limits;
+    let job = job_of(answer, &body, &entry, limits, arrival.at)?;
+    check_standing(worker, job.fingerprint)?;
+    let permit = quotas::permit(worker, &entry).await?;
+    note_start(worker, answer, &entry);
+    Ok(draft_of(worker, answer, body, &entry, job, arrival, permit))
+}
+
+fn check_standing(worker: &Worker, fingerprint: Fingerprint) -> Result<()> {
+    let now = worker.shared.process.now();
+    match worker.shared.harm.standing(now, fingerprint) {
+        Standing::Quarantined(_) => Err(ApiError::Quarantined),
+        _ => Ok(()),
+    }
+}
+
+fn draft_of(
+    worker: &Worker,
+    answer: Answer,
+    body: DraftBody,
+    entry: &Entry,
+    job: Job,
+    arrival: Arrival,
+    permit: Permit,
+) -> Draft {
+    let process = &worker.shared.process;
+    let left = job.deadline.saturating_duration_since(Instant::now());
+    let ask = Ask::new(
+        &entry.owner,
+        entry.limits.share,
+        entry.class,
+        job.wanted,
+        process.now() + left,
     );
-    info!(shared.log, "api: Draft admitted.";
-        "request" => %answer.request(), "entry" => &entry.name);
-    let shape = Shape {
-        request: answer.request(),
-        model: draft.model.clone(),
-        created: shared.process.wall_ms() / 1_000,
-    };
-    Ok(Draft {
+    Draft {
         answer,
-        shape,
+        arrived: arrival.at,
+        shape: Shape {
+            request: answer.request(),
+            model: body.model,
+            created: process.wall_ms() / 1_000,
+        },
+        wish: Wish {
+            model: job.model.clone(),
+            layers: job.layers,
+            prompt: job.prompt.clone(),
+            ask,
+        },
+        rights: Rights {
+            entry: entry.name.clone(),
+            key: arrival.key,
+            fingerprint: job.fingerprint,
+        },
         job,
-        stream: draft.stream,
-        pass,
-    })
+        stream: body.stream,
+        _pass: arrival.pass,
+        _permit: permit,
+    }
 }
 
 fn job_of(
     answer: Answer,
-    draft: &DraftBody,
+    body: &DraftBody,
     entry: &Entry,
     limits: &crate::settings::Limits,
     arrived: Instant,
@@ -104,9 +148,9 @@
             entry.name
         )));
     };
-    let prompt = draft.token_ids(limits.prompt_tokens)?;
-    let wanted = draft.wanted(&entry.limits)?;
-    let time = deadline_ms(draft.deadline_ms, limits.deadline_ms, &entry.limits)?;
+    let prompt = body.token_ids(limits.prompt_tokens)?;
+    let wanted = body.wanted(&entry.limits)?;
+    let time = deadline_ms(body.deadline_ms, limits.deadline_ms, &entry.limits)?;
     let content: Vec<u8> = prompt.iter().flat_map(|id| id.to_le_bytes()).collect();
     Ok(Job {
         request: answer.request(),
@@ -128,8 +172,25 @@
     }
 }
 
-fn driver<'a>(worker: &'a Worker, ports: &'a NetPorts, job: Job) -> Driver<'a, NetPorts> {
-    let drive = &worker.shared.settings.drive;
+/// Waits for admission and drives a draft to its end.
+async fn run(
+    worker: &Rc<Worker>,
+    wish: Wish,
+    rights: Rights,
+    job: Job,
+    out: &mut impl Deliver,
+) -> Result<()> {
+    let shared = &worker.shared;
+    let now = shared.process.now();
+    let suspect = shared.harm.standing(now, rights.fingerprint) == Standing::Suspect;
+    let _apart = match suspect {
+        true => shared.harm.apart().await,
+        false => None,
+    };
+    let admitted = shared.admissions.admit(wish).await?;
+    let wanted = job.wanted;
+    let ports = NetPorts::new(Rc::clone(worker), rights, admitted, wanted);
+    let drive = &shared.settings.drive;
     let limits = StepLimits {
         step: Duration::from_millis(drive.step_ms),
         prefill: Duration::from_millis(drive.prefill_ms),
@@ -137,19 +198,24 @@
         usual: Duration::ZERO,
         per_position: Duration::ZERO,
     };
-    Driver::new(ports, &worker.shared.process, limits, drive.attempts, job)
+    Driver::new(&ports, &shared.process, limits, drive.attempts, job)
+        .run(out)
+        .await?;
+    ports.finish();
+    Ok(())
 }
 
-#[derive(Default)]
 struct Text {
     text: String,
     count: u32,
+    pace: metric::Pace,
 }
 
 impl Deliver for Text {
     fn deliver(&mut self, token: u32) {
         self.text.push_str(&tokens::decode(token));
         self.count += 1;
+        self.pace.token();
     }
 }
 
@@ -157,18 +223,21 @@
 /// which cancels the running attempt.
 async fn whole(worker: &Rc<Worker>, draft: Draft) -> HttpResponse {
     let prompt = draft.job.prompt.len() as u32;
-    let ports = NetPorts::new(Rc::clone(worker));
-    let mut text = Text::default();
-    let result = driver(worker, &ports, draft.job)
-        .run(&mut text)
-        .await
-        .map_err(ApiError::from);
-    note_end(worker, draft.answer, result.as_ref().copied());
-    let usage = Usage::new(prompt, text.count);
-    match result {
-        Ok(()) => draft.answer.json(&draft.shape.whole(&text.text, usage)),
-        Err(error) => draft.answer.refuse(&error),
-    }
+    let mut text = Text {
+        text: String::new(),
+        count: 0,
+        pace: metric::Pace::new(draft.arrived),
+    };
+    let result = run(worker, draft.wish, draft.rights, draft.job, &mut text).await;
+    let response = match &result {
+        Ok(()) => {
+            let usage = Usage::new(prompt, text.count);
+            draft.answer.json(&draft.shape.whole(&text.text, usage))
+        }
+        Err(error) => draft.answer.refuse(error),
+    };
+    note_end(worker, draft.answer, KIND, &result);
+    response
 }
 
 struct Chunks {
@@ -176,15 +245,17 @@
     shape: Shape,
     first: Option<oneshot::Sender<()>>,
     count: u32,
+    pace: metric::Pace,
 }
 
 impl Deliver for Chunks {
     fn deliver(&mut self, token: u32) {
+        self.events.send(&self.shape.chunk(&tokens::decode(token)));
+        self.count += 1;
+        self.pace.token();
         if let Some(first) = self.first.take() {
             let _ = first.send(());
         }
-        self.events.send(&self.shape.chunk(&tokens::decode(token)));
-        self.count += 1;
     }
 }
 
@@ -201,9 +272,9 @@
             shape: draft.shape.clone(),
             first: Some(first),
             count: 0,
+            pace: metric::Pace::new(draft.arrived),
         };
-        let result = run_stream(&worker, draft, &mut chunks).await;
-        if let Err(error) = result {
+        if let Err(error) = run_stream(&worker, draft, &mut chunks).await {
             let _ = failed.send(error);
         }
     });
@@ -225,15 +296,12 @@
 async fn run_stream(worker: &Rc<Worker>, draft: Draft, chunks: &mut Chunks) -> Result<()> {
     let answer = draft.answer;
     let prompt = draft.job.prompt.len() as u32;
-    let ports = NetPorts::new(Rc::clone(worker));
     let events = chunks.events.clone();
     let result = tokio::select! {
-        result = driver(worker, &ports, draft.job).run(chunks) => result.map_err(ApiError::from),
-        () = events.gone() => Err(ApiError::Unknown {
-            detail: "the caller went away".to_owned(),
-        }),
+        result = run(worker, draft.wish, draft.rights, draft.job, chunks) => result,
+        () = events.gone() => Err(ApiError::Gone),
     };
-    note_end(worker, answer, result.as_ref().copied());
+    note_end(worker, answer, KIND, &result);
     match &result {
         Ok(()) => {
             let usage = Usage::new(prompt, chunks.count);
@@ -241,31 +309,10 @@
             events.done();
         }
         Err(error) if chunks.count > 0 => {
-            let problem = Problem::of(error, answer.request());
+            let problem = problem_of(error).body(answer.request());
             events.send(&serde_json::json!({ "error": problem }));
         }
         Err(_) => chunks.first = None,
     }
-    drop(draft.pass);
     result
 }
-
-fn note_end(worker: &Worker, answer: Answer, result: std::result::Result<(), &ApiError>) {
-    let shared = &worker.shared;
-    let (outcome, reason) = match result {
-        Ok(()) => (Outcome::Done, "done"),
-        Err(error) => (error.face().outcome, error.face().kind),
-    };
-    match result {
-        Ok(()) => info!(shared.log, "api: Draft done."; "request" => %answer.request()),
-        Err(e) => warn!(shared.log, "api: Draft refused or broken off.";
-            "request" => %answer.request(), "outcome" => outcome.name(), "cause" => %e),
-    }
-    shared.process.emit(
-        Some(answer.request()),
-        EventKind::Answered {
-            outcome,
-            reason: reason.to_owned(),
-        },
-    );
-}
--- a/crates/mustard-entry/src/api/errors.rs
+++ b/crates/mustard-entry/src/api/errors.rs
@@ -7,6 +7,7 @@
 use mustard_core::outcome::Outcome;
 use mustard_proto::{Ran, Refusal};
 
+use crate::admit::Refused;
 use crate::calls::CallFailure;
 use crate::drive::{DriveError, Failed};
 
@@ -55,6 +56,9 @@
         /// The name asked for.
         name: String,
     },
+    /// The entry was changed while the request waited, and no longer allows it.
+    #[error("the catalogue entry no longer allows the request")]
+    Revoked,
     /// A value lies above a limit of the entry.
     #[error("{field} is {read}, the limit is {limit}")]
     OverLimit {
@@ -92,11 +96,37 @@
         retry: Duration,
     },
     /// The request cannot be answered in time.
-    #[error("the request cannot be answered before its deadline")]
+    #[error("{detail}")]
     Overloaded {
+        /// What is known.
+        detail: String,
+        /// When to come back.
+        retry: Duration,
+    },
+    /// The catalogue in force can't be confirmed to be the newest.
+    #[error("the catalogue in force can't be confirmed to be the newest")]
+    Unconfirmed {
         /// When to come back.
         retry: Duration,
     },
+    /// The caller went away before the answer was whole.
+    #[error("the caller went away")]
+    Gone,
+    /// The operator's key is missing or unknown.
+    #[error("an operator's key is required")]
+    NoOperator,
+    /// The agent, key or content that an operator names does not exist.
+    #[error("{what:?} is not known here")]
+    Missing {
+        /// The name.
+        what: String,
+    },
+    /// An agent did not answer an operator's request.
+    #[error("{detail}")]
+    AgentFailed {
+        /// What was seen.
+        detail: String,
+    },
     /// No server can take the request now, and none ran it.
     #[error("{detail}")]
     Unavailable {
@@ -142,8 +172,8 @@
     pub fn face(&self) -> Face {
         let (status, kind, title) = self.kind();
         let outcome = match self {
-            ApiError::Unknown { .. } => Outcome::Unknown,
-            ApiError::Partial { .. } => Outcome::Partial,
+            ApiError::Unknown { .. } | ApiError::AgentFailed { .. } => Outcome::Unknown,
+            ApiError::Partial { .. } | ApiError::Gone => Outcome::Partial,
             _ => Outcome::NotRun,
         };
         Face {
@@ -156,23 +186,29 @@
 
     fn kind(&self) -> (u16, &'static str, &'static str) {
         match self {
-            ApiError::NoPath => (404, "no_path", "Path does not exist"),
+            ApiError::NoPath => (404, "no-path", "Path does not exist"),
             ApiError::Malformed { .. } => (400, "malformed", "Request is malformed"),
-            ApiError::BodyTooLarge { .. } => (413, "body_too_large", "Body is too large"),
-            ApiError::BodySlow { .. } => (408, "body_slow", "Body arrives too slowly"),
-            ApiError::BodyCut => (400, "body_cut", "Body is not whole"),
-            ApiError::NoKey => (401, "no_key", "Bearer key is missing or unknown"),
-            ApiError::Foreign { .. } => (403, "foreign_key", "Key does not open the entry"),
-            ApiError::UnknownEntry { .. } => (404, "unknown_entry", "Entry does not exist"),
-            ApiError::OverLimit { .. } => (422, "over_limit", "Value is above a limit"),
-            ApiError::DeadlinePassed => (408, "deadline_passed", "Deadline has passed"),
-            ApiError::KeyRequired => (400, "key_required", "Idempotency key is required"),
-            ApiError::BadKey => (400, "bad_key", "Idempotency key is malformed"),
-            ApiError::KeyReused => (422, "key_reused", "Idempotency key was used differently"),
-            ApiError::KeyVoided => (409, "key_voided", "Idempotency key is final"),
+            ApiError::BodyTooLarge { .. } => (413, "body-too-large", "Body is too large"),
+            ApiError::BodySlow { .. } => (408, "body-slow", "Body arrives too slowly"),
+            ApiError::BodyCut => (400, "body-cut", "Body is not whole"),
+            ApiError::NoKey => (401, "no-key", "Bearer key is missing or unknown"),
+            ApiError::Foreign { .. } => (403, "foreign-key", "Key does not open the entry"),
+            ApiError::UnknownEntry { .. } => (404, "unknown-entry", "Entry does not exist"),
+            ApiError::Revoked => (403, "revoked", "Entry no longer allows the request"),
+            ApiError::OverLimit { .. } => (422, "over-limit", "Value is above a limit"),
+            ApiError::DeadlinePassed => (408, "deadline-passed", "Deadline has passed"),
+            ApiError::KeyRequired => (400, "key-required", "Idempotency key is required"),
+            ApiError::BadKey => (400, "bad-key", "Idempotency key is malformed"),
+            ApiError::KeyReused => (422, "key-reused", "Idempotency key was used differently"),
+            ApiError::KeyVoided => (409, "key-voided", "Idempotency key is final"),
             ApiError::Draining => (503, "draining", "Process is stopping"),
-            ApiError::LimitUsed { .. } => (429, "limit_used", "Limit is used up"),
+            ApiError::LimitUsed { .. } => (429, "limit-used", "Limit is used up"),
             ApiError::Overloaded { .. } => (503, "overloaded", "Servers are overloaded"),
+            ApiError::Unconfirmed { .. } => (503, "unconfirmed", "Catalogue is not confirmed"),
+            ApiError::Gone => (499, "gone", "Caller went away"),
+            ApiError::NoOperator => (401, "no-operator", "Operator's key is missing or unknown"),
+            ApiError::Missing { .. } => (404, "missing", "Name is not known"),
+            ApiError::AgentFailed { .. } => (502, "agent-failed", "Agent does not answer"),
             ApiError::Unavailable { .. } => (503, "unavailable", "No server is available"),
             ApiError::Quarantined => (422, "quarantined", "Request content is quarantined"),
             ApiError::Unknown { .. } => (504, "unknown", "Outcome is not known"),
@@ -184,7 +220,8 @@
     pub fn retry(&self) -> Option<Duration> {
         match self {
             ApiError::LimitUsed { retry, .. }
-            | ApiError::Overloaded { retry }
+            | ApiError::Overloaded { retry, .. }
+            | ApiError::Unconfirmed { retry }
             | ApiError::Unavailable { retry, .. } => Some(*retry),
             ApiError::Draining => Some(DRAIN_RETRY),
             _ => None,
@@ -218,7 +255,10 @@
             DriveError::Deadline | DriveError::Refused(Refusal::Expired) => {
                 ApiError::DeadlinePassed
             }
-            DriveError::Refused(Refusal::Quarantined) => ApiError::Quarantined,
+            DriveError::Refused(Refusal::Quarantined) | DriveError::Quarantined { .. } => {
+                ApiError::Quarantined
+            }
+            DriveError::Revoked => ApiError::Revoked,
             DriveError::NoChain { retry, .. } => ApiError::Unavailable { detail, retry },
             _ => ApiError::Unavailable {
                 detail,
@@ -233,9 +273,20 @@
         match failure {
             CallFailure::NotRun { detail, retry } => ApiError::Unavailable { detail, retry },
             CallFailure::Deadline => ApiError::DeadlinePassed,
+            CallFailure::Revoked => ApiError::Revoked,
             CallFailure::KeyReused => ApiError::KeyReused,
             CallFailure::Voided => ApiError::KeyVoided,
             CallFailure::Unknown { detail } => ApiError::Unknown { detail },
         }
     }
 }
+
+impl From<Refused> for ApiError {
+    fn from(refused: Refused) -> Self {
+        let detail = refused.to_string();
+        match refused {
+            Refused::Late { retry, .. } => ApiError::Overloaded { detail, retry },
+            Refused::NoServer { retry, .. } => ApiError::Unavailable { detail, retry },
+        }
+    }
+}
--- a/crates/mustard-entry/src/api/mod.rs
+++ b/crates/mustard-entry/src/api/mod.rs
@@ -1,5 +1,7 @@
 //! The HTTP interface: callers, the balancer and other processes.
 
+pub mod access;
+pub mod admin;
 pub mod auth;
 pub mod body;
 pub mod completions;
@@ -31,6 +33,7 @@
         .service(web::resource("/healthz").route(web::get().to(health::alive)))
         .service(web::resource("/readyz").route(web::get().to(health::ready)))
         .service(web::resource("/metrics").route(web::get().to(health::metrics)));
+    admin::routes(config);
     peers::routes(config);
 }
 
--- a/crates/mustard-entry/src/api/services.rs
+++ b/crates/mustard-entry/src/api/services.rs
@@ -6,22 +6,23 @@
 use ntex::http::StatusCode;
 use ntex::web::types::Payload;
 use ntex::web::{HttpRequest, HttpResponse};
-use slog::{info, warn};
-use tokio::time::Instant;
 
-use mustard_core::catalogue::Target;
-use mustard_core::event::EventKind;
+use mustard_core::catalogue::{Entry, Target};
 use mustard_core::fingerprint::Fingerprint;
-use mustard_core::outcome::Outcome;
+use mustard_net::problem::REQUEST_ID;
 use mustard_proto::agent::{Call, CallAnswer};
 
+use super::access::{self, note_end, note_start};
 use super::draft::deadline_ms;
 use super::errors::{ApiError, Result};
-use super::problem::{Answer, REQUEST_ID};
-use super::{State, auth, body};
+use super::problem::Answer;
+use super::{State, auth};
 use crate::app::Worker;
 use crate::calls::{self, NetCalls};
+use crate::ports::Rights;
+use crate::quotas;
 
+const KIND: &str = "call";
 const KEY_HEADER: &str = "idempotency-key";
 const DEADLINE_HEADER: &str = "x-deadline-ms";
 const REPLAYED_HEADER: &str = "idempotency-replayed";
@@ -32,11 +33,12 @@
     let answer = Answer::new();
     let worker = Rc::clone(&state);
     let result = run(&worker, answer, &request, &mut payload).await;
-    note_end(&worker, answer, result.as_ref().err());
-    match result {
-        Ok(done) => relay(answer, done),
-        Err(error) => answer.refuse(&error),
-    }
+    let (response, result) = match result {
+        Ok(done) => (relay(answer, done), Ok(())),
+        Err(error) => (answer.refuse(&error), Err(error)),
+    };
+    note_end(&worker, answer, KIND, &result);
+    response
 }
 
 async fn run(
@@ -45,63 +47,62 @@
     request: &HttpRequest,
     payload: &mut Payload,
 ) -> Result<CallAnswer> {
-    let arrived = Instant::now();
     let shared = &worker.shared;
-    let limits = &shared.settings.limits;
-    let _pass = shared.gate.enter().ok_or(ApiError::Draining)?;
-    let key = auth::key_of(request);
-    let time = Duration::from_millis(limits.body_ms);
-    let bytes = body::read(payload, limits.body_bytes, time).await?;
-    let key = key?;
+    let arrival = access::receive(worker, request, payload).await?;
+    access::current(worker).await?;
     let name = request.match_info().get("name").unwrap_or_default();
-    let entry = auth::open(&shared.catalogue.current(), &key, name)?;
+    let entry = auth::open(&shared.catalogue.current(), &arrival.key, name)?;
+    let asked = deadline_header(request)?;
+    let time = deadline_ms(asked, shared.settings.limits.deadline_ms, &entry.limits)?;
+    let call = call_of(answer, request, &entry, &arrival.body, time)?;
+    let _permit = quotas::permit(worker, &entry).await?;
+    note_start(worker, answer, &entry);
+    let rights = Rights {
+        entry: entry.name.clone(),
+        key: arrival.key,
+        fingerprint: call.fingerprint,
+    };
+    let ports = NetCalls::new(Rc::clone(worker), rights);
+    let deadline = arrival.at + Duration::from_millis(time);
+    Ok(calls::run(&ports, call, deadline).await?)
+}
+
+fn call_of(
+    answer: Answer,
+    request: &HttpRequest,
+    entry: &Entry,
+    body: &[u8],
+    time: u64,
+) -> Result<Call> {
     let Target::Service {
         service,
         repeatable,
     } = &entry.target
     else {
-        let name = name.to_owned();
+        let name = entry.name.clone();
         return Err(ApiError::UnknownEntry { name });
     };
-    let asked = deadline_header(request)?;
-    let time = deadline_ms(asked, limits.deadline_ms, &entry.limits)?;
+    let method = request.method().as_str();
     let path = service_path(request);
-    let key = match *repeatable || is_read(request.method().as_str()) {
+    let key = match *repeatable || is_read(method) {
         true => None,
         false => Some(idempotency_key(request)?),
     };
-    shared.process.emit(
-        Some(answer.request()),
-        EventKind::Admitted {
-            entry: entry.name.clone(),
-        },
-    );
-    info!(shared.log, "api: Call admitted.";
-        "request" => %answer.request(), "entry" => &entry.name);
-    let call = Call {
+    Ok(Call {
         request: answer.request(),
         entry: entry.name.clone(),
         owner: entry.owner.clone(),
         service: service.clone(),
         key,
-        fingerprint: Fingerprint::of(&[
-            request.method().as_str().as_bytes(),
-            path.as_bytes(),
-            &bytes,
-        ]),
-        method: request.method().as_str().to_owned(),
+        fingerprint: Fingerprint::of(&[method.as_bytes(), path.as_bytes(), body]),
+        method: method.to_owned(),
         path,
         content_type: header(request, "content-type")
             .unwrap_or_default()
             .to_owned(),
-        body: bytes,
+        body: body.to_vec(),
         deadline_ms: time,
-    };
-    let ports = NetCalls::new(Rc::clone(worker));
-    let deadline = arrived + Duration::from_millis(time);
-    calls::run(&ports, call, deadline)
-        .await
-        .map_err(ApiError::from)
+    })
 }
 
 fn header<'a>(request: &'a HttpRequest, name: &str) -> Option<&'a str> {
@@ -158,22 +159,3 @@
     }
     response.body(done.body)
 }
-
-fn note_end(worker: &Worker, answer: Answer, error: Option<&ApiError>) {
-    let shared = &worker.shared;
-    let face = error.map(ApiError::face);
-    let outcome = face.map_or(Outcome::Done, |f| f.outcome);
-    let reason = face.map_or("done", |f| f.kind);
-    match error {
-        None => info!(shared.log, "api: Call done."; "request" => %answer.request()),
-        Some(e) => warn!(shared.log, "api: Call refused or unknown.";
-            "request" => %answer.request(), "outcome" => outcome.name(), "cause" => %e),
-    }
-    shared.process.emit(
-        Some(answer.request()),
-        EventKind::Answered {
-            outcome,
-            reason: reason.to_owned(),
-        },
-    );
-}
--- a/crates/mustard-entry/src/app.rs
+++ b/crates/mustard-entry/src/app.rs
@@ -1,18 +1,28 @@
 //! What the parts of the daemon share.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
 
 use metrics_exporter_prometheus::PrometheusHandle;
 use slog::Logger;
 
+use mustard_catalogue::confirm::Standing;
+use mustard_catalogue::{Store, Writer};
 use mustard_core::fingerprint::KeyHash;
 use mustard_net::shutdown::Gate;
 use mustard_net::{Client, Process};
+use mustard_platform::http::HttpService;
+use mustard_policy::admission;
+use mustard_policy::retry::RetryBudget;
 
-use crate::catalogue::Store;
-use crate::routing::Routing;
-use crate::settings::Settings;
+use crate::admit::Admissions;
+use crate::harm::Harm;
+use crate::quotas::Quotas;
+use crate::servers::Servers;
+use crate::settings::{self, Settings};
 
 /// What all threads share.
 pub struct Shared {
@@ -27,12 +37,21 @@
     /// Operators by name, with the digests of their keys.
     pub operators: Vec<(String, KeyHash)>,
     /// The catalogue in force.
-    pub catalogue: Store,
-    /// The servers known and the choice among them.
-    pub routing: Routing,
+    pub catalogue: Arc<Store>,
+    /// The servers and entry processes known.
+    pub servers: Arc<Servers>,
+    /// The queues of drafts.
+    pub admissions: Arc<Admissions>,
+    /// The limits of catalogue entries.
+    pub quotas: Quotas,
+    /// The contents that harm servers.
+    pub harm: Arc<Harm>,
+    /// The budget for retries.
+    pub retries: Retries,
     /// Renders the metrics.
     pub metrics: PrometheusHandle,
-    ready: AtomicBool,
+    listed: AtomicBool,
+    draining: AtomicBool,
 }
 
 impl Shared {
@@ -44,11 +63,30 @@
         log: Logger,
         metrics: PrometheusHandle,
     ) -> Arc<Self> {
+        let unconfirmed = Duration::from_millis(settings.catalogue.unconfirmed_ms);
+        let servers = Arc::new(Servers::new(
+            Arc::clone(&process),
+            log.clone(),
+            &settings.domain,
+            settings.members.subset,
+        ));
+        let queue = admission::Settings {
+            max_wait: Duration::from_millis(settings.admission.max_wait_ms),
+            max_queue: settings.admission.max_queue,
+        };
+        let gap = Duration::from_millis(settings.admission.gap_ms);
+        let admissions = Admissions::new(Arc::clone(&process), Arc::clone(&servers), queue, gap);
+        let retries = Retries::new(settings.retry.share, settings.retry.reserve);
         Arc::new(Shared {
             gate: Gate::new(),
-            catalogue: Store::new(Arc::clone(&process)),
-            routing: Routing::new(Arc::clone(&process)),
-            ready: AtomicBool::new(false),
+            catalogue: Store::new(Arc::clone(&process), unconfirmed),
+            servers,
+            admissions: Arc::new(admissions),
+            quotas: Quotas::default(),
+            harm: Arc::default(),
+            retries,
+            listed: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
             process,
             log,
             settings,
@@ -57,14 +95,52 @@
         })
     }
 
-    /// Sets whether the balancer may send requests.
-    pub fn set_ready(&self, ready: bool) {
-        self.ready.store(ready, Ordering::Release);
+    /// Notes that the platform's list of VMs was read.
+    pub fn set_listed(&self) {
+        self.listed.store(true, Ordering::Release);
     }
 
-    /// Tells whether the balancer may send requests.
+    /// Notes that a planned stop began.
+    pub fn set_draining(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+
+    /// Tells whether a planned stop began.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Tells whether the balancer may send requests: the catalogue is confirmed, the list of VMs
+    /// was read and every agent on it was asked.
     pub fn is_ready(&self) -> bool {
-        self.ready.load(Ordering::Acquire)
+        let confirmed = self.catalogue.standing() == Standing::Confirmed;
+        let listed = self.listed.load(Ordering::Acquire);
+        confirmed && listed && !self.is_draining() && self.servers.is_surveyed()
+    }
+}
+
+/// The budget for retries, shared by the threads.
+pub struct Retries {
+    budget: Mutex<RetryBudget>,
+}
+
+impl Retries {
+    fn new(share: f64, reserve: f64) -> Self {
+        Retries {
+            budget: Mutex::new(RetryBudget::new(share, reserve)),
+        }
+    }
+
+    /// Takes in a first attempt.
+    pub fn earn(&self) {
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.earn();
+    }
+
+    /// Takes a retry out of the budget; tells whether it is allowed.
+    pub fn spend(&self) -> bool {
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.spend()
     }
 }
 
@@ -74,4 +150,44 @@
     pub shared: Arc<Shared>,
     /// The connections of this thread.
     pub client: Client,
+    /// Accepts changes of the catalogue.
+    pub writer: Writer<HttpService, HttpService>,
+}
+
+impl Worker {
+    /// Creates the state of the calling thread.
+    pub async fn new(shared: Arc<Shared>) -> Rc<Self> {
+        let client = Client::new(Arc::clone(&shared.process)).await;
+        let platform = Platform::new(&shared.settings.platform, &client);
+        let store = Arc::clone(&shared.catalogue);
+        Rc::new(Worker {
+            writer: Writer::new(platform.table, platform.objects, store),
+            client,
+            shared,
+        })
+    }
+}
+
+/// The platform's services through the connections of one thread.
+pub struct Platform {
+    /// The table service.
+    pub table: HttpService,
+    /// The object store.
+    pub objects: HttpService,
+    /// The list of VMs.
+    pub vms: HttpService,
+}
+
+impl Platform {
+    /// Creates the clients.
+    pub fn new(settings: &settings::Platform, client: &Client) -> Self {
+        let http = Rc::new(client.http().clone());
+        let limit = Duration::from_millis(settings.limit_ms);
+        let service = |addr, name| HttpService::new(Rc::clone(&http), addr, limit, name);
+        Platform {
+            table: service(settings.table, "table"),
+            objects: service(settings.objects, "objects"),
+            vms: service(settings.vms, "vms"),
+        }
+    }
 }
--- a/crates/mustard-entry/src/calls.rs
+++ b/crates/mustard-entry/src/calls.rs
@@ -5,26 +5,30 @@
 //! stays unknown is voided before the deadline, so that the caller gets a firm answer where
 //! one exists.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use thiserror::Error;
 use tokio::time::{Instant, sleep};
 
-use mustard_core::ids::Incarnation;
-use mustard_core::ids::Seq;
+use mustard_core::ids::{Incarnation, Seq};
 use mustard_net::CallError;
+use mustard_policy::fleet::{InFlight, Live, ServerKey};
+use mustard_policy::route::choose_service;
 use mustard_proto::agent::{Call, CallAnswer, Void, VoidAnswer};
 use mustard_proto::{Ran, Refusal};
 
 use crate::app::Worker;
-use crate::routing::Server;
+use crate::ports::Rights;
 
 const MAX_TRIES: u32 = 6;
 const BUSY_PAUSE: Duration = Duration::from_millis(50);
 const VOID_SHARE: u32 = 4;
 const MAX_VOID: Duration = Duration::from_millis(800);
 const RETRY: Duration = Duration::from_secs(1);
+const NO_SERVER_RETRY: Duration = Duration::from_millis(500);
 
 /// The result of a call of a plain service.
 pub type Result<T> = std::result::Result<T, CallFailure>;
@@ -43,6 +47,9 @@
     /// The deadline passed before any server ran the call.
     #[error("deadline has passed")]
     Deadline,
+    /// The catalogue entry no longer allows the call.
+    #[error("the catalogue entry no longer allows the call")]
+    Revoked,
     /// The key was used with another request.
     #[error("idempotency key was used with another request")]
     KeyReused,
@@ -57,6 +64,27 @@
     },
 }
 
+/// A plain service's agent that was chosen for a call; dropping it ends the call's count there.
+#[derive(Debug)]
+pub struct Server {
+    /// The name of the VM.
+    pub name: String,
+    /// Where the agent takes messages.
+    pub addr: SocketAddr,
+    /// The life of the agent.
+    pub incarnation: Incarnation,
+    /// The server in the view it was chosen from.
+    pub chosen: Option<Chosen>,
+}
+
+/// A chosen server and the count of the call there.
+#[derive(Debug)]
+pub struct Chosen {
+    key: ServerKey,
+    live: Arc<Live>,
+    _guard: InFlight,
+}
+
 /// The way of a call to the agents.
 #[allow(async_fn_in_trait)]
 pub trait CallPorts {
@@ -80,7 +108,10 @@
     ) -> std::result::Result<VoidAnswer, CallError>;
 
     /// Takes in what became of an exchange with an agent.
-    fn report(&self, agent: &str, failure: Option<&CallError>);
+    fn report(&self, server: &Server, took: Duration, failure: Option<&CallError>);
+
+    /// Tells whether the catalogue entry still allows the call.
+    fn is_allowed(&self) -> bool;
 
     /// Waits until a catalogue change is in force here; tells whether it is.
     async fn catch_up(&self, seq: Seq, limit: Duration) -> bool;
@@ -148,11 +179,12 @@
             };
             let mut call = self.call.clone();
             call.deadline_ms = left.as_millis().max(1) as u64;
-            let error = match self.ports.call(&server, call, left).await {
-                Ok(answer) => {
-                    self.ports.report(&server.name, None);
-                    return Ok(answer);
-                }
+            let started = Instant::now();
+            let result = self.ports.call(&server, call, left).await;
+            self.ports
+                .report(&server, started.elapsed(), result.as_ref().err());
+            let error = match result {
+                Ok(answer) => return Ok(answer),
                 Err(error) => error,
             };
             if let Some(after) = self.learn(&server, &error).await? {
@@ -170,7 +202,6 @@
         }
         match next_of(error) {
             Next::Avoid => {
-                self.ports.report(&server.name, Some(error));
                 self.avoid.push(server.name.clone());
                 Ok(None)
             }
@@ -183,7 +214,10 @@
             Next::CatchUp(seq) => {
                 let left = self.end.saturating_duration_since(Instant::now());
                 self.ports.catch_up(seq, left).await;
-                Ok(None)
+                match self.ports.is_allowed() {
+                    true => Ok(None),
+                    false => Err(CallFailure::Revoked),
+                }
             }
             Next::Stop(failure) => Err(failure),
         }
@@ -259,18 +293,36 @@
 /// Reaches the agents through the connections of one worker thread.
 pub struct NetCalls {
     worker: Rc<Worker>,
+    rights: Rights,
 }
 
 impl NetCalls {
     /// Creates the ports of a worker thread.
-    pub fn new(worker: Rc<Worker>) -> Self {
-        NetCalls { worker }
+    pub fn new(worker: Rc<Worker>, rights: Rights) -> Self {
+        NetCalls { worker, rights }
     }
 }
 
 impl CallPorts for NetCalls {
     fn choose(&self, service: &str, avoid: &[String]) -> std::result::Result<Server, Duration> {
-        self.worker.shared.routing.server(service, avoid)
+        let shared = &self.worker.shared;
+        let fleet = shared.servers.view();
+        let exclude: Vec<ServerKey> = avoid.iter().filter_map(|n| fleet.find(n)).collect();
+        let now = shared.process.now();
+        let key = choose_service(&fleet, service, &exclude, now, &mut rand::rng());
+        let key = key.map_err(|_| NO_SERVER_RETRY)?;
+        let server = fleet.get(key).ok_or(NO_SERVER_RETRY)?;
+        let facts = server.facts();
+        Ok(Server {
+            name: facts.vm.clone(),
+            addr: facts.addr,
+            incarnation: facts.incarnation,
+            chosen: Some(Chosen {
+                key,
+                live: Arc::clone(server.live()),
+                _guard: server.begin(),
+            }),
+        })
     }
 
     async fn call(
@@ -293,17 +345,26 @@
         client.call(to.addr, Incarnation(0), void, limit).await
     }
 
-    fn report(&self, agent: &str, failure: Option<&CallError>) {
-        let routing = &self.worker.shared.routing;
-        match failure {
-            None => {}
-            Some(CallError::Refused(Refusal::Leaving)) => routing.leaving(agent),
-            Some(CallError::Refused(_)) => {}
-            Some(_) => routing.silent(agent),
+    fn report(&self, server: &Server, took: Duration, failure: Option<&CallError>) {
+        let servers = &self.worker.shared.servers;
+        match (failure, &server.chosen) {
+            (Some(error), _) => servers.failed(&server.name, error),
+            (None, Some(chosen)) => {
+                chosen.live.observe_call(took.as_micros() as f32);
+                servers.worked(chosen.key);
+            }
+            (None, None) => {}
         }
     }
 
+    fn is_allowed(&self) -> bool {
+        let catalogue = self.worker.shared.catalogue.current();
+        catalogue
+            .find(&self.rights.key, &self.rights.entry)
+            .is_some()
+    }
+
     async fn catch_up(&self, seq: Seq, limit: Duration) -> bool {
-        self.worker.shared.catalogue.wait_for(seq, limit).await
+        self.worker.shared.catalogue.catch_up(seq, limit).await
     }
 }
--- a/crates/mustard-entry/src/drive/attempt.rs
+++ b/crates/mustard-entry/src/drive/attempt.rs
@@ -66,10 +66,13 @@
         match self.ports.step(&self.chain, step, limit).await {
             Ok(output) => {
                 *ran = Ran::Maybe;
+                let took = started.elapsed();
                 if count == 1 {
-                    limits.observe(started.elapsed());
+                    limits.observe(took);
                 }
-                self.accept(&output, count)
+                let token = self.accept(&output, count)?;
+                self.ports.learn(&self.chain, count, took, &output);
+                Ok(token)
             }
             Err(error) => {
                 *ran = worse(*ran, error.ran());
@@ -78,13 +81,6 @@
         }
     }
 
-    /// Ends the attempt after its last token.
-    pub(super) fn finish(self) {
-        for name in &self.chain.names {
-            self.ports.report(name, None);
-        }
-    }
-
     fn message(&mut self, limit: Duration, left: Duration) -> Step {
         let opening = (!self.opened).then(|| Opening {
             chain: self.chain.hops.clone(),
@@ -127,7 +123,7 @@
         }
         if let Verdict::Avoid(suspects) = &failure.verdict {
             for name in suspects {
-                self.ports.report(name, Some(error));
+                self.ports.blame(name, error);
             }
         }
         failure
--- a/crates/mustard-entry/src/drive/errors.rs
+++ b/crates/mustard-entry/src/drive/errors.rs
@@ -7,7 +7,7 @@
 use mustard_proto::{Ran, Refusal};
 
 use super::Failure;
-use super::ports::NoChain;
+use super::ports::{NoChain, Veto};
 
 /// The result of driving a draft.
 pub type Result<T> = std::result::Result<T, Failed>;
@@ -46,6 +46,21 @@
     /// The deadline passed.
     #[error("deadline has passed")]
     Deadline,
+    /// The content of the request harms servers.
+    #[error("the content of the request is quarantined{}", after(.last))]
+    Quarantined {
+        /// The reason of the last failed attempt.
+        last: Option<String>,
+    },
+    /// The catalogue entry no longer allows the request.
+    #[error("the catalogue entry no longer allows the request")]
+    Revoked,
+    /// The budget for retries is used up.
+    #[error("too many requests are being retried{}", after(.last))]
+    Budget {
+        /// The reason of the last failed attempt.
+        last: Option<String>,
+    },
     /// A newer catalogue exists and did not arrive in time.
     #[error("the newest catalogue did not arrive in time")]
     StaleCatalogue,
@@ -68,6 +83,15 @@
         }
     }
 
+    pub(super) fn vetoed(veto: Veto, last: Option<Failure>) -> Self {
+        let last = last.map(|f| f.reason);
+        match veto {
+            Veto::Quarantined => DriveError::Quarantined { last },
+            Veto::Revoked => DriveError::Revoked,
+            Veto::Budget => DriveError::Budget { last },
+        }
+    }
+
     pub(super) fn exhausted(attempts: u32, last: Option<Failure>) -> Self {
         DriveError::Exhausted {
             attempts,
--- a/crates/mustard-entry/src/drive/failure.rs
+++ b/crates/mustard-entry/src/drive/failure.rs
@@ -67,6 +67,15 @@
         }
     }
 
+    /// Describes a draft whose rest can't come in time.
+    pub(super) fn hopeless() -> Self {
+        Failure {
+            agent: None,
+            reason: "the rest of the answer can't come in time".to_owned(),
+            verdict: Verdict::Final(Refusal::Expired),
+        }
+    }
+
     /// Describes an answer that does not belong to its step.
     pub(super) fn mismatch(chain: &Chain, expected: u32, got: u32) -> Self {
         Failure {
--- a/crates/mustard-entry/src/drive/limit.rs
+++ b/crates/mustard-entry/src/drive/limit.rs
@@ -29,6 +29,13 @@
         self.prefill.max(expected.mul_f64(self.factor))
     }
 
+    /// Takes over the predicted times of a chain, in microseconds.
+    pub fn expect(&mut self, first_us: f32, token_us: f32, positions: u32) {
+        let micros = |us: f32| Duration::from_micros(us.max(0.0) as u64);
+        self.usual = micros(token_us);
+        self.per_position = micros(first_us) / positions.max(1);
+    }
+
     /// Takes in the time of a finished decode step.
     pub fn observe(&mut self, took: Duration) {
         if self.usual.is_zero() {
--- a/crates/mustard-entry/src/drive/mod.rs
+++ b/crates/mustard-entry/src/drive/mod.rs
@@ -9,11 +9,12 @@
 pub use errors::{DriveError, Failed, Result};
 pub use failure::{Failure, Verdict};
 pub use limit::StepLimits;
-pub use ports::{Chain, Deliver, NoChain, Ports, Want};
+pub use ports::{Chain, Deliver, NoChain, Ports, Veto, Want};
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use mustard_core::event::EventKind;
 use mustard_core::fingerprint::Fingerprint;
@@ -23,6 +24,10 @@
 
 use attempt::Attempt;
 
+/// How long a broken-off draft waits for servers that hold every layer.
+const CHAIN_PATIENCE: Duration = Duration::from_secs(5);
+const CHAIN_PAUSE: Duration = Duration::from_millis(20);
+
 /// A draft to be generated.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -93,7 +98,10 @@
         let mut last = None;
         for _ in 0..self.attempts {
             self.check_deadline()?;
-            let chain = match self.ports.choose(&self.want) {
+            if let Some(veto) = self.ports.veto() {
+                return Err(self.fail(DriveError::vetoed(veto, last)));
+            }
+            let chain = match self.choose().await {
                 Ok(chain) => chain,
                 Err(none) => return Err(self.fail(DriveError::no_chain(none, last))),
             };
@@ -120,6 +128,9 @@
                 chain: chain.names.clone(),
             },
         );
+        let planned = &chain.planned;
+        self.limits
+            .expect(planned.first_us, planned.token_us, self.positions());
         let mut attempt = Attempt::open(self.ports, &self.job, &self.tokens, epoch, chain);
         while (self.tokens.len() as u32) < self.job.wanted {
             let token = attempt.step(&mut self.limits, &mut self.ran).await?;
@@ -129,11 +140,32 @@
             }
             self.tokens.push(token);
             out.deliver(token);
+            if !self.ports.on_time(self.tokens.len() as u32) {
+                return Err(Failure::hopeless());
+            }
         }
-        attempt.finish();
         Ok(())
     }
 
+    /// Chooses a chain; once stages have run, waits a while for one to become available.
+    async fn choose(&mut self) -> std::result::Result<Chain, NoChain> {
+        self.want.positions = self.positions();
+        let patience = match self.ran {
+            Ran::No => Duration::ZERO,
+            Ran::Maybe => CHAIN_PATIENCE,
+        };
+        let end = (Instant::now() + patience).min(self.job.deadline);
+        loop {
+            match self.ports.choose(&self.want) {
+                Ok(chain) => return Ok(chain),
+                Err(none) if Instant::now() >= end => return Err(none),
+                // The suspects may be sound again by now.
+                Err(_) => self.want.avoid.clear(),
+            }
+            sleep(CHAIN_PAUSE).await;
+        }
+    }
+
     /// Takes in what a failed attempt shows and returns the epoch of the next one.
     async fn learn(&mut self, epoch: Epoch, failure: &Failure) -> Result<Epoch> {
         let agent = failure.agent.clone().unwrap_or_default();
@@ -163,6 +195,10 @@
         }
     }
 
+    fn positions(&self) -> u32 {
+        (self.job.prompt.len() + self.tokens.len()) as u32
+    }
+
     fn check_deadline(&self) -> Result<()> {
         if Instant::now() < self.job.deadline {
             return Ok(());
--- a/crates/mustard-entry/src/drive/ports.rs
+++ b/crates/mustard-entry/src/drive/ports.rs
@@ -6,6 +6,8 @@
 use mustard_net::CallError;
 use mustard_proto::step::{Hop, Output, Step};
 
+use crate::admit::Planned;
+
 /// What a chain must serve.
 #[derive(Clone, Debug)]
 pub struct Want {
@@ -20,12 +22,14 @@
 }
 
 /// Agents that together hold every layer once.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Chain {
     /// The agents in layer order.
     pub hops: Vec<Hop>,
     /// Their names.
     pub names: Vec<String>,
+    /// The prediction, and the count of the request at each stage.
+    pub planned: Planned,
 }
 
 /// No chain exists at present.
@@ -35,6 +39,17 @@
     pub retry: Duration,
 }
 
+/// Why no further attempt may be made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Veto {
+    /// The content of the request harms servers.
+    Quarantined,
+    /// The catalogue entry no longer allows the request.
+    Revoked,
+    /// The budget for retries is used up.
+    Budget,
+}
+
 /// The driver's way to agents, decisions and the catalogue.
 #[allow(async_fn_in_trait)]
 pub trait Ports {
@@ -59,8 +74,17 @@
     /// Ends an attempt at every agent of its chain, without waiting.
     fn cancel(&self, chain: &Chain, request: RequestId, epoch: Epoch);
 
-    /// Takes in what became of a step, by the agent that it is owed to.
-    fn report(&self, agent: &str, failure: Option<&CallError>);
+    /// Takes in a finished step over a number of positions.
+    fn learn(&self, chain: &Chain, positions: u32, took: Duration, output: &Output);
+
+    /// Takes in why a step failed at an agent.
+    fn blame(&self, agent: &str, error: &CallError);
+
+    /// Tells why no further attempt may be made, if that is so.
+    fn veto(&self) -> Option<Veto>;
+
+    /// Takes in that tokens were delivered; tells whether the rest can still come in time.
+    fn on_time(&self, delivered: u32) -> bool;
 
     /// Waits until a catalogue change is in force here; tells whether it is.
     async fn catch_up(&self, seq: Seq, limit: Duration) -> bool;
--- /dev/null
+++ b/crates/mustard-entry/src/harm.rs
@@ -0,0 +1,190 @@
+//! Requests that harm the servers that run them: strikes, suspects and quarantine.
+
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use slog::warn;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use mustard_core::clock::Moment;
+use mustard_core::collections::Map;
+use mustard_core::event::EventKind;
+use mustard_core::fingerprint::Fingerprint;
+use mustard_core::ids::Incarnation;
+use mustard_policy::quarantine::{Quarantine, Settings, Standing, Strike};
+use mustard_proto::limits::{Strike as Sent, Strikes};
+
+use crate::app::Worker;
+
+/// Failures of one server within this time count as one death.
+const ONE_DEATH: Duration = Duration::from_secs(3);
+const SHARE_LIMIT: Duration = Duration::from_secs(1);
+
+/// What is known about harmful contents.
+pub struct Harm {
+    state: Mutex<State>,
+    /// Suspects run one at a time, so that a death shows which of them caused it.
+    apart: Arc<Semaphore>,
+}
+
+#[derive(Default)]
+struct State {
+    quarantine: Quarantine,
+    /// The contents that run at each server.
+    running: Map<String, Vec<Fingerprint>>,
+    deaths: Map<String, Moment>,
+}
+
+impl Default for Harm {
+    fn default() -> Self {
+        let state = State {
+            quarantine: Quarantine::new(Settings::default()),
+            ..State::default()
+        };
+        Harm {
+            state: Mutex::new(state),
+            apart: Arc::new(Semaphore::new(1)),
+        }
+    }
+}
+
+/// Counts a content at the servers of a chain; dropping it ends the count.
+pub struct Exposure {
+    harm: Arc<Harm>,
+    names: Vec<String>,
+    fingerprint: Fingerprint,
+}
+
+impl Drop for Exposure {
+    fn drop(&mut self) {
+        let mut state = self.harm.lock();
+        for name in &self.names {
+            let Some(running) = state.running.get_mut(name) else {
+                continue;
+            };
+            if let Some(i) = running.iter().position(|f| *f == self.fingerprint) {
+                running.swap_remove(i);
+            }
+            if running.is_empty() {
+                state.running.remove(name);
+            }
+        }
+    }
+}
+
+impl Harm {
+    /// Tells how a content may run.
+    pub fn standing(&self, now: Moment, fingerprint: Fingerprint) -> Standing {
+        self.lock().quarantine.standing(now, fingerprint)
+    }
+
+    /// Waits until no other suspect runs here.
+    pub async fn apart(&self) -> Option<OwnedSemaphorePermit> {
+        Arc::clone(&self.apart).acquire_owned().await.ok()
+    }
+
+    /// Counts a content at the servers of a chain.
+    pub fn expose(self: &Arc<Self>, names: &[String], fingerprint: Fingerprint) -> Exposure {
+        let mut state = self.lock();
+        for name in names {
+            let running = state.running.entry(name.clone()).or_default();
+            running.push(fingerprint);
+        }
+        Exposure {
+            harm: Arc::clone(self),
+            names: names.to_vec(),
+            fingerprint,
+        }
+    }
+
+    /// Takes in that a server died; returns the strikes to share, none if it is known already.
+    fn died(&self, now: Moment, vm: &str) -> Vec<Strike> {
+        let mut state = self.lock();
+        state.deaths.retain(|_, at| now.since(*at) < ONE_DEATH);
+        if state.deaths.contains_key(vm) {
+            return Vec::new();
+        }
+        state.deaths.insert(vm.to_owned(), now);
+        let running = state.running.get(vm).cloned().unwrap_or_default();
+        state.quarantine.blame(now, vm, &running)
+    }
+
+    /// Takes in strikes; returns the contents that became quarantined by them.
+    pub fn take(&self, now: Moment, strikes: &[Strike]) -> Vec<Fingerprint> {
+        let mut state = self.lock();
+        let newly = strikes
+            .iter()
+            .filter(|strike| state.quarantine.strike(now, strike));
+        newly.map(|strike| strike.fingerprint).collect()
+    }
+
+    /// Clears a content that ran to its end or that an operator set free.
+    pub fn clear(&self, fingerprint: Fingerprint) -> bool {
+        self.lock().quarantine.clear(fingerprint)
+    }
+
+    /// Returns the quarantined contents with the VMs whose servers died under them.
+    pub fn list(&self, now: Moment) -> Vec<(Fingerprint, Vec<String>)> {
+        let state = self.lock();
+        let own =
+            |(f, vms): (Fingerprint, Vec<&str>)| (f, vms.into_iter().map(str::to_owned).collect());
+        state.quarantine.list(now).map(own).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Takes in that a server died while it ran contents, and shares the strikes.
+pub fn note_death(worker: &Rc<Worker>, vm: &str) {
+    let shared = &worker.shared;
+    let strikes = shared.harm.died(shared.process.now(), vm);
+    if strikes.is_empty() {
+        return;
+    }
+    warn!(shared.log, "harm: Server died with requests running.";
+        "agent" => vm, "contents" => strikes.len());
+    note_strikes(worker, &strikes);
+    let message = Strikes {
+        strikes: strikes.iter().map(sent_of).collect(),
+    };
+    for addr in shared.servers.peer_addrs() {
+        let (client, message) = (worker.client.clone(), message.clone());
+        ntex::rt::spawn(async move {
+            let _ = client
+                .call(addr, Incarnation(0), message, SHARE_LIMIT)
+                .await;
+        });
+    }
+}
+
+/// Takes in strikes and tells of contents that became quarantined.
+pub fn note_strikes(worker: &Worker, strikes: &[Strike]) {
+    let shared = &worker.shared;
+    for fingerprint in shared.harm.take(shared.process.now(), strikes) {
+        let fingerprint = fingerprint.to_string();
+        warn!(shared.log, "harm: Content is quarantined."; "content" => &fingerprint);
+        metrics::counter!("mustard_entry_quarantined_total").increment(1);
+        let event = EventKind::Quarantined { fingerprint };
+        shared.process.emit(None, event);
+    }
+}
+
+fn sent_of(strike: &Strike) -> Sent {
+    Sent {
+        fingerprint: strike.fingerprint,
+        vm: strike.vm.clone(),
+        shared: strike.shared,
+    }
+}
+
+/// Returns a strike of another process in the terms of the policy.
+pub fn strike_of(sent: Sent) -> Strike {
+    Strike {
+        fingerprint: sent.fingerprint,
+        vm: sent.vm,
+        shared: sent.shared,
+    }
+}
--- a/crates/mustard-entry/src/lib.rs
+++ b/crates/mustard-entry/src/lib.rs
@@ -2,16 +2,18 @@
 
 #![forbid(unsafe_code)]
 
+pub mod admit;
 pub mod api;
 pub mod app;
 pub mod calls;
-pub mod catalogue;
 pub mod drive;
 pub mod errors;
-pub mod membership;
+pub mod harm;
+pub mod metric;
 pub mod ports;
-pub mod routing;
+pub mod quotas;
 pub mod serve;
+pub mod servers;
 pub mod settings;
 
 pub use errors::{EntryError, Result};
--- /dev/null
+++ b/crates/mustard-entry/src/metric.rs
@@ -0,0 +1,38 @@
+//! Metrics of drafts.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Measures the pace of one draft.
+pub struct Pace {
+    last: Instant,
+    count: u32,
+}
+
+impl Pace {
+    /// Starts with the arrival of the request.
+    pub fn new(arrived: Instant) -> Self {
+        Pace {
+            last: arrived,
+            count: 0,
+        }
+    }
+
+    /// Takes in the next token.
+    pub fn token(&mut self) {
+        let now = Instant::now();
+        let took = now.duration_since(self.last);
+        self.last = now;
+        self.count += 1;
+        metrics::counter!("mustard_entry_tokens_total").increment(1);
+        match self.count {
+            1 => record("mustard_entry_first_token_seconds", took),
+            _ => record("mustard_entry_token_gap_seconds", took),
+        }
+    }
+}
+
+fn record(name: &'static str, took: Duration) {
+    metrics::histogram!(name).record(took.as_secs_f64());
+}
--- a/crates/mustard-entry/src/ports.rs
+++ b/crates/mustard-entry/src/ports.rs
@@ -1,44 +1,104 @@
 //! The driver's ports over the network.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::time::timeout;
+
+use mustard_core::fingerprint::{Fingerprint, KeyHash};
 use mustard_core::ids::{Epoch, RequestId, Seq};
 use mustard_net::CallError;
-use mustard_proto::Refusal;
+use mustard_policy::fleet::ServerKey;
+use mustard_policy::quarantine::Standing;
+use mustard_policy::route::{Query, choose};
 use mustard_proto::agent::Heartbeat;
 use mustard_proto::step::{Cancel, Output, Step};
+use mustard_proto::{Ran, Refusal};
 
+use crate::admit::{Admitted, chain_of};
 use crate::app::Worker;
-use crate::drive::{Chain, NoChain, Ports, Want};
+use crate::drive::{Chain, NoChain, Ports, Veto, Want};
+use crate::harm::{self, Exposure};
+use crate::servers::report_of;
 
 const PROBE_LIMIT: Duration = Duration::from_millis(150);
 const CANCEL_LIMIT: Duration = Duration::from_secs(2);
 const CANCEL_TRIES: u32 = 2;
+const RETRY: Duration = Duration::from_millis(500);
+
+/// What one draft may use, under which entry of the catalogue.
+pub struct Rights {
+    /// The name of the catalogue entry.
+    pub entry: String,
+    /// The digest of the caller's key.
+    pub key: KeyHash,
+    /// The digest of the content.
+    pub fingerprint: Fingerprint,
+}
 
-/// Reaches the agents through the connections of one worker thread.
-#[derive(Clone)]
+/// Reaches the agents for one draft through the connections of one worker thread.
 pub struct NetPorts {
     worker: Rc<Worker>,
+    rights: Rights,
+    admitted: RefCell<Admitted>,
+    tokens: u32,
+    attempts: RefCell<u32>,
+    exposure: RefCell<Option<Exposure>>,
 }
 
 impl NetPorts {
-    /// Creates the ports of a worker thread.
-    pub fn new(worker: Rc<Worker>) -> Self {
-        NetPorts { worker }
+    /// Creates the ports of an admitted draft of `tokens` tokens.
+    pub fn new(worker: Rc<Worker>, rights: Rights, admitted: Admitted, tokens: u32) -> Self {
+        NetPorts {
+            worker,
+            rights,
+            admitted: RefCell::new(admitted),
+            tokens,
+            attempts: RefCell::new(0),
+            exposure: RefCell::new(None),
+        }
+    }
+
+    /// Takes in that the draft was answered whole.
+    pub fn finish(self) {
+        let shared = &self.worker.shared;
+        let now = shared.process.now();
+        if shared.harm.standing(now, self.rights.fingerprint) == Standing::Suspect {
+            shared.harm.clear(self.rights.fingerprint);
+        }
+        self.admitted.into_inner().finish(self.tokens);
+    }
+
+    fn chosen(&self, want: &Want) -> Option<Chain> {
+        if let Some(chain) = self.admitted.borrow_mut().chain() {
+            return Some(chain);
+        }
+        let shared = &self.worker.shared;
+        let fleet = shared.servers.view();
+        let avoid: Vec<ServerKey> = want.avoid.iter().filter_map(|n| fleet.find(n)).collect();
+        let query =
+            Query::new(&want.model, want.layers, want.positions, self.tokens).exclude(&avoid);
+        let plan = choose(&fleet, &query, shared.process.now(), &mut rand::rng()).ok()?;
+        chain_of(&fleet, &plan)
     }
 }
 
 impl Ports for NetPorts {
     fn choose(&self, want: &Want) -> Result<Chain, NoChain> {
-        let routing = &self.worker.shared.routing;
-        routing.chain(want).map_err(|retry| NoChain { retry })
+        let chain = self.chosen(want).ok_or(NoChain { retry: RETRY })?;
+        let harm = &self.worker.shared.harm;
+        // The earlier attempt's count ends first.
+        *self.exposure.borrow_mut() = None;
+        let exposure = harm.expose(&chain.names, self.rights.fingerprint);
+        *self.exposure.borrow_mut() = Some(exposure);
+        Ok(chain)
     }
 
     async fn step(&self, chain: &Chain, step: Step, limit: Duration) -> Result<Output, CallError> {
         let first = &chain.hops[0];
-        self.worker
-            .client
+        let client = &self.worker.client;
+        client
             .call(first.addr, first.incarnation, step, limit)
             .await
     }
@@ -50,17 +110,15 @@
             let (addr, life) = (hop.addr, hop.incarnation);
             let from = self.worker.shared.process.name().to_owned();
             let ask = ntex::rt::spawn(async move {
-                client
-                    .call(addr, life, Heartbeat { from }, PROBE_LIMIT)
-                    .await
+                let ask = Heartbeat { from };
+                client.call(addr, life, ask, PROBE_LIMIT).await
             });
             probes.push((name, ask));
         }
         let mut silent = Vec::new();
         for (name, ask) in probes {
-            match ask.await {
-                Ok(Ok(info)) => self.worker.shared.routing.heard(name, info),
-                _ => silent.push(name.clone()),
+            if !matches!(ask.await, Ok(Ok(_))) {
+                silent.push(name.clone());
             }
         }
         silent
@@ -72,6 +130,7 @@
             let (addr, life) = (hop.addr, hop.incarnation);
             let pass = self.worker.shared.gate.enter_always();
             ntex::rt::spawn(async move {
+                // A planned stop waits until the agents know.
                 let _pass = pass;
                 for _ in 0..CANCEL_TRIES {
                     let message = Cancel { request, epoch };
@@ -84,24 +143,113 @@
         }
     }
 
-    fn report(&self, agent: &str, failure: Option<&CallError>) {
-        let routing = &self.worker.shared.routing;
-        match failure {
-            None => {}
-            Some(CallError::Refused(refusal)) if is_leaving(refusal) => routing.leaving(agent),
-            Some(_) => routing.silent(agent),
+    fn learn(&self, chain: &Chain, positions: u32, took: Duration, output: &Output) {
+        let shared = &self.worker.shared;
+        let now = shared.process.now();
+        let fleet = shared.servers.view();
+        for (stage, load) in &output.loads {
+            let key = chain.planned.keys.get(*stage as usize).copied();
+            let Some(server) = key.and_then(|k| fleet.get(k)) else {
+                continue;
+            };
+            server.live().report(now, report_of(load));
+            if load.step_us > 0 {
+                server.live().observe_step(load.step_us as f32);
+            }
+            if load.prefill_us > 0 {
+                server.live().observe_prefill(load.prefill_us as f32);
+            }
+        }
+        if positions == 1 {
+            learn_links(&fleet, &chain.planned.keys, now, took);
+            return;
+        }
+        for key in &chain.planned.keys {
+            shared.servers.worked(*key);
+        }
+    }
+
+    fn blame(&self, agent: &str, error: &CallError) {
+        self.worker.shared.servers.failed(agent, error);
+        if is_death(error) {
+            harm::note_death(&self.worker, agent);
         }
     }
 
+    fn veto(&self) -> Option<Veto> {
+        let shared = &self.worker.shared;
+        let mut attempts = self.attempts.borrow_mut();
+        *attempts += 1;
+        let now = shared.process.now();
+        let standing = shared.harm.standing(now, self.rights.fingerprint);
+        if matches!(standing, Standing::Quarantined(_)) {
+            return Some(Veto::Quarantined);
+        }
+        let catalogue = shared.catalogue.current();
+        if catalogue
+            .find(&self.rights.key, &self.rights.entry)
+            .is_none()
+        {
+            return Some(Veto::Revoked);
+        }
+        match *attempts {
+            1 => {
+                shared.retries.earn();
+                None
+            }
+            _ => (!shared.retries.spend()).then_some(Veto::Budget),
+        }
+    }
+
+    fn on_time(&self, delivered: u32) -> bool {
+        self.admitted.borrow().progress(delivered)
+    }
+
     async fn catch_up(&self, seq: Seq, limit: Duration) -> bool {
-        self.worker.shared.catalogue.wait_for(seq, limit).await
+        let store = &self.worker.shared.catalogue;
+        timeout(limit, store.catch_up(seq, limit))
+            .await
+            .unwrap_or(false)
+    }
+}
+
+/// Shares out the time that a decode step spent outside its servers over the chain's links.
+fn learn_links(
+    fleet: &mustard_policy::fleet::Fleet,
+    keys: &[ServerKey],
+    now: mustard_core::clock::Moment,
+    took: Duration,
+) {
+    let mut known = 0.0;
+    let mut slots = Vec::with_capacity(keys.len());
+    for key in keys {
+        let Some(server) = fleet.get(*key) else {
+            return;
+        };
+        let live = server.live();
+        known += live.step_us(live.work(now));
+        if slots.is_empty() {
+            known += live.entry_us();
+        }
+        slots.push(key.index());
+    }
+    let outside = took.as_micros() as f32 - known;
+    fleet.links().observe_path(&slots, outside);
+}
+
+/// Tells whether a failure shows that a server died while it ran the request.
+fn is_death(error: &CallError) -> bool {
+    match error {
+        CallError::Refused(refusal) => is_server_death(refusal),
+        CallError::Lost(_) => true,
+        _ => false,
     }
 }
 
-fn is_leaving(refusal: &Refusal) -> bool {
+fn is_server_death(refusal: &Refusal) -> bool {
     match refusal {
-        Refusal::Leaving => true,
-        Refusal::NextFailed { cause, .. } => is_leaving(cause),
+        Refusal::NextFailed { cause, .. } => is_server_death(cause),
+        Refusal::ServerFailed { ran, .. } => *ran == Ran::Maybe,
         _ => false,
     }
 }
--- a/crates/mustard-entry/src/serve.rs
+++ b/crates/mustard-entry/src/serve.rs
@@ -1,26 +1,26 @@
 //! The daemon's life from its settings to its exit code.
 
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use metrics_exporter_prometheus::PrometheusHandle;
+use ntex::server::Server;
 use ntex::web::{self, App, HttpServer};
-use slog::{info, warn};
-use tokio::time::sleep;
 
+use mustard_catalogue::{HttpPeers, SyncOptions, Syncer};
 use mustard_net::daemon::Daemon;
-use mustard_net::{Client, Process, log, server};
-use mustard_platform::http::HttpService;
+use mustard_net::{Process, log, server};
 
 use crate::api;
-use crate::app::{Shared, Worker};
+use crate::app::{Platform, Shared, Worker};
 use crate::errors::Result;
-use crate::membership;
 use crate::settings::Settings;
+use crate::{quotas, servers};
 
 const RING_EVENTS: usize = 65_536;
-const LOAD_PAUSE: Duration = Duration::from_millis(500);
+const PEER_LIMIT: Duration = Duration::from_millis(500);
 
 /// Runs the daemon until a planned stop and returns its exit code.
 ///
@@ -40,64 +40,50 @@
     let notice = Duration::from_millis(drain.notice_ms);
     let grace = Duration::from_millis(drain.grace_ms);
     let stopped = daemon
-        .drain(notice, grace, || shared.set_ready(false))
+        .drain(notice, grace, || shared.set_draining())
         .await?;
     Ok(stopped.finish(running.stop(true)).await)
 }
 
-fn listen(shared: &Arc<Shared>, listener: std::net::TcpListener) -> Result<ntex::server::Server> {
+fn listen(shared: &Arc<Shared>, listener: TcpListener) -> Result<Server> {
     let limits = &shared.settings.limits;
-    let config = server::config("entry", limits.headers);
-    let workers = shared.settings.workers;
-    let connections = limits.connections;
     let state = Arc::clone(shared);
     let factory = async move || {
-        let worker = Worker {
-            client: Client::new(Arc::clone(&state.process)).await,
-            shared: Arc::clone(&state),
-        };
         App::new()
-            .state(Rc::new(worker))
+            .state(Worker::new(Arc::clone(&state)).await)
             .configure(api::routes)
             .default_service(web::to(api::not_found))
     };
     let server = HttpServer::new(factory)
-        .workers(workers)
-        .maxconn(connections)
+        .workers(shared.settings.workers)
+        .maxconn(limits.connections)
         .disable_signals()
-        .config(config)
+        .config(server::config("entry", limits.headers))
         .listen(listener)?
         .run();
     Ok(server)
 }
 
+/// Starts the tasks that run beside requests, all on the calling thread.
 async fn start_tasks(shared: &Arc<Shared>) {
-    let worker = Rc::new(Worker {
-        client: Client::new(Arc::clone(&shared.process)).await,
-        shared: Arc::clone(shared),
+    let worker = Worker::new(Arc::clone(shared)).await;
+    let platform = Platform::new(&shared.settings.platform, &worker.client);
+    ntex::rt::spawn(servers::follow_list(Rc::clone(&worker), platform.vms));
+    ntex::rt::spawn(servers::watch_agents(Rc::clone(&worker)));
+    ntex::rt::spawn(quotas::run(Rc::clone(&worker)));
+    let admissions = Arc::clone(&shared.admissions);
+    ntex::rt::spawn(async move { admissions.run().await });
+    let known = Arc::clone(&shared.servers);
+    let peers = HttpPeers::new(worker.client.clone(), PEER_LIMIT, move || {
+        known.peer_addrs()
     });
-    let platform = &shared.settings.platform;
-    let limit = Duration::from_millis(platform.limit_ms);
-    let http = Rc::new(worker.client.http().clone());
-    let table = HttpService::new(Rc::clone(&http), platform.table, limit, "table");
-    let list = HttpService::new(http, platform.vms, limit, "vms");
-    ntex::rt::spawn(membership::follow_list(Rc::clone(&worker), list));
-    ntex::rt::spawn(membership::watch_agents(Rc::clone(&worker)));
-    ntex::rt::spawn(load_catalogue(worker, table));
-}
-
-async fn load_catalogue(worker: Rc<Worker>, table: HttpService) {
-    let shared = &worker.shared;
-    loop {
-        match shared.catalogue.load(&table).await {
-            Ok(()) => {
-                if !shared.gate.is_closed() && !shared.is_ready() {
-                    info!(shared.log, "catalogue: Loaded."; "seq" => shared.catalogue.current().seq().0);
-                    shared.set_ready(true);
-                }
-            }
-            Err(e) => warn!(shared.log, "catalogue: Table does not answer."; "error" => %e),
-        }
-        sleep(membership::jitter(LOAD_PAUSE)).await;
-    }
+    let sync = &shared.settings.catalogue;
+    let options = SyncOptions::default()
+        .poll(Duration::from_millis(sync.poll_ms))
+        .backoff(Duration::from_millis(sync.backoff_ms))
+        .fanout(sync.fanout);
+    let store = Arc::clone(&shared.catalogue);
+    let log = shared.log.clone();
+    let syncer = Syncer::new(platform.table, platform.objects, peers, store, options, log);
+    ntex::rt::spawn(async move { syncer.run().await });
 }
--- /dev/null
+++ b/crates/mustard-entry/src/servers/watch.rs
@@ -0,0 +1,99 @@
+//! Tasks that follow the platform's list and ask agents for their state.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+use slog::{info, warn};
+use tokio::time::{Instant, sleep};
+
+use mustard_core::event::EventKind;
+use mustard_core::ids::Incarnation;
+use mustard_net::CallError;
+use mustard_platform::http::HttpService;
+use mustard_platform::vms::VmList;
+use mustard_policy::membership::Sign;
+use mustard_proto::agent::Heartbeat;
+
+use super::record::Known;
+use crate::app::Worker;
+
+const MAX_DOUBLINGS: u32 = 4;
+const JITTER: f64 = 0.2;
+const MIN_PAUSE: Duration = Duration::from_millis(10);
+
+/// Returns a duration that varies by a fifth, so that processes do not act in step.
+fn jitter(pause: Duration) -> Duration {
+    pause.mul_f64(rand::rng().random_range(1.0 - JITTER..1.0 + JITTER))
+}
+
+/// Follows the platform's list of VMs; pauses grow while it does not answer.
+pub async fn follow_list(worker: Rc<Worker>, list: HttpService) {
+    let shared = &worker.shared;
+    let pause = Duration::from_millis(shared.settings.members.list_ms);
+    let mut version = 0;
+    let mut failures: u32 = 0;
+    loop {
+        match list.changes(version).await {
+            Ok(changes) => {
+                if failures > 0 {
+                    info!(shared.log, "members: List of VMs answers again.");
+                    note(&worker, true);
+                }
+                failures = 0;
+                // A list that starts over has lost what it told before.
+                version = changes.version;
+                let changed = !changes.vms.is_empty();
+                for vm in changes.vms {
+                    shared.servers.list(vm);
+                }
+                if changed {
+                    shared.servers.choose_subset();
+                }
+                shared.set_listed();
+            }
+            Err(e) => {
+                if failures == 0 {
+                    warn!(shared.log, "members: List of VMs does not answer."; "error" => %e);
+                    note(&worker, false);
+                }
+                failures = (failures + 1).min(MAX_DOUBLINGS);
+            }
+        }
+        sleep(jitter(pause * 2_u32.pow(failures))).await;
+    }
+}
+
+fn note(worker: &Worker, up: bool) {
+    let service = "vms".to_owned();
+    let process = &worker.shared.process;
+    process.emit(None, EventKind::PlatformState { service, up });
+}
+
+/// Asks each watched agent for its state once it was silent for a while.
+pub async fn watch_agents(worker: Rc<Worker>) {
+    let pause = Duration::from_millis(worker.shared.settings.members.heartbeat_ms);
+    loop {
+        for known in worker.shared.servers.due(pause) {
+            ntex::rt::spawn(ask(Rc::clone(&worker), known, pause));
+        }
+        worker.shared.servers.tick();
+        sleep(jitter(pause / 4).max(MIN_PAUSE)).await;
+    }
+}
+
+async fn ask(worker: Rc<Worker>, known: Known, limit: Duration) {
+    let servers = &worker.shared.servers;
+    let from = worker.shared.process.name().to_owned();
+    let started = Instant::now();
+    let answer = worker
+        .client
+        .call(known.vm.addr, Incarnation(0), Heartbeat { from }, limit)
+        .await;
+    let name = &known.vm.name;
+    match answer {
+        Ok(info) => servers.heard(name, &info, started.elapsed()),
+        Err(CallError::NotSent(_)) => servers.sign(name, Sign::Unreachable),
+        Err(_) => servers.sign(name, Sign::Missed),
+    }
+}
--- a/crates/mustard-entry/src/settings.rs
+++ b/crates/mustard-entry/src/settings.rs
@@ -33,6 +33,15 @@
     /// What callers may ask for.
     #[serde(default)]
     pub limits: Limits,
+    /// How the catalogue is kept current.
+    #[serde(default)]
+    pub catalogue: Sync,
+    /// Which drafts wait and which are refused.
+    #[serde(default)]
+    pub admission: Admission,
+    /// How many requests may be tried again.
+    #[serde(default)]
+    pub retry: Retry,
     /// How drafts are driven through their stages.
     #[serde(default)]
     pub drive: Drive,
@@ -100,6 +109,73 @@
     }
 }
 
+/// How the catalogue is kept current.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default)]
+pub struct Sync {
+    /// The mean time between two reads of the table's head, in milliseconds.
+    pub poll_ms: u64,
+    /// The longest time between two reads of a table that does not answer, in milliseconds.
+    pub backoff_ms: u64,
+    /// How many peers get new changes from this process.
+    pub fanout: usize,
+    /// How long requests are taken while neither the table nor a peer confirms the catalogue,
+    /// in milliseconds.
+    pub unconfirmed_ms: u64,
+}
+
+impl Default for Sync {
+    fn default() -> Self {
+        Sync {
+            poll_ms: 1_000,
+            backoff_ms: 3_000,
+            fanout: 3,
+            unconfirmed_ms: 60_000,
+        }
+    }
+}
+
+/// Which drafts wait and which are refused.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default)]
+pub struct Admission {
+    /// The longest predicted wait of an interactive request, in milliseconds.
+    pub max_wait_ms: u64,
+    /// The most requests of one model that wait.
+    pub max_queue: usize,
+    /// The time between tokens that 95 in 100 should keep, in milliseconds.
+    pub gap_ms: u64,
+}
+
+impl Default for Admission {
+    fn default() -> Self {
+        Admission {
+            max_wait_ms: 300,
+            max_queue: 10_000,
+            gap_ms: 38,
+        }
+    }
+}
+
+/// How many requests may be tried again.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default)]
+pub struct Retry {
+    /// Retries earned by each first attempt.
+    pub share: f64,
+    /// The most retries saved up.
+    pub reserve: f64,
+}
+
+impl Default for Retry {
+    fn default() -> Self {
+        Retry {
+            share: 0.2,
+            reserve: 500.0,
+        }
+    }
+}
+
 /// How drafts are driven through their stages.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default)]
@@ -133,6 +209,11 @@
     pub list_ms: u64,
     /// The longest silence of an agent before it is asked for its state, in milliseconds.
     pub heartbeat_ms: u64,
+    /// Agents asked for their state per second at most; with many agents each is asked less
+    /// often.
+    pub heartbeats: u64,
+    /// Agents watched in detail and used for requests.
+    pub subset: usize,
 }
 
 impl Default for Members {
@@ -140,6 +221,8 @@
         Members {
             list_ms: 1_000,
             heartbeat_ms: 500,
+            heartbeats: 100,
+            subset: 1_000,
         }
     }
 }
@@ -186,6 +269,17 @@
         Field::optional("drive.attempts", Kind::Int(1, 100)),
         Field::optional("members.list_ms", Kind::Int(50, MAX_MS)),
         Field::optional("members.heartbeat_ms", Kind::Int(50, MAX_MS)),
+        Field::optional("members.heartbeats", Kind::Int(1, 100_000)),
+        Field::optional("members.subset", Kind::Int(1, 10_000)),
+        Field::optional("catalogue.poll_ms", Kind::Int(50, MAX_MS)),
+        Field::optional("catalogue.backoff_ms", Kind::Int(50, MAX_MS)),
+        Field::optional("catalogue.fanout", Kind::Int(1, 16)),
+        Field::optional("catalogue.unconfirmed_ms", Kind::Int(100, MAX_MS)),
+        Field::optional("admission.max_wait_ms", Kind::Int(0, MAX_MS)),
+        Field::optional("admission.max_queue", Kind::Int(1, 1_000_000)),
+        Field::optional("admission.gap_ms", Kind::Int(1, MAX_MS)),
+        Field::optional("retry.share", Kind::Float(0.0, 10.0)),
+        Field::optional("retry.reserve", Kind::Float(1.0, 100_000.0)),
         Field::optional("drain.notice_ms", Kind::Int(0, MAX_MS)),
         Field::optional("drain.grace_ms", Kind::Int(0, MAX_MS)),
         Field::optional("log.format", Kind::OneOf(&["terminal", "json"])),
--- a/crates/mustard-entry/tests/drive.rs
+++ b/crates/mustard-entry/tests/drive.rs
@@ -10,7 +10,10 @@
 use mustard_core::collections::{Map, Set};
 use mustard_core::fingerprint::Fingerprint;
 use mustard_core::ids::{Epoch, Incarnation, Layers, RequestId, Seq};
-use mustard_entry::drive::{Chain, Deliver, Driver, Failed, Job, NoChain, Ports, StepLimits, Want};
+use mustard_entry::admit::Planned;
+use mustard_entry::drive::{
+    Chain, Deliver, Driver, Failed, Job, NoChain, Ports, StepLimits, Veto, Want,
+};
 use mustard_net::{CallError, Process};
 use mustard_proto::step::{Hop, Input, Output, Step};
 use mustard_proto::{Ran, Refusal};
@@ -173,6 +176,7 @@
         let mut chain = Chain {
             hops: Vec::new(),
             names: Vec::new(),
+            planned: Planned::default(),
         };
         for stage in 0..STAGES {
             let free = (0..REPLICAS).find(|r| !want.avoid.contains(&name(stage, *r)));
@@ -271,7 +275,17 @@
         }
     }
 
-    fn report(&self, _: &str, _: Option<&CallError>) {}
+    fn learn(&self, _: &Chain, _: u32, _: Duration, _: &Output) {}
+
+    fn blame(&self, _: &str, _: &CallError) {}
+
+    fn veto(&self) -> Option<Veto> {
+        None
+    }
+
+    fn on_time(&self, _: u32) -> bool {
+        true
+    }
 
     async fn catch_up(&self, _: Seq, _: Duration) -> bool {
         true
@@ -307,6 +321,8 @@
     };
     let mut tokens = Tokens(Vec::new());
     let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
         .build()
         .unwrap();
     let driver = Driver::new(model, &process, limits, 8, job);
--- a/crates/mustard-net/src/problem.rs
+++ b/crates/mustard-net/src/problem.rs
@@ -77,7 +77,12 @@
             let seconds = after.as_millis().div_ceil(1000);
             builder.set_header("retry-after", seconds.to_string());
         }
-        let body = self.clone().member("request_id", Value::String(id));
-        builder.body(Value::Object(body.members).to_string())
+        builder.body(self.body(request).to_string())
+    }
+
+    /// Returns the JSON document of the problem for a request.
+    pub fn body(&self, request: RequestId) -> Value {
+        let id = Value::String(request.to_string());
+        Value::Object(self.clone().member("request_id", id).members)
     }
 }
