--- a/crates/mustard-agent/tests/claims/main.rs
+++ b/crates/mustard-agent/tests/claims/main.rs
@@ -385,10 +385,11 @@
         world.call(0, 0, 0, 1_000);
         world.call(0, 1, 0, 1_000);
         sleep(Duration::from_secs(3_600)).await;
-        let told = world.told.borrow();
-        assert!(told[1].result.as_ref().unwrap().replayed);
-        assert!(matches!(told[2].result, Err(Refusal::PlatformDown { .. })));
-        drop(told);
+        {
+            let told = world.told.borrow();
+            assert!(told[1].result.as_ref().unwrap().replayed);
+            assert!(matches!(told[2].result, Err(Refusal::PlatformDown { .. })));
+        }
         world.heal().await;
         world.check();
     });
