--- a/crates/mustard-tests/src/lib.rs
+++ b/crates/mustard-tests/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod child;
 pub mod cluster;
 pub mod errors;
+pub mod golden;
 pub mod http;
 pub mod operator;
 pub mod plan;
