--- a/crates/mustard-agent/tests/claims/main.rs
+++ b/crates/mustard-agent/tests/claims/main.rs
@@ -394,6 +394,27 @@
     });
 }
 
+#[test]
+fn call_claim_in_doubt_is_freed() {
+    run(async {
+        let mut world = World::new();
+        // The claim's answer and its repeats are lost until the caller's time is over.
+        world.table.switches().lose_answers(100);
+        world.call(0, 0, 0, 300);
+        sleep(Duration::from_secs(5)).await;
+        assert!(matches!(last(&world), Err(Refusal::PlatformDown { .. })));
+        assert_ne!(
+            world.table.peek(&row_key(SERVICE, OWNER, &name(0))).version,
+            0
+        );
+        world.heal().await;
+        world.call(1, 0, 0, 1_000);
+        sleep(Duration::from_secs(5)).await;
+        assert!(!last(&world).unwrap().replayed);
+        world.check();
+    });
+}
+
 #[test]
 fn commit_conflict_spares_the_batch() {
     run(async {
