--- a/crates/mustard-catalogue/src/rows.rs
+++ b/crates/mustard-catalogue/src/rows.rs
@@ -30,6 +30,7 @@
 
 /// The content of the head row and of history rows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct HeadRow {
     /// The change.
     pub seq: Seq,
--- a/crates/mustard-proto/src/lib.rs
+++ b/crates/mustard-proto/src/lib.rs
@@ -6,6 +6,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod admin;
 pub mod agent;
 pub mod catalogue;
 pub mod codec;
--- /dev/null
+++ b/crates/mustardctl/src/lib.rs
@@ -0,0 +1,13 @@
+//! The operators' command line client.
+
+#![forbid(unsafe_code)]
+
+pub mod cli;
+pub mod client;
+pub mod commands;
+pub mod errors;
+pub mod file;
+pub mod output;
+pub mod plan;
+
+pub use errors::{CtlError, Result};
