--- a/crates/mustardctl/src/commands/check.rs
+++ b/crates/mustardctl/src/commands/check.rs
@@ -1,5 +1,7 @@
 //! `mustardctl check-config`.
 
+use mustard_agent::settings::AgentSettings;
+use mustard_entry::settings::Settings as EntrySettings;
 use mustard_net::settings::{self, SettingsError};
 
 use crate::cli::{CheckConfig, Program};
@@ -37,14 +39,9 @@
 }
 
 fn entry(name: &str, text: &str) -> std::result::Result<(), SettingsError> {
-    settings::parse::<Nothing>(name, text).map(drop)
+    settings::parse::<EntrySettings>(name, text).map(drop)
 }
 
 fn agent(name: &str, text: &str) -> std::result::Result<(), SettingsError> {
-    settings::parse::<Nothing>(name, text).map(drop)
-}
-#[derive(serde::Deserialize)]
-struct Nothing {}
-impl settings::Settings for Nothing {
-    const FIELDS: &'static [settings::Field] = &[];
+    settings::parse::<AgentSettings>(name, text).map(drop)
 }
--- a/crates/mustardctl/tests/files.rs
+++ b/crates/mustardctl/tests/files.rs
@@ -134,3 +134,14 @@
     // An answer that does not say its outcome leaves it open.
     assert_eq!(refused(500, ""), EXIT_UNKNOWN);
 }
+
+/// Each example settings file is free of faults, and its program is recognised by its keys.
+#[tokio::test]
+async fn check_config_examples() {
+    use clap::Parser;
+    for file in std::fs::read_dir("../../examples/config").unwrap() {
+        let path = file.unwrap().path().display().to_string();
+        let cli = mustardctl::cli::Cli::parse_from(["mustardctl", "check-config", &path]);
+        mustardctl::commands::run(&cli).await.unwrap();
+    }
+}
