--- a/crates/mustard-bench/src/main.rs
+++ b/crates/mustard-bench/src/main.rs
@@ -4,6 +4,7 @@
 
 mod compare;
 mod decide;
+mod load;
 
 use clap::{Parser, Subcommand};
 
@@ -21,11 +22,14 @@
     Decide(decide::Args),
     /// Compares the product's policy with plain baselines.
     Compare(compare::Args),
+    /// Offers load to running entry processes.
+    Load(load::Args),
 }
 
 fn main() -> anyhow::Result<()> {
     match Cli::parse().command {
         Command::Decide(args) => decide::run(&args),
         Command::Compare(args) => compare::run(&args),
+        Command::Load(args) => load::run(&args),
     }
 }
