--- a/crates/mustard-agent/tests/claims/main.rs
+++ b/crates/mustard-agent/tests/claims/main.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bolero::{TypeGenerator, check};
+use bolero::{TypeGenerator, check, produce};
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 
@@ -276,8 +276,8 @@
 #[test]
 fn call_any_schedule() {
     check!()
-        .with_type::<Vec<Op>>()
-        .with_iterations(400)
+        .with_generator(produce::<Vec<Op>>().with().len(5..60usize))
+        .with_iterations(500)
         .for_each(|ops| {
             run(async {
                 let mut world = World::new();
--- a/crates/mustard-agent/tests/session/main.rs
+++ b/crates/mustard-agent/tests/session/main.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use bolero::{TypeGenerator, check};
+use bolero::{TypeGenerator, check, produce};
 
 use mustard_agent::session::{Begin, Limits, Sessions};
 use mustard_core::clock::Moment;
@@ -17,6 +17,7 @@
 use world::{Msg, STAGES, TOTAL, Waiter, World};
 
 const TOKENS: usize = 6;
+const REPEATS: u32 = 2;
 const SETTLE_ROUNDS: usize = 4_000;
 
 #[derive(Clone, Copy, Debug, TypeGenerator)]
@@ -40,6 +41,7 @@
     delivered: Vec<u32>,
     epoch: Epoch,
     last: Option<Step>,
+    repeats: u32,
 }
 
 impl Entry {
@@ -50,6 +52,7 @@
             delivered: Vec::new(),
             epoch: Epoch(0),
             last: None,
+            repeats: 0,
         }
     }
 
@@ -68,6 +71,7 @@
             });
         }
         self.epoch = self.epoch.next();
+        self.repeats = 0;
         let tokens = [&self.prompt[..], &self.delivered].concat();
         let opening = Some(world.opening());
         let step = self.step(0, tokens);
@@ -121,6 +125,10 @@
                 self.send(world, step);
             }
             Err(Refusal::Busy { .. }) => {}
+            Err(Refusal::NextFailed { .. }) if self.repeats < REPEATS => {
+                self.repeats += 1;
+                self.repeat(world);
+            }
             Err(_) => self.restart(world),
         }
     }
@@ -203,8 +211,8 @@
 #[test]
 fn begin_any_schedule() {
     check!()
-        .with_type::<Vec<Op>>()
-        .with_iterations(1_500)
+        .with_generator(produce::<Vec<Op>>().with().len(10..150usize))
+        .with_iterations(2_000)
         .for_each(|ops| {
             let mut world = World::new();
             let mut entries = [Entry::new(1, &[5, 6, 7]), Entry::new(2, &[8])];
