Fence orders by a number kept in the table

An order's number is written to the VM's row before the order is carried out, and a restarted agent reads it back before it takes any. A change of role waits for the running sequences and gives way to a higher number.

--- a/crates/mustard-agent/src/lib.rs
+++ b/crates/mustard-agent/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod calls;
 pub mod claims;
 pub mod errors;
+pub mod fence;
 pub mod names;
 pub mod run;
 pub mod server;
--- a/crates/mustard-agent/src/names.rs
+++ b/crates/mustard-agent/src/names.rs
@@ -32,3 +32,5 @@
 pub const TABLE_FAILURES: &str = "mustard_agent_table_failures_total";
 /// Claims older than the retention without a result, as the last sweep found them.
 pub const DOUBTFUL: &str = "mustard_agent_doubtful_claims";
+/// Orders by `result`: `done` or the name of a refusal.
+pub const ORDERS: &str = "mustard_agent_orders_total";
--- a/crates/mustard-agent/src/run.rs
+++ b/crates/mustard-agent/src/run.rs
@@ -47,7 +47,8 @@
     watch::look(&worker).await;
     tokio::task::spawn_local(watch::watch(worker.clone()));
     tokio::task::spawn_local(watch::sweep(worker.clone()));
-    tokio::task::spawn_local(watch::sweep_claims(worker));
+    tokio::task::spawn_local(watch::sweep_claims(worker.clone()));
+    tokio::task::spawn_local(watch::recall_fence(worker));
     let (daemon, listener) = Daemon::new(process, gate, log)
         .bind(listen)
         .map_err(|source| AgentError::Bind {
--- a/crates/mustard-agent/src/server/routes.rs
+++ b/crates/mustard-agent/src/server/routes.rs
@@ -6,7 +6,7 @@
 use ntex::web::{self, HttpResponse, ServiceConfig};
 
 use mustard_net::{metric, server};
-use mustard_proto::agent::{Call, Drain, Heartbeat, Settle, Void};
+use mustard_proto::agent::{Call, Drain, Heartbeat, Order, Settle, Void};
 use mustard_proto::step::{Cancel, Step};
 use mustard_proto::timeline::Timeline;
 use mustard_proto::{Envelope, Message, Refusal};
@@ -26,6 +26,7 @@
         .route(Call::PATH, web::post().to(call))
         .route(Void::PATH, web::post().to(void))
         .route(Settle::PATH, web::post().to(settle))
+        .route(Order::PATH, web::post().to(order))
         .route(Drain::PATH, web::post().to(drain))
         .route(Timeline::PATH, web::post().to(timeline))
         .route("/metrics", web::get().to(scrape))
@@ -96,6 +97,14 @@
     reply::<Settle>(&worker, result)
 }
 
+async fn order(worker: State<Worker>, payload: Payload) -> HttpResponse {
+    let result = match receive::<Order>(&worker, payload).await {
+        Ok(e) => stage::order(&worker, e.message).await,
+        Err(r) => Err(r),
+    };
+    reply::<Order>(&worker, result)
+}
+
 async fn drain(worker: State<Worker>, payload: Payload) -> HttpResponse {
     let result = receive::<Drain>(&worker, payload).await;
     let result = result.map(|e| {
--- a/crates/mustard-agent/src/shared.rs
+++ b/crates/mustard-agent/src/shared.rs
@@ -14,6 +14,7 @@
 use mustard_proto::agent::{AgentInfo, AgentState, Load, Role};
 
 use crate::claims::{Bounds, Claims, Keeper};
+use crate::fence::Watermark;
 use crate::session::{Limits, Sessions};
 use crate::settings::{AgentSettings, ServerKind};
 use crate::stage::deaths::Deaths;
@@ -48,6 +49,8 @@
     pub changing: AtomicBool,
     /// Keys of calls of the plain service.
     pub claims: Arc<Claims>,
+    /// The highest fencing number accepted.
+    pub fence: Watermark,
     /// Deaths of the engine.
     pub deaths: Mutex<Deaths>,
     stopping: AtomicBool,
@@ -85,6 +88,7 @@
             report: Duration::from_millis(s.report_ms),
         };
         Arc::new(Shared {
+            fence: Watermark::new(&settings.vm),
             process,
             gate,
             settings,
--- a/crates/mustard-agent/src/stage/mod.rs
+++ b/crates/mustard-agent/src/stage/mod.rs
@@ -2,6 +2,8 @@
 
 mod abandon;
 pub mod deaths;
+mod order;
 mod step;
 
+pub use order::order;
 pub use step::{cancel, step};
--- a/crates/mustard-agent/src/watch.rs
+++ b/crates/mustard-agent/src/watch.rs
@@ -27,6 +27,17 @@
     }
 }
 
+/// Reads the highest fencing number back, as often as it takes.
+pub async fn recall_fence(worker: Worker) {
+    if worker.shared.settings.kind != ServerKind::Engine {
+        return;
+    }
+    while let Err(r) = worker.shared.fence.recall(&worker.table).await {
+        let wait = Duration::from_millis(r.retry_ms().unwrap_or_default());
+        time::sleep(jittered(wait.max(WATCH_EVERY))).await;
+    }
+}
+
 /// Ends expired sessions until the process ends.
 pub async fn sweep(worker: Worker) {
     loop {
--- a/crates/mustard-agent/src/worker.rs
+++ b/crates/mustard-agent/src/worker.rs
@@ -61,10 +61,15 @@
             .emit(Some(request), EventKind::Cancelled { epoch });
         slog::debug!(self.shared.log, "stage: Session ended.";
             "request" => %request, "epoch" => epoch.0, "why" => closed.why.name());
+        self.cancel_sequence(SeqId { request, epoch });
+    }
+
+    /// Cancels a sequence at the engine, in the background.
+    pub fn cancel_sequence(&self, seq: SeqId) {
         let server = self.server.clone();
         tokio::task::spawn_local(async move {
             // An engine that does not answer loses the sequence anyway when it dies.
-            let _ = server.cancel(SeqId { request, epoch }).await;
+            let _ = server.cancel(seq).await;
         });
     }
 }
--- a/crates/mustard-agent/tests/session/main.rs
+++ b/crates/mustard-agent/tests/session/main.rs
@@ -112,16 +112,16 @@
         }
     }
 
-    fn take(&mut self, world: &mut World, epoch: Epoch, pos: u32, reply: Result<u32, Refusal>) {
+    fn take(&mut self, world: &mut World, epoch: Epoch, pos: u32, reply: &Result<u32, Refusal>) {
         let current = self.last.as_ref().is_some_and(|s| s.pos == pos) && epoch == self.epoch;
         if !current || self.is_done() {
             return;
         }
         match reply {
             Ok(token) => {
-                self.delivered.push(token);
+                self.delivered.push(*token);
                 let at = (self.prompt.len() + self.delivered.len() - 1) as u32;
-                let step = self.step(at, vec![token]);
+                let step = self.step(at, vec![*token]);
                 self.send(world, step);
             }
             Err(Refusal::Busy { .. }) => {}
@@ -137,7 +137,7 @@
 fn take_answers(world: &mut World, entries: &mut [Entry]) {
     for (request, epoch, pos, reply) in std::mem::take(&mut world.arrived) {
         let entry = entries.iter_mut().find(|e| e.request == request).unwrap();
-        entry.take(world, epoch, pos, reply);
+        entry.take(world, epoch, pos, &reply);
     }
 }
 
