--- a/crates/mustard-agent/tests/session/main.rs
+++ b/crates/mustard-agent/tests/session/main.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use bolero::{TypeGenerator, check};
+use bolero::{TypeGenerator, check, produce};
 
 use mustard_agent::session::{Begin, Limits, Sessions};
 use mustard_core::clock::Moment;
@@ -17,6 +17,7 @@
 use world::{Msg, STAGES, TOTAL, Waiter, World};
 
 const TOKENS: usize = 6;
+const REPEATS: u32 = 2;
 const SETTLE_ROUNDS: usize = 4_000;
 
 #[derive(Clone, Copy, Debug, TypeGenerator)]
@@ -40,6 +41,7 @@
     delivered: Vec<u32>,
     epoch: Epoch,
     last: Option<Step>,
+    repeats: u32,
 }
 
 impl Entry {
@@ -50,6 +52,7 @@
             delivered: Vec::new(),
             epoch: Epoch(0),
             last: None,
+            repeats: 0,
         }
     }
 
@@ -68,6 +71,7 @@
             });
         }
         self.epoch = self.epoch.next();
+        self.repeats = 0;
         let tokens = [&self.prompt[..], &self.delivered].concat();
         let opening = Some(world.opening());
         let step = self.step(0, tokens);
@@ -108,19 +112,23 @@
         }
     }
 
-    fn take(&mut self, world: &mut World, epoch: Epoch, pos: u32, reply: Result<u32, Refusal>) {
+    fn take(&mut self, world: &mut World, epoch: Epoch, pos: u32, reply: &Result<u32, Refusal>) {
         let current = self.last.as_ref().is_some_and(|s| s.pos == pos) && epoch == self.epoch;
         if !current || self.is_done() {
             return;
         }
         match reply {
             Ok(token) => {
-                self.delivered.push(token);
+                self.delivered.push(*token);
                 let at = (self.prompt.len() + self.delivered.len() - 1) as u32;
-                let step = self.step(at, vec![token]);
+                let step = self.step(at, vec![*token]);
                 self.send(world, step);
             }
             Err(Refusal::Busy { .. }) => {}
+            Err(Refusal::NextFailed { .. }) if self.repeats < REPEATS => {
+                self.repeats += 1;
+                self.repeat(world);
+            }
             Err(_) => self.restart(world),
         }
     }
@@ -129,7 +137,7 @@
 fn take_answers(world: &mut World, entries: &mut [Entry]) {
     for (request, epoch, pos, reply) in std::mem::take(&mut world.arrived) {
         let entry = entries.iter_mut().find(|e| e.request == request).unwrap();
-        entry.take(world, epoch, pos, reply);
+        entry.take(world, epoch, pos, &reply);
     }
 }
 
@@ -203,8 +211,8 @@
 #[test]
 fn begin_any_schedule() {
     check!()
-        .with_type::<Vec<Op>>()
-        .with_iterations(1_500)
+        .with_generator(produce::<Vec<Op>>().with().len(10..150usize))
+        .with_iterations(2_000)
         .for_each(|ops| {
             let mut world = World::new();
             let mut entries = [Entry::new(1, &[5, 6, 7]), Entry::new(2, &[8])];
