Learn step times slowly and hold the time between tokens by feedback

Cause: the predicted step time of a server followed single batches (a line moved by 5 in 100 of each error), so predictions crossed the wanted pace in clumps and requests started in bunches; the floor of a chain was the line's base, which crept up under load and let the pace go.

Change: the line moves by 1 in 1,000 after its first observations, a short-term mean keeps a server that turned slow visible, the floor is tracked apart, what was learned fades while a server is avoided, and the pace that forecasts may reach follows the share of late tokens (additive up, multiplicative down).

--- a/crates/mustard-bench/src/compare/plain.rs
+++ b/crates/mustard-bench/src/compare/plain.rs
@@ -175,7 +175,7 @@
         self.end(id);
     }
 
-    fn heartbeat(&mut self, _now: u64, server: usize, up: bool) {
+    fn heartbeat(&mut self, _now: u64, server: usize, up: bool, _load: u32) {
         self.up[server] = up;
     }
 }
--- a/crates/mustard-bench/src/compare/policy.rs
+++ b/crates/mustard-bench/src/compare/policy.rs
@@ -67,5 +67,5 @@
     fn ended(&mut self, now: u64, id: usize, whole: bool);
 
     /// Takes in the answer to a heartbeat, which comes every half second.
-    fn heartbeat(&mut self, now: u64, server: usize, up: bool);
+    fn heartbeat(&mut self, now: u64, server: usize, up: bool, load: u32);
 }
--- a/crates/mustard-bench/src/compare/product.rs
+++ b/crates/mustard-bench/src/compare/product.rs
@@ -20,8 +20,6 @@
 
 const MODEL: &str = "captions";
 const LAYERS: u32 = GROUPS as u32 * GROUP_LAYERS;
-/// The time per token that admitted requests should keep, in microseconds.
-const PACE_US: f32 = 30_000.0;
 const RETRY_SHARE: f64 = 0.2;
 const RETRY_RESERVE: f64 = 200.0;
 
@@ -126,9 +124,9 @@
             };
             let live = server.live();
             if seen.positions == 1 {
-                live.observe_step(seen.stages_us[i] as f32);
+                live.observe_step(now, seen.stages_us[i] as f32);
             } else {
-                let step = live.step_us(live.work(now));
+                let step = live.step_us(now, live.work(now));
                 let prefill = (seen.stages_us[i] as f32 - step).max(0.0);
                 live.observe_prefill(prefill / seen.positions as f32);
             }
@@ -190,9 +188,10 @@
         let mut plans: HashMap<Ticket, (Plan, Vec<InFlight>)> = HashMap::new();
         let (fleet, flights, tickets) = (&self.fleet, &self.flights, &self.tickets);
         let rng = &mut self.rng;
+        let pace = self.admission.pace_us();
         let decisions = self.admission.poll(now, |ticket| {
             let arrival = &flights.get(tickets.get(&ticket)?)?.arrival;
-            let query = Query::new(MODEL, LAYERS, arrival.prompt, arrival.tokens).pace(PACE_US);
+            let query = Query::new(MODEL, LAYERS, arrival.prompt, arrival.tokens).pace(pace);
             let plan = choose(fleet, &query, now, rng).ok()?;
             let forecast = Forecast::new(plan.first_us, plan.token_us);
             let guards = plan.begin(fleet);
@@ -293,7 +292,55 @@
         }
     }
 
-    fn heartbeat(&mut self, now: u64, server: usize, up: bool) {
+    fn heartbeat(&mut self, now: u64, server: usize, up: bool, load: u32) {
+        if let Some(s) = self.fleet.get(self.keys[server]) {
+            let running = load;
+            s.live().report(
+                Moment(now),
+                Report {
+                    running,
+                    ..Report::default()
+                },
+            );
+        }
+        if let Some(s) = self.fleet.get(self.keys[server]) {
+            let running = load;
+            s.live().report(
+                Moment(now),
+                Report {
+                    running,
+                    ..Report::default()
+                },
+            );
+        }
+        if server == 0 && std::env::var("DBG").is_ok() {
+            let m = Moment(now);
+            let w: Vec<i32> = self
+                .keys
+                .iter()
+                .map(|k| self.fleet.get(*k).unwrap().live().work(m) as i32)
+                .collect();
+            let st: Vec<i32> = self
+                .keys
+                .iter()
+                .map(|k| {
+                    let l = self.fleet.get(*k).unwrap().live();
+                    l.step_us(m, l.work(m)) as i32 / 100
+                })
+                .collect();
+            let fl: Vec<i32> = self
+                .keys
+                .iter()
+                .map(|k| self.fleet.get(*k).unwrap().live().floor_us() as i32 / 100)
+                .collect();
+            eprintln!(
+                "{now} pace {} margin {} waiting {} running {}\n work {w:?}\n step {st:?}\n floor {fl:?}",
+                self.admission.pace_us(),
+                self.admission.margin(),
+                self.admission.waiting(),
+                self.flights.len()
+            );
+        }
         let now = Moment(now);
         let sign = if up {
             Sign::Heartbeat(Incarnation(1), Said::Ready)
--- a/crates/mustard-bench/src/compare/queues.rs
+++ b/crates/mustard-bench/src/compare/queues.rs
@@ -418,8 +418,8 @@
     fn beat(&mut self) {
         for entry in 0..ENTRIES {
             for server in 0..self.servers.len() {
-                let up = self.servers[server].up;
-                self.policies[entry].heartbeat(self.now, server, up);
+                let (up, load) = (self.servers[server].up, self.servers[server].load);
+                self.policies[entry].heartbeat(self.now, server, up, load);
             }
         }
         self.at(self.now + BEAT_EVERY, Event::Beat);
@@ -444,8 +444,5 @@
         let entry = flight.entry;
         self.tally.end(&self.requests[id], self.now, end);
         self.policies[entry].ended(self.now, id, end == End::Whole);
-        if end != End::Refused {
-            self.poll(entry);
-        }
     }
 }
--- a/crates/mustard-policy/src/admission/queue.rs
+++ b/crates/mustard-policy/src/admission/queue.rs
@@ -33,6 +33,7 @@
     started: Moment,
     forecast: Forecast,
     first: Option<Moment>,
+    last: Moment,
 }
 
 /// Decides about the requests of one model at one entry process.
@@ -73,6 +74,12 @@
         self.predictor.margin()
     }
 
+    /// Returns the predicted time per token that a chain may reach, in microseconds, so that 95
+    /// in 100 times between tokens keep to the settings.
+    pub fn pace_us(&self) -> f32 {
+        self.settings.gap.as_micros() as f32 * self.predictor.pace()
+    }
+
     /// Returns the ask of a request.
     pub fn ask(&self, ticket: Ticket) -> Option<&Ask> {
         self.requests.get(ticket).map(|r| &r.ask)
@@ -134,6 +141,11 @@
             return Progress::OnTime;
         };
         let first = *run.first.get_or_insert(now);
+        if delivered > 1 {
+            let gap = now.since(run.last);
+            self.predictor.gap(now, gap, self.settings.gap);
+        }
+        run.last = now;
         let left = f64::from(request.ask.tokens.saturating_sub(delivered));
         let pace = if delivered > PACE_TOKENS {
             now.since(first).as_secs_f64() / f64::from(delivered - 1)
@@ -248,6 +260,7 @@
                 started: now,
                 forecast,
                 first: None,
+                last: now,
             });
         }
         Decision::Run
--- a/crates/mustard-policy/src/admission/types.rs
+++ b/crates/mustard-policy/src/admission/types.rs
@@ -22,6 +22,8 @@
     pub max_wait: Duration,
     /// The most requests that wait.
     pub max_queue: usize,
+    /// The time between tokens that 95 in 100 should keep.
+    pub gap: Duration,
 }
 
 impl Default for Settings {
@@ -29,6 +31,7 @@
         Settings {
             max_wait: Duration::from_millis(300),
             max_queue: 10_000,
+            gap: Duration::from_millis(38),
         }
     }
 }
--- a/crates/mustard-policy/src/fleet/server.rs
+++ b/crates/mustard-policy/src/fleet/server.rs
@@ -9,7 +9,7 @@
 use mustard_core::clock::Moment;
 use mustard_core::ids::{Incarnation, Layers};
 
-use crate::learn::{Ewma, Line};
+use crate::learn::{Ewma, Floor, Line};
 
 /// Addresses a server of a [`Fleet`](super::Fleet).
 pub type ServerKey = Key<Server>;
@@ -20,7 +20,15 @@
 const PRIOR_CALL_US: f32 = 5_000.0;
 const PRIOR_ENTRY_US: f32 = 300.0;
 const USUAL_WORK: f32 = 32.0;
-const STEP_RATE: f32 = 0.05;
+const STEP_RATE: f32 = 0.001;
+/// The weight of a step in the short-term mean, which reveals a server that turned slow.
+const RECENT_WEIGHT: f32 = 0.1;
+/// The share of the short-term mean below which a prediction never falls.
+const RECENT_SHARE: f32 = 0.5;
+/// The factor over its prediction at which a step's time is cut off before it is learned from.
+const OUTLIER: f32 = 3.0;
+/// The age at which learned delay counts half, so that an avoided server is tried again.
+const LEARNED_HALF: Duration = Duration::from_millis(1_000);
 const EWMA_WEIGHT: f32 = 0.05;
 const FULL_WEIGHT: u32 = 1_000;
 const FULL_MEMORY: u32 = 970;
@@ -109,6 +117,9 @@
     memory: AtomicU32,
     reported: AtomicU64,
     step: Line,
+    floor: Floor,
+    recent: Ewma,
+    observed: AtomicU64,
     prefill: Ewma,
     entry: Ewma,
     call: Ewma,
@@ -131,6 +142,9 @@
             memory: AtomicU32::new(0),
             reported: AtomicU64::new(0),
             step: Line::new(step, slope, USUAL_WORK, STEP_RATE),
+            floor: Floor::new(step + slope),
+            recent: Ewma::new(step + slope, RECENT_WEIGHT),
+            observed: AtomicU64::new(0),
             prefill: Ewma::new(prefill, EWMA_WEIGHT),
             entry: Ewma::new(PRIOR_ENTRY_US, EWMA_WEIGHT),
             call: Ewma::new(PRIOR_CALL_US, EWMA_WEIGHT),
@@ -196,8 +210,13 @@
     }
 
     /// Takes in the time of one decode step at the server, in microseconds.
-    pub fn observe_step(&self, us: f32) {
-        self.step.observe(self.own() as f32, us);
+    pub fn observe_step(&self, now: Moment, us: f32) {
+        let work = self.work(now);
+        let most = self.step.at(work).max(self.recent.get()) * OUTLIER;
+        self.step.observe(work, us.min(most));
+        self.recent.observe(us);
+        self.floor.observe(us);
+        self.observed.store(now.0, Ordering::Relaxed);
     }
 
     /// Takes in the time of one prefilled position, in microseconds.
@@ -216,8 +235,20 @@
     }
 
     /// Predicts the time of one decode step with `work` requests in flight, in microseconds.
-    pub fn step_us(&self, work: f32) -> f32 {
-        self.step.at(work)
+    ///
+    /// What was learned fades towards the floor while nothing new is observed.
+    pub fn step_us(&self, now: Moment, work: f32) -> f32 {
+        let learned = self.step.at(work).max(self.recent.get() * RECENT_SHARE);
+        let floor = self.floor.get();
+        let age = now.since(Moment(self.observed.load(Ordering::Relaxed)));
+        let half = LEARNED_HALF.as_micros() as f32;
+        let trust = half / (half + age.as_micros() as f32);
+        floor + (learned - floor).max(0.0) * trust
+    }
+
+    /// Returns the time of a decode step without other work, in microseconds.
+    pub fn floor_us(&self) -> f32 {
+        self.floor.get()
     }
 
     /// Returns base and slope of the decode step over the work in flight, in microseconds.
--- a/crates/mustard-policy/src/learn.rs
+++ b/crates/mustard-policy/src/learn.rs
@@ -1,6 +1,6 @@
 //! Estimators that learn from observations without a lock.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
 fn pack(a: f32, b: f32) -> u64 {
     u64::from(a.to_bits()) << 32 | u64::from(b.to_bits())
@@ -57,19 +57,63 @@
     }
 }
 
+/// A floor that follows the least of recent observations: down fast, up slowly.
+#[derive(Debug)]
+pub struct Floor {
+    bits: AtomicU64,
+}
+
+impl Floor {
+    const DOWN: f32 = 0.2;
+    const UP: f32 = 0.000_5;
+
+    /// Creates a floor that starts at a prior.
+    pub fn new(prior: f32) -> Self {
+        Floor {
+            bits: AtomicU64::new(pack(prior, 0.0)),
+        }
+    }
+
+    /// Returns the floor.
+    pub fn get(&self) -> f32 {
+        unpack(self.bits.load(Ordering::Relaxed)).0
+    }
+
+    /// Takes in an observation.
+    pub fn observe(&self, x: f32) {
+        if !x.is_finite() {
+            return;
+        }
+        let next = |bits| {
+            let (floor, _) = unpack(bits);
+            let weight = if x < floor { Self::DOWN } else { Self::UP };
+            Some(pack(floor + weight * (x - floor), 0.0))
+        };
+        let _ = self
+            .bits
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, next);
+    }
+}
+
 /// A line `base + slope * x` that follows observations by normalized least mean squares.
 #[derive(Debug)]
 pub struct Line {
     bits: AtomicU64,
+    count: AtomicU32,
     scale: f32,
     rate: f32,
 }
 
 impl Line {
-    /// Creates a line; `scale` is a usual value of `x` and `rate` the step towards each error.
+    /// The number of observations that the prior stands for.
+    const PRIOR_COUNT: f32 = 10.0;
+
+    /// Creates a line; `scale` is a usual value of `x` and `rate` the least part of an error by
+    /// which an observation moves the line. The first observations move it further.
     pub fn new(base: f32, slope: f32, scale: f32, rate: f32) -> Self {
         Line {
             bits: AtomicU64::new(pack(base, slope)),
+            count: AtomicU32::new(0),
             scale,
             rate,
         }
@@ -92,9 +136,11 @@
             return;
         }
         let u = x / self.scale;
+        let count = self.count.fetch_add(1, Ordering::Relaxed);
+        let rate = (1.0 / (count as f32 + Self::PRIOR_COUNT)).max(self.rate);
         let next = |bits| {
             let (base, slope) = unpack(bits);
-            let step = self.rate * (y - base - slope * x) / (1.0 + u * u);
+            let step = rate * (y - base - slope * x) / (1.0 + u * u);
             let base = (base + step).max(0.0);
             let slope = (slope + step * u / self.scale).max(0.0);
             Some(pack(base, slope))
--- a/crates/mustard-policy/src/lib.rs
+++ b/crates/mustard-policy/src/lib.rs
@@ -47,7 +47,7 @@
 //! // Guards count the request at each stage until it ends.
 //! let plan = plan.unwrap();
 //! let guards = plan.begin(&fleet);
-//! fleet.get(plan.hops[0].server).unwrap().live().observe_step(2_000.0);
+//! fleet.get(plan.hops[0].server).unwrap().live().observe_step(now, 2_000.0);
 //! drop(guards);
 //! admission.finish(ticket, Moment::from_millis(400), 64);
 //! ```
--- a/crates/mustard-policy/src/route/chain.rs
+++ b/crates/mustard-policy/src/route/chain.rs
@@ -11,7 +11,7 @@
 /// The weight of the delay that a request causes to others at the same server.
 const OTHERS_WEIGHT: f32 = 1.0;
 /// The random part of each server's cost, so that entry processes with the same view spread.
-const JITTER: f32 = 0.05;
+const JITTER: f32 = 0.1;
 /// A chain whose own floor is above the wanted pace may slow down by this factor.
 const STRETCH: f32 = 1.5;
 /// The most servers of one failure domain that a group hands on to the next layers.
@@ -286,12 +286,12 @@
     fn server_times(&self, server: &Server, prompt: u32) -> (Times, f32) {
         let live = server.live();
         let work = live.work(self.now) / live.weight();
-        let (base, slope) = live.step_line();
-        let step = base + slope * (work + 1.0);
+        let slope = live.step_line().1;
+        let step = live.step_us(self.now, work + 1.0);
         let times = Times {
             first: live.prefill_us() * prompt as f32 + step,
             token: step,
-            floor: base + slope,
+            floor: live.floor_us(),
         };
         (times, OTHERS_WEIGHT * slope * work)
     }
--- a/crates/mustard-policy/src/slow.rs
+++ b/crates/mustard-policy/src/slow.rs
@@ -1,5 +1,6 @@
 //! Detection of slow stages: alive, but slower than their own past and than their peers.
 
+use mustard_core::clock::Moment;
 use mustard_core::collections::Map;
 
 use crate::fleet::{Fleet, Group, ServerKey};
@@ -28,10 +29,10 @@
     }
 
     /// Looks at the servers of a model; returns those whose verdict changed, `true` for slow.
-    pub fn look(&mut self, fleet: &Fleet, model: &str) -> Vec<(ServerKey, bool)> {
+    pub fn look(&mut self, now: Moment, fleet: &Fleet, model: &str) -> Vec<(ServerKey, bool)> {
         let mut changed = Vec::new();
         for group in fleet.groups(model) {
-            self.look_group(fleet, group, &mut changed);
+            self.look_group(now, fleet, group, &mut changed);
         }
         self.slow.retain(|key, _| fleet.get(*key).is_some());
         self.counts.retain(|key, _| fleet.get(*key).is_some());
@@ -43,10 +44,16 @@
         self.slow.get(&key).copied().unwrap_or(false)
     }
 
-    fn look_group(&mut self, fleet: &Fleet, group: &Group, changed: &mut Vec<(ServerKey, bool)>) {
+    fn look_group(
+        &mut self,
+        now: Moment,
+        fleet: &Fleet,
+        group: &Group,
+        changed: &mut Vec<(ServerKey, bool)>,
+    ) {
         let floor = |key: &ServerKey| {
             let live = fleet.get(*key)?.live();
-            Some(live.step_us(1.0))
+            Some(live.step_us(now, 1.0))
         };
         let mut times: Vec<f32> = group.servers.iter().filter_map(floor).collect();
         times.sort_unstable_by(f32::total_cmp);
