--- /dev/null
+++ b/crates/mustard-agent/src/calls.rs
@@ -0,0 +1,117 @@
+//! Calls of the plain service.
+
+use metrics::counter;
+use tokio::sync::oneshot;
+
+use mustard_backend::BackendError;
+use mustard_backend::service::{PlainService, ServiceAnswer, ServiceCall};
+use mustard_core::ids::Seq;
+use mustard_net::shutdown::Pass;
+use mustard_proto::Refusal;
+use mustard_proto::agent::{Call, CallAnswer, Settle, Void, VoidAnswer};
+
+use crate::names;
+use crate::session::Result;
+use crate::worker::Worker;
+
+/// Makes a call; `seq` is the newest catalogue change of the sender.
+///
+/// # Errors
+///
+/// [`Refusal::ran`] tells whether the service may have run the call.
+pub async fn call(worker: &Worker, seq: Seq, call: Call) -> Result<CallAnswer> {
+    let have = worker.shared.process.newest();
+    if seq < have {
+        return Err(Refusal::StaleCatalogue { have });
+    }
+    check_service(worker, &call.service)?;
+    if call.deadline_ms == 0 {
+        return Err(Refusal::Expired);
+    }
+    let pass = worker.shared.gate.enter().ok_or(Refusal::Leaving)?;
+    let result = match call.key {
+        Some(_) => keyed(worker, call, pass).await,
+        None => plain(worker, call).await,
+    };
+    let name = result.as_ref().map_or_else(Refusal::name, |_| "done");
+    counter!(names::CALLS, "result" => name).increment(1);
+    result
+}
+
+/// Makes a key final that has not run.
+///
+/// # Errors
+///
+/// See [`Claims::void`](crate::claims::Claims::void).
+pub async fn void(worker: &Worker, message: &Void) -> Result<VoidAnswer> {
+    check_service(worker, &message.service)?;
+    worker.shared.claims.void(&worker.server, message).await
+}
+
+/// Ends the doubt about a key.
+///
+/// # Errors
+///
+/// See [`Claims::settle`](crate::claims::Claims::settle).
+pub async fn settle(worker: &Worker, message: &Settle) -> Result<VoidAnswer> {
+    check_service(worker, &message.service)?;
+    worker.shared.claims.settle(&worker.server, message).await
+}
+
+fn check_service(worker: &Worker, service: &str) -> Result<()> {
+    if worker.shared.settings.service.as_deref() == Some(service) {
+        return Ok(());
+    }
+    let what = service.to_owned();
+    Err(Refusal::NotHeld { what })
+}
+
+/// Makes a call with an idempotency key; it runs to its end even if the entry goes away.
+async fn keyed(worker: &Worker, call: Call, pass: Pass) -> Result<CallAnswer> {
+    let (tell, told) = oneshot::channel();
+    let Worker {
+        shared,
+        server,
+        table,
+        ..
+    } = worker.clone();
+    tokio::task::spawn_local(async move {
+        let result = shared.claims.call(&server, &table, call).await;
+        drop(pass);
+        let _ = tell.send(result);
+    });
+    told.await.unwrap_or(Err(Refusal::InDoubt))
+}
+
+/// Makes a call that may be repeated.
+async fn plain(worker: &Worker, call: Call) -> Result<CallAnswer> {
+    let out = ServiceCall {
+        method: call.method,
+        path: call.path,
+        content_type: call.content_type,
+        reference: None,
+        body: call.body,
+        limit_ms: call.deadline_ms,
+    };
+    let answer = worker.server.call(out).await.map_err(|e| refuse(&e))?;
+    Ok(into_answer(answer, false))
+}
+
+/// Describes the whole answer of the service to the entry.
+pub fn into_answer(answer: ServiceAnswer, replayed: bool) -> CallAnswer {
+    CallAnswer {
+        status: answer.status,
+        content_type: answer.content_type,
+        body: answer.body,
+        replayed,
+    }
+}
+
+/// Describes a failed call to the entry.
+pub fn refuse(e: &BackendError) -> Refusal {
+    Refusal::ServerFailed {
+        ran: e.ran(),
+        detail: e.to_string(),
+        suspects: 0,
+    }
+}
