--- a/crates/mustard-bench/src/compare/product.rs
+++ b/crates/mustard-bench/src/compare/product.rs
@@ -313,34 +313,6 @@
                 },
             );
         }
-        if server == 0 && std::env::var("DBG").is_ok() {
-            let m = Moment(now);
-            let w: Vec<i32> = self
-                .keys
-                .iter()
-                .map(|k| self.fleet.get(*k).unwrap().live().work(m) as i32)
-                .collect();
-            let st: Vec<i32> = self
-                .keys
-                .iter()
-                .map(|k| {
-                    let l = self.fleet.get(*k).unwrap().live();
-                    l.step_us(m, l.work(m)) as i32 / 100
-                })
-                .collect();
-            let fl: Vec<i32> = self
-                .keys
-                .iter()
-                .map(|k| self.fleet.get(*k).unwrap().live().floor_us() as i32 / 100)
-                .collect();
-            eprintln!(
-                "{now} pace {} margin {} waiting {} running {}\n work {w:?}\n step {st:?}\n floor {fl:?}",
-                self.admission.pace_us(),
-                self.admission.margin(),
-                self.admission.waiting(),
-                self.flights.len()
-            );
-        }
         let now = Moment(now);
         let sign = if up {
             Sign::Heartbeat(Incarnation(1), Said::Ready)
