--- a/crates/mustard-entry/src/app.rs
+++ b/crates/mustard-entry/src/app.rs
@@ -70,11 +70,12 @@
             &settings.domain,
             settings.members.subset,
         ));
+        let gap = Duration::from_millis(settings.admission.gap_ms);
         let queue = admission::Settings {
             max_wait: Duration::from_millis(settings.admission.max_wait_ms),
             max_queue: settings.admission.max_queue,
+            gap,
         };
-        let gap = Duration::from_millis(settings.admission.gap_ms);
         let admissions = Admissions::new(Arc::clone(&process), Arc::clone(&servers), queue, gap);
         let retries = Retries::new(settings.retry.share, settings.retry.reserve);
         Arc::new(Shared {
--- a/crates/mustard-entry/src/ports.rs
+++ b/crates/mustard-entry/src/ports.rs
@@ -154,7 +154,7 @@
             };
             server.live().report(now, report_of(load));
             if load.step_us > 0 {
-                server.live().observe_step(load.step_us as f32);
+                server.live().observe_step(now, load.step_us as f32);
             }
             if load.prefill_us > 0 {
                 server.live().observe_prefill(load.prefill_us as f32);
@@ -227,7 +227,7 @@
             return;
         };
         let live = server.live();
-        known += live.step_us(live.work(now));
+        known += live.step_us(now, live.work(now));
         if slots.is_empty() {
             known += live.entry_us();
         }
