--- /dev/null
+++ b/crates/mustard-agent/examples/group_commit.rs
@@ -0,0 +1,165 @@
+//! Measures bookings a second against table transactions a second for several batch sizes.
+//!
+//! Starts one agent beside the stand-in service and the stand-in platform for each batch size,
+//! and keeps a number of calls with fresh keys in flight.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use clap::Parser;
+
+use mustard_core::fingerprint::Fingerprint;
+use mustard_core::ids::{Incarnation, RequestId};
+use mustard_net::{CallError, Client, Process};
+use mustard_proto::agent::Call;
+use mustard_tests::child::Child;
+use mustard_tests::http::Ask;
+
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// Measures bookings a second against table transactions a second.
+#[derive(Debug, Parser)]
+struct Options {
+    /// Batch sizes, in rows.
+    #[arg(long, value_delimiter = ',', default_value = "1,8,64")]
+    batch: Vec<usize>,
+    /// Calls in flight.
+    #[arg(long, default_value_t = 64)]
+    flight: usize,
+    /// Time for each batch size, in seconds.
+    #[arg(long, default_value_t = 5)]
+    seconds: u64,
+    /// Time that a call of the table takes, in milliseconds.
+    #[arg(long, default_value_t = 5)]
+    table_ms: u64,
+    /// Writes a second that the table takes.
+    #[arg(long, default_value_t = 500)]
+    writes: u32,
+}
+
+#[derive(Default)]
+struct Tally {
+    micros: Vec<u64>,
+    refused: u64,
+}
+
+#[ntex::main]
+async fn main() -> anyhow::Result<()> {
+    let options = Options::parse();
+    let dir = std::env::temp_dir().join(format!("group-commit-{}", std::process::id()));
+    std::fs::create_dir_all(&dir)?;
+    println!("batch  bookings/s  refused/s  commits/s  reads/s  rows/commit  p50 ms  p99 ms");
+    for batch in &options.batch {
+        measure(&options, *batch, &dir).await?;
+    }
+    std::fs::remove_dir_all(&dir)?;
+    Ok(())
+}
+
+async fn measure(options: &Options, batch: usize, dir: &Path) -> anyhow::Result<()> {
+    let writes = ["--writes-rate".to_owned(), options.writes.to_string()];
+    let platform = Child::start("fake-platform", "platform", &writes, dir)?;
+    let slow = format!(r#"{{"part":"table","delay_ms":{}}}"#, options.table_ms);
+    Ask::post(platform.addr(), "/control", slow).send()?;
+    let service = Child::start("fake-service", "service", &[], dir)?;
+    let settings = format!(
+        "vm = \"a\"\ndomain = \"d\"\nlisten = \"127.0.0.1:0\"\nkind = \"service\"\n\
+         server = \"{}\"\nservice = \"s\"\ntable = \"{}\"\n[claims]\nbatch = {batch}\n\
+         [log]\nlevel = \"error\"\n",
+        service.addr(),
+        platform.addr()
+    );
+    let file = dir.join("agent.toml");
+    std::fs::write(&file, settings)?;
+    let args = ["--config".to_owned(), file.display().to_string()];
+    let agent = Child::start("mustard-agent", "agent", &args, dir)?;
+    let before = Instant::now();
+    let tally = drive(options, agent.addr()).await;
+    report(batch, before.elapsed(), tally, agent.addr())
+}
+
+async fn drive(options: &Options, agent: SocketAddr) -> Tally {
+    let process = Process::new("bench", 16);
+    let client = Client::new(process).await;
+    let end = Instant::now() + Duration::from_secs(options.seconds);
+    let workers: Vec<_> = (0..options.flight)
+        .map(|_| tokio::task::spawn_local(book_until(client.clone(), agent, end)))
+        .collect();
+    let mut all = Tally::default();
+    for worker in workers {
+        let part = worker.await.unwrap_or_default();
+        all.micros.extend(part.micros);
+        all.refused += part.refused;
+    }
+    all
+}
+
+async fn book_until(client: Client, agent: SocketAddr, end: Instant) -> Tally {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let mut tally = Tally::default();
+    while Instant::now() < end {
+        let id = NEXT.fetch_add(1, Ordering::Relaxed);
+        let start = Instant::now();
+        match client.call(agent, Incarnation(0), call(id), LIMIT).await {
+            Ok(_) => tally.micros.push(start.elapsed().as_micros() as u64),
+            Err(e) => {
+                tally.refused += 1;
+                back_off(&e).await;
+            }
+        }
+    }
+    tally
+}
+
+async fn back_off(e: &CallError) {
+    let retry_ms = match e {
+        CallError::Refused(r) => r.retry_ms().unwrap_or_default(),
+        _ => 0,
+    };
+    tokio::time::sleep(Duration::from_millis(retry_ms.max(1))).await;
+}
+
+fn call(id: u64) -> Call {
+    Call {
+        request: RequestId(u128::from(id)),
+        entry: "s".into(),
+        owner: "o".into(),
+        service: "s".into(),
+        key: Some(id.to_string()),
+        fingerprint: Fingerprint(u128::from(id)),
+        method: "POST".into(),
+        path: "/pages/1".into(),
+        content_type: "application/json".into(),
+        body: b"{}".to_vec(),
+        deadline_ms: 5_000,
+    }
+}
+
+fn report(batch: usize, took: Duration, mut t: Tally, agent: SocketAddr) -> anyhow::Result<()> {
+    let text = Ask::get(agent, "/metrics").send()?.body;
+    let metric = |name: &str| -> f64 {
+        let line = text.lines().find(|l| l.starts_with(name));
+        let value = line.and_then(|l| l.rsplit(' ').next());
+        value.and_then(|v| v.parse().ok()).unwrap_or(0.0)
+    };
+    t.micros.sort_unstable();
+    let at = |share: f64| {
+        let index = (t.micros.len() as f64 * share) as usize;
+        t.micros.get(index).copied().unwrap_or_default() as f64 / 1e3
+    };
+    let seconds = took.as_secs_f64();
+    let commits = metric("mustard_agent_table_commits_total");
+    println!(
+        "{batch:>5}  {:>10.0}  {:>9.0}  {:>9.0}  {:>7.0}  {:>11.1}  {:>6.1}  {:>6.1}",
+        t.micros.len() as f64 / seconds,
+        t.refused as f64 / seconds,
+        commits / seconds,
+        metric("mustard_agent_table_reads_total") / seconds,
+        2.0 * t.micros.len() as f64 / commits.max(1.0),
+        at(0.5),
+        at(0.99),
+    );
+    Ok(())
+}
--- a/crates/mustard-agent/src/claims/call.rs
+++ b/crates/mustard-agent/src/claims/call.rs
@@ -4,27 +4,26 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use slog::{Logger, info, warn};
+use slog::Logger;
 use tokio::sync::oneshot;
 use tokio::time::{self, Instant};
 
-use mustard_backend::service::{PlainService, ServiceCall};
-use mustard_core::event::EventKind;
-use mustard_core::ids::RequestId;
+use mustard_backend::service::PlainService;
 use mustard_net::Process;
 use mustard_net::shutdown::Gate;
 use mustard_platform::table::{Row, Table};
+use mustard_proto::Refusal;
 use mustard_proto::agent::{Call, CallAnswer};
-use mustard_proto::{Ran, Refusal};
 
 use super::book::{Book, Found, Hold, Rest, differ};
 use super::keeper::Keeper;
+use super::key::Key;
 use super::op::{Commit, Expect};
-use super::row::{ClaimState, KeptAnswer, reference, row_key};
+use super::row::{ClaimState, KeptAnswer};
+use super::send::Claim;
 use super::{Result, TABLE};
 use crate::calls;
 
-const MAX_KEY_LEN: usize = 256;
 const CLAIM_ROUNDS: usize = 4;
 const RETRY_MS: u64 = 1_000;
 
@@ -48,42 +47,11 @@
     count: AtomicU64,
 }
 
-/// One key with what identifies it to the table and to the service.
-#[derive(Clone, Debug)]
-pub(super) struct Key {
-    /// The key of the row.
-    pub(super) row: String,
-    /// The reference at the service.
-    pub(super) reference: String,
-}
-
-impl Key {
-    /// Checks the parts of a key and puts them together.
-    pub(super) fn new(service: &str, owner: &str, key: &str) -> Result<Self> {
-        let fits = !key.is_empty() && key.len() <= MAX_KEY_LEN && !owner.contains('/');
-        if !fits {
-            let detail = format!("key needs 1 to {MAX_KEY_LEN} bytes");
-            return Err(Refusal::Malformed { detail });
-        }
-        Ok(Key {
-            row: row_key(service, owner, key),
-            reference: reference(service, owner, key),
-        })
-    }
-}
-
-/// A claim that was written.
-struct Claim {
-    number: u64,
-    over: u64,
-    key: Key,
-    deadline: Instant,
-}
-
 /// The end of a call and what remains of its key in memory.
-type Ended = (Result<CallAnswer>, Rest, Option<oneshot::Receiver<Commit>>);
+pub(super) type Ended = (Result<CallAnswer>, Rest, Option<oneshot::Receiver<Commit>>);
 
-fn plainly(result: Result<CallAnswer>) -> Ended {
+/// Ends a call of which nothing remains in memory.
+pub(super) fn plainly(result: Result<CallAnswer>) -> Ended {
     (result, Rest::Nothing, None)
 }
 
@@ -280,92 +248,6 @@
             _ => Err(Refusal::InDoubt),
         }
     }
-
-    /// Sends a claimed call to the service.
-    async fn send<S: PlainService>(&self, service: &S, call: Call, claim: Claim) -> Ended {
-        let request = Some(call.request);
-        let reference = claim.key.reference.clone();
-        let key = reference.clone();
-        self.process.emit(request, EventKind::Claimed { key });
-        // A claimant that was paused past its deadline must not send any more.
-        let left = claim.deadline.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            return self.give_up(&claim, Refusal::Expired);
-        }
-        let key = reference.clone();
-        self.process.emit(request, EventKind::CallSent { key });
-        let content = call.fingerprint;
-        let id = call.request;
-        let out = ServiceCall {
-            method: call.method,
-            path: call.path,
-            content_type: call.content_type,
-            reference: Some(reference),
-            body: call.body,
-            limit_ms: left.as_millis() as u64,
-        };
-        match service.call(out).await {
-            Ok(answer) => {
-                let answer = calls::into_answer(answer, false);
-                self.record(id, content, answer, &claim)
-            }
-            Err(e) if e.ran() == Ran::No => self.give_up(&claim, calls::refuse(&e)),
-            Err(e) => {
-                warn!(self.log, "claims: Call gave no answer."; "request" => %id, "cause" => %e);
-                match service.lookup(&claim.key.reference).await {
-                    Ok(Some(found)) => {
-                        let answer = calls::into_answer(found, false);
-                        self.record(id, content, answer, &claim)
-                    }
-                    _ => plainly(Err(calls::refuse(&e))),
-                }
-            }
-        }
-    }
-
-    /// Keeps the answer of a call and writes it behind.
-    fn record(
-        &self,
-        request: RequestId,
-        content: mustard_core::fingerprint::Fingerprint,
-        answer: CallAnswer,
-        claim: &Claim,
-    ) -> Ended {
-        let key = claim.key.reference.clone();
-        let status = answer.status;
-        self.process
-            .emit(Some(request), EventKind::CallDone { key, status });
-        info!(self.log, "claims: Call done."; "request" => %request, "status" => status);
-        let state = ClaimState::Done {
-            fingerprint: Some(content),
-            answer: KeptAnswer::of(&answer),
-            at: self.process.wall_ms(),
-        };
-        let written = self.behind(claim, &state);
-        (
-            Ok(answer.clone()),
-            Rest::Kept(Some(content), answer),
-            Some(written),
-        )
-    }
-
-    /// Gives up a claim whose call was certainly not sent.
-    fn give_up(&self, claim: &Claim, refusal: Refusal) -> Ended {
-        let at = self.process.wall_ms();
-        let written = self.behind(claim, &ClaimState::Free { at });
-        (Err(refusal), Rest::Freeing, Some(written))
-    }
-
-    fn behind(&self, claim: &Claim, state: &ClaimState) -> oneshot::Receiver<Commit> {
-        let expect = Expect::Claim {
-            by: self.process.incarnation(),
-            number: claim.number,
-            over: claim.over,
-        };
-        let pass = self.gate.enter_always();
-        self.keeper
-            .write_behind(&claim.key.row, expect, state, pass)
-    }
 }
 
 /// Marks an answer as a replay.
--- a/crates/mustard-agent/src/claims/foreign.rs
+++ b/crates/mustard-agent/src/claims/foreign.rs
@@ -10,7 +10,8 @@
 use mustard_proto::agent::CallAnswer;
 
 use super::Result;
-use super::call::{Claims, Key};
+use super::call::Claims;
+use super::key::Key;
 use super::op::Expect;
 use super::row::{ClaimState, KeptAnswer};
 use crate::calls;
--- a/crates/mustard-agent/src/claims/mod.rs
+++ b/crates/mustard-agent/src/claims/mod.rs
@@ -9,16 +9,20 @@
 mod call;
 mod foreign;
 mod keeper;
+mod key;
 mod op;
 mod row;
+mod send;
 mod settle;
 mod sweep;
+mod writer;
 
 pub use call::{Bounds, Claims};
-pub use keeper::{Keeper, KeeperLoop, Pace};
+pub use keeper::{Keeper, Pace};
 pub use op::{Commit, Expect};
 pub use row::{ClaimState, KeptAnswer, reference, row_key};
 pub use sweep::{Sweeper, Swept};
+pub use writer::Writer;
 
 use mustard_proto::Refusal;
 
--- a/crates/mustard-agent/src/claims/settle.rs
+++ b/crates/mustard-agent/src/claims/settle.rs
@@ -12,7 +12,8 @@
 
 use super::Result;
 use super::book::Found;
-use super::call::{Claims, Key, replay, table_down};
+use super::call::{Claims, replay, table_down};
+use super::key::Key;
 use super::op::{Commit, Expect};
 use super::row::{ClaimState, KeptAnswer};
 
--- a/crates/mustard-agent/src/session/mod.rs
+++ b/crates/mustard-agent/src/session/mod.rs
@@ -6,12 +6,14 @@
 //! refused.
 
 mod check;
+mod one;
 mod table;
 mod tombs;
 mod work;
 
 pub use check::check_opening;
-pub use table::{Begin, Closed, Ended, Limits, Sessions, Ticket};
+pub use one::{Closed, Ended, Ticket};
+pub use table::{Begin, Limits, Sessions};
 pub use work::{Onward, Work};
 
 use mustard_proto::Refusal;
--- a/crates/mustard-agent/src/session/table.rs
+++ b/crates/mustard-agent/src/session/table.rs
@@ -9,9 +9,10 @@
 use mustard_core::fingerprint::Fingerprint;
 use mustard_core::ids::{Epoch, RequestId};
 use mustard_proto::Refusal;
-use mustard_proto::step::{Hop, Opening, Step};
+use mustard_proto::step::Step;
 
 use super::Result;
+use super::one::{Closed, Ended, Session, Ticket};
 use super::tombs::Tombs;
 use super::work::{Onward, Phase, Work};
 
@@ -33,58 +34,6 @@
     pub report: Duration,
 }
 
-/// Why a session ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Ended {
-    /// The entry cancelled it.
-    Cancelled,
-    /// A newer attempt took its place.
-    Superseded,
-    /// Its deadline passed.
-    Expired,
-    /// No step came for a long time.
-    Silent,
-    /// The caller of a running step went away.
-    Abandoned,
-    /// The engine lost its sequence or may have run a step.
-    Broken,
-}
-
-/// A session that ended; its sequence is to be cancelled at the engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Closed {
-    /// The request.
-    pub request: RequestId,
-    /// The attempt.
-    pub epoch: Epoch,
-    /// Why it ended.
-    pub why: Ended,
-}
-
-/// Refers to a step under way.
-#[derive(Clone, Debug)]
-pub struct Ticket {
-    /// The request.
-    pub request: RequestId,
-    /// The attempt.
-    pub epoch: Epoch,
-    /// The work of the step.
-    pub work: Work,
-    /// The opening of the attempt.
-    pub opening: Arc<Opening>,
-    /// The place of this stage in the chain.
-    pub stage: u32,
-    /// The deadline of the attempt.
-    pub deadline: Moment,
-}
-
-impl Ticket {
-    /// Returns the next agent of the chain, or none after the last stage.
-    pub fn next_hop(&self) -> Option<&Hop> {
-        self.opening.chain.get(self.stage as usize + 1)
-    }
-}
-
 /// What is to be done for a step.
 #[derive(Clone, Debug)]
 pub enum Begin {
@@ -101,21 +50,6 @@
     Resend(Ticket, Onward),
 }
 
-struct Session<G> {
-    request: RequestId,
-    epoch: Epoch,
-    stage: u32,
-    next: u32,
-    phase: Phase,
-    last: Option<(Work, u32)>,
-    opening: Arc<Opening>,
-    deadline: Moment,
-    seen: Moment,
-    reported: Option<Moment>,
-    // Held for its drop, which ends the count of a session in flight.
-    _guard: G,
-}
-
 /// All sessions of a stage; `G` is a guard that lives as long as its session.
 pub struct Sessions<G> {
     limits: Limits,
@@ -398,38 +332,3 @@
         self.arena.remove(key).map(|s| s.epoch)
     }
 }
-
-impl<G> Session<G> {
-    fn ticket(&self, work: Work) -> Ticket {
-        Ticket {
-            request: self.request,
-            epoch: self.epoch,
-            work,
-            opening: Arc::clone(&self.opening),
-            stage: self.stage,
-            deadline: self.deadline,
-        }
-    }
-
-    fn over(&self, now: Moment, idle: Duration) -> Option<Ended> {
-        if now >= self.deadline {
-            return Some(Ended::Expired);
-        }
-        let running = matches!(self.phase, Phase::Engine(_) | Phase::Next(..));
-        (!running && now.since(self.seen) >= idle).then_some(Ended::Silent)
-    }
-}
-
-impl Ended {
-    /// Returns the stable name used in metrics and logs.
-    pub fn name(self) -> &'static str {
-        match self {
-            Ended::Cancelled => "cancelled",
-            Ended::Superseded => "superseded",
-            Ended::Expired => "expired",
-            Ended::Silent => "silent",
-            Ended::Abandoned => "abandoned",
-            Ended::Broken => "broken",
-        }
-    }
-}
--- a/crates/mustard-agent/src/stage/mod.rs
+++ b/crates/mustard-agent/src/stage/mod.rs
@@ -2,7 +2,9 @@
 
 mod abandon;
 pub mod deaths;
+mod failure;
 mod order;
+mod run;
 mod step;
 
 pub use order::order;
