--- a/crates/mustard-bench/src/main.rs
+++ b/crates/mustard-bench/src/main.rs
@@ -5,6 +5,7 @@
 mod compare;
 mod decide;
 mod load;
+mod slopes;
 
 use clap::{Parser, Subcommand};
 
@@ -24,6 +25,8 @@
     Compare(compare::Args),
     /// Offers load to running entry processes.
     Load(load::Args),
+    /// Measures what control costs against the counts that will grow.
+    Slopes(slopes::Args),
 }
 
 fn main() -> anyhow::Result<()> {
@@ -31,5 +34,6 @@
         Command::Decide(args) => decide::run(&args),
         Command::Compare(args) => compare::run(&args),
         Command::Load(args) => load::run(&args),
+        Command::Slopes(args) => slopes::run(&args),
     }
 }
