Add the operators' paths to the entry; run drafts apart after two deaths

Change: status, drain, settle and quarantine. A draft under which servers died twice goes on only while no other suspect runs, so that a third death shows which content caused it; after a first death the batch goes on at once. A wait for that ends with the deadline. Run: the tests of mustard-entry and mustard-tests, all green.

--- a/crates/mustard-entry/src/api/completions.rs
+++ b/crates/mustard-entry/src/api/completions.rs
@@ -6,7 +6,7 @@
 use ntex::web::types::Payload;
 use ntex::web::{HttpRequest, HttpResponse};
 use tokio::sync::oneshot;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use mustard_core::catalogue::{Class, Entry, Target};
 use mustard_core::fingerprint::Fingerprint;
@@ -127,6 +127,7 @@
             entry: entry.name.clone(),
             key: arrival.key,
             fingerprint: job.fingerprint,
+            deadline: job.deadline,
         },
         job,
         stream: body.stream,
@@ -183,13 +184,15 @@
     let shared = &worker.shared;
     let now = shared.process.now();
     let suspect = shared.harm.standing(now, rights.fingerprint) == Standing::Suspect;
-    let _apart = match suspect {
-        true => shared.harm.apart().await,
+    let apart = match suspect {
+        true => timeout_at(job.deadline, shared.harm.apart())
+            .await
+            .map_err(|_| ApiError::DeadlinePassed)?,
         false => None,
     };
     let admitted = shared.admissions.admit(wish).await?;
     let wanted = job.wanted;
-    let ports = NetPorts::new(Rc::clone(worker), rights, admitted, wanted);
+    let ports = NetPorts::new(Rc::clone(worker), rights, admitted, apart, wanted);
     let drive = &shared.settings.drive;
     let limits = StepLimits {
         step: Duration::from_millis(drive.step_ms),
--- a/crates/mustard-entry/src/api/mod.rs
+++ b/crates/mustard-entry/src/api/mod.rs
@@ -8,6 +8,7 @@
 pub mod draft;
 pub mod errors;
 pub mod health;
+pub mod operate;
 pub mod peers;
 pub mod problem;
 pub mod services;
@@ -34,6 +35,7 @@
         .service(web::resource("/readyz").route(web::get().to(health::ready)))
         .service(web::resource("/metrics").route(web::get().to(health::metrics)));
     admin::routes(config);
+    operate::routes(config);
     peers::routes(config);
 }
 
--- a/crates/mustard-entry/src/api/services.rs
+++ b/crates/mustard-entry/src/api/services.rs
@@ -57,13 +57,14 @@
     let call = call_of(answer, request, &entry, &arrival.body, time)?;
     let _permit = quotas::permit(worker, &entry).await?;
     note_start(worker, answer, &entry);
+    let deadline = arrival.at + Duration::from_millis(time);
     let rights = Rights {
         entry: entry.name.clone(),
         key: arrival.key,
         fingerprint: call.fingerprint,
+        deadline,
     };
     let ports = NetCalls::new(Rc::clone(worker), rights);
-    let deadline = arrival.at + Duration::from_millis(time);
     Ok(calls::run(&ports, call, deadline).await?)
 }
 
--- a/crates/mustard-entry/src/app.rs
+++ b/crates/mustard-entry/src/app.rs
@@ -1,9 +1,10 @@
 //! What the parts of the daemon share.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -50,6 +51,7 @@
     pub retries: Retries,
     /// Renders the metrics.
     pub metrics: PrometheusHandle,
+    addr: OnceLock<SocketAddr>,
     listed: AtomicBool,
     draining: AtomicBool,
 }
@@ -85,6 +87,7 @@
             quotas: Quotas::default(),
             harm: Arc::default(),
             retries,
+            addr: OnceLock::new(),
             listed: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             process,
@@ -95,6 +98,16 @@
         })
     }
 
+    /// Sets the address that the process listens on.
+    pub fn set_addr(&self, addr: SocketAddr) {
+        let _ = self.addr.set(addr);
+    }
+
+    /// Returns the address that the process listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr.get().copied().unwrap_or(self.settings.listen)
+    }
+
     /// Notes that the platform's list of VMs was read.
     pub fn set_listed(&self) {
         self.listed.store(true, Ordering::Release);
--- a/crates/mustard-entry/src/drive/errors.rs
+++ b/crates/mustard-entry/src/drive/errors.rs
@@ -89,6 +89,7 @@
             Veto::Quarantined => DriveError::Quarantined { last },
             Veto::Revoked => DriveError::Revoked,
             Veto::Budget => DriveError::Budget { last },
+            Veto::Late => DriveError::Deadline,
         }
     }
 
--- a/crates/mustard-entry/src/drive/mod.rs
+++ b/crates/mustard-entry/src/drive/mod.rs
@@ -98,7 +98,7 @@
         let mut last = None;
         for _ in 0..self.attempts {
             self.check_deadline()?;
-            if let Some(veto) = self.ports.veto() {
+            if let Err(veto) = self.ports.allow().await {
                 return Err(self.fail(DriveError::vetoed(veto, last)));
             }
             let chain = match self.choose().await {
--- a/crates/mustard-entry/src/drive/ports.rs
+++ b/crates/mustard-entry/src/drive/ports.rs
@@ -48,6 +48,8 @@
     Revoked,
     /// The budget for retries is used up.
     Budget,
+    /// The deadline passed while other suspects ran.
+    Late,
 }
 
 /// The driver's way to agents, decisions and the catalogue.
@@ -80,8 +82,12 @@
     /// Takes in why a step failed at an agent.
     fn blame(&self, agent: &str, error: &CallError);
 
-    /// Tells why no further attempt may be made, if that is so.
-    fn veto(&self) -> Option<Veto>;
+    /// Waits until an attempt may be made.
+    ///
+    /// # Errors
+    ///
+    /// Returns why none may be made.
+    async fn allow(&self) -> std::result::Result<(), Veto>;
 
     /// Takes in that tokens were delivered; tells whether the rest can still come in time.
     fn on_time(&self, delivered: u32) -> bool;
--- a/crates/mustard-entry/src/ports.rs
+++ b/crates/mustard-entry/src/ports.rs
@@ -1,10 +1,11 @@
 //! The driver's ports over the network.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::timeout;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use mustard_core::fingerprint::{Fingerprint, KeyHash};
 use mustard_core::ids::{Epoch, RequestId, Seq};
@@ -25,6 +26,7 @@
 const PROBE_LIMIT: Duration = Duration::from_millis(150);
 const CANCEL_LIMIT: Duration = Duration::from_secs(2);
 const CANCEL_TRIES: u32 = 2;
+const DEATHS_TO_SUSPECT: u32 = 2;
 const RETRY: Duration = Duration::from_millis(500);
 
 /// What one draft may use, under which entry of the catalogue.
@@ -35,6 +37,8 @@
     pub key: KeyHash,
     /// The digest of the content.
     pub fingerprint: Fingerprint,
+    /// When the whole answer must be there.
+    pub deadline: Instant,
 }
 
 /// Reaches the agents for one draft through the connections of one worker thread.
@@ -43,19 +47,31 @@
     rights: Rights,
     admitted: RefCell<Admitted>,
     tokens: u32,
-    attempts: RefCell<u32>,
+    attempts: Cell<u32>,
+    deaths: Cell<u32>,
+    apart: RefCell<Option<OwnedSemaphorePermit>>,
     exposure: RefCell<Option<Exposure>>,
 }
 
 impl NetPorts {
     /// Creates the ports of an admitted draft of `tokens` tokens.
-    pub fn new(worker: Rc<Worker>, rights: Rights, admitted: Admitted, tokens: u32) -> Self {
+    ///
+    /// A draft whose content is suspect already holds the permit to run apart from others.
+    pub fn new(
+        worker: Rc<Worker>,
+        rights: Rights,
+        admitted: Admitted,
+        apart: Option<OwnedSemaphorePermit>,
+        tokens: u32,
+    ) -> Self {
         NetPorts {
             worker,
             rights,
             admitted: RefCell::new(admitted),
             tokens,
-            attempts: RefCell::new(0),
+            attempts: Cell::new(0),
+            deaths: Cell::new(0),
+            apart: RefCell::new(apart),
             exposure: RefCell::new(None),
         }
     }
@@ -70,6 +86,21 @@
         self.admitted.into_inner().finish(self.tokens);
     }
 
+    /// Waits until no other suspect runs, if servers died under this draft more than once.
+    ///
+    /// One death is more likely the server's own; the rest of its batch goes on at once.
+    async fn run_apart(&self) -> Result<(), Veto> {
+        let shared = &self.worker.shared;
+        let alone = self.apart.borrow().is_some();
+        if alone || self.deaths.get() < DEATHS_TO_SUSPECT {
+            return Ok(());
+        }
+        *self.exposure.borrow_mut() = None;
+        let permit = timeout_at(self.rights.deadline, shared.harm.apart()).await;
+        *self.apart.borrow_mut() = permit.map_err(|_| Veto::Late)?;
+        Ok(())
+    }
+
     fn chosen(&self, want: &Want) -> Option<Chain> {
         if let Some(chain) = self.admitted.borrow_mut().chain() {
             return Some(chain);
@@ -172,32 +203,30 @@
     fn blame(&self, agent: &str, error: &CallError) {
         self.worker.shared.servers.failed(agent, error);
         if is_death(error) {
+            self.deaths.set(self.deaths.get() + 1);
             harm::note_death(&self.worker, agent);
         }
     }
 
-    fn veto(&self) -> Option<Veto> {
+    async fn allow(&self) -> Result<(), Veto> {
         let shared = &self.worker.shared;
-        let mut attempts = self.attempts.borrow_mut();
-        *attempts += 1;
+        let attempt = self.attempts.get() + 1;
+        self.attempts.set(attempt);
+        match attempt {
+            1 => shared.retries.earn(),
+            _ if !shared.retries.spend() => return Err(Veto::Budget),
+            _ => {}
+        }
+        self.run_apart().await?;
         let now = shared.process.now();
         let standing = shared.harm.standing(now, self.rights.fingerprint);
         if matches!(standing, Standing::Quarantined(_)) {
-            return Some(Veto::Quarantined);
+            return Err(Veto::Quarantined);
         }
         let catalogue = shared.catalogue.current();
-        if catalogue
-            .find(&self.rights.key, &self.rights.entry)
-            .is_none()
-        {
-            return Some(Veto::Revoked);
-        }
-        match *attempts {
-            1 => {
-                shared.retries.earn();
-                None
-            }
-            _ => (!shared.retries.spend()).then_some(Veto::Budget),
+        match catalogue.find(&self.rights.key, &self.rights.entry) {
+            Some(_) => Ok(()),
+            None => Err(Veto::Revoked),
         }
     }
 
--- a/crates/mustard-entry/src/serve.rs
+++ b/crates/mustard-entry/src/serve.rs
@@ -34,6 +34,7 @@
     let shared = Shared::new(Arc::clone(&process), settings, operators, logger, metrics);
     let daemon = Daemon::new(process, Arc::clone(&shared.gate), shared.log.clone());
     let (daemon, listener) = daemon.bind(shared.settings.listen)?;
+    shared.set_addr(daemon.addr());
     let running = listen(&shared, listener)?;
     start_tasks(&shared).await;
     let drain = &shared.settings.drain;
--- a/crates/mustard-entry/src/servers/mod.rs
+++ b/crates/mustard-entry/src/servers/mod.rs
@@ -192,7 +192,7 @@
     }
 
     /// Takes in the state that an agent reports.
-    pub fn heard(&self, vm: &str, info: &AgentInfo, round_trip: Duration) {
+    pub fn heard(&self, vm: &str, info: &AgentInfo, round_trip: Option<Duration>) {
         let now = self.process.now();
         let facts = {
             let mut book = self.lock();
@@ -217,7 +217,9 @@
         }
         if let Some(live) = self.live(vm) {
             live.report(now, report_of(&info.load));
-            live.observe_entry(round_trip.as_micros() as f32);
+            if let Some(took) = round_trip {
+                live.observe_entry(took.as_micros() as f32);
+            }
         }
         self.sign(vm, Sign::Heartbeat(info.incarnation, said_of(info.state)));
     }
--- a/crates/mustard-entry/src/servers/watch.rs
+++ b/crates/mustard-entry/src/servers/watch.rs
@@ -92,7 +92,7 @@
         .await;
     let name = &known.vm.name;
     match answer {
-        Ok(info) => servers.heard(name, &info, started.elapsed()),
+        Ok(info) => servers.heard(name, &info, Some(started.elapsed())),
         Err(CallError::NotSent(_)) => servers.sign(name, Sign::Unreachable),
         Err(_) => servers.sign(name, Sign::Missed),
     }
--- a/crates/mustard-entry/tests/drive.rs
+++ b/crates/mustard-entry/tests/drive.rs
@@ -279,8 +279,8 @@
 
     fn blame(&self, _: &str, _: &CallError) {}
 
-    fn veto(&self) -> Option<Veto> {
-        None
+    async fn allow(&self) -> Result<(), Veto> {
+        Ok(())
     }
 
     fn on_time(&self, _: u32) -> bool {
