--- a/crates/mustard-agent/src/lib.rs
+++ b/crates/mustard-agent/src/lib.rs
@@ -6,7 +6,9 @@
 #![forbid(unsafe_code)]
 
 pub mod calls;
+pub mod claims;
 pub mod errors;
+pub mod fence;
 pub mod names;
 pub mod run;
 pub mod server;
--- a/crates/mustard-agent/src/shared.rs
+++ b/crates/mustard-agent/src/shared.rs
@@ -13,6 +13,8 @@
 use mustard_net::shutdown::{Gate, Pass};
 use mustard_proto::agent::{AgentInfo, AgentState, Load, Role};
 
+use crate::claims::{Bounds, Claims, Keeper};
+use crate::fence::Watermark;
 use crate::session::{Limits, Sessions};
 use crate::settings::{AgentSettings, ServerKind};
 use crate::stage::deaths::Deaths;
@@ -45,6 +47,10 @@
     pub server: ArcSwap<Server>,
     /// Whether a change of role keeps new attempts out.
     pub changing: AtomicBool,
+    /// Keys of calls of the plain service.
+    pub claims: Arc<Claims>,
+    /// The highest fencing number accepted.
+    pub fence: Watermark,
     /// Deaths of the engine.
     pub deaths: Mutex<Deaths>,
     stopping: AtomicBool,
@@ -60,7 +66,19 @@
         gate: Arc<Gate>,
         settings: AgentSettings,
         log: Logger,
+        keeper: Keeper,
     ) -> Arc<Self> {
+        let bounds = Bounds {
+            journal: settings.claims.journal,
+            join: Duration::from_millis(settings.claims.join_ms),
+        };
+        let claims = Claims::new(
+            Arc::clone(&process),
+            Arc::clone(&gate),
+            log.clone(),
+            keeper,
+            bounds,
+        );
         let s = &settings.session;
         let limits = Limits {
             sessions: s.most,
@@ -70,12 +88,14 @@
             report: Duration::from_millis(s.report_ms),
         };
         Arc::new(Shared {
+            fence: Watermark::new(&settings.vm),
             process,
             gate,
             settings,
             log,
             server: ArcSwap::default(),
             changing: AtomicBool::new(false),
+            claims,
             deaths: Mutex::default(),
             stopping: AtomicBool::new(false),
             sessions: Mutex::new(Sessions::new(limits)),
--- a/crates/mustard-agent/src/stage/mod.rs
+++ b/crates/mustard-agent/src/stage/mod.rs
@@ -2,6 +2,10 @@
 
 mod abandon;
 pub mod deaths;
+mod failure;
+mod order;
+mod run;
 mod step;
 
+pub use order::order;
 pub use step::{cancel, step};
--- a/crates/mustard-agent/src/watch.rs
+++ b/crates/mustard-agent/src/watch.rs
@@ -10,6 +10,7 @@
 use mustard_core::event::EventKind;
 use mustard_proto::agent::{AgentState, Load};
 
+use crate::claims::Sweeper;
 use crate::names;
 use crate::settings::ServerKind;
 use crate::shared::Server;
@@ -26,6 +27,17 @@
     }
 }
 
+/// Reads the highest fencing number back, as often as it takes.
+pub async fn recall_fence(worker: Worker) {
+    if worker.shared.settings.kind != ServerKind::Engine {
+        return;
+    }
+    while let Err(r) = worker.shared.fence.recall(&worker.table).await {
+        let wait = Duration::from_millis(r.retry_ms().unwrap_or_default());
+        time::sleep(jittered(wait.max(WATCH_EVERY))).await;
+    }
+}
+
 /// Ends expired sessions until the process ends.
 pub async fn sweep(worker: Worker) {
     loop {
@@ -39,6 +51,35 @@
     }
 }
 
+/// Deletes rows of old keys until the process ends.
+pub async fn sweep_claims(worker: Worker) {
+    let settings = &worker.shared.settings;
+    let Some(service) = settings.service.clone() else {
+        return;
+    };
+    let every = Duration::from_millis(settings.claims.sweep_ms);
+    let retain = Duration::from_millis(settings.claims.retain_ms);
+    let sweeper = Sweeper {
+        service,
+        retain,
+        every,
+    };
+    let me = worker.shared.process.incarnation();
+    loop {
+        time::sleep(jittered(every)).await;
+        let now = worker.shared.process.wall_ms();
+        match sweeper.run(&worker.table, me, now).await {
+            Ok(Some(swept)) => {
+                gauge!(names::DOUBTFUL).set(swept.doubtful as f64);
+                slog::info!(worker.shared.log, "claims: Swept old keys.";
+                    "read" => swept.read, "deleted" => swept.deleted, "doubtful" => swept.doubtful);
+            }
+            Ok(None) => {}
+            Err(e) => slog::info!(worker.shared.log, "claims: Sweep failed."; "cause" => %e),
+        }
+    }
+}
+
 /// Asks the backend server once for what it holds and how loaded it is.
 pub async fn look(worker: &Worker) {
     let shared = &worker.shared;
--- a/crates/mustard-bench/src/main.rs
+++ b/crates/mustard-bench/src/main.rs
@@ -4,6 +4,8 @@
 
 mod compare;
 mod decide;
+mod load;
+mod slopes;
 
 use clap::{Parser, Subcommand};
 
@@ -21,11 +23,17 @@
     Decide(decide::Args),
     /// Compares the product's policy with plain baselines.
     Compare(compare::Args),
+    /// Offers load to running entry processes.
+    Load(load::Args),
+    /// Measures what control costs against the counts that will grow.
+    Slopes(slopes::Args),
 }
 
 fn main() -> anyhow::Result<()> {
     match Cli::parse().command {
         Command::Decide(args) => decide::run(&args),
         Command::Compare(args) => compare::run(&args),
+        Command::Load(args) => load::run(&args),
+        Command::Slopes(args) => slopes::run(&args),
     }
 }
--- a/crates/mustard-net/src/lib.rs
+++ b/crates/mustard-net/src/lib.rs
@@ -8,10 +8,12 @@
 pub mod http;
 pub mod log;
 pub mod metric;
+pub mod problem;
 pub mod process;
 pub mod server;
 pub mod settings;
 pub mod shutdown;
+pub mod traffic;
 
 pub use client::Client;
 pub use errors::{CallError, Result};
