--- a/crates/mustard-tests/src/cluster.rs
+++ b/crates/mustard-tests/src/cluster.rs
@@ -7,13 +7,12 @@
 
 use serde::de::DeserializeOwned;
 
-use mustard_core::catalogue::{Entry, Limits, Target, Versioned};
+use mustard_core::catalogue::{Entry, Limits, Target};
 use mustard_core::fingerprint::KeyHash;
-use mustard_core::ids::{Layers, Revision, Seq};
+use mustard_core::ids::Layers;
 use mustard_fakes::engine::Ledger;
 use mustard_fakes::fault::Command;
 use mustard_fakes::service::Booking;
-use mustard_platform::table::Txn;
 use mustard_platform::vms::{Vm, VmKind, VmState};
 
 use crate::caller::Caller;
@@ -309,25 +308,10 @@
     }
 
     fn seed(&self) -> Result<()> {
-        let mut txn = Txn::default();
-        for (entry, seq) in [(self.model_entry(), 1), (self.service_entry(), 2)] {
-            let version = Versioned {
-                revision: Revision(1),
-                seq: Seq(seq),
-                entry: Some(entry.clone()),
-            };
-            txn = txn.put(
-                format!("cat/entry/{}", entry.name),
-                serde_json::to_string(&version)?,
-            );
+        for entry in [self.model_entry(), self.service_entry()] {
+            let add = || self.operator(0).put(&entry, 0).ok();
+            eventually("the catalogue takes an entry", add)?;
         }
-        txn = txn.put("cat/head", "2");
-        Ask::post(
-            self.platform.addr(),
-            "/table/commit",
-            serde_json::to_string(&txn)?,
-        )
-        .send()?;
         for entry in 0..self.entries.len() {
             self.wait_ready(entry)?;
         }
--- a/crates/mustard-tests/src/wait.rs
+++ b/crates/mustard-tests/src/wait.rs
@@ -6,7 +6,7 @@
 use crate::errors::{Result, TestError};
 
 /// The limit of every wait; it only ends tests that fail.
-pub const GENEROUS: Duration = Duration::from_secs(60);
+pub const GENEROUS: Duration = Duration::from_secs(30);
 
 const PAUSE: Duration = Duration::from_millis(20);
 
