Refuse oversized messages of processes with a typed refusal

Found by sending 5 MiB to the message path: the connection was reset, because the framework's own limit ended the request. The body is now read by the same code as callers' bodies, and the sender gets 'too large' with the limit.

--- a/crates/mustard-entry/src/api/peers.rs
+++ b/crates/mustard-entry/src/api/peers.rs
@@ -1,10 +1,9 @@
 //! Messages of other processes of the system.
 
 use std::rc::Rc;
-use std::sync::Arc;
+use std::time::Duration;
 
-use ntex::util::Bytes;
-use ntex::web::types::PayloadConfig;
+use ntex::web::types::Payload;
 use ntex::web::{self, HttpResponse, ServiceConfig};
 
 use mustard_catalogue::relay;
@@ -12,17 +11,19 @@
 use mustard_proto::agent::{AgentInfo, AgentState, Heartbeat, Load, Role};
 use mustard_proto::catalogue::{Pull, Push};
 use mustard_proto::limits::{GrantAsk, Strikes};
-use mustard_proto::timeline::Timeline;
+use mustard_proto::timeline::{Events, Timeline};
 use mustard_proto::{Message, Refusal};
 
-use super::State;
-use crate::app::Shared;
+use super::{ApiError, State, body};
+use crate::app::{Shared, Worker};
 use crate::{harm, quotas};
 
+/// How long the body of a message may take to arrive.
+const MESSAGE_TIME: Duration = Duration::from_secs(10);
+
 /// Registers the paths of messages.
 pub fn routes(config: &mut ServiceConfig) {
-    let limit = || PayloadConfig::new(MAX_MESSAGE);
-    let path = |path: &str| web::resource(path).state(limit());
+    let path = |path: &str| web::resource(path);
     config
         .service(path(Timeline::PATH).route(web::post().to(timeline)))
         .service(path(Heartbeat::PATH).route(web::post().to(heartbeat)))
@@ -32,24 +33,44 @@
         .service(path(Strikes::PATH).route(web::post().to(strikes)));
 }
 
-/// Answers a message by a function of the message and the shared state.
-fn answer<M: Message>(
-    state: &State,
-    body: &Bytes,
-    act: impl FnOnce(&Arc<Shared>, M) -> Result<M::Answer, Refusal>,
+/// Answers a message by a function of the message and the worker's state.
+async fn answer<M: Message>(
+    state: State,
+    mut payload: Payload,
+    act: impl FnOnce(&Rc<Worker>, M) -> M::Answer,
 ) -> HttpResponse {
-    let shared = &state.shared;
-    let result = server::receive::<M>(&shared.process, body)
-        .and_then(|envelope| act(shared, envelope.message));
-    server::reply::<M>(&shared.process, result)
+    let worker = Rc::clone(&state);
+    let process = &worker.shared.process;
+    let result = match body::read(&mut payload, MAX_MESSAGE, MESSAGE_TIME).await {
+        Ok(body) => server::receive::<M>(process, &body).map(|e| act(&worker, e.message)),
+        Err(error) => Err(refusal(&error)),
+    };
+    server::reply::<M>(process, result)
+}
+
+fn refusal(error: &ApiError) -> Refusal {
+    match error {
+        ApiError::BodyTooLarge { limit } => Refusal::TooLarge {
+            limit: *limit as u64,
+        },
+        other => Refusal::Malformed {
+            detail: other.to_string(),
+        },
+    }
 }
 
-async fn timeline(state: State, body: Bytes) -> HttpResponse {
-    server::timeline(&state.shared.process, &body)
+async fn timeline(state: State, payload: Payload) -> HttpResponse {
+    answer(state, payload, |worker, wanted: Timeline| {
+        let ring = worker.shared.process.ring();
+        Events {
+            events: ring.after(wanted.after, wanted.request),
+        }
+    })
+    .await
 }
 
-async fn heartbeat(state: State, body: Bytes) -> HttpResponse {
-    answer(&state, &body, |shared, _: Heartbeat| Ok(info(shared)))
+async fn heartbeat(state: State, payload: Payload) -> HttpResponse {
+    answer(state, payload, |worker, _: Heartbeat| info(&worker.shared)).await
 }
 
 fn info(shared: &Shared) -> AgentInfo {
@@ -71,29 +92,31 @@
     }
 }
 
-async fn pull(state: State, body: Bytes) -> HttpResponse {
-    answer(&state, &body, |shared, message: Pull| {
-        Ok(relay::answer_pull(&shared.catalogue, &message))
+async fn pull(state: State, payload: Payload) -> HttpResponse {
+    answer(state, payload, |worker, message: Pull| {
+        relay::answer_pull(&worker.shared.catalogue, &message)
     })
+    .await
 }
 
-async fn push(state: State, body: Bytes) -> HttpResponse {
-    answer(&state, &body, |shared, message: Push| {
-        Ok(relay::take_push(&shared.catalogue, &message))
+async fn push(state: State, payload: Payload) -> HttpResponse {
+    answer(state, payload, |worker, message: Push| {
+        relay::take_push(&worker.shared.catalogue, &message)
     })
+    .await
 }
 
-async fn grant(state: State, body: Bytes) -> HttpResponse {
-    answer(&state, &body, |shared, ask: GrantAsk| {
-        Ok(quotas::answer(shared, &ask))
+async fn grant(state: State, payload: Payload) -> HttpResponse {
+    answer(state, payload, |worker, ask: GrantAsk| {
+        quotas::answer(&worker.shared, &ask)
     })
+    .await
 }
 
-async fn strikes(state: State, body: Bytes) -> HttpResponse {
-    let worker = Rc::clone(&state);
-    answer(&state, &body, |_, message: Strikes| {
+async fn strikes(state: State, payload: Payload) -> HttpResponse {
+    answer(state, payload, |worker, message: Strikes| {
         let strikes: Vec<_> = message.strikes.into_iter().map(harm::strike_of).collect();
-        harm::note_strikes(&worker, &strikes);
-        Ok(())
+        harm::note_strikes(worker, &strikes);
     })
+    .await
 }
