Limit running requests by a window that follows late tokens

Cause: the pace that forecasts may reach was the only valve. Each entry process raced for the room that appeared, so one of three got a sixth of the others' rate (1,044 against 6,781 tokens/s at 3x) and refused even small customers; and its requests started in bunches.

Change: a window of running requests per entry process, additive up and multiplicative down by the share of late tokens; waits are predicted in virtual time from what waits and what usually comes; a customer that was idle goes first for up to half a second.

--- a/crates/mustard-bench/src/compare/product.rs
+++ b/crates/mustard-bench/src/compare/product.rs
@@ -193,7 +193,7 @@
             let arrival = &flights.get(tickets.get(&ticket)?)?.arrival;
             let query = Query::new(MODEL, LAYERS, arrival.prompt, arrival.tokens).pace(pace);
             let plan = choose(fleet, &query, now, rng).ok()?;
-            let forecast = Forecast::new(plan.first_us, plan.token_us);
+            let forecast = Forecast::from(&plan);
             let guards = plan.begin(fleet);
             plans.insert(ticket, (plan, guards));
             Some(forecast)
--- a/crates/mustard-bench/src/compare/queues.rs
+++ b/crates/mustard-bench/src/compare/queues.rs
@@ -444,5 +444,8 @@
         let entry = flight.entry;
         self.tally.end(&self.requests[id], self.now, end);
         self.policies[entry].ended(self.now, id, end == End::Whole);
+        if end != End::Refused {
+            self.poll(entry);
+        }
     }
 }
--- a/crates/mustard-policy/src/admission/customer.rs
+++ b/crates/mustard-policy/src/admission/customer.rs
@@ -1,6 +1,7 @@
 //! The waiting requests of one customer and its place in the turn order.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use mustard_core::catalogue::Class;
 use mustard_core::clock::Moment;
@@ -18,15 +19,22 @@
     /// The virtual time up to which the customer was served.
     pub(super) tag: f64,
     queue: BTreeMap<Rank, (Ticket, f64)>,
+    /// The cost of all waiting requests.
+    queued: f64,
+    arrivals: Arrivals,
 }
 
 impl Customer {
-    pub(super) fn push(&mut self, rank: Rank, ticket: Ticket, cost: f64) {
+    pub(super) fn push(&mut self, now: Moment, rank: Rank, ticket: Ticket, cost: f64) {
+        self.arrivals.observe(now, cost);
         self.queue.insert(rank, (ticket, cost));
+        self.queued += cost;
     }
 
     pub(super) fn remove(&mut self, rank: &Rank) {
-        self.queue.remove(rank);
+        if let Some((_, cost)) = self.queue.remove(rank) {
+            self.queued -= cost;
+        }
     }
 
     pub(super) fn is_empty(&self) -> bool {
@@ -44,6 +52,13 @@
         self.queue.range(..rank).map(|(_, (_, cost))| cost).sum()
     }
 
+    /// Returns the cost that is served within `wait` before the customer's virtual time passes
+    /// `tag`: what waits and what usually comes, but never more than the customer's share.
+    pub(super) fn before(&self, tag: f64, wait: f64) -> f64 {
+        let share = (tag - self.tag).max(0.0) * self.share;
+        share.min(self.queued + self.arrivals.get() * wait)
+    }
+
     /// Advances the virtual time by a started request.
     pub(super) fn charge(&mut self, cost: f64) {
         self.tag += cost / self.share.max(f64::MIN_POSITIVE);
@@ -54,3 +69,31 @@
 pub(super) fn cost(ask: &Ask) -> f64 {
     f64::from(ask.tokens.max(1))
 }
+
+/// The rate at which cost arrives, averaged over recent windows.
+#[derive(Debug, Default)]
+struct Arrivals {
+    rate: f64,
+    window: f64,
+    since: Moment,
+}
+
+impl Arrivals {
+    const WINDOW: Duration = Duration::from_millis(500);
+    const WEIGHT: f64 = 0.5;
+
+    fn observe(&mut self, now: Moment, cost: f64) {
+        let passed = now.since(self.since);
+        if passed >= Self::WINDOW {
+            let rate = self.window / passed.as_secs_f64();
+            self.rate += Self::WEIGHT * (rate - self.rate);
+            self.window = 0.0;
+            self.since = now;
+        }
+        self.window += cost;
+    }
+
+    fn get(&self) -> f64 {
+        self.rate
+    }
+}
--- a/crates/mustard-policy/src/admission/mod.rs
+++ b/crates/mustard-policy/src/admission/mod.rs
@@ -9,6 +9,7 @@
 mod predict;
 mod queue;
 mod types;
+mod window;
 
 pub use queue::Admission;
 pub use types::{Ask, Decision, Forecast, Progress, Reason, Refusal, Result, Settings, Ticket};
--- a/crates/mustard-policy/src/admission/queue.rs
+++ b/crates/mustard-policy/src/admission/queue.rs
@@ -10,6 +10,7 @@
 use super::customer::{Customer, Rank, cost};
 use super::predict::Predictor;
 use super::types::{Ask, Decision, Forecast, Progress, Reason, Refusal, Result, Settings, Ticket};
+use super::window::Window;
 
 /// The shortest time after which a refused caller is told to come back.
 const MIN_RETRY: Duration = Duration::from_millis(100);
@@ -20,6 +21,16 @@
 /// The share of the observed time per token that a running request may come down to.
 const BEST_PACE: f64 = 0.7;
 
+/// The factor by which a chain may exceed its floor where that is above the wanted pace.
+const FLOOR_STRETCH: f32 = 1.5;
+/// The share of the time up to the latest start that a request may be predicted to wait.
+const PATIENCE: f64 = 0.85;
+/// The time for which a customer that was idle goes before others.
+const CREDIT: Duration = Duration::from_millis(500);
+/// The rounds of the search for a wait during which others' arrivals are counted too.
+const WAIT_ROUNDS: u32 = 4;
+const MAX_WAIT_S: f64 = 1e6;
+
 /// A request under admission's eye.
 #[derive(Debug)]
 pub struct Request {
@@ -43,6 +54,7 @@
     requests: Arena<Request>,
     customers: Map<String, Customer>,
     predictor: Predictor,
+    window: Window,
     waiting: usize,
     virtual_now: f64,
     offers: u64,
@@ -57,6 +69,7 @@
             requests: Arena::new(),
             customers: Map::default(),
             predictor: Predictor::new(),
+            window: Window::new(),
             waiting: 0,
             virtual_now: 0.0,
             offers: 0,
@@ -74,10 +87,19 @@
         self.predictor.margin()
     }
 
-    /// Returns the predicted time per token that a chain may reach, in microseconds, so that 95
-    /// in 100 times between tokens keep to the settings.
+    /// Returns the number of running requests.
+    pub fn running(&self) -> usize {
+        self.requests.len() - self.waiting
+    }
+
+    /// Returns the number of requests that may run at once, as learned.
+    pub fn window(&self) -> usize {
+        self.window.size()
+    }
+
+    /// Returns the predicted time per token that a chain may reach, in microseconds.
     pub fn pace_us(&self) -> f32 {
-        self.settings.gap.as_micros() as f32 * self.predictor.pace()
+        self.settings.gap.as_micros() as f32
     }
 
     /// Returns the ask of a request.
@@ -100,12 +122,11 @@
         let share = f64::from(ask.share);
         let run = None;
         let ticket = self.requests.insert(Request { ask, rank, run });
+        let begin = self.begin_tag(self.customers.get(&name));
         let customer = self.customers.entry(name).or_default();
         customer.share = share;
-        if customer.is_empty() {
-            customer.tag = customer.tag.max(self.virtual_now);
-        }
-        customer.push(rank, ticket, cost);
+        customer.tag = begin;
+        customer.push(now, rank, ticket, cost);
         self.waiting += 1;
         Ok(ticket)
     }
@@ -122,7 +143,10 @@
         self.predictor.pass(now, self.waiting > 0);
         let mut decisions = Vec::new();
         self.sweep(now, &mut decisions);
-        while let Some(ticket) = self.next() {
+        while self.running() < self.window.size() {
+            let Some(ticket) = self.next() else {
+                break;
+            };
             let Some(forecast) = plan(ticket) else {
                 break;
             };
@@ -134,6 +158,7 @@
 
     /// Takes in that a running request delivered tokens, and tells whether it is still on time.
     pub fn progress(&mut self, ticket: Ticket, now: Moment, delivered: u32) -> Progress {
+        let running = self.running();
         let Some(request) = self.requests.get_mut(ticket) else {
             return Progress::OnTime;
         };
@@ -142,8 +167,10 @@
         };
         let first = *run.first.get_or_insert(now);
         if delivered > 1 {
-            let gap = now.since(run.last);
-            self.predictor.gap(now, gap, self.settings.gap);
+            let gap = now.since(run.last).as_micros() as f32;
+            let wanted = self.settings.gap.as_micros() as f32;
+            let late = gap > wanted.max(run.forecast.floor_us * FLOOR_STRETCH);
+            self.window.observe(now, late, running);
         }
         run.last = now;
         let left = f64::from(request.ask.tokens.saturating_sub(delivered));
@@ -200,7 +227,7 @@
     fn allowed_wait(&self, ask: &Ask, room: Duration) -> Duration {
         match ask.class {
             Class::Interactive => room.min(self.settings.max_wait),
-            Class::Deadline | Class::Batch => room / 2,
+            Class::Deadline | Class::Batch => room.mul_f64(PATIENCE),
         }
     }
 
@@ -212,19 +239,39 @@
         if self.waiting == 0 {
             return Duration::ZERO;
         }
-        let ahead = self
-            .customers
-            .get(&ask.customer)
-            .map_or(0.0, |c| c.ahead(rank));
-        let others: f64 = self
-            .customers
-            .iter()
-            .filter(|(name, c)| **name != ask.customer && !c.is_empty())
-            .map(|(_, c)| c.share)
-            .sum();
         let share = f64::from(ask.share);
-        let own_rate = rate * share / (share + others);
-        Duration::from_secs_f64((ahead / own_rate).min(1e6))
+        let own = self.customers.get(&ask.customer);
+        let ahead = own.map_or(0.0, |c| c.ahead(rank));
+        let begin = self.begin_tag(own);
+        let tag = begin + ahead / share;
+        let others = |wait: f64| -> f64 {
+            let busy = self.customers.iter().filter(|(_, c)| !c.is_empty());
+            busy.filter(|(name, _)| **name != ask.customer)
+                .map(|(_, c)| c.before(tag, wait))
+                .sum()
+        };
+        let longer = |wait: f64, _| (ahead + others(wait)) / rate;
+        let wait = (0..WAIT_ROUNDS).fold(0.0, longer);
+        Duration::from_secs_f64(wait.min(MAX_WAIT_S))
+    }
+
+    /// Returns the virtual time at which a customer's next request starts to count.
+    ///
+    /// A customer that was idle goes before others for a while, up to a bound.
+    fn begin_tag(&self, customer: Option<&Customer>) -> f64 {
+        match customer {
+            Some(c) if !c.is_empty() => c.tag,
+            Some(c) => c.tag.max(self.virtual_now - self.credit()),
+            None => self.virtual_now - self.credit(),
+        }
+    }
+
+    /// Returns the virtual time that passes in [`CREDIT`] while requests wait.
+    fn credit(&self) -> f64 {
+        let busy = self.customers.values().filter(|c| !c.is_empty());
+        let shares: f64 = busy.map(|c| c.share).sum();
+        let rate = self.predictor.rate().unwrap_or(0.0);
+        rate * CREDIT.as_secs_f64() / shares.max(1.0)
     }
 
     /// Returns the request that goes next over all customers.
--- a/crates/mustard-policy/src/admission/types.rs
+++ b/crates/mustard-policy/src/admission/types.rs
@@ -71,12 +71,18 @@
     pub first_us: f32,
     /// The time per later token.
     pub token_us: f32,
+    /// The time per later token that the chain would take without other work.
+    pub floor_us: f32,
 }
 
 impl Forecast {
     /// Creates a forecast.
-    pub fn new(first_us: f32, token_us: f32) -> Self {
-        Forecast { first_us, token_us }
+    pub fn new(first_us: f32, token_us: f32, floor_us: f32) -> Self {
+        Forecast {
+            first_us,
+            token_us,
+            floor_us,
+        }
     }
 
     /// Returns the time until a number of tokens is there, in microseconds.
--- a/crates/mustard-policy/src/lib.rs
+++ b/crates/mustard-policy/src/lib.rs
@@ -40,7 +40,7 @@
 //! let mut plan = None;
 //! let decisions = admission.poll(now, |_| {
 //!     plan = choose(&fleet, &query, now, &mut rng).ok();
-//!     plan.as_ref().map(|p| Forecast::new(p.first_us, p.token_us))
+//!     plan.as_ref().map(|p| Forecast::from(p))
 //! });
 //! assert_eq!(decisions, vec![(ticket, Decision::Run)]);
 //!
--- a/crates/mustard-policy/src/route/chain.rs
+++ b/crates/mustard-policy/src/route/chain.rs
@@ -6,6 +6,7 @@
 use mustard_core::ids::Layers;
 
 use super::errors::{Result, RouteError};
+use crate::admission::Forecast;
 use crate::fleet::{Fleet, InFlight, Server, ServerKey, State};
 
 /// The weight of the delay that a request causes to others at the same server.
@@ -114,6 +115,12 @@
     }
 }
 
+impl From<&Plan> for Forecast {
+    fn from(plan: &Plan) -> Self {
+        Forecast::new(plan.first_us, plan.token_us, plan.floor_us)
+    }
+}
+
 /// Chooses the chain with the least predicted cost.
 ///
 /// Suspect servers are used only where the layers can't be covered without them.
