--- a/crates/mustard-tests/src/child.rs
+++ b/crates/mustard-tests/src/child.rs
@@ -115,7 +115,7 @@
 }
 
 /// Finds a program beside the test executable or in the directory above it.
-fn find(program: &str) -> Result<PathBuf> {
+pub fn find(program: &str) -> Result<PathBuf> {
     let exe = std::env::current_exe()?;
     let above = exe.ancestors().skip(1).take(2);
     let mut found = above.map(|dir| dir.join(program)).filter(|p| p.is_file());
