--- a/crates/mustard-tests/src/cluster.rs
+++ b/crates/mustard-tests/src/cluster.rs
@@ -23,7 +23,6 @@
 use crate::plan::{CUSTOMER_KEY, DOMAINS, MODEL, OPERATOR_KEY, Plan, SERVICE};
 use crate::wait::eventually;
 
-const JOINED: &str = "members: Agent joined.";
 const ANY_PORT: &str = "127.0.0.1:0";
 
 static COUNTER: AtomicU64 = AtomicU64::new(0);
@@ -321,8 +320,12 @@
     /// Waits until an entry process serves both workloads.
     pub fn wait_ready(&self, entry: usize) -> Result<()> {
         let nodes = self.stages.len() + self.services.len();
-        let joined = || self.entries[entry].log().matches(JOINED).count() >= nodes;
-        eventually("all agents join", || joined().then_some(()))?;
+        let joined = || {
+            let status = self.operator(entry).status().ok()?;
+            let known = status.agents.iter().filter(|a| a.role.is_some()).count();
+            (known >= nodes).then_some(())
+        };
+        eventually("all agents join", joined)?;
         let caller = self.caller(entry);
         eventually("a first draft", || {
             let draft = caller.stream(MODEL, &[1], 1).ok()?;
--- a/crates/mustard-tests/src/operator.rs
+++ b/crates/mustard-tests/src/operator.rs
@@ -7,6 +7,8 @@
 use mustard_core::catalogue::{Entry, Op, Snapshot};
 use mustard_core::ids::{Revision, Seq};
 
+use mustard_proto::admin::Status;
+
 use crate::errors::{Result, TestError};
 use crate::http::{Answer, Ask};
 
@@ -51,6 +53,11 @@
         self.get("/admin/catalogue")?.json()
     }
 
+    /// Returns what the process knows of all processes.
+    pub fn status(&self) -> Result<Status> {
+        self.get("/admin/status")?.json()
+    }
+
     /// Sends a change and returns the answer as it is.
     pub fn send(&self, change: &NewChange) -> Result<Answer> {
         let body = serde_json::to_string(change)?;
