--- a/crates/mustard-tests/src/cluster.rs
+++ b/crates/mustard-tests/src/cluster.rs
@@ -327,10 +327,13 @@
         };
         eventually("all agents join", joined)?;
         let caller = self.caller(entry);
-        eventually("a first draft", || {
+        let draft = || {
             let draft = caller.stream(MODEL, &[1], 1).ok()?;
             draft.is_whole().then_some(())
-        })?;
+        };
+        if !self.stages.is_empty() {
+            eventually("a first draft", draft)?;
+        }
         if self.services.is_empty() {
             return Ok(());
         }
--- a/crates/mustard-tests/src/http.rs
+++ b/crates/mustard-tests/src/http.rs
@@ -102,6 +102,12 @@
 }
 
 impl Answer {
+    /// Tells whether the answer is favourable: 201 from the call itself, 200 from a read of
+    /// what was booked.
+    pub fn is_done(&self) -> bool {
+        matches!(self.status, 200 | 201)
+    }
+
     /// Decodes the body.
     pub fn json<T: DeserializeOwned>(&self) -> Result<T> {
         Ok(serde_json::from_str(&self.body)?)
--- a/crates/mustard-tests/src/lib.rs
+++ b/crates/mustard-tests/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod http;
 pub mod operator;
 pub mod plan;
+pub mod soak;
 pub mod wait;
 
 pub use caller::Caller;
