Keep a reserve of the slots of a limit for every entry process

Cause: a holder was granted exactly the slots that it expected to need. A burst of 40 requests at an idle process was refused in part although 10,000 were allowed (32 of 120 requests got 429), and under a concurrency of 2 the process that asked first held both slots for a second, so that every request through the other one was refused. Change: half of the even part is kept for each live process and granted whatever it asks for; the rest follows demand as before. Ruled out: the whole even part, which would leave half of the limit unused when all requests come through one of two processes. Run: ask_reserve fails without the change ('reserve is missing' in the first case) and passes with it.

--- a/crates/mustard-policy/src/limits/grantor.rs
+++ b/crates/mustard-policy/src/limits/grantor.rs
@@ -11,6 +11,9 @@
 /// How long a holder's last demand counts in the fair parts.
 const DEMAND_LIFE: Duration = Duration::from_millis(2_000);
 
+/// The part of an even share that is kept for a process which has not asked yet.
+const RESERVE_PART: u32 = 2;
+
 #[derive(Clone, Copy, Debug)]
 struct Slots {
     count: u32,
@@ -107,19 +110,28 @@
 
     fn slots(&self, now: Moment, from: &str, live: u32) -> u32 {
         let limit = self.rule.concurrency;
-        let others = self.holders.iter().filter(|(name, _)| *name != from);
-        let held: u32 = others.map(|(_, r)| r.held()).sum();
-        let free = limit.saturating_sub(held);
         let Some(record) = self.holders.get(from) else {
             return 0;
         };
         if record.demand() == 0 {
             return 0;
         }
+        let others = || self.holders.iter().filter(|(name, _)| *name != from);
+        let held: u32 = others().map(|(_, r)| r.held()).sum();
+        let free = limit.saturating_sub(held);
+        // A holder gets its reserve whatever it asked for, so that a burst there need not wait
+        // for the next grant, and none takes the reserves of the others.
+        let even = limit / live.max(1);
+        let reserve = even.div_ceil(RESERVE_PART);
+        let above: u32 = others()
+            .map(|(_, r)| r.held().saturating_sub(reserve))
+            .sum();
+        let spare = limit.saturating_sub(reserve * live + above);
         let demands = self.holders.values().map(Record::demand).sum();
         let mut fair = part(limit, record.demand(), demands);
+        fair = fair.max(reserve).min(reserve + spare);
         if now.since(self.started) < GRANT_LIFE {
-            fair = fair.min((limit / live.max(1)).max(1));
+            fair = fair.min(even);
         }
         fair.max(1).min(free)
     }
