--- a/crates/mustard-bench/src/compare/mod.rs
+++ b/crates/mustard-bench/src/compare/mod.rs
@@ -125,8 +125,7 @@
 
 fn compare(scenario: &Scenario, seed: u64) -> Vec<Row> {
     let requests = arrivals::draw(scenario, seed);
-    let times: Vec<f64> = requests.iter().map(|r| r.at as f64 / 1e6).collect();
-    let bound = bound::answers(scenario, &times);
+    let bound = bound::answers(scenario, &requests);
     let run = |contender: Contender| {
         let policies = (0..ENTRIES as u64)
             .map(|e| contender.policy(scenario, seed * 1_000 + e))
--- a/crates/mustard-bench/src/compare/plain.rs
+++ b/crates/mustard-bench/src/compare/plain.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -43,10 +44,15 @@
 impl Plain {
     /// Creates a policy that starts every request on arrival.
     pub(crate) fn new(scenario: &Scenario, pick: Pick, seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut groups = vec![Vec::new(); GROUPS];
         for (i, server) in scenario.servers.iter().enumerate() {
             groups[server.group].push(i);
         }
+        // Entry processes know the servers in orders of their own.
+        for group in &mut groups {
+            group.shuffle(&mut rng);
+        }
         Plain {
             pick,
             cap: usize::MAX,
@@ -56,7 +62,7 @@
             next: vec![0; GROUPS],
             waiting: VecDeque::new(),
             running: HashMap::new(),
-            rng: ChaCha8Rng::seed_from_u64(seed),
+            rng,
         }
     }
 
--- a/crates/mustard-bench/src/compare/queues.rs
+++ b/crates/mustard-bench/src/compare/queues.rs
@@ -7,6 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::arrivals::{self, Request};
+use super::bound;
 use super::policy::{Action, Policy, Seen};
 use super::scenario::{ENTRIES, Fault, GROUPS, Scenario, ServerSpec};
 use super::tally::{End, Tally};
@@ -442,7 +443,9 @@
         let flight = &mut self.flights[id];
         flight.ended = true;
         let entry = flight.entry;
-        self.tally.end(&self.requests[id], self.now, end);
+        let request = &self.requests[id];
+        let work = bound::work(self.scenario, request.prompt, request.tokens);
+        self.tally.end(request, work, self.now, end);
         self.policies[entry].ended(self.now, id, end == End::Whole);
         if end != End::Refused {
             self.poll(entry);
--- a/crates/mustard-bench/src/compare/report.rs
+++ b/crates/mustard-bench/src/compare/report.rs
@@ -15,7 +15,7 @@
     pub(crate) bound_rps: f64,
     /// Requests answered whole and in time, per second.
     pub(crate) goodput_rps: f64,
-    /// Goodput as a share of the bound.
+    /// Goodput as a share of the bound, both by work.
     pub(crate) share: f64,
     /// The least part of its requests that a customer within its share got answered.
     pub(crate) worst_customer: f64,
@@ -46,7 +46,7 @@
             seed,
             bound_rps: bound / seconds,
             goodput_rps: tally.good as f64 / seconds,
-            share: tally.good as f64 / bound,
+            share: tally.work / bound,
             worst_customer: worst_customer(scenario, tally),
             refused: tally.refused,
             cancelled: tally.cancelled,
--- a/crates/mustard-bench/src/compare/scenario.rs
+++ b/crates/mustard-bench/src/compare/scenario.rs
@@ -247,20 +247,20 @@
 fn slow_stage() -> Scenario {
     Scenario {
         faults: vec![(4.0, Fault::Slow(0, 8.0))],
-        ..Scenario::steady("one slow stage", 0.9)
+        ..Scenario::steady("one slow stage", 1.0)
     }
 }
 
 fn dead_stage() -> Scenario {
     Scenario {
         faults: vec![(6.0, Fault::Dead(0))],
-        ..Scenario::steady("one dead stage", 0.9)
+        ..Scenario::steady("one dead stage", 1.0)
     }
 }
 
 fn killing_request() -> Scenario {
     Scenario {
         killer_every: Some(0.5),
-        ..Scenario::steady("killing request", 0.9)
+        ..Scenario::steady("killing request", 1.0)
     }
 }
--- a/crates/mustard-bench/src/compare/tally.rs
+++ b/crates/mustard-bench/src/compare/tally.rs
@@ -2,8 +2,10 @@
 
 use hdrhistogram::Histogram;
 
+use mustard_core::catalogue::Class;
+
 use super::arrivals::Request;
-use super::scenario::Scenario;
+use super::scenario::{CustomerSpec, Scenario};
 
 const MAX_US: u64 = 60_000_000;
 
@@ -32,16 +34,19 @@
 /// Counts of one run, after warm-up.
 #[derive(Debug)]
 pub(crate) struct Tally {
+    interactive: Vec<bool>,
     from: u64,
     until: u64,
     /// Requests answered whole between warm-up and end.
     pub(crate) good: u64,
+    /// Their work, in mean requests.
+    pub(crate) work: f64,
     pub(crate) refused: u64,
     pub(crate) cancelled: u64,
     pub(crate) late: u64,
     pub(crate) failed: u64,
     pub(crate) customers: Vec<Counts>,
-    /// Time from arrival to first token, in microseconds.
+    /// Time from arrival to first token of interactive requests, in microseconds.
     pub(crate) first: Histogram<u64>,
     /// Time between tokens, in microseconds.
     pub(crate) gaps: Histogram<u64>,
@@ -54,10 +59,13 @@
 impl Tally {
     pub(crate) fn new(scenario: &Scenario) -> Self {
         let histogram = || Histogram::new_with_bounds(1, MAX_US, 3).expect("bounds are valid");
+        let interactive = |c: &CustomerSpec| c.class == Class::Interactive;
         Tally {
+            interactive: scenario.customers.iter().map(interactive).collect(),
             from: (scenario.warmup * 1e6) as u64,
             until: (scenario.seconds * 1e6) as u64,
             good: 0,
+            work: 0.0,
             refused: 0,
             cancelled: 0,
             late: 0,
@@ -72,7 +80,7 @@
 
     /// Takes in the first token of a request.
     pub(crate) fn first(&mut self, request: &Request, now: u64) {
-        if self.counts(request.at) {
+        if self.counts(request.at) && self.interactive[request.customer] {
             self.first.saturating_record(now - request.at);
         }
     }
@@ -89,10 +97,11 @@
         self.recovery.saturating_record(us);
     }
 
-    /// Takes in the end of a request.
-    pub(crate) fn end(&mut self, request: &Request, now: u64, end: End) {
+    /// Takes in the end of a request of some work, in mean requests.
+    pub(crate) fn end(&mut self, request: &Request, work: f64, now: u64, end: End) {
         if end == End::Whole && self.counts(now) {
             self.good += 1;
+            self.work += work;
         }
         if !self.counts(request.at) || request.kills {
             return;
--- a/crates/mustard-policy/src/admission/window.rs
+++ b/crates/mustard-policy/src/admission/window.rs
@@ -12,9 +12,14 @@
 const START: f64 = 32.0;
 const LEAST: f64 = 4.0;
 const MOST: f64 = 1e6;
-/// The growth of the window with each correction, at first and once tokens came late.
-const FIRST_GROWTH: f64 = 1.5;
-const GROWTH: f64 = 2.0;
+/// The part by which the window grows with each correction until tokens come late at first.
+const FIRST_GROWTH: f64 = 0.5;
+/// The part by which it grows later, while far fewer tokens are late than may be.
+const FAR_GROWTH: f64 = 0.05;
+/// The part of the allowed share of late tokens that counts as far fewer.
+const FAR: f64 = 0.3;
+/// The number by which it grows otherwise.
+const NEAR_GROWTH: f64 = 2.0;
 /// The part by which the window shrinks when twice the allowed share of tokens is late.
 const SHRINK: f64 = 0.05;
 /// The part of the window that must be in use for it to grow.
@@ -62,6 +67,16 @@
         self.since = now;
     }
 
+    fn growth(&self, late_share: f64) -> f64 {
+        if self.probing {
+            self.size * FIRST_GROWTH
+        } else if late_share < LATE_SHARE * FAR {
+            (self.size * FAR_GROWTH).max(NEAR_GROWTH)
+        } else {
+            NEAR_GROWTH
+        }
+    }
+
     fn correct(&mut self) {
         let share = f64::from(self.late) / f64::from(self.count);
         let excess = share / LATE_SHARE - 1.0;
@@ -69,12 +84,7 @@
             self.probing = false;
             self.size *= 1.0 - SHRINK * excess.min(1.0);
         } else if self.peak as f64 >= self.size * IN_USE {
-            let growth = if self.probing {
-                self.size * (FIRST_GROWTH - 1.0)
-            } else {
-                GROWTH
-            };
-            self.size += growth;
+            self.size += self.growth(share);
         }
         self.size = self.size.clamp(LEAST, MOST);
     }
