--- a/crates/mustard-entry/src/api/peers.rs
+++ b/crates/mustard-entry/src/api/peers.rs
@@ -1,42 +1,122 @@
 //! Messages of other processes of the system.
 
-use ntex::util::Bytes;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ntex::web::types::Payload;
 use ntex::web::{self, HttpResponse, ServiceConfig};
 
-use mustard_net::server;
-use mustard_proto::Message;
+use mustard_catalogue::relay;
+use mustard_net::server::{self, MAX_MESSAGE};
 use mustard_proto::agent::{AgentInfo, AgentState, Heartbeat, Load, Role};
-use mustard_proto::timeline::Timeline;
+use mustard_proto::catalogue::{Pull, Push};
+use mustard_proto::limits::{GrantAsk, Strikes};
+use mustard_proto::timeline::{Events, Timeline};
+use mustard_proto::{Message, Refusal};
+
+use super::{ApiError, State, body};
+use crate::app::{Shared, Worker};
+use crate::{harm, quotas};
 
-use super::State;
+/// How long the body of a message may take to arrive.
+const MESSAGE_TIME: Duration = Duration::from_secs(10);
 
 /// Registers the paths of messages.
 pub fn routes(config: &mut ServiceConfig) {
+    let path = |path: &str| web::resource(path);
     config
-        .service(web::resource(Timeline::PATH).route(web::post().to(timeline)))
-        .service(web::resource(Heartbeat::PATH).route(web::post().to(heartbeat)));
+        .service(path(Timeline::PATH).route(web::post().to(timeline)))
+        .service(path(Heartbeat::PATH).route(web::post().to(heartbeat)))
+        .service(path(Pull::PATH).route(web::post().to(pull)))
+        .service(path(Push::PATH).route(web::post().to(push)))
+        .service(path(GrantAsk::PATH).route(web::post().to(grant)))
+        .service(path(Strikes::PATH).route(web::post().to(strikes)));
+}
+
+/// Answers a message by a function of the message and the worker's state.
+async fn answer<M: Message>(
+    state: State,
+    mut payload: Payload,
+    act: impl FnOnce(&Rc<Worker>, M) -> M::Answer,
+) -> HttpResponse {
+    let worker = Rc::clone(&state);
+    let process = &worker.shared.process;
+    let result = match body::read(&mut payload, MAX_MESSAGE, MESSAGE_TIME).await {
+        Ok(body) => server::receive::<M>(process, &body).map(|e| act(&worker, e.message)),
+        Err(error) => Err(refusal(&error)),
+    };
+    server::reply::<M>(process, result)
+}
+
+fn refusal(error: &ApiError) -> Refusal {
+    match error {
+        ApiError::BodyTooLarge { limit } => Refusal::TooLarge {
+            limit: *limit as u64,
+        },
+        other => Refusal::Malformed {
+            detail: other.to_string(),
+        },
+    }
+}
+
+async fn timeline(state: State, payload: Payload) -> HttpResponse {
+    answer(state, payload, |worker, wanted: Timeline| {
+        let ring = worker.shared.process.ring();
+        Events {
+            events: ring.after(wanted.after, wanted.request),
+        }
+    })
+    .await
 }
 
-async fn timeline(state: State, body: Bytes) -> HttpResponse {
-    server::timeline(&state.shared.process, &body)
+async fn heartbeat(state: State, payload: Payload) -> HttpResponse {
+    answer(state, payload, |worker, _: Heartbeat| info(&worker.shared)).await
 }
 
-async fn heartbeat(state: State, body: Bytes) -> HttpResponse {
-    let shared = &state.shared;
-    let result = server::receive::<Heartbeat>(&shared.process, &body).map(|_| AgentInfo {
+fn info(shared: &Shared) -> AgentInfo {
+    let state = match shared.is_ready() {
+        true => AgentState::Ready,
+        false => AgentState::Leaving,
+    };
+    AgentInfo {
         vm: shared.process.name().to_owned(),
         domain: shared.settings.domain.clone(),
         incarnation: shared.process.incarnation(),
-        state: if shared.is_ready() {
-            AgentState::Ready
-        } else {
-            AgentState::Leaving
-        },
+        state,
         role: Role::Idle,
         load: Load {
             running: shared.gate.running() as u32,
+            queued: shared.admissions.waiting() as u32,
             ..Load::default()
         },
-    });
-    server::reply::<Heartbeat>(&shared.process, result)
+    }
+}
+
+async fn pull(state: State, payload: Payload) -> HttpResponse {
+    answer(state, payload, |worker, message: Pull| {
+        relay::answer_pull(&worker.shared.catalogue, &message)
+    })
+    .await
+}
+
+async fn push(state: State, payload: Payload) -> HttpResponse {
+    answer(state, payload, |worker, message: Push| {
+        relay::take_push(&worker.shared.catalogue, &message)
+    })
+    .await
+}
+
+async fn grant(state: State, payload: Payload) -> HttpResponse {
+    answer(state, payload, |worker, ask: GrantAsk| {
+        quotas::answer(&worker.shared, &ask)
+    })
+    .await
+}
+
+async fn strikes(state: State, payload: Payload) -> HttpResponse {
+    answer(state, payload, |worker, message: Strikes| {
+        let strikes: Vec<_> = message.strikes.into_iter().map(harm::strike_of).collect();
+        harm::note_strikes(worker, &strikes);
+    })
+    .await
 }
