--- a/crates/mustard-entry/src/admit/queue.rs
+++ b/crates/mustard-entry/src/admit/queue.rs
@@ -156,7 +156,7 @@
             let keys: Vec<_> = plan.servers().collect();
             affinity.insert(&wish.model, &wish.prompt, &keys);
             chains.insert(ticket, chain_of(fleet, &plan)?);
-            Some(Forecast::new(plan.first_us, plan.token_us))
+            Some(Forecast::from(&plan))
         });
         for (ticket, decision) in decisions {
             let Some(waiter) = waiters.remove(&ticket) else {
--- a/crates/mustard-policy/src/admission/types.rs
+++ b/crates/mustard-policy/src/admission/types.rs
@@ -76,12 +76,12 @@
 }
 
 impl Forecast {
-    /// Creates a forecast.
-    pub fn new(first_us: f32, token_us: f32, floor_us: f32) -> Self {
+    /// Creates a forecast for a chain that is fast enough without other work.
+    pub fn new(first_us: f32, token_us: f32) -> Self {
         Forecast {
             first_us,
             token_us,
-            floor_us,
+            floor_us: 0.0,
         }
     }
 
--- a/crates/mustard-policy/src/route/chain.rs
+++ b/crates/mustard-policy/src/route/chain.rs
@@ -117,7 +117,10 @@
 
 impl From<&Plan> for Forecast {
     fn from(plan: &Plan) -> Self {
-        Forecast::new(plan.first_us, plan.token_us, plan.floor_us)
+        Forecast {
+            floor_us: plan.floor_us,
+            ..Forecast::new(plan.first_us, plan.token_us)
+        }
     }
 }
 
