--- a/crates/mustard-policy/src/limits/holder.rs
+++ b/crates/mustard-policy/src/limits/holder.rs
@@ -1,5 +1,6 @@
 //! The holder of grants at an entry process.
 
+use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -43,11 +44,18 @@
     pub running: u32,
 }
 
+/// Requests that may be admitted before a moment.
+#[derive(Clone, Copy, Debug)]
+struct Tokens {
+    count: u32,
+    until: Moment,
+}
+
 /// Holds the grants of one catalogue entry at one entry process.
 #[derive(Clone, Debug)]
 pub struct Holder {
     rule: Rule,
-    tokens: u32,
+    tokens: VecDeque<Tokens>,
     slots: u32,
     until: Moment,
     retry: Duration,
@@ -64,7 +72,7 @@
     pub fn new(rule: Rule) -> Self {
         Holder {
             rule,
-            tokens: 0,
+            tokens: VecDeque::new(),
             slots: 0,
             until: Moment::default(),
             retry: GRANT_LIFE,
@@ -101,10 +109,9 @@
         if self.running >= self.slots {
             return Err(Denied::Concurrency(self.retry));
         }
-        if self.tokens == 0 {
+        if !self.take_token(now) {
             return Err(Denied::Rate(self.retry));
         }
-        self.tokens -= 1;
         self.running += 1;
         Ok(())
     }
@@ -130,7 +137,7 @@
         let arrived = f64::from(std::mem::take(&mut self.arrived));
         self.usual = arrived.max(self.usual + DEMAND_WEIGHT * (arrived - self.usual));
         let ahead = (self.usual * 1.5).ceil() as u32;
-        let want = ahead.max(1).saturating_sub(self.tokens);
+        let want = ahead.max(1).saturating_sub(self.tokens(now));
         let running = self.running;
         Some(Demand { want, running })
     }
@@ -138,11 +145,10 @@
     /// Takes in a grant that was asked for at `asked`; it counts from then.
     pub fn grant(&mut self, asked: Moment, grant: Grant) {
         let until = asked + grant.valid;
-        if asked >= self.until {
-            self.tokens = 0;
-        }
-        let most = (self.rule.burst).max(grant.requests);
-        self.tokens = (self.tokens + grant.requests).min(most);
+        self.tokens.push_back(Tokens {
+            count: grant.requests,
+            until,
+        });
         self.slots = grant.slots;
         self.until = self.until.max(until);
         self.retry = grant.retry;
@@ -157,19 +163,35 @@
             return;
         }
         let live = live.max(1);
-        let first = self.split.is_none();
         let bucket = self.split.get_or_insert_with(|| Bucket::empty(now));
         let rate = self.rule.rate / f64::from(live);
-        let have = bucket.fill(now, rate, f64::from(self.rule.burst / live));
-        bucket.take(have);
-        self.tokens = if first { have } else { self.tokens + have };
-        self.tokens = self.tokens.min((self.rule.burst / live).max(1));
+        let count = bucket.fill(now, rate, f64::from(self.rule.burst / live));
+        bucket.take(count);
+        let until = now + GRANT_LIFE;
+        self.tokens.push_back(Tokens { count, until });
         self.slots = (self.rule.concurrency / live).max(1);
-        self.until = now + GRANT_LIFE;
+        self.until = until;
+    }
+
+    /// Returns the requests that may be admitted now.
+    fn tokens(&self, now: Moment) -> u32 {
+        let valid = self.tokens.iter().filter(|t| t.until > now);
+        valid.map(|t| t.count).sum()
+    }
+
+    fn take_token(&mut self, now: Moment) -> bool {
+        self.tokens.retain(|t| t.until > now && t.count > 0);
+        match self.tokens.front_mut() {
+            Some(tokens) => {
+                tokens.count -= 1;
+                true
+            }
+            None => false,
+        }
     }
 
     fn is_short(&self, now: Moment) -> bool {
-        now >= self.until || self.tokens == 0 || self.running >= self.slots
+        now >= self.until || self.tokens(now) == 0 || self.running >= self.slots
     }
 }
 
