Check routes, admission, quarantine, membership and subsets by property tests

Found by them: a member's next life after its first death needed two good signs before it was ready, so a restarted server waited one heartbeat too long; the first flap costs one good sign now, each further one doubles it.

--- a/crates/mustard-policy/src/membership.rs
+++ b/crates/mustard-policy/src/membership.rs
@@ -161,7 +161,7 @@
         if self.flaps == 0 || now.since(self.turned) > FLAP_MEMORY {
             return 1;
         }
-        (1 << self.flaps.min(8)).min(MAX_PROOF)
+        (1 << (self.flaps - 1).min(8)).min(MAX_PROOF)
     }
 
     fn turn(&mut self, now: Moment, state: State) {
--- /dev/null
+++ b/crates/mustard-policy/tests/admission.rs
@@ -0,0 +1,140 @@
+//! Admission against drawn schedules of requests.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bolero::check;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use mustard_core::catalogue::Class;
+use mustard_core::clock::Moment;
+use mustard_policy::admission::{Admission, Ask, Decision, Forecast, Progress, Settings, Ticket};
+
+const TOKENS: u32 = 20;
+const FORECAST: Forecast = Forecast {
+    first_us: 50_000.0,
+    token_us: 20_000.0,
+    floor_us: 0.0,
+};
+
+fn ask(rng: &mut ChaCha8Rng, now: Moment) -> Ask {
+    let classes = [Class::Interactive, Class::Deadline, Class::Batch];
+    let class = classes[rng.random_range(0..3)];
+    let deadline = now + Duration::from_millis(rng.random_range(0..5_000));
+    let customer = format!("c{}", rng.random_range(0..4));
+    Ask::new(&customer, rng.random_range(1..4), class, TOKENS, deadline)
+}
+
+/// Each request gets one decision, none runs that can't be in time, and the count of waiting
+/// requests is exact.
+#[test]
+fn poll_drawn_schedule() {
+    check!()
+        .with_iterations(200)
+        .with_type::<u64>()
+        .for_each(|seed| {
+            let mut rng = ChaCha8Rng::seed_from_u64(*seed);
+            let mut admission = Admission::new(Settings::default());
+            let mut waiting: HashMap<Ticket, Moment> = HashMap::new();
+            let mut running: Vec<(Ticket, Moment)> = Vec::new();
+            let mut now = Moment::from_millis(1_000);
+            for _ in 0..300 {
+                now = now + Duration::from_millis(rng.random_range(0..20));
+                let asked = ask(&mut rng, now);
+                let deadline = asked.deadline;
+                match admission.offer(now, asked) {
+                    Ok(ticket) => assert!(waiting.insert(ticket, deadline).is_none()),
+                    Err(refusal) => assert!(refusal.retry_after > Duration::ZERO),
+                }
+                let room = running.len() < 8;
+                let mut left = if room { 3 } else { 0 };
+                let decisions = admission.poll(now, |_| {
+                    left -= 1;
+                    (left >= 0).then_some(FORECAST)
+                });
+                for (ticket, decision) in decisions {
+                    let deadline = waiting.remove(&ticket).expect("decided once");
+                    let end = now + Duration::from_micros(FORECAST.total_us(TOKENS) as u64);
+                    if decision == Decision::Run {
+                        assert!(end <= deadline, "runs until {end}, deadline {deadline}");
+                        running.push((ticket, end));
+                    }
+                }
+                running.retain(|(ticket, end)| {
+                    if *end <= now {
+                        admission.finish(*ticket, now, TOKENS);
+                    }
+                    *end > now
+                });
+                if rng.random_range(0..10) == 0 {
+                    let caller_gone = waiting.keys().next().copied();
+                    if let Some(ticket) = caller_gone {
+                        waiting.remove(&ticket);
+                        admission.abandon(ticket);
+                    }
+                }
+                assert_eq!(admission.waiting(), waiting.len());
+                assert_eq!(admission.running(), running.len());
+            }
+        });
+}
+
+/// A customer within its share is served whole while another floods the queue.
+#[test]
+fn poll_flood_of_another_customer() {
+    let mut admission = Admission::new(Settings::default());
+    let mut small: HashMap<Ticket, bool> = HashMap::new();
+    let mut refused = 0;
+    for ms in 0..20_000_u64 {
+        let now = Moment::from_millis(1_000 + ms);
+        let deadline = now + Duration::from_secs(2);
+        let flood = Ask::new("flood", 1, Class::Interactive, TOKENS, deadline);
+        let _ = admission.offer(now, flood);
+        // One request starts each 10 ms; the small customer asks for two in five of them.
+        if ms % 25 == 0 {
+            let ask = Ask::new("small", 1, Class::Interactive, TOKENS, deadline);
+            match admission.offer(now, ask) {
+                Ok(ticket) => drop(small.insert(ticket, false)),
+                Err(_) => refused += 1,
+            }
+        }
+        let mut left = u32::from(ms % 10 == 0);
+        let decisions = admission.poll(now, |_| {
+            let free = left > 0;
+            left = left.saturating_sub(1);
+            free.then_some(FORECAST)
+        });
+        for (ticket, decision) in decisions {
+            if decision == Decision::Run {
+                small.entry(ticket).and_modify(|ran| *ran = true);
+                admission.finish(ticket, now + Duration::from_millis(400), TOKENS);
+            }
+        }
+    }
+    let ran = small.values().filter(|ran| **ran).count();
+    assert!(
+        ran >= 780 && refused <= 10,
+        "{ran} of 800 ran, {refused} refused"
+    );
+}
+
+/// A running request is given up only when the rest can't come in time.
+#[test]
+fn progress_slow_request() {
+    let mut admission = Admission::new(Settings::default());
+    let now = Moment::from_millis(1_000);
+    let deadline = now + Duration::from_millis(1_000);
+    let asked = Ask::new("c", 1, Class::Interactive, TOKENS, deadline);
+    let ticket = admission.offer(now, asked).unwrap();
+    let decisions = admission.poll(now, |_| Some(FORECAST));
+    assert_eq!(decisions, vec![(ticket, Decision::Run)]);
+    let token = |i: u32| now + Duration::from_millis(u64::from(i) * 45);
+    for i in 1..=6 {
+        assert_eq!(admission.progress(ticket, token(i), i), Progress::OnTime);
+    }
+    let stalled = now + Duration::from_millis(900);
+    assert_eq!(admission.progress(ticket, stalled, 7), Progress::Hopeless);
+}
--- /dev/null
+++ b/crates/mustard-policy/tests/membership.rs
@@ -0,0 +1,197 @@
+//! Membership, breakers and subsets under flapping, joins and leaves.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::HashSet;
+
+use bolero::check;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use mustard_core::clock::Moment;
+use mustard_core::ids::Incarnation;
+use mustard_policy::breaker::{Breaker, Permit};
+use mustard_policy::fleet::State;
+use mustard_policy::membership::{Listed, Membership, Said, Sign};
+use mustard_policy::subset::{Candidate, Process, choose};
+
+const LIFE: Incarnation = Incarnation(1);
+const READY: Sign = Sign::Heartbeat(LIFE, Said::Ready);
+
+/// A member that answers every other pair of heartbeats turns less and less often.
+#[test]
+fn take_flapping_member() {
+    let mut members = Membership::new();
+    let mut turns = 0;
+    for second in 0..120_u64 {
+        let now = Moment::from_millis(second * 1_000);
+        let sign = if second % 4 < 2 { READY } else { Sign::Missed };
+        turns += u32::from(members.take(now, "vm", sign).is_some());
+    }
+    assert!(turns <= 8, "{turns} turns in 120 s");
+}
+
+/// What is drawn never makes a leaving or gone member ready without its own new word.
+#[test]
+fn take_drawn_signs() {
+    check!()
+        .with_iterations(500)
+        .with_type::<u64>()
+        .for_each(|seed| {
+            let mut rng = ChaCha8Rng::seed_from_u64(*seed);
+            let mut members = Membership::new();
+            let (mut leaving, mut listed) = (false, Listed::Live);
+            for i in 0..200_u64 {
+                let now = Moment::from_millis(i * 100);
+                let sign = match rng.random_range(0..8) {
+                    0 => Sign::Listed(
+                        [Listed::Live, Listed::Leaving, Listed::Gone][rng.random_range(0..3)],
+                    ),
+                    1 => Sign::Missed,
+                    2 => Sign::RefusedLeaving(LIFE),
+                    3 => Sign::Failed,
+                    4 => Sign::Worked,
+                    5 => Sign::Heartbeat(LIFE, Said::Leaving),
+                    _ => READY,
+                };
+                match sign {
+                    Sign::Listed(l) => {
+                        if listed == Listed::Gone && l == Listed::Live {
+                            leaving = false;
+                        }
+                        listed = l;
+                    }
+                    Sign::RefusedLeaving(_) | Sign::Heartbeat(_, Said::Leaving) => leaving = true,
+                    Sign::Heartbeat(_, Said::Ready) => leaving = false,
+                    _ => {}
+                }
+                members.take(now, "vm", sign);
+                members.tick(now);
+                let state = members.state("vm").unwrap();
+                if leaving || listed != Listed::Live {
+                    assert_ne!(state, State::Ready, "after {sign:?}");
+                }
+                if listed == Listed::Gone {
+                    assert_eq!(state, State::Dead);
+                }
+            }
+        });
+}
+
+/// A silent member becomes suspect, then dead, and its next life is ready at once.
+#[test]
+fn take_silence_and_new_life() {
+    let mut members = Membership::new();
+    let at = Moment::from_millis;
+    members.take(at(0), "vm", READY);
+    members.take(at(1_000), "vm", Sign::Unreachable);
+    assert_eq!(members.state("vm"), Some(State::Suspect));
+    members.take(at(2_000), "vm", Sign::Missed);
+    assert!(members.tick(at(9_000)).is_empty());
+    assert_eq!(members.tick(at(12_000)).len(), 1);
+    assert_eq!(members.state("vm"), Some(State::Dead));
+    members.take(
+        at(13_000),
+        "vm",
+        Sign::Heartbeat(Incarnation(2), Said::Ready),
+    );
+    assert_eq!(members.state("vm"), Some(State::Ready));
+}
+
+#[test]
+fn permit_open_probe_and_ramp() {
+    let mut breaker = Breaker::new();
+    let at = Moment::from_millis;
+    assert!(!breaker.failure(at(0)) && !breaker.failure(at(1)) && breaker.failure(at(2)));
+    assert_eq!(breaker.permit(at(100)), Permit::No);
+    assert_eq!(breaker.permit(at(600)), Permit::Probe);
+    assert_eq!(breaker.permit(at(601)), Permit::No);
+    breaker.success(at(700));
+    let Permit::Share(share) = breaker.permit(at(700)) else {
+        panic!("closed after a good probe");
+    };
+    assert!(share < 0.2);
+    assert_eq!(breaker.permit(at(10_000)), Permit::Share(1.0));
+    // A failure during the ramp opens it again, and for longer.
+    let mut again = Breaker::new();
+    again.open(at(0));
+    assert_eq!(again.permit(at(500)), Permit::Probe);
+    again.success(at(500));
+    assert!(again.failure(at(600)));
+    assert_eq!(again.permit(at(1_200)), Permit::No);
+    assert_eq!(again.permit(at(1_600)), Permit::Probe);
+}
+
+fn subset(
+    entries: usize,
+    servers: &[(String, String, u64)],
+    own: usize,
+    size: usize,
+) -> HashSet<String> {
+    let names: Vec<_> = (0..entries)
+        .map(|i| (format!("e{i}"), format!("d{}", i % 3)))
+        .collect();
+    let processes: Vec<Process> = names
+        .iter()
+        .map(|(name, domain)| Process { name, domain })
+        .collect();
+    let candidates: Vec<Candidate> = servers
+        .iter()
+        .map(|(vm, domain, group)| Candidate {
+            vm,
+            domain,
+            group: *group,
+        })
+        .collect();
+    choose(processes[own], &processes, &candidates, size)
+        .into_iter()
+        .map(|i| servers[i].0.clone())
+        .collect()
+}
+
+/// Subsets cover each group, spread evenly, and move little when a process or server joins.
+#[test]
+fn choose_even_and_stable() {
+    let servers: Vec<_> = (0..900)
+        .map(|i| {
+            (
+                format!("vm-{i}"),
+                format!("d{}", i % 3),
+                (i / 3 % 20) as u64,
+            )
+        })
+        .collect();
+    let (entries, size) = (30, 100);
+    let subsets: Vec<_> = (0..entries)
+        .map(|e| subset(entries, &servers, e, size))
+        .collect();
+    for own in &subsets {
+        assert!((60..=150).contains(&own.len()), "{}", own.len());
+        for group in 0..20 {
+            assert!(
+                servers
+                    .iter()
+                    .filter(|s| s.2 == group && own.contains(&s.0))
+                    .count()
+                    >= 3
+            );
+        }
+    }
+    let known = |vm: &str| subsets.iter().filter(|s| s.contains(vm)).count();
+    let counts: Vec<usize> = servers.iter().map(|s| known(&s.0)).collect();
+    let (least, most) = (counts.iter().min().unwrap(), counts.iter().max().unwrap());
+    assert!(*least >= 3 && *most <= 8, "{least} to {most}");
+
+    let moved =
+        |after: &HashSet<String>, before: &HashSet<String>| after.difference(before).count();
+    let joined: usize = (0..entries)
+        .map(|e| moved(&subset(entries + 1, &servers, e, size), &subsets[e]))
+        .sum();
+    assert!(joined <= 450, "{joined} servers moved as a process joined");
+    let mut more = servers.clone();
+    more.push(("vm-new".into(), "d0".into(), 0));
+    let added: usize = (0..entries)
+        .map(|e| moved(&subset(entries, &more, e, size), &subsets[e]))
+        .sum();
+    assert!(added <= 10, "{added} servers moved as a server joined");
+}
--- /dev/null
+++ b/crates/mustard-policy/tests/route.rs
@@ -0,0 +1,214 @@
+//! Choice of chains against an exhaustive search.
+
+#![allow(clippy::unwrap_used)]
+
+use bolero::check;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use mustard_core::clock::Moment;
+use mustard_core::ids::{Incarnation, Layers};
+use mustard_policy::fleet::{Facts, Fleet, Role, ServerKey, State};
+use mustard_policy::route::{Affinity, Plan, Prefer, Query, RouteError, choose};
+
+const LAYERS: u32 = 6;
+const PROMPT: u32 = 10;
+const TOKENS: u32 = 20;
+/// The random part of a server's cost, which the choice may lose against the best chain.
+const JITTER: f32 = 1.1;
+
+fn add(fleet: &mut Fleet, i: usize, layers: Layers) -> ServerKey {
+    fleet.upsert(Facts {
+        vm: format!("vm-{i}"),
+        addr: ([127, 0, 0, 1], i as u16).into(),
+        domain: format!("d{}", i % 3),
+        incarnation: Incarnation(1),
+        role: Role::Stage {
+            model: "m".into(),
+            layers,
+            accelerator: "a".into(),
+        },
+    })
+}
+
+/// Draws servers with overlapping ranges, and links that differ a hundredfold.
+fn draw(rng: &mut ChaCha8Rng) -> (Fleet, Vec<ServerKey>) {
+    let mut fleet = Fleet::default();
+    let mut keys = Vec::new();
+    for i in 0..rng.random_range(1..12) {
+        let first = rng.random_range(0..LAYERS);
+        let end = rng.random_range(first + 1..=LAYERS);
+        keys.push(add(&mut fleet, i, Layers::new(first, end)));
+    }
+    for &a in &keys {
+        let live = fleet.get(a).unwrap().live();
+        for _ in 0..20 {
+            live.observe_step(Moment(0), rng.random_range(500.0..5_000.0));
+        }
+        live.set_state(
+            [State::Ready, State::Ready, State::Suspect, State::Leaving][rng.random_range(0..4)],
+        );
+        for &b in &keys {
+            let hop = 100.0 * 10_f32.powf(rng.random_range(0.0..2.0));
+            fleet.links().set(a.index(), b.index(), hop, hop / 100.0);
+        }
+    }
+    (fleet, keys)
+}
+
+/// Visits every chain over servers of the allowed states.
+fn visit(
+    fleet: &Fleet,
+    allowed: &[State],
+    chain: &mut Vec<ServerKey>,
+    f: &mut impl FnMut(&[ServerKey]),
+) {
+    let end = chain.last().map_or(0, |k| layers(fleet, *k).end);
+    if end == LAYERS {
+        f(chain);
+        return;
+    }
+    for (key, server) in fleet.iter() {
+        if layers(fleet, key).first == end && allowed.contains(&server.live().state()) {
+            chain.push(key);
+            visit(fleet, allowed, chain, f);
+            chain.pop();
+        }
+    }
+}
+
+fn layers(fleet: &Fleet, key: ServerKey) -> Layers {
+    match fleet.get(key).unwrap().facts().role {
+        Role::Stage { layers, .. } => layers,
+        _ => Layers::default(),
+    }
+}
+
+/// Predicts the time of a chain without other work, as the documents define it.
+fn time(fleet: &Fleet, chain: &[ServerKey]) -> f32 {
+    let tokens = TOKENS as f32;
+    let mut us = fleet.get(chain[0]).unwrap().live().entry_us() * tokens;
+    for key in chain {
+        let live = fleet.get(*key).unwrap().live();
+        us += live.prefill_us() * PROMPT as f32 + live.step_us(Moment(0), 1.0) * tokens;
+    }
+    for w in chain.windows(2) {
+        let (hop, position) = fleet.links().get(w[0].index(), w[1].index());
+        us += hop * tokens + position * PROMPT as f32;
+    }
+    us
+}
+
+fn best(fleet: &Fleet, allowed: &[State]) -> Option<f32> {
+    let mut best: Option<f32> = None;
+    visit(fleet, allowed, &mut Vec::new(), &mut |chain| {
+        let us = time(fleet, chain);
+        best = Some(best.map_or(us, |b| b.min(us)));
+    });
+    best
+}
+
+fn keys(plan: &Plan) -> Vec<ServerKey> {
+    plan.servers().collect()
+}
+
+#[test]
+fn choose_against_exhaustive_search() {
+    check!()
+        .with_iterations(1_000)
+        .with_type::<u64>()
+        .for_each(|seed| {
+            let mut rng = ChaCha8Rng::seed_from_u64(*seed);
+            let (fleet, _) = draw(&mut rng);
+            let query = Query::new("m", LAYERS, PROMPT, TOKENS);
+            let ready = best(&fleet, &[State::Ready]);
+            let any = ready.or_else(|| best(&fleet, &[State::Ready, State::Suspect]));
+            match (choose(&fleet, &query, Moment(0), &mut rng), any) {
+                (Ok(plan), Some(best)) => {
+                    let chain = keys(&plan);
+                    assert_eq!(plan.hops[0].layers.first, 0);
+                    assert_eq!(plan.hops.last().unwrap().layers.end, LAYERS);
+                    assert!(
+                        plan.hops
+                            .windows(2)
+                            .all(|w| w[0].layers.end == w[1].layers.first)
+                    );
+                    let took = time(&fleet, &chain);
+                    assert!(took <= best * JITTER, "{took} against {best}");
+                    let told = plan.first_us + plan.token_us * (TOKENS - 1) as f32;
+                    assert!((told - took).abs() <= took * 0.01, "{told} against {took}");
+                }
+                (Err(RouteError::NoServer { .. }), None) => {}
+                (got, expected) => panic!("{got:?}, exhaustive search found {expected:?}"),
+            }
+        });
+}
+
+#[test]
+fn choose_same_seed_same_chain() {
+    check!()
+        .with_iterations(100)
+        .with_type::<u64>()
+        .for_each(|seed| {
+            let (fleet, _) = draw(&mut ChaCha8Rng::seed_from_u64(*seed));
+            let query = Query::new("m", LAYERS, PROMPT, TOKENS);
+            let run = || {
+                choose(
+                    &fleet,
+                    &query,
+                    Moment(0),
+                    &mut ChaCha8Rng::seed_from_u64(*seed),
+                )
+            };
+            assert_eq!(run(), run());
+        });
+}
+
+/// Equal servers get equal work, whichever process chooses.
+#[test]
+fn choose_spreads_work() {
+    let mut fleet = Fleet::default();
+    let servers: Vec<_> = (0..20)
+        .map(|i| add(&mut fleet, i, Layers::new(0, LAYERS)))
+        .collect();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let query = Query::new("m", LAYERS, PROMPT, TOKENS);
+    let mut guards = Vec::new();
+    for _ in 0..200 {
+        let plan = choose(&fleet, &query, Moment(0), &mut rng).unwrap();
+        guards.extend(plan.begin(&fleet));
+    }
+    let own = |k: &ServerKey| fleet.get(*k).unwrap().live().own();
+    let (least, most) = (servers.iter().map(own).min(), servers.iter().map(own).max());
+    assert!(
+        least.unwrap() >= 5 && most.unwrap() <= 16,
+        "{least:?} to {most:?}"
+    );
+    drop(guards);
+    assert!(servers.iter().all(|k| own(k) == 0));
+}
+
+/// A cached prefix attracts requests until its server holds much more work than others.
+#[test]
+fn choose_prefers_within_bound() {
+    let mut fleet = Fleet::default();
+    let servers: Vec<_> = (0..10)
+        .map(|i| add(&mut fleet, i, Layers::new(0, LAYERS)))
+        .collect();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let prompt: Vec<u32> = (0..640).collect();
+    let mut affinity = Affinity::new(64);
+    affinity.insert("m", &prompt, &servers[3..4]);
+    assert!(affinity.find("other", &prompt).is_none());
+    let prefer: Prefer = affinity.find("m", &prompt).unwrap();
+    assert_eq!(prefer.cached, 640);
+    let query = Query::new("m", LAYERS, 650, 4).prefer(Some(prefer));
+    let mut guards = Vec::new();
+    for i in 0..100 {
+        let plan = choose(&fleet, &query, Moment(0), &mut rng).unwrap();
+        assert!(i > 0 || keys(&plan) == servers[3..4]);
+        guards.extend(plan.begin(&fleet));
+    }
+    let own = fleet.get(servers[3]).unwrap().live().own();
+    assert!((10..=18).contains(&own), "{own}");
+}
