--- a/crates/mustard-entry/src/admit/queue.rs
+++ b/crates/mustard-entry/src/admit/queue.rs
@@ -153,7 +153,7 @@
             let keys: Vec<_> = plan.servers().collect();
             affinity.insert(&wish.model, &wish.prompt, &keys);
             chains.insert(ticket, chain_of(fleet, &plan)?);
-            Some(Forecast::new(plan.first_us, plan.token_us, plan.floor_us))
+            Some(Forecast::from(&plan))
         });
         for (ticket, decision) in decisions {
             let Some(waiter) = waiters.remove(&ticket) else {
