Give a slot to a holder that has requests left to admit and none running

Cause, found by the drain tests: a caller who sent one request after the other got 429 "the limit on requests in flight is used up" with 1 of 10,000 in use. After a burst the holder still had granted requests, wanted none and had none running, so the grantor saw no demand and gave it no slot for the rest of the grant's life. The holder now wants one request when it is short of slots; what it is granted comes out of the same bucket, so the bounds of the limits stand (limits, limits_slots green).

--- a/crates/mustard-policy/src/limits/holder.rs
+++ b/crates/mustard-policy/src/limits/holder.rs
@@ -137,7 +137,12 @@
         let arrived = f64::from(std::mem::take(&mut self.arrived));
         self.usual = arrived.max(self.usual + DEMAND_WEIGHT * (arrived - self.usual));
         let ahead = (self.usual * 1.5).ceil() as u32;
-        let want = ahead.max(1).saturating_sub(self.tokens(now));
+        let mut want = ahead.max(1).saturating_sub(self.tokens(now));
+        // A holder may have requests left to admit and no slot to run one in; the grantor gives
+        // slots by demand only.
+        if self.running >= self.slots {
+            want = want.max(1);
+        }
         let running = self.running;
         Some(Demand { want, running })
     }
