--- /dev/null
+++ b/crates/mustard-tests/tests/catalogue.rs
@@ -0,0 +1,142 @@
+//! An accepted catalogue change is in force everywhere and never reverts.
+#![allow(clippy::unwrap_used)]
+
+use std::thread;
+
+use mustard_core::catalogue::{Change, Op};
+use mustard_core::ids::{RequestId, Revision};
+use mustard_fakes::fault::Command;
+use mustard_tests::cluster::command;
+use mustard_tests::operator::{Accepted, NewChange};
+use mustard_tests::plan::{MODEL, SERVICE};
+use mustard_tests::{Cluster, Plan, eventually};
+use serde_json::Value;
+
+fn cluster() -> Cluster {
+    Cluster::start(&Plan::new().entries(3)).unwrap()
+}
+
+fn table(cluster: &Cluster, fault: &Command) {
+    let part = Some("table".to_owned());
+    command(
+        &cluster.platform,
+        &Command {
+            part,
+            ..fault.clone()
+        },
+    )
+    .unwrap();
+}
+
+fn down(is_down: bool) -> Command {
+    Command {
+        down: Some(is_down),
+        ..Command::default()
+    }
+}
+
+fn wait_in_force(cluster: &Cluster, entry: usize, change: Accepted) {
+    eventually("the change is in force", || {
+        let snapshot = cluster.operator(entry).catalogue().ok()?;
+        (snapshot.seq >= change.seq).then_some(())
+    })
+    .unwrap();
+}
+
+/// Tells whether an entry process refuses the retired entry and serves the other one.
+fn obeys(cluster: &Cluster, entry: usize) -> bool {
+    let caller = cluster.caller(entry);
+    let draft = caller.stream(MODEL, &[1], 1).unwrap();
+    let read = caller.read(&format!("{SERVICE}/warm")).unwrap();
+    draft.outcome() == Some("not_run") && read.status == 200
+}
+
+#[test]
+fn retire_in_force_at_restarted_entry_while_table_is_down() {
+    let mut cluster = cluster();
+    let change = cluster.operator(0).retire(MODEL, 1).unwrap();
+    for entry in 0..3 {
+        wait_in_force(&cluster, entry, change);
+        assert!(obeys(&cluster, entry));
+    }
+    table(&cluster, &down(true));
+    cluster.restart_entry(1).unwrap();
+    eventually("the restarted entry obeys", || {
+        obeys(&cluster, 1).then_some(())
+    })
+    .unwrap();
+    assert!(cluster.operator(1).catalogue().unwrap().seq >= change.seq);
+    table(&cluster, &down(false));
+    for entry in 0..3 {
+        wait_in_force(&cluster, entry, change);
+        assert!(obeys(&cluster, entry));
+    }
+}
+
+fn change(cluster: &Cluster, burst: u32) -> NewChange {
+    let mut entry = cluster.service_entry();
+    entry.limits.burst = burst;
+    NewChange {
+        id: RequestId::random().to_string(),
+        expected: Revision(1),
+        op: Op::Put(entry),
+    }
+}
+
+fn history(cluster: &Cluster, entry: usize) -> Vec<Change> {
+    let path = format!("/admin/catalogue/{SERVICE}/history");
+    cluster.operator(entry).get(&path).unwrap().json().unwrap()
+}
+
+#[test]
+fn put_racing_operators_one_wins() {
+    let cluster = cluster();
+    let changes: Vec<NewChange> = (0..3).map(|i| change(&cluster, 500 + i)).collect();
+    let answers: Vec<_> = thread::scope(|scope| {
+        let send = |(i, change)| {
+            let operator = cluster.operator(i);
+            scope.spawn(move || operator.send(change).unwrap())
+        };
+        let senders: Vec<_> = changes.iter().enumerate().map(send).collect();
+        senders.into_iter().map(|s| s.join().unwrap()).collect()
+    });
+    let won: Vec<usize> = (0..3).filter(|i| answers[*i].status == 200).collect();
+    let [winner] = won[..] else {
+        panic!("one change wins: {answers:?}");
+    };
+    for (i, answer) in answers.iter().enumerate().filter(|(i, _)| *i != winner) {
+        assert_eq!(answer.status, 409, "{i}: {answer:?}");
+        let problem: Value = answer.json().unwrap();
+        let burst = &problem["current"]["entry"]["limits"]["burst"];
+        assert_eq!(burst.as_u64(), Some(500 + winner as u64), "{answer:?}");
+    }
+    assert_eq!(history(&cluster, 0).len(), 2);
+}
+
+#[test]
+fn put_answer_lost_in_outage_sent_again_counts_once() {
+    let cluster = cluster();
+    let (mine, other) = (change(&cluster, 700), change(&cluster, 701));
+    table(
+        &cluster,
+        &Command {
+            lose_answers: Some(1),
+            ..Command::default()
+        },
+    );
+    let _ = cluster.operator(0).send(&mine).unwrap();
+    table(&cluster, &down(true));
+    let refused = cluster.operator(1).send(&mine).unwrap();
+    assert_ne!(refused.outcome().as_deref(), Some("not_run"), "{refused:?}");
+    table(&cluster, &down(false));
+    let again: Accepted = cluster.operator(2).send(&mine).unwrap().json().unwrap();
+    assert_eq!(again.revision, Revision(2));
+    assert_eq!(cluster.operator(1).send(&other).unwrap().status, 409);
+    for entry in 0..3 {
+        wait_in_force(&cluster, entry, again);
+        let snapshot = cluster.operator(entry).catalogue().unwrap();
+        let version = &snapshot.entries[SERVICE];
+        assert_eq!(version.entry.as_ref().unwrap().limits.burst, 700);
+    }
+    assert_eq!(history(&cluster, 0).len(), 2);
+}
