Say "unknown" when an earlier try of a call may have run

Found by a property test of calls against modelled agents: a try whose answer was lost, then a refusal for an older catalogue, and the entry was changed meanwhile: the caller was told 'not run' although the booking had been made. The same held for a deadline reported by a later agent. Every failure that means 'not run' now becomes 'unknown' once a try may have run, and the key is settled; only what the table says of the key stands as it is. Change besides: deaths of servers are taken from the agents' own reports, whose count of contents covers all entry processes, so a content that shared a batch with others of another process gets its part of the blame only.

--- a/crates/mustard-entry/src/api/access.rs
+++ b/crates/mustard-entry/src/api/access.rs
@@ -105,11 +105,15 @@
         Err(error) => (error.face().outcome, error.face().kind),
     };
     let id = answer.request();
+    let took = answer.elapsed();
+    let ms = took.as_millis() as u64;
     match result {
-        Ok(()) => info!(shared.log, "api: Answered."; "request" => %id),
-        Err(e) => warn!(shared.log, "api: Refused or broken off.";
-            "request" => %id, "outcome" => outcome.name(), "reason" => reason, "cause" => %e),
+        Ok(()) => info!(shared.log, "api: Answered."; "request" => %id, "ms" => ms),
+        Err(e) => warn!(shared.log, "api: Refused or broken off."; "request" => %id, "ms" => ms,
+            "outcome" => outcome.name(), "reason" => reason, "cause" => %e),
     }
+    let spent = [("kind", kind), ("outcome", outcome.name())];
+    metrics::histogram!("mustard_entry_request_seconds", &spent).record(took.as_secs_f64());
     let labels = [
         ("kind", kind),
         ("outcome", outcome.name()),
--- a/crates/mustard-entry/src/api/problem.rs
+++ b/crates/mustard-entry/src/api/problem.rs
@@ -1,7 +1,10 @@
 //! Answers of one request, refusals in the problem format of RFC 9457.
 
+use std::time::Duration;
+
 use ntex::web::HttpResponse;
 use serde::Serialize;
+use tokio::time::Instant;
 
 use mustard_core::ids::RequestId;
 use mustard_net::problem::{Problem, REQUEST_ID};
@@ -24,6 +27,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Answer {
     request: RequestId,
+    arrived: Instant,
 }
 
 impl Default for Answer {
@@ -37,6 +41,7 @@
     pub fn new() -> Self {
         Answer {
             request: RequestId::random(),
+            arrived: Instant::now(),
         }
     }
 
@@ -45,6 +50,11 @@
         self.request
     }
 
+    /// Returns the time since the request arrived.
+    pub fn elapsed(self) -> Duration {
+        self.arrived.elapsed()
+    }
+
     /// Answers with JSON.
     pub fn json(self, value: &impl Serialize) -> HttpResponse {
         HttpResponse::Ok()
--- a/crates/mustard-entry/src/calls.rs
+++ b/crates/mustard-entry/src/calls.rs
@@ -216,29 +216,34 @@
                 self.ports.catch_up(seq, left).await;
                 match self.ports.is_allowed() {
                     true => Ok(None),
-                    false => Err(CallFailure::Revoked),
+                    false => Err(self.truthful(CallFailure::Revoked)),
                 }
             }
-            Next::Stop(failure) => Err(failure),
+            Next::Stop(failure) => Err(self.truthful(failure)),
         }
     }
 
     fn expired(&self) -> CallFailure {
-        match self.ran {
-            Ran::No => CallFailure::Deadline,
-            Ran::Maybe => self.unknown(),
+        self.truthful(CallFailure::Deadline)
+    }
+
+    /// Turns a failure that means "not run" into "unknown" if an earlier try may have run.
+    ///
+    /// What the table has about the key stays as it is: it covers every try.
+    fn truthful(&self, failure: CallFailure) -> CallFailure {
+        match failure {
+            CallFailure::Voided | CallFailure::KeyReused => failure,
+            _ if self.ran == Ran::Maybe => self.unknown(),
+            other => other,
         }
     }
 
     fn give_up(&self, retry: Duration) -> CallFailure {
-        if self.ran == Ran::Maybe {
-            return self.unknown();
-        }
         let detail = match self.last.as_str() {
             "" => "no server of the service takes calls".to_owned(),
             last => format!("no server took the call; the last one: {last}"),
         };
-        CallFailure::NotRun { detail, retry }
+        self.truthful(CallFailure::NotRun { detail, retry })
     }
 
     fn unknown(&self) -> CallFailure {
--- a/crates/mustard-entry/src/harm.rs
+++ b/crates/mustard-entry/src/harm.rs
@@ -8,7 +8,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use mustard_core::clock::Moment;
-use mustard_core::collections::Map;
+use mustard_core::collections::{Map, Set};
 use mustard_core::event::EventKind;
 use mustard_core::fingerprint::Fingerprint;
 use mustard_core::ids::Incarnation;
@@ -98,8 +98,9 @@
         }
     }
 
-    /// Takes in that a server died; returns the strikes to share, none if it is known already.
-    fn died(&self, now: Moment, vm: &str) -> Vec<Strike> {
+    /// Takes in that a server died with `count` contents of all entry processes; returns the
+    /// strikes to share, none if the death is known already.
+    pub fn died(&self, now: Moment, vm: &str, count: u32) -> Vec<Strike> {
         let mut state = self.lock();
         state.deaths.retain(|_, at| now.since(*at) < ONE_DEATH);
         if state.deaths.contains_key(vm) {
@@ -107,7 +108,15 @@
         }
         state.deaths.insert(vm.to_owned(), now);
         let running = state.running.get(vm).cloned().unwrap_or_default();
-        state.quarantine.blame(now, vm, &running)
+        let mut strikes = state.quarantine.blame(now, vm, &running);
+        let distinct: Set<Fingerprint> = running.into_iter().collect();
+        if strikes.len() == distinct.len() {
+            // No suspect stands out, so the contents of other processes share the blame.
+            for strike in &mut strikes {
+                strike.shared = strike.shared.max(count);
+            }
+        }
+        strikes
     }
 
     /// Takes in strikes; returns the contents that became quarantined by them.
@@ -138,9 +147,9 @@
 }
 
 /// Takes in that a server died while it ran contents, and shares the strikes.
-pub fn note_death(worker: &Rc<Worker>, vm: &str) {
+pub fn note_death(worker: &Rc<Worker>, vm: &str, count: u32) {
     let shared = &worker.shared;
-    let strikes = shared.harm.died(shared.process.now(), vm);
+    let strikes = shared.harm.died(shared.process.now(), vm, count);
     if strikes.is_empty() {
         return;
     }
--- a/crates/mustard-entry/src/ports.rs
+++ b/crates/mustard-entry/src/ports.rs
@@ -13,9 +13,9 @@
 use mustard_policy::fleet::ServerKey;
 use mustard_policy::quarantine::Standing;
 use mustard_policy::route::{Query, choose};
+use mustard_proto::Refusal;
 use mustard_proto::agent::Heartbeat;
 use mustard_proto::step::{Cancel, Output, Step};
-use mustard_proto::{Ran, Refusal};
 
 use crate::admit::{Admitted, chain_of};
 use crate::app::Worker;
@@ -196,9 +196,10 @@
 
     fn blame(&self, agent: &str, error: &CallError) {
         self.worker.shared.servers.failed(agent, error);
-        if is_death(error) {
+        let count = contents_at_death(error);
+        if count > 0 {
             self.deaths.set(self.deaths.get() + 1);
-            harm::note_death(&self.worker, agent);
+            harm::note_death(&self.worker, agent, count);
         }
     }
 
@@ -260,19 +261,19 @@
     fleet.links().observe_path(&slots, outside);
 }
 
-/// Tells whether a failure shows that a server died while it ran the request.
-fn is_death(error: &CallError) -> bool {
+/// Returns the number of request contents that ran on a server when it died, zero if the failure
+/// shows no death.
+fn contents_at_death(error: &CallError) -> u32 {
     match error {
-        CallError::Refused(refusal) => is_server_death(refusal),
-        CallError::Lost(_) => true,
-        _ => false,
+        CallError::Refused(refusal) => contents_of(refusal),
+        _ => 0,
     }
 }
 
-fn is_server_death(refusal: &Refusal) -> bool {
+fn contents_of(refusal: &Refusal) -> u32 {
     match refusal {
-        Refusal::NextFailed { cause, .. } => is_server_death(cause),
-        Refusal::ServerFailed { ran, .. } => *ran == Ran::Maybe,
-        _ => false,
+        Refusal::NextFailed { cause, .. } => contents_of(cause),
+        Refusal::ServerFailed { suspects, .. } => *suspects,
+        _ => 0,
     }
 }
