--- /dev/null
+++ b/crates/mustard-entry/tests/api.rs
@@ -0,0 +1,194 @@
+//! Parsing of callers' input and the truth of refusals.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use bolero::{TypeGenerator, check};
+
+use mustard_core::catalogue::{Catalogue, Entry, Limits, Snapshot, Target, Versioned};
+use mustard_core::clock::Moment;
+use mustard_core::fingerprint::{Fingerprint, KeyHash};
+use mustard_core::ids::{Revision, Seq};
+use mustard_core::outcome::Outcome;
+use mustard_core::tokens;
+use mustard_entry::api::draft::{DraftBody, deadline_ms};
+use mustard_entry::api::services::check_key;
+use mustard_entry::api::{ApiError, auth};
+use mustard_entry::drive::{DriveError, Failed};
+use mustard_entry::harm::Harm;
+use mustard_policy::quarantine::Standing;
+use mustard_proto::{Ran, Refusal};
+
+/// Any bytes get an answer, and a body that parses keeps to the limits.
+#[test]
+fn parse_any_bytes() {
+    check!()
+        .with_type::<Vec<u8>>()
+        .with_iterations(2_000)
+        .for_each(|bytes| {
+            let _ = DraftBody::parse(bytes);
+            let _ = check_key(bytes);
+            let _ = auth::parse(&String::from_utf8_lossy(bytes));
+        });
+}
+
+#[derive(Clone, Debug, TypeGenerator)]
+struct Fields {
+    ids: Vec<u32>,
+    words: bool,
+    max_tokens: Option<u32>,
+    deadline: Option<u64>,
+}
+
+#[test]
+fn parse_fields() {
+    check!()
+        .with_type::<Fields>()
+        .with_iterations(2_000)
+        .for_each(|fields| {
+            let prompt = match fields.words {
+                true => serde_json::json!("a cat".repeat(fields.ids.len())),
+                false => serde_json::json!(fields.ids),
+            };
+            let body = serde_json::json!({
+                "model": "m", "prompt": prompt, "max_tokens": fields.max_tokens,
+                "deadline_ms": fields.deadline,
+            });
+            let parsed = DraftBody::parse(body.to_string().as_bytes()).unwrap();
+            let limits = Limits::default();
+            if let Ok(ids) = parsed.token_ids(16) {
+                assert!(!ids.is_empty() && ids.len() <= 16);
+                assert!(ids.iter().all(|id| *id < tokens::VOCABULARY));
+            }
+            if let Ok(wanted) = parsed.wanted(&limits) {
+                assert!((1..=limits.max_tokens).contains(&wanted));
+            }
+            if let Ok(ms) = deadline_ms(parsed.deadline_ms, 1_000, &limits) {
+                assert!((1..=limits.deadline_ms).contains(&ms));
+            }
+        });
+}
+
+#[test]
+fn parse_wrong_types() {
+    for body in [
+        r#"{"model": 3, "prompt": "x"}"#,
+        r#"{"model": "m", "prompt": {"a": 1}}"#,
+        r#"{"model": "m", "prompt": [1, "x"]}"#,
+        r#"{"model": "m", "prompt": "x", "max_tokens": -1}"#,
+        r#"{"model": "m", "prompt": "x", "stream": "yes"}"#,
+        r#"{"model": "m"}"#,
+        "",
+        "[",
+    ] {
+        let error = DraftBody::parse(body.as_bytes()).unwrap_err();
+        assert_eq!(error.face().status, 400, "{body}");
+    }
+}
+
+/// A draft is reported as not run only if no stage may have run.
+#[test]
+fn from_failed_outcomes() {
+    let causes = [
+        DriveError::Deadline,
+        DriveError::StaleCatalogue,
+        DriveError::Revoked,
+        DriveError::Budget { last: None },
+        DriveError::Quarantined { last: None },
+        DriveError::Refused(Refusal::Quarantined),
+        DriveError::Exhausted {
+            attempts: 3,
+            last: None,
+        },
+    ];
+    for cause in causes {
+        for (ran, delivered, outcome) in [
+            (Ran::No, 0, Outcome::NotRun),
+            (Ran::Maybe, 0, Outcome::Unknown),
+            (Ran::Maybe, 2, Outcome::Partial),
+        ] {
+            let failed = Failed {
+                cause: cause.clone(),
+                ran,
+                delivered,
+            };
+            let face = ApiError::from(failed).face();
+            assert_eq!(face.outcome, outcome, "{cause:?}");
+            assert_eq!(face.status == 504, outcome == Outcome::Unknown);
+            assert_eq!(face.status == 502, outcome == Outcome::Partial);
+        }
+    }
+}
+
+fn entry(name: &str, key: &str) -> Entry {
+    Entry {
+        name: name.to_owned(),
+        owner: name.to_owned(),
+        class: mustard_core::catalogue::Class::Interactive,
+        target: Target::Model {
+            model: format!("{name}-model"),
+            layers: 4,
+        },
+        limits: Limits::default(),
+        keys: vec![KeyHash::of(key)],
+    }
+}
+
+#[test]
+fn open_keys() {
+    let mut snapshot = Snapshot {
+        seq: Seq(2),
+        ..Snapshot::default()
+    };
+    for (name, key) in [("a", "ka"), ("b", "kb")] {
+        let version = Versioned {
+            revision: Revision(1),
+            seq: Seq(1),
+            entry: Some(entry(name, key)),
+        };
+        snapshot.entries.insert(name.to_owned(), version);
+    }
+    let catalogue = Catalogue::from_snapshot(snapshot);
+    let open = |key: &str, name: &str| {
+        auth::open(&catalogue, &KeyHash::of(key), name)
+            .map(|e| e.name)
+            .map_err(|e| e.face().kind)
+    };
+    assert_eq!(open("ka", "a"), Ok("a".to_owned()));
+    assert_eq!(open("kb", "b-model"), Ok("b".to_owned()));
+    assert_eq!(open("ka", "b"), Err("foreign-key"));
+    assert_eq!(open("ka", "c"), Err("unknown-entry"));
+    assert_eq!(open("kc", "a"), Err("no-key"));
+}
+
+#[test]
+fn operator_keys() {
+    let operators = vec![("anna".to_owned(), KeyHash::of("k"))];
+    assert_eq!(auth::operator(&operators, &KeyHash::of("k")), Some("anna"));
+    assert_eq!(auth::operator(&operators, &KeyHash::of("x")), None);
+}
+
+/// A content that kills every server that runs it is quarantined at the second death; contents
+/// that shared the first batch, here or in another process, are not.
+#[test]
+fn died_shared_batch() {
+    let harm = std::sync::Arc::new(Harm::default());
+    let (guilty, innocent) = (Fingerprint(1), Fingerprint(2));
+    let first = ["a".to_owned()];
+    let shared = [harm.expose(&first, guilty), harm.expose(&first, innocent)];
+    let now = Moment::from_millis(1_000);
+    let strikes = harm.died(now, "a", 3);
+    assert!(strikes.len() == 2 && strikes.iter().all(|s| s.shared == 3));
+    assert!(harm.take(now, &strikes).is_empty());
+    assert!(harm.died(now, "a", 2).is_empty(), "one death counts once");
+    drop(shared);
+    let _alone = harm.expose(&["b".to_owned()], guilty);
+    let later = now + Duration::from_secs(5);
+    let strikes = harm.died(later, "b", 1);
+    assert_eq!(harm.take(later, &strikes), vec![guilty]);
+    assert!(matches!(
+        harm.standing(later, guilty),
+        Standing::Quarantined(_)
+    ));
+    assert_eq!(harm.standing(later, innocent), Standing::Suspect);
+}
