--- a/crates/mustard-entry/src/api/health.rs
+++ b/crates/mustard-entry/src/api/health.rs
@@ -3,6 +3,7 @@
 use ntex::web::HttpResponse;
 
 use super::State;
+use crate::metric;
 
 /// Tells that the process runs.
 pub async fn alive() -> HttpResponse {
@@ -23,5 +24,6 @@
 
 /// Returns the metrics.
 pub async fn metrics(state: State) -> HttpResponse {
+    metric::set_gauges(&state.shared);
     mustard_net::metric::scrape(&state.shared.metrics)
 }
--- a/crates/mustard-entry/src/metric.rs
+++ b/crates/mustard-entry/src/metric.rs
@@ -1,9 +1,11 @@
-//! Metrics of drafts.
+//! Metrics of drafts and of the process.
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use crate::app::Shared;
+
 /// Measures the pace of one draft.
 pub struct Pace {
     last: Instant,
@@ -42,6 +44,20 @@
     }
 }
 
+/// Takes in that an attempt was given up.
+pub fn attempt_failed(reason: &'static str) {
+    metrics::counter!("mustard_entry_attempts_failed_total", "reason" => reason).increment(1);
+}
+
+/// Sets the gauges, as a scrape begins.
+pub fn set_gauges(shared: &Shared) {
+    let ready = u32::from(shared.is_ready());
+    metrics::gauge!("mustard_entry_ready").set(ready);
+    metrics::gauge!("mustard_entry_requests_running").set(shared.gate.running() as f64);
+    metrics::gauge!("mustard_entry_requests_waiting").set(shared.admissions.waiting() as f64);
+    metrics::gauge!("mustard_entry_agents").set(shared.servers.agents().len() as f64);
+}
+
 fn record(name: &'static str, took: Duration) {
     metrics::histogram!(name).record(took.as_secs_f64());
 }
--- a/crates/mustard-entry/src/ports.rs
+++ b/crates/mustard-entry/src/ports.rs
@@ -134,6 +134,9 @@
             .call(first.addr, first.incarnation, step, limit)
             .await;
         metric::step(started.elapsed(), result.is_ok());
+        if let Err(error) = &result {
+            metric::attempt_failed(reason_of(error));
+        }
         result
     }
 
@@ -277,3 +280,20 @@
         _ => 0,
     }
 }
+
+fn reason_of(error: &CallError) -> &'static str {
+    match error {
+        CallError::NotSent(_) => "not_sent",
+        CallError::Lost(_) => "lost",
+        CallError::TimedOut(_) => "timed_out",
+        CallError::Status(_) | CallError::Proto(_) => "bad_answer",
+        CallError::Refused(refusal) => origin_of(refusal).name(),
+    }
+}
+
+fn origin_of(refusal: &Refusal) -> &Refusal {
+    match refusal {
+        Refusal::NextFailed { cause, .. } => origin_of(cause),
+        own => own,
+    }
+}
--- a/crates/mustard-entry/src/settings.rs
+++ b/crates/mustard-entry/src/settings.rs
@@ -130,7 +130,7 @@
             poll_ms: 1_000,
             backoff_ms: 3_000,
             fanout: 3,
-            unconfirmed_ms: 60_000,
+            unconfirmed_ms: 10_000,
         }
     }
 }
