Read claim versions while the next claims are written

Cause: the version of a claim row is read before its result is written, and the read stood in the way of the claims of the same transaction.

--- a/crates/mustard-agent/examples/group_commit.rs
+++ b/crates/mustard-agent/examples/group_commit.rs
@@ -23,7 +23,7 @@
 #[derive(Debug, Parser)]
 struct Options {
     /// Batch sizes, in rows.
-    #[arg(long, value_delimiter = ',', default_value = "1,8,64")]
+    #[arg(long, value_delimiter = ',', default_value = "2,8,64")]
     batch: Vec<usize>,
     /// Calls in flight.
     #[arg(long, default_value_t = 64)]
--- a/crates/mustard-agent/src/claims/keeper.rs
+++ b/crates/mustard-agent/src/claims/keeper.rs
@@ -95,6 +95,10 @@
         let op = Op {
             key: key.to_owned(),
             expect,
+            version: match expect {
+                Expect::Version(version) => Some(version),
+                Expect::Claim { .. } => None,
+            },
             value: state.write(),
             doubt: false,
             waiter,
--- a/crates/mustard-agent/src/claims/op.rs
+++ b/crates/mustard-agent/src/claims/op.rs
@@ -64,6 +64,8 @@
 pub(super) struct Op {
     pub(super) key: String,
     pub(super) expect: Expect,
+    /// The version to check, once it is known.
+    pub(super) version: Option<u64>,
     pub(super) value: String,
     pub(super) doubt: bool,
     pub(super) waiter: Waiter,
--- a/crates/mustard-agent/src/claims/writer.rs
+++ b/crates/mustard-agent/src/claims/writer.rs
@@ -14,7 +14,7 @@
 use mustard_platform::table::{self, Row, Table, Txn};
 
 use super::keeper::Pace;
-use super::op::{Commit, Expect, Op};
+use super::op::{Commit, Op};
 use crate::names;
 
 const FIRST_BACKOFF: Duration = Duration::from_millis(20);
@@ -22,8 +22,20 @@
 /// How long the table may fail before callers are refused instead of kept waiting.
 const PATIENCE: Duration = Duration::from_millis(250);
 
-/// Writes with the versions to check, or the writes as they were if the rows were not read.
-type Learned = std::result::Result<Vec<(Op, u64)>, Vec<Op>>;
+/// Writes of different rows.
+#[derive(Default)]
+struct Batch {
+    /// Writes whose versions to check are known.
+    ready: Vec<Op>,
+    /// Writes whose rows have to be read first.
+    unknown: Vec<Op>,
+}
+
+impl Batch {
+    fn is_empty(&self) -> bool {
+        self.ready.is_empty() && self.unknown.is_empty()
+    }
+}
 
 /// The writing task.
 pub struct Writer<T> {
@@ -70,7 +82,7 @@
             }
             let batch = self.take_batch();
             if !batch.is_empty() {
-                self.commit(batch).await;
+                self.work_off(batch).await;
             }
         }
     }
@@ -145,23 +157,29 @@
     }
 
     /// Takes writes of different rows, those with a waiting caller first.
-    fn take_batch(&mut self) -> Vec<Op> {
+    ///
+    /// Half of the transaction is left to results, or the journal would grow under load.
+    fn take_batch(&mut self) -> Batch {
         let now = Instant::now();
-        if !self
-            .waiting
-            .iter()
-            .any(|op| op.is_ripe(now, self.pace.linger))
-        {
-            return Vec::new();
+        let linger = self.pace.linger;
+        let mut batch = Batch::default();
+        if !self.waiting.iter().any(|op| op.is_ripe(now, linger)) {
+            return batch;
         }
-        let mut batch = Vec::new();
         let mut keys = Set::default();
+        let results = self.waiting.iter().filter(|op| !op.is_urgent()).count();
+        let kept = results.min(self.pace.batch / 2);
         for urgent in [true, false] {
             let waiting = std::mem::take(&mut self.waiting);
             for op in waiting {
-                let fits = batch.len() < self.pace.batch && op.is_urgent() == urgent;
+                let part = match op.version {
+                    Some(_) => &mut batch.ready,
+                    None => &mut batch.unknown,
+                };
+                let room = self.pace.batch - if urgent { kept } else { 0 };
+                let fits = part.len() < room && op.is_urgent() == urgent;
                 if fits && keys.insert(op.key.clone()) {
-                    batch.push(op);
+                    part.push(op);
                 } else {
                     self.waiting.push_back(op);
                 }
@@ -170,63 +188,58 @@
         batch
     }
 
-    async fn commit(&mut self, batch: Vec<Op>) {
-        let checked = match self.learn(batch).await {
-            Ok(checked) => checked,
-            Err(batch) => return self.failed(batch, false),
-        };
-        if checked.is_empty() {
-            return;
-        }
-        let mut txn = Txn::default();
-        for (op, version) in &checked {
-            txn = txn.check(&op.key, *version).put(&op.key, &op.value);
-        }
-        histogram!(names::BATCH_ROWS).record(checked.len() as f64);
-        counter!(names::TABLE_COMMITS).increment(1);
-        let result = self.table.commit(txn).await;
-        let batch = checked.into_iter().map(|(op, _)| op).collect();
-        match result {
-            Ok(table::Commit::Done) => self.done(batch),
-            Ok(table::Commit::Conflict(rows)) => self.conflict(batch, &rows),
-            Err(e) => self.failed(batch, e.may_have_applied()),
+    /// Commits what is ready and, at the same time, reads the versions that are not known.
+    async fn work_off(&mut self, batch: Batch) {
+        let Batch { ready, unknown } = batch;
+        let (committed, rows) = tokio::join!(self.commit(&ready), self.read(&unknown));
+        let read = rows.is_ok();
+        self.learn(unknown, &rows.unwrap_or_default());
+        match committed {
+            None if read => {}
+            None => self.failed(Vec::new(), false),
+            Some(Ok(table::Commit::Done)) => self.done(ready),
+            Some(Ok(table::Commit::Conflict(rows))) => self.conflict(ready, &rows),
+            Some(Err(e)) => self.failed(ready, e.may_have_applied()),
         }
     }
 
-    /// Learns the versions of the rows that are named by their claim.
-    async fn learn(&mut self, batch: Vec<Op>) -> Learned {
-        let unknown: Vec<_> = batch
-            .iter()
-            .filter(|op| matches!(op.expect, Expect::Claim { .. }))
-            .map(|op| op.key.clone())
-            .collect();
-        let rows = match self.read(&unknown).await {
-            Ok(rows) => rows,
-            Err(_) => return Err(batch),
-        };
-        let mut checked = Vec::new();
-        for op in batch {
-            match (op.expect, rows.get(&op.key)) {
-                (Expect::Version(version), _) => checked.push((op, version)),
-                (Expect::Claim { .. }, Some(row)) => match op.judge(row) {
-                    Ok(version) => checked.push((op, version)),
-                    Err(end) => self.settle(op, end),
-                },
-                (Expect::Claim { .. }, None) => self.waiting.push_back(op),
-            }
+    async fn commit(&self, ready: &[Op]) -> Option<TableResult<table::Commit>> {
+        if ready.is_empty() {
+            return None;
+        }
+        let mut txn = Txn::default();
+        for op in ready {
+            let version = op.version.unwrap_or_default();
+            txn = txn.check(&op.key, version).put(&op.key, &op.value);
         }
-        Ok(checked)
+        histogram!(names::BATCH_ROWS).record(ready.len() as f64);
+        counter!(names::TABLE_COMMITS).increment(1);
+        Some(self.table.commit(txn).await)
     }
 
-    async fn read(&self, keys: &[String]) -> TableResult<Map<String, Row>> {
-        if keys.is_empty() {
+    async fn read(&self, unknown: &[Op]) -> TableResult<Map<String, Row>> {
+        if unknown.is_empty() {
             return Ok(Map::default());
         }
         counter!(names::TABLE_READS).increment(1);
-        let rows = self.table.read(keys).await?;
+        let keys: Vec<_> = unknown.iter().map(|op| op.key.clone()).collect();
+        let rows = self.table.read(&keys).await?;
         Ok(rows.into_iter().map(|row| (row.key.clone(), row)).collect())
     }
 
+    /// Takes in the rows of writes whose versions were not known.
+    fn learn(&mut self, unknown: Vec<Op>, rows: &Map<String, Row>) {
+        for mut op in unknown {
+            match rows.get(&op.key).map(|row| op.judge(row)) {
+                Some(Err(end)) => self.settle(op, end),
+                judged => {
+                    op.version = judged.and_then(std::result::Result::ok);
+                    self.waiting.push_front(op);
+                }
+            }
+        }
+    }
+
     fn done(&mut self, batch: Vec<Op>) {
         self.healthy();
         for op in batch {
@@ -242,10 +255,13 @@
             return self.failed(batch, true);
         }
         self.healthy();
-        for op in batch {
+        for mut op in batch {
             match rows.get(op.key.as_str()).map(|row| op.judge(row)) {
                 Some(Err(end)) => self.settle(op, end),
-                _ => self.waiting.push_front(op),
+                judged => {
+                    op.version = judged.and_then(std::result::Result::ok).or(op.version);
+                    self.waiting.push_front(op);
+                }
             }
         }
     }
--- a/crates/mustard-agent/src/settings.rs
+++ b/crates/mustard-agent/src/settings.rs
@@ -165,7 +165,7 @@
         Field::optional("session.idle_ms", Kind::Int(100, HOUR_MS)),
         Field::optional("session.memory_ms", Kind::Int(SECOND_MS, HOUR_MS)),
         Field::optional("session.report_ms", Kind::Int(0, HOUR_MS)),
-        Field::optional("claims.batch", Kind::Int(1, 1_000)),
+        Field::optional("claims.batch", Kind::Int(2, 1_000)),
         Field::optional("claims.linger_ms", Kind::Int(0, 10 * SECOND_MS)),
         Field::optional("claims.journal", Kind::Int(1, 1 << 20)),
         Field::optional("claims.join_ms", Kind::Int(0, 60 * SECOND_MS)),
