--- a/crates/mustard-entry/src/api/mod.rs
+++ b/crates/mustard-entry/src/api/mod.rs
@@ -1,11 +1,14 @@
 //! The HTTP interface: callers, the balancer and other processes.
 
+pub mod access;
+pub mod admin;
 pub mod auth;
 pub mod body;
 pub mod completions;
 pub mod draft;
 pub mod errors;
 pub mod health;
+pub mod operate;
 pub mod peers;
 pub mod problem;
 pub mod services;
@@ -31,6 +34,8 @@
         .service(web::resource("/healthz").route(web::get().to(health::alive)))
         .service(web::resource("/readyz").route(web::get().to(health::ready)))
         .service(web::resource("/metrics").route(web::get().to(health::metrics)));
+    admin::routes(config);
+    operate::routes(config);
     peers::routes(config);
 }
 
--- a/crates/mustard-policy/src/admission/types.rs
+++ b/crates/mustard-policy/src/admission/types.rs
@@ -22,6 +22,8 @@
     pub max_wait: Duration,
     /// The most requests that wait.
     pub max_queue: usize,
+    /// The time between tokens that 95 in 100 should keep.
+    pub gap: Duration,
 }
 
 impl Default for Settings {
@@ -29,6 +31,7 @@
         Settings {
             max_wait: Duration::from_millis(300),
             max_queue: 10_000,
+            gap: Duration::from_millis(38),
         }
     }
 }
@@ -68,12 +71,18 @@
     pub first_us: f32,
     /// The time per later token.
     pub token_us: f32,
+    /// The time per later token that the chain would take without other work.
+    pub floor_us: f32,
 }
 
 impl Forecast {
     /// Creates a forecast.
-    pub fn new(first_us: f32, token_us: f32) -> Self {
-        Forecast { first_us, token_us }
+    pub fn new(first_us: f32, token_us: f32, floor_us: f32) -> Self {
+        Forecast {
+            first_us,
+            token_us,
+            floor_us,
+        }
     }
 
     /// Returns the time until a number of tokens is there, in microseconds.
--- a/crates/mustard-policy/src/lib.rs
+++ b/crates/mustard-policy/src/lib.rs
@@ -40,14 +40,14 @@
 //! let mut plan = None;
 //! let decisions = admission.poll(now, |_| {
 //!     plan = choose(&fleet, &query, now, &mut rng).ok();
-//!     plan.as_ref().map(|p| Forecast::new(p.first_us, p.token_us))
+//!     plan.as_ref().map(|p| Forecast::from(p))
 //! });
 //! assert_eq!(decisions, vec![(ticket, Decision::Run)]);
 //!
 //! // Guards count the request at each stage until it ends.
 //! let plan = plan.unwrap();
 //! let guards = plan.begin(&fleet);
-//! fleet.get(plan.hops[0].server).unwrap().live().observe_step(2_000.0);
+//! fleet.get(plan.hops[0].server).unwrap().live().observe_step(now, 2_000.0);
 //! drop(guards);
 //! admission.finish(ticket, Moment::from_millis(400), 64);
 //! ```
