--- a/crates/mustard-agent/tests/messages/main.rs
+++ b/crates/mustard-agent/tests/messages/main.rs
@@ -11,7 +11,7 @@
 use mustard_proto::agent::{AgentState, Call, Drain, Heartbeat, Order, Role};
 use mustard_proto::step::{Cancel, Step};
 use mustard_proto::{Head, Message, Ran, Refusal};
-use mustard_tests::cluster::{command, ledger};
+use mustard_tests::cluster::{Pick, command, ledger};
 use mustard_tests::http::Ask;
 use mustard_tests::plan::{MODEL, SERVICE};
 use mustard_tests::{Cluster, Plan, eventually};
@@ -227,8 +227,7 @@
     send(draft.to, cancel(&draft)).unwrap();
     let changed = read::<Order>(stream).unwrap();
     assert!(matches!(changed.role, Role::Stage { layers, .. } if layers == Layers::new(0, 6)));
-    let mut node = cluster.stages.remove(0);
-    cluster.restart_agent(&mut node).unwrap();
+    cluster.restart_agent(Pick::Stage(0)).unwrap();
     let old = send(draft.to, order(6, Layers::new(0, 4))).unwrap_err();
     let highest = Fence(7);
     assert_eq!(old, Refusal::Fenced { highest });
@@ -243,19 +242,19 @@
         down: Some(down),
         ..Command::default()
     };
-    let mut node = cluster.stages.remove(0);
     command(&cluster.platform, &down(true)).unwrap();
-    cluster.restart_agent(&mut node).unwrap();
+    cluster.restart_agent(Pick::Stage(0)).unwrap();
+    let agent = cluster.stages[0].agent.addr();
     let order = Order {
         fence: Fence(1),
         model: MODEL.into(),
         version: "2".into(),
         layers: Layers::new(0, 6),
     };
-    let refused = send(node.agent.addr(), order.clone()).unwrap_err();
+    let refused = send(agent, order.clone()).unwrap_err();
     assert!(matches!(refused, Refusal::PlatformDown { .. }));
     command(&cluster.platform, &down(false)).unwrap();
-    eventually("the order", || send(node.agent.addr(), order.clone()).ok()).unwrap();
+    eventually("the order", || send(agent, order.clone()).ok()).unwrap();
 }
 
 #[test]
