Don't wait for a claimant that is gone

Cause: a repeat whose claimant died waited join_ms (2 s) before the service's record was asked, a stall that a room waits out. Change: a claim names where its process listens; after the first poll of the row the claimant is asked for its life. A refused connection or another life ends the wait after one more look at the row. The call is never made again on the strength of it, so a wrong guess costs only an answer in doubt. In virtual time the repeat is answered within 250 ms instead of after the whole wait.

--- a/crates/mustard-agent/src/calls.rs
+++ b/crates/mustard-agent/src/calls.rs
@@ -1,5 +1,7 @@
 //! Calls of the plain service.
 
+use std::sync::Arc;
+
 use metrics::counter;
 use tokio::sync::oneshot;
 
@@ -10,6 +12,7 @@
 use mustard_proto::Refusal;
 use mustard_proto::agent::{Call, CallAnswer, Settle, Void, VoidAnswer};
 
+use crate::claims::Ports;
 use crate::names;
 use crate::session::Result;
 use crate::worker::Worker;
@@ -69,14 +72,14 @@
 /// Makes a call with an idempotency key; it runs to its end even if the entry goes away.
 async fn keyed(worker: &Worker, call: Call, pass: Pass) -> Result<CallAnswer> {
     let (tell, told) = oneshot::channel();
-    let Worker {
-        shared,
-        server,
-        table,
-        ..
-    } = worker.clone();
+    let shared = Arc::clone(&worker.shared);
+    let ports = Ports {
+        service: worker.server.clone(),
+        table: worker.table.clone(),
+        lives: worker.clone(),
+    };
     tokio::task::spawn_local(async move {
-        let result = shared.claims.call(&server, &table, call).await;
+        let result = shared.claims.call(&ports, call).await;
         drop(pass);
         let _ = tell.send(result);
     });
--- a/crates/mustard-agent/src/claims/call.rs
+++ b/crates/mustard-agent/src/claims/call.rs
@@ -1,7 +1,8 @@
 //! One call with an idempotency key, from the claim to the kept answer.
 
-use std::sync::Arc;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use slog::Logger;
@@ -18,6 +19,7 @@
 use super::book::{Book, Found, Hold, Rest, differ};
 use super::keeper::Keeper;
 use super::key::Key;
+use super::lives::{Lives, Ports};
 use super::op::{Commit, Expect};
 use super::row::{ClaimState, KeptAnswer};
 use super::send::Claim;
@@ -44,6 +46,7 @@
     pub(super) keeper: Keeper,
     pub(super) book: Arc<Book>,
     pub(super) bounds: Bounds,
+    addr: OnceLock<SocketAddr>,
     count: AtomicU64,
 }
 
@@ -78,10 +81,17 @@
             keeper,
             book: Arc::default(),
             bounds,
+            addr: OnceLock::new(),
             count: AtomicU64::new(0),
         })
     }
 
+    /// Sets where this process takes messages, which its claims name from now on.
+    pub fn listens(&self, addr: SocketAddr) {
+        // The first address stays.
+        let _ = self.addr.set(addr);
+    }
+
     /// Makes a call with an idempotency key, at most once over all agents.
     ///
     /// The future must not be dropped before its end, or the key is left in doubt.
@@ -89,10 +99,9 @@
     /// # Errors
     ///
     /// [`Refusal::ran`] tells whether the service may have run the call.
-    pub async fn call<S: PlainService, T: Table>(
+    pub async fn call<S: PlainService, T: Table, L: Lives>(
         &self,
-        service: &S,
-        table: &T,
+        ports: &Ports<S, T, L>,
         call: Call,
     ) -> Result<CallAnswer> {
         let deadline = Instant::now() + Duration::from_millis(call.deadline_ms);
@@ -113,9 +122,7 @@
                 }
             }
             Found::Mine(hold) => {
-                let ended = self
-                    .claim(service, table, call, key.clone(), deadline)
-                    .await;
+                let ended = self.claim(ports, call, key.clone(), deadline).await;
                 self.leave(hold, &key, ended)
             }
         }
@@ -136,10 +143,9 @@
         result
     }
 
-    async fn claim<S: PlainService, T: Table>(
+    async fn claim<S: PlainService, T: Table, L: Lives>(
         &self,
-        service: &S,
-        table: &T,
+        ports: &Ports<S, T, L>,
         call: Call,
         key: Key,
         deadline: Instant,
@@ -159,7 +165,7 @@
             };
             let expect = Expect::Version(over);
             match self.keeper.write(&key.row, expect, &state, deadline).await {
-                Commit::Done => return self.send(service, call, claim).await,
+                Commit::Done => return self.send(&ports.service, call, claim).await,
                 Commit::Down { retry_ms, maybe } => {
                     let refusal = table_down(retry_ms);
                     return match maybe {
@@ -167,13 +173,13 @@
                         false => plainly(Err(refusal)),
                     };
                 }
-                Commit::Found(row) => match self
-                    .found(service, table, &call, &key, &row, deadline)
-                    .await
-                {
-                    Some(ended) => return ended,
-                    None => over = self.free_version(table, &key, &row).await,
-                },
+                Commit::Found(row) => {
+                    let ended = self.found(ports, &call, &key, &row, deadline).await;
+                    match ended {
+                        Some(ended) => return ended,
+                        None => over = self.free_version(&ports.table, &key, &row).await,
+                    }
+                }
             }
         }
         plainly(Err(Refusal::Busy { retry_ms: RETRY_MS }))
@@ -197,6 +203,7 @@
             by: self.process.incarnation(),
             number,
             vm: self.process.name().to_owned(),
+            addr: self.addr.get().copied(),
             fingerprint: call.fingerprint,
             at,
             until: at + left.as_millis() as u64,
@@ -204,10 +211,9 @@
     }
 
     /// Judges a row that is in the way; none means that the key may be claimed again.
-    async fn found<S: PlainService, T: Table>(
+    async fn found<S: PlainService, T: Table, L: Lives>(
         &self,
-        service: &S,
-        table: &T,
+        ports: &Ports<S, T, L>,
         call: &Call,
         key: &Key,
         row: &Row,
@@ -221,12 +227,12 @@
             ClaimState::Free { .. } => None,
             ClaimState::Void { .. } => Some(plainly(Err(Refusal::Voided))),
             ClaimState::Done { answer, .. } => {
-                Some(plainly(self.recall(service, key, answer).await))
+                Some(plainly(self.recall(&ports.service, key, answer).await))
             }
             ClaimState::Claimed { by, .. } => {
                 let until = deadline.min(Instant::now() + self.bounds.join);
                 let wait = (by != self.process.incarnation()).then_some(until);
-                let result = self.foreign(service, table, key, row, wait).await;
+                let result = self.foreign(ports, key, row, wait).await;
                 result.map(plainly)
             }
             ClaimState::Other => Some(plainly(Err(Refusal::InDoubt))),
--- a/crates/mustard-agent/src/claims/foreign.rs
+++ b/crates/mustard-agent/src/claims/foreign.rs
@@ -1,10 +1,12 @@
 //! A key that another process claimed, or this one without a result.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::time::{self, Instant};
 
 use mustard_backend::service::PlainService;
+use mustard_core::ids::Incarnation;
 use mustard_platform::table::{Row, Table};
 use mustard_proto::Refusal;
 use mustard_proto::agent::CallAnswer;
@@ -12,6 +14,7 @@
 use super::Result;
 use super::call::Claims;
 use super::key::Key;
+use super::lives::{Lives, Ports};
 use super::op::Expect;
 use super::row::{ClaimState, KeptAnswer};
 use crate::calls;
@@ -24,41 +27,56 @@
     ///
     /// The call is never made here. Returns none if the claim was given up, so that the key may
     /// be claimed again.
-    pub(super) async fn foreign<S: PlainService, T: Table>(
+    pub(super) async fn foreign<S: PlainService, T: Table, L: Lives>(
         &self,
-        service: &S,
-        table: &T,
+        ports: &Ports<S, T, L>,
         key: &Key,
         row: &Row,
-        wait: Option<Instant>,
+        mut wait: Option<Instant>,
     ) -> Option<Result<CallAnswer>> {
         let mut row = row.clone();
         let mut pause = FIRST_POLL;
+        let mut gone = false;
         loop {
-            match ClaimState::read(&row) {
-                Some(ClaimState::Claimed { .. }) => {}
+            let claimant = match ClaimState::read(&row) {
+                Some(ClaimState::Claimed { addr, by, .. }) => addr.map(|addr| (addr, by)),
                 Some(ClaimState::Done { answer, .. }) => {
-                    return Some(self.recall(service, key, answer).await);
+                    return Some(self.recall(&ports.service, key, answer).await);
                 }
                 Some(ClaimState::Void { .. }) => return Some(Err(Refusal::Voided)),
                 Some(ClaimState::Other) => return Some(Err(Refusal::InDoubt)),
                 Some(ClaimState::Free { .. }) | None => return None,
+            };
+            if pause > FIRST_POLL && self.is_gone(ports, claimant).await {
+                // One more look at the row: the claimant may have written it before its end.
+                wait = wait.filter(|_| !std::mem::replace(&mut gone, true));
             }
             // The claimant records the first answer itself unless it is dead or cut off, so the
             // service's own record is asked only when the time to wait is over.
             let next = Instant::now() + pause;
             if wait.is_none_or(|until| next > until) {
-                let found = self.settle_by_record(service, key, &row).await;
+                let found = self.settle_by_record(&ports.service, key, &row).await;
                 return Some(found.ok_or(Refusal::InDoubt));
             }
             time::sleep_until(next).await;
             pause = (pause * 2).min(LAST_POLL);
-            if let Ok(rows) = table.read(std::slice::from_ref(&key.row)).await {
+            if let Ok(rows) = ports.table.read(std::slice::from_ref(&key.row)).await {
                 row = rows.into_iter().next().unwrap_or(row);
             }
         }
     }
 
+    async fn is_gone<S, T, L: Lives>(
+        &self,
+        ports: &Ports<S, T, L>,
+        claimant: Option<(SocketAddr, Incarnation)>,
+    ) -> bool {
+        match claimant {
+            Some((addr, life)) => ports.lives.ended(addr, life).await,
+            None => false,
+        }
+    }
+
     /// Records a call as done if the service has it on record.
     pub(super) async fn settle_by_record<S: PlainService>(
         &self,
--- a/crates/mustard-agent/src/claims/mod.rs
+++ b/crates/mustard-agent/src/claims/mod.rs
@@ -10,6 +10,7 @@
 mod foreign;
 mod keeper;
 mod key;
+mod lives;
 mod op;
 mod row;
 mod send;
@@ -19,6 +20,7 @@
 
 pub use call::{Bounds, Claims};
 pub use keeper::{Keeper, Pace};
+pub use lives::{Lives, Ports};
 pub use op::{Commit, Expect};
 pub use row::{ClaimState, KeptAnswer, reference, row_key};
 pub use sweep::{Sweeper, Swept};
--- a/crates/mustard-agent/src/claims/row.rs
+++ b/crates/mustard-agent/src/claims/row.rs
@@ -1,5 +1,7 @@
 //! The row of one key in the platform's table.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use mustard_core::fingerprint::Fingerprint;
@@ -22,6 +24,9 @@
         number: u64,
         /// The VM of the claimant.
         vm: String,
+        /// Where the claimant takes messages.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        addr: Option<SocketAddr>,
         /// The content of the request.
         fingerprint: Fingerprint,
         /// When it was claimed.
--- a/crates/mustard-agent/src/run.rs
+++ b/crates/mustard-agent/src/run.rs
@@ -55,6 +55,7 @@
             addr: listen,
             source,
         })?;
+    shared.claims.listens(daemon.addr());
     let server = serve(&shared, &handle, listener)?;
     let drained = daemon.drain(notice, grace, || shared.stop()).await?;
     let code = drained
--- a/crates/mustard-agent/src/worker.rs
+++ b/crates/mustard-agent/src/worker.rs
@@ -1,5 +1,6 @@
 //! What one worker thread of the agent has for itself.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,13 +10,18 @@
 use mustard_backend::engine::{Engine, SeqId};
 use mustard_backend::http::HttpBackend;
 use mustard_core::event::EventKind;
-use mustard_net::Client;
+use mustard_core::ids::Incarnation;
+use mustard_net::{CallError, Client};
 use mustard_platform::http::HttpService;
+use mustard_proto::agent::Heartbeat;
 
+use crate::claims::Lives;
 use crate::names;
 use crate::session::Closed;
 use crate::shared::Shared;
 
+const PING_LIMIT: Duration = Duration::from_millis(300);
+
 /// The connections of one thread and the state shared with the others.
 #[derive(Clone)]
 pub struct Worker {
@@ -73,3 +79,19 @@
         });
     }
 }
+
+impl Lives for Worker {
+    async fn ended(&self, addr: SocketAddr, life: Incarnation) -> bool {
+        let from = self.shared.settings.vm.clone();
+        let heartbeat = Heartbeat { from };
+        let answer = self
+            .client
+            .call(addr, Incarnation(0), heartbeat, PING_LIMIT);
+        match answer.await {
+            Ok(info) => info.incarnation != life,
+            // A process that listens accepts connections even while it is paused.
+            Err(CallError::NotSent(_)) => true,
+            Err(_) => false,
+        }
+    }
+}
--- a/crates/mustard-agent/tests/claims/main.rs
+++ b/crates/mustard-agent/tests/claims/main.rs
@@ -12,14 +12,14 @@
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 
-use mustard_agent::claims::{reference, row_key};
+use mustard_agent::claims::{Ports, reference, row_key};
 use mustard_core::fingerprint::Fingerprint;
 use mustard_core::ids::RequestId;
 use mustard_fakes::memory::MemTable;
 use mustard_proto::agent::{Call, CallAnswer, Settle, Verdict, Void, VoidAnswer};
 use mustard_proto::{Ran, Refusal};
 
-use world::{Agent, Mood, Service};
+use world::{Agent, Ends, Mood, Service};
 
 const AGENTS: usize = 3;
 const KEYS: u8 = 3;
@@ -79,6 +79,7 @@
 struct World {
     table: MemTable,
     service: Service,
+    ends: Ends,
     agents: Vec<Rc<Agent>>,
     told: Rc<RefCell<Vec<Told>>>,
     voided: Rc<RefCell<Vec<u8>>>,
@@ -92,6 +93,7 @@
         World {
             table,
             service: Service::default(),
+            ends: Ends::default(),
             agents,
             told: Rc::default(),
             voided: Rc::default(),
@@ -109,10 +111,14 @@
         let call = call(id, key, content, deadline_ms);
         let agent = self.agent(agent);
         let claims = agent.claims.clone();
-        let (service, table) = (self.service.clone(), self.table.clone());
+        let ports = Ports {
+            service: self.service.clone(),
+            table: self.table.clone(),
+            lives: self.ends.clone(),
+        };
         let told = Rc::clone(&self.told);
         agent.spawn(async move {
-            let result = claims.call(&service, &table, call).await;
+            let result = claims.call(&ports, call).await;
             told.borrow_mut().push(Told {
                 id,
                 key,
@@ -155,7 +161,7 @@
             Op::Void { agent, key } => self.void(agent, key % KEYS),
             Op::Crash { agent } => {
                 let slot = usize::from(agent) % AGENTS;
-                self.agents[slot].crash();
+                self.agents[slot].crash(&self.ends);
                 self.agents[slot] = Agent::start(&self.table, 4);
             }
             Op::Pause { agent, paused } => self.agent(agent).pause(paused),
@@ -353,6 +359,30 @@
     });
 }
 
+#[test]
+fn call_claimant_dead_settles_by_record() {
+    run(async {
+        let mut world = World::new();
+        let slow_ms = 200;
+        world.service.mood.set(Mood {
+            slow_ms,
+            ..Mood::default()
+        });
+        world.call(0, 0, 0, 1_000);
+        sleep(Duration::from_millis(100)).await;
+        world.agents[0].crash(&world.ends);
+        sleep(Duration::from_millis(slow_ms)).await;
+        world.call(1, 0, 0, 20_000);
+        // The repeat does not wait as long as for a claimant that lives.
+        sleep(Duration::from_millis(250)).await;
+        assert!(last(&world).unwrap().replayed);
+        world.call(2, 0, 0, 20_000);
+        sleep(Duration::from_secs(1)).await;
+        assert!(last(&world).unwrap().replayed);
+        assert_eq!(world.records(0).len(), 1);
+    });
+}
+
 #[test]
 fn call_claimant_paused_before_send() {
     run(async {
@@ -465,7 +495,7 @@
         });
         world.call(0, 0, 0, 1_000);
         sleep(Duration::from_millis(100)).await;
-        world.agents[0].crash();
+        world.agents[0].crash(&world.ends);
         sleep(Duration::from_secs(60)).await;
         world.call(1, 0, 0, 1_000);
         sleep(Duration::from_secs(5)).await;
--- a/crates/mustard-agent/tests/claims/world.rs
+++ b/crates/mustard-agent/tests/claims/world.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -13,9 +14,10 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::sleep;
 
-use mustard_agent::claims::{Bounds, Claims, Keeper, Pace};
+use mustard_agent::claims::{Bounds, Claims, Keeper, Lives, Pace};
 use mustard_backend::service::{PlainService, ServiceAnswer, ServiceCall};
 use mustard_backend::{BackendError, Result};
+use mustard_core::ids::Incarnation;
 use mustard_fakes::memory::MemTable;
 use mustard_net::Process;
 use mustard_net::shutdown::Gate;
@@ -101,6 +103,16 @@
     }
 }
 
+/// The lives that ended.
+#[derive(Clone, Default)]
+pub(crate) struct Ends(Rc<RefCell<Vec<Incarnation>>>);
+
+impl Lives for Ends {
+    async fn ended(&self, _: SocketAddr, life: Incarnation) -> bool {
+        self.0.borrow().contains(&life)
+    }
+}
+
 /// Whether the tasks of an agent are polled.
 #[derive(Default)]
 struct Pause {
@@ -162,6 +174,7 @@
     pub(crate) claims: Arc<Claims>,
     pub(crate) gate: Arc<Gate>,
     pub(crate) keeper: Keeper,
+    life: Incarnation,
     pause: Rc<Pause>,
     tasks: RefCell<Vec<AbortHandle>>,
 }
@@ -169,6 +182,7 @@
 impl Agent {
     pub(crate) fn start(table: &MemTable, batch: usize) -> Rc<Self> {
         let process = Process::new("agent", 16);
+        let life = process.incarnation();
         let gate = Gate::new();
         let pace = Pace {
             batch,
@@ -186,10 +200,12 @@
         let (keeper, writer) = Keeper::new(own, pace);
         let log = Logger::root(Discard, o!());
         let claims = Claims::new(process, Arc::clone(&gate), log, keeper.clone(), bounds);
+        claims.listens("127.0.0.1:1".parse().unwrap());
         let agent = Rc::new(Agent {
             claims,
             gate,
             keeper,
+            life,
             pause,
             tasks: RefCell::default(),
         });
@@ -218,7 +234,8 @@
         }
     }
 
-    pub(crate) fn crash(&self) {
+    pub(crate) fn crash(&self, ends: &Ends) {
+        ends.0.borrow_mut().push(self.life);
         let tasks = self.tasks.take();
         tasks.iter().for_each(AbortHandle::abort);
     }
