Send each booking on a connection of its own

Cause: a server may close a kept connection while a call is sent on it; the call then breaks without a word on whether it arrived, and the booking is in doubt though nothing failed. Bookings are rare enough at one agent for such idle connections to be the usual case. Ruled out: the header 'connection: close' alone, as the client keeps the connection unless the server repeats it (test red: 'Error sending request: Disconnected'). Sorting of errors: the client reports a failed connect and a broken connection apart, so 'not sent' stays true. Change: calls with a reference are forced to close and use a client that does nothing else.

--- a/crates/mustard-agent/src/worker.rs
+++ b/crates/mustard-agent/src/worker.rs
@@ -11,6 +11,7 @@
 use mustard_backend::http::HttpBackend;
 use mustard_core::event::EventKind;
 use mustard_core::ids::Incarnation;
+use mustard_net::http::new_client;
 use mustard_net::{CallError, Client};
 use mustard_platform::http::HttpService;
 use mustard_proto::agent::Heartbeat;
@@ -40,7 +41,8 @@
     pub async fn new(shared: Arc<Shared>) -> Self {
         let client = Client::new(Arc::clone(&shared.process)).await;
         let http = Rc::new(client.http().clone());
-        let server = HttpBackend::new(Rc::clone(&http), shared.settings.server);
+        let fresh = Rc::new(new_client().await);
+        let server = HttpBackend::new(Rc::clone(&http), fresh, shared.settings.server);
         let limit = Duration::from_millis(shared.settings.claims.table_ms);
         let table = HttpService::new(http, shared.settings.table, limit, "table");
         Worker {
--- a/crates/mustard-backend/src/http.rs
+++ b/crates/mustard-backend/src/http.rs
@@ -11,7 +11,7 @@
 
 use mustard_core::ids::Fence;
 use mustard_net::CallError;
-use mustard_net::http::{Answer, Request, exchange};
+use mustard_net::http::{Answer, CLOSE, Request, exchange};
 use mustard_proto::agent::Load;
 
 use crate::engine::{Engine, Held, KvCache, LoadOrder, SeqId, StepBody, StepOut};
@@ -42,13 +42,22 @@
 #[derive(Clone)]
 pub struct HttpBackend {
     client: Rc<HttpClient>,
+    fresh: Rc<HttpClient>,
     addr: SocketAddr,
 }
 
 impl HttpBackend {
     /// Creates a client of the server at an address.
-    pub fn new(client: Rc<HttpClient>, addr: SocketAddr) -> Self {
-        HttpBackend { client, addr }
+    ///
+    /// Calls that carry a reference use `fresh`, which must be used for nothing else: each of
+    /// them has a connection of its own. A kept connection may be closed by the server while a
+    /// call is sent on it, and whether that call arrived can't be told.
+    pub fn new(client: Rc<HttpClient>, fresh: Rc<HttpClient>, addr: SocketAddr) -> Self {
+        HttpBackend {
+            client,
+            fresh,
+            addr,
+        }
     }
 
     /// Tells whether the server accepts connections.
@@ -187,21 +196,22 @@
 impl PlainService for HttpBackend {
     async fn call(&self, call: ServiceCall) -> Result<ServiceAnswer> {
         let method = call.method.parse().map_err(|_| bad(0, &call.method))?;
-        let reference: Vec<_> = call
-            .reference
-            .iter()
-            .map(|r| (REFERENCE, r.as_str()))
-            .collect();
+        let reference = call.reference.as_deref();
+        let headers = reference.map(|r| [(REFERENCE, r), CLOSE]);
+        let client = match reference {
+            Some(_) => &self.fresh,
+            None => &self.client,
+        };
         let request = Request {
             to: self.addr,
             method,
             path: &call.path,
             content_type: &call.content_type,
-            headers: &reference,
+            headers: headers.as_ref().map_or(&[], |h| h.as_slice()),
             body: call.body,
             limit: Duration::from_millis(call.limit_ms),
         };
-        let answer = exchange(&self.client, request).await.map_err(sort_error)?;
+        let answer = exchange(client, request).await.map_err(sort_error)?;
         Ok(into_service(answer))
     }
 
--- a/crates/mustard-net/src/http.rs
+++ b/crates/mustard-net/src/http.rs
@@ -24,6 +24,9 @@
 pub(crate) const HEADER_TIME: Seconds = Seconds(5);
 const LIFETIME: Seconds = Seconds(600);
 
+/// The header of a request whose connection is not kept.
+pub const CLOSE: (&str, &str) = ("connection", "close");
+
 /// A request to another process or to an outside system.
 #[derive(Clone, Debug)]
 pub struct Request<'a> {
@@ -97,8 +100,11 @@
         .request(request.method, url)
         .address(request.to)
         .header("content-type", request.content_type);
-    for (name, value) in request.headers {
-        out = out.header(*name, *value);
+    for header in request.headers {
+        out = match *header {
+            CLOSE => out.force_close(),
+            (name, value) => out.header(name, value),
+        };
     }
     out.send_body(Bytes::from(request.body))
         .await
