Say that a step may have run when its attempt ended under it

Cause: an attempt that is cancelled or swept while its engine runs was refused with NotOpen, and an engine that lost its sequence likewise; both say that nothing ran, which an entry may pass on as 'not_run'. Change: a refusal after the engine ran, or after it lost a sequence, says that the step may have run. A step without time left is refused as expired before the engine sees it.

--- a/crates/mustard-agent/src/stage/failure.rs
+++ b/crates/mustard-agent/src/stage/failure.rs
@@ -27,10 +27,6 @@
                 self.end(Ended::Broken);
                 Refusal::NotHeld { what }
             }
-            BackendError::Position { .. } => {
-                self.end(Ended::Broken);
-                Refusal::NotOpen
-            }
             BackendError::Unreachable(detail) => {
                 self.unrun();
                 self.failure(Ran::No, detail, 0)
@@ -41,8 +37,9 @@
                 self.failure(Ran::Maybe, detail, suspects)
             }
             other => {
+                // An engine that lost the sequence may have run a part of it.
                 self.end(Ended::Broken);
-                self.failure(other.ran(), other.to_string(), 0)
+                self.failure(Ran::Maybe, other.to_string(), 0)
             }
         }
     }
@@ -72,7 +69,8 @@
         }
     }
 
-    fn unrun(&self) {
+    /// Keeps the attempt as it was before the step.
+    pub(super) fn unrun(&self) {
         self.worker.shared.sessions().unrun(&self.ticket);
     }
 
--- a/crates/mustard-agent/src/stage/run.rs
+++ b/crates/mustard-agent/src/stage/run.rs
@@ -19,6 +19,9 @@
 use crate::session::{Ended, Onward, Result, Ticket};
 use crate::worker::Worker;
 
+/// The least time with which a step is sent to the engine.
+const LEAST_LIMIT: Duration = Duration::from_millis(1);
+
 /// A step under way.
 pub(super) struct Run<'a> {
     pub(super) worker: &'a Worker,
@@ -40,17 +43,32 @@
     }
 
     pub(super) async fn whole(mut self, input: Input) -> Result<Output> {
-        let out = self.engine(input).await;
-        let result = match out {
-            Ok(StepOut::Token(token)) => self.token(token),
-            Ok(StepOut::Acts(acts)) => self.onward(acts).await,
-            Err(e) => Err(self.engine_failed(e).await),
+        let result = match self.has_time() {
+            true => self.run_and_pass(input).await,
+            false => {
+                self.unrun();
+                Err(Refusal::Expired)
+            }
         };
         self.running.disarm();
         show_sessions(self.worker);
         result
     }
 
+    fn has_time(&self) -> bool {
+        let left = self.worker.shared.process.now().until(self.budget);
+        left >= LEAST_LIMIT
+    }
+
+    async fn run_and_pass(&self, input: Input) -> Result<Output> {
+        let result = match self.engine(input).await {
+            Ok(StepOut::Token(token)) => self.token(token),
+            Ok(StepOut::Acts(acts)) => self.onward(acts).await,
+            Err(e) => return Err(self.engine_failed(e).await),
+        };
+        result.map_err(after_run)
+    }
+
     pub(super) async fn resend(mut self, onward: Onward) -> Result<Output> {
         let result = self.pass_on(onward).await;
         self.running.disarm();
@@ -204,6 +222,14 @@
     }
 }
 
+/// Describes a refusal that came after the engine ran the step.
+fn after_run(r: Refusal) -> Refusal {
+    match r.ran() {
+        Ran::Maybe => r,
+        Ran::No => server_failed(&format!("engine ran the step, then: {r}")),
+    }
+}
+
 fn server_failed(detail: &str) -> Refusal {
     Refusal::ServerFailed {
         ran: Ran::Maybe,
--- a/crates/mustard-agent/tests/messages/main.rs
+++ b/crates/mustard-agent/tests/messages/main.rs
@@ -176,6 +176,26 @@
     .unwrap();
 }
 
+#[test]
+fn step_cancelled_while_it_runs_may_have_run() {
+    let cluster = Cluster::start(&stages().engine(&["--step-us", "300000"])).unwrap();
+    let draft = Draft::new(&cluster, 1);
+    let late = Step {
+        limit_ms: 0,
+        ..draft.step(0, &PROMPT)
+    };
+    assert_eq!(send(draft.to, late).unwrap_err(), Refusal::Expired);
+    let body = encode(Head::default(), draft.step(0, &PROMPT));
+    let stream = open(draft.to, Step::PATH, &body);
+    eventually("a running step", || {
+        (info(draft.to).load.running == 1).then_some(())
+    })
+    .unwrap();
+    send(draft.to, cancel(&draft)).unwrap();
+    assert_eq!(read::<Step>(stream).unwrap_err().ran(), Ran::Maybe);
+    assert_eq!(info(draft.to).load.running, 0);
+}
+
 #[test]
 fn drain_keeps_open_sessions() {
     let mut cluster = Cluster::start(&stages()).unwrap();
