Take only a named death of a server for a strike

Cause: an entry struck every content that ran at a server whose step may have run, so a timeout, a cancelled attempt or a lost sequence counted as a death. The agent says when the server died: 'suspects' is above zero. Lost connections to an agent still count.

--- a/crates/mustard-entry/src/ports.rs
+++ b/crates/mustard-entry/src/ports.rs
@@ -15,7 +15,7 @@
 use mustard_policy::route::{Query, choose};
 use mustard_proto::agent::Heartbeat;
 use mustard_proto::step::{Cancel, Output, Step};
-use mustard_proto::{Ran, Refusal};
+use mustard_proto::Refusal;
 
 use crate::admit::{Admitted, chain_of};
 use crate::app::Worker;
@@ -272,7 +272,7 @@
 fn is_server_death(refusal: &Refusal) -> bool {
     match refusal {
         Refusal::NextFailed { cause, .. } => is_server_death(cause),
-        Refusal::ServerFailed { ran, .. } => *ran == Ran::Maybe,
+        Refusal::ServerFailed { suspects, .. } => *suspects > 0,
         _ => false,
     }
 }
