--- a/crates/mustard-bench/src/load/mod.rs
+++ b/crates/mustard-bench/src/load/mod.rs
@@ -21,8 +21,8 @@
 use mustard_net::http;
 
 pub(crate) use arrivals::Scenario;
-use arrivals::{Arrival, Kind};
-pub(crate) use tally::Tally;
+pub(crate) use arrivals::{Arrival, Kind};
+pub(crate) use tally::{Ending, Finished, Tally};
 
 /// Time to read the last answers after the last arrival.
 const SETTLE: Duration = Duration::from_secs(60);
@@ -127,12 +127,13 @@
     tally
 }
 
-async fn send(
+/// Sends one request and waits for its end.
+pub(crate) async fn send(
     client: HttpClient,
     args: Rc<Args>,
     arrival: Arrival,
     due: Instant,
-) -> tally::Finished {
+) -> Finished {
     let to = args.entry[arrival.number % args.entry.len()];
     match arrival.kind {
         Kind::Draft => draft::send(&client, to, &args, &arrival, due).await,
--- /dev/null
+++ b/crates/mustard-bench/src/slopes/costs.rs
@@ -0,0 +1,288 @@
+//! What callers' work costs an entry process and an agent.
+
+use std::rc::Rc;
+use std::thread::sleep;
+use std::time::Duration;
+
+use anyhow::{bail, ensure};
+use hdrhistogram::Histogram;
+use ntex::rt::{DefaultRuntime, System};
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+use mustard_core::fingerprint::Fingerprint;
+use mustard_core::ids::{Epoch, Incarnation, Layers, RequestId};
+use mustard_net::{Client, Process, http};
+use mustard_proto::agent::{Heartbeat, Role};
+use mustard_proto::step::{Cancel, Hop, Input, Opening, Step};
+
+use super::Args;
+use super::fleet::{CUSTOMER, Fleet, MODEL, SERVICE, wait};
+use super::probe;
+use super::report::Series;
+use crate::load::{self, Arrival, Ending, Kind, Scenario};
+
+const STAGES: [Layers; 3] = [Layers::new(0, 4), Layers::new(4, 8), Layers::new(8, 12)];
+const PROMPT: u32 = 32;
+const TOKENS: u32 = 64;
+const WARM: usize = 5;
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+/// Engine time of a step that keeps drafts in flight while memory is read, in microseconds.
+const LONG_STEP_US: &str = "400000";
+
+fn load_args(fleet: &Fleet) -> load::Args {
+    load::Args {
+        entry: vec![fleet.entries[0].addr()],
+        key: CUSTOMER.to_owned(),
+        model: MODEL.to_owned(),
+        service: SERVICE.to_owned(),
+        scenario: Scenario::Steady,
+        rate: 1.0,
+        seconds: 1,
+        tokens: TOKENS,
+        prompt: PROMPT,
+        deadline_ms: 60_000,
+        bookings: 0.0,
+        reads: 0.0,
+        threads: 2,
+        seed: 1,
+    }
+}
+
+/// Waits until a request of a kind gets a good answer.
+fn warm(fleet: &Fleet, kind: Kind) -> anyhow::Result<()> {
+    let mut args = load_args(fleet);
+    args.rate = 5.0;
+    args.bookings = f64::from(u8::from(kind == Kind::Booking));
+    args.reads = f64::from(u8::from(kind == Kind::Read));
+    wait("a first good answer", || {
+        args.seed += 1;
+        Ok(load::offer(&args)?.total(Ending::Good) > 0)
+    })?;
+    Ok(())
+}
+
+/// An entry process and the agent of a plain service against calls a second.
+pub(super) fn calls(args: &Args, fleet: &mut Fleet, book: bool) -> anyhow::Result<Vec<Series>> {
+    let rates = match book {
+        true => args.sizes(&[25, 100, 200, 400], &[50, 200, 400, 800]),
+        false => args.sizes(&[250, 500, 1_000, 2_000], &[500, 1_000, 2_000, 4_000]),
+    };
+    fleet.add_service()?;
+    fleet.add_entry()?;
+    fleet.wait_ready(0)?;
+    fleet.open_all()?;
+    let (kind, count) = match book {
+        true => (Kind::Booking, "bookings a second"),
+        false => (Kind::Read, "status reads a second"),
+    };
+    warm(fleet, kind)?;
+    let mut entry = Series::new("entry", count);
+    let mut agent = Series::new("agent of a plain service", count);
+    for rate in rates {
+        let mut load = load_args(fleet);
+        load.rate = rate as f64;
+        load.seconds = args.window().as_secs();
+        load.seed = rate as u64;
+        load.bookings = f64::from(u8::from(book));
+        load.reads = f64::from(u8::from(!book));
+        let before = (
+            probe::read(&fleet.entries[0])?,
+            probe::read(&fleet.services[0].agent)?,
+        );
+        let tally = load::offer(&load)?;
+        let after = (
+            probe::read(&fleet.entries[0])?,
+            probe::read(&fleet.services[0].agent)?,
+        );
+        // What was answered well counts, over the time in which the processes were read.
+        let seconds = after.0.seconds_since(&before.0);
+        let good = tally.total(Ending::Good) as f64 / seconds;
+        entry.add(good, after.0.since(&before.0));
+        agent.add(good, after.1.since(&before.1));
+    }
+    Ok(vec![entry, agent])
+}
+
+fn add_stages(fleet: &mut Fleet, flags: &[&str]) -> anyhow::Result<()> {
+    for layers in STAGES {
+        fleet.add_stage(layers, flags)?;
+    }
+    fleet.add_entry()?;
+    fleet.wait_ready(0)?;
+    fleet.open_all()?;
+    warm(fleet, Kind::Draft)
+}
+
+/// Memory of an entry process and an agent against drafts in flight.
+pub(super) fn flight(args: &Args, fleet: &mut Fleet) -> anyhow::Result<Vec<Series>> {
+    let sizes = args.sizes(&[25, 50, 100, 200], &[25, 50, 100, 200]);
+    add_stages(fleet, &["--step-us", LONG_STEP_US])?;
+    let mut entry = Series::new("entry", "drafts in flight");
+    let mut agent = Series::new("agent of the first stage", "drafts in flight");
+    for size in sizes {
+        let mut load = load_args(fleet);
+        load.rate = size as f64;
+        load.tokens = 12;
+        load.seed = size as u64;
+        let running = std::thread::spawn(move || load::offer(&load));
+        sleep(Duration::from_millis(2_500));
+        let before = (
+            probe::read(&fleet.entries[0])?,
+            probe::read(&fleet.stages[0].agent)?,
+        );
+        sleep(Duration::from_secs(1));
+        let after = (
+            probe::read(&fleet.entries[0])?,
+            probe::read(&fleet.stages[0].agent)?,
+        );
+        entry.add(size as f64, after.0.since(&before.0));
+        agent.add(size as f64, after.1.since(&before.1));
+        let Ok(tally) = running.join() else {
+            bail!("the load did not end");
+        };
+        println!("{size} drafts: {} good", tally?.total(Ending::Good));
+    }
+    Ok(vec![entry, agent])
+}
+
+/// Times of tokens by one way, in microseconds.
+struct Times {
+    first: Histogram<u64>,
+    gap: Histogram<u64>,
+}
+
+impl Times {
+    fn new() -> anyhow::Result<Self> {
+        Ok(Times {
+            first: Histogram::new(3)?,
+            gap: Histogram::new(3)?,
+        })
+    }
+
+    fn take(&mut self, first: Duration, gaps: &[Duration]) -> anyhow::Result<()> {
+        self.first.record(first.as_micros() as u64)?;
+        for gap in gaps {
+            self.gap.record(gap.as_micros() as u64)?;
+        }
+        Ok(())
+    }
+
+    fn json(&self) -> Value {
+        let of = |h: &Histogram<u64>| {
+            json!({
+                "p50": h.value_at_quantile(0.5),
+                "p95": h.value_at_quantile(0.95),
+                "p99": h.value_at_quantile(0.99),
+            })
+        };
+        json!({ "first_us": of(&self.first), "gap_us": of(&self.gap) })
+    }
+}
+
+/// Compares drafts through an entry process with steps sent to the stages directly, in turns.
+pub(super) fn tokens(args: &Args, fleet: &mut Fleet) -> anyhow::Result<Value> {
+    let drafts = args.sizes(&[40], &[200])[0];
+    add_stages(fleet, &[])?;
+    let args = Rc::new(load_args(fleet));
+    let agents: Vec<_> = fleet.stages.iter().map(|s| s.agent.addr()).collect();
+    let system = System::new("tokens", DefaultRuntime);
+    let (through, direct) = system.block_on(async move {
+        let client = Client::new(Process::new("bench", 4)).await;
+        let http = http::new_client().await;
+        let chain = chain(&client, &agents).await?;
+        let (mut through, mut direct) = (Times::new()?, Times::new()?);
+        for number in 0..drafts + WARM {
+            let arrival = Arrival {
+                number: 0,
+                after: Duration::ZERO,
+                kind: Kind::Draft,
+                salt: rand::random(),
+            };
+            let due = Instant::now();
+            let one = load::send(http.clone(), Rc::clone(&args), arrival, due).await;
+            ensure!(one.ending == Ending::Good, "a draft ended {:?}", one.ending);
+            let (first, gaps) = draft_directly(&client, &chain).await?;
+            if number >= WARM {
+                through.take(one.first.unwrap_or_default(), &one.gaps)?;
+                direct.take(first, &gaps)?;
+            }
+        }
+        Ok::<_, anyhow::Error>((through, direct))
+    })?;
+    let value = json!({ "through_entry": through.json(), "directly": direct.json() });
+    println!("tokens over three stages: {value}\n");
+    Ok(value)
+}
+
+async fn chain(client: &Client, agents: &[std::net::SocketAddr]) -> anyhow::Result<Vec<Hop>> {
+    let mut chain = Vec::new();
+    for addr in agents {
+        let from = "bench".to_owned();
+        let ask = Heartbeat { from };
+        let info = client.call(*addr, Incarnation(0), ask, CALL_LIMIT).await?;
+        let Role::Stage { layers, .. } = info.role else {
+            bail!("the agent at {addr} holds no layers");
+        };
+        chain.push(Hop {
+            addr: *addr,
+            incarnation: info.incarnation,
+            layers,
+        });
+    }
+    Ok(chain)
+}
+
+/// Drives one draft without an entry process and returns the times of its tokens.
+async fn draft_directly(
+    client: &Client,
+    chain: &[Hop],
+) -> anyhow::Result<(Duration, Vec<Duration>)> {
+    let request = RequestId::random();
+    let salt: u32 = rand::random();
+    let prompt: Vec<u32> = (0..PROMPT).map(|i| salt.wrapping_add(i) % 32_000).collect();
+    let opening = Opening {
+        chain: chain.to_vec(),
+        model: MODEL.to_owned(),
+        fingerprint: Fingerprint::of(&[&salt.to_le_bytes()]),
+        priority: 0,
+        deadline_ms: 60_000,
+    };
+    let mut step = Step {
+        request,
+        epoch: Epoch(1),
+        stage: 0,
+        pos: 0,
+        input: Input::Tokens(prompt),
+        opening: Some(opening),
+        limit_ms: 5_000,
+    };
+    let begin = Instant::now();
+    let mut last = begin;
+    let mut first = Duration::ZERO;
+    let mut gaps = Vec::with_capacity(TOKENS as usize);
+    for number in 0..TOKENS {
+        let pos = step.pos + step.input.len() as u32;
+        let head = &chain[0];
+        let output = client
+            .call(head.addr, head.incarnation, step.clone(), CALL_LIMIT)
+            .await?;
+        let now = Instant::now();
+        match number {
+            0 => first = now - begin,
+            _ => gaps.push(now - last),
+        }
+        last = now;
+        step.pos = pos;
+        step.input = Input::Tokens(vec![output.token]);
+        step.opening = None;
+    }
+    let epoch = Epoch(1);
+    for hop in chain {
+        let end = Cancel { request, epoch };
+        client
+            .call(hop.addr, hop.incarnation, end, CALL_LIMIT)
+            .await?;
+    }
+    Ok((first, gaps))
+}
--- a/crates/mustard-bench/src/slopes/fleet.rs
+++ b/crates/mustard-bench/src/slopes/fleet.rs
@@ -8,7 +8,7 @@
 
 use mustard_core::catalogue::{Class, Entry, Limits, Op, Snapshot, Target};
 use mustard_core::fingerprint::KeyHash;
-use mustard_core::ids::Revision;
+use mustard_core::ids::{Layers, Revision};
 use mustard_fakes::fault::Command;
 use mustard_platform::vms::{Vm, VmKind, VmState};
 use mustard_tests::child::Child;
@@ -19,16 +19,29 @@
 const ANY_PORT: &str = "127.0.0.1:0";
 const READY_LIMIT: Duration = Duration::from_secs(30);
 const POLL: Duration = Duration::from_millis(10);
+/// The model and the plain service of the bench, and the bearer key of its customer.
+pub(super) const MODEL: &str = "caption";
+pub(super) const SERVICE: &str = "placements";
+pub(super) const CUSTOMER: &str = "bench-customer";
 pub(super) const DOMAIN: &str = "ga-north-a";
 
 /// The platform's stand-in and the entry processes that use it.
 pub(super) struct Fleet {
     pub(super) platform: Child,
     pub(super) entries: Vec<Child>,
+    pub(super) stages: Vec<Server>,
+    pub(super) services: Vec<Server>,
     dir: PathBuf,
     born: usize,
 }
 
+/// A backend server's stand-in with the agent beside it.
+pub(super) struct Server {
+    /// The agent.
+    pub(super) agent: Child,
+    _server: Child,
+}
+
 impl Fleet {
     /// Starts a platform.
     pub(super) fn new(dir: &Path) -> anyhow::Result<Self> {
@@ -38,6 +51,8 @@
         Ok(Fleet {
             platform: Child::start("fake-platform", "platform", &flags, dir)?,
             entries: Vec::new(),
+            stages: Vec::new(),
+            services: Vec::new(),
             dir: dir.to_owned(),
             born: 0,
         })
@@ -69,9 +84,64 @@
         Ok(Child::start(program, name, &args, &self.dir)?)
     }
 
-    /// Returns the directory of logs and settings.
-    pub(super) fn dir(&self) -> &Path {
-        &self.dir
+    /// Starts an engine with layers of the model of twelve, and the agent beside it.
+    pub(super) fn add_stage(&mut self, layers: Layers, more: &[&str]) -> anyhow::Result<()> {
+        let layers = layers.to_string();
+        let mut flags = vec![
+            "--model",
+            MODEL,
+            "--layers",
+            &layers,
+            "--total-layers",
+            "12",
+        ];
+        flags.extend_from_slice(more);
+        let server = self.add_server("fake-engine", &flags, "kind = \"engine\"\n")?;
+        self.stages.push(server);
+        Ok(())
+    }
+
+    /// Starts a plain service and the agent beside it.
+    pub(super) fn add_service(&mut self) -> anyhow::Result<()> {
+        let kind = format!("kind = \"service\"\nservice = \"{SERVICE}\"\n");
+        let server = self.add_server("fake-service", &[], &kind)?;
+        self.services.push(server);
+        Ok(())
+    }
+
+    fn add_server(&mut self, program: &str, flags: &[&str], kind: &str) -> anyhow::Result<Server> {
+        self.born += 1;
+        let vm = format!("server-{}", self.born);
+        let flags: Vec<String> = flags.iter().map(|f| (*f).to_owned()).collect();
+        let server = Child::start(program, &format!("{vm}-server"), &flags, &self.dir)?;
+        let text = format!(
+            "vm = \"{vm}\"\ndomain = \"{DOMAIN}\"\nlisten = \"{ANY_PORT}\"\n\
+             server = \"{}\"\ntable = \"{}\"\n{kind}[log]\nlevel = \"error\"\n",
+            server.addr(),
+            self.platform.addr()
+        );
+        let agent = self.start("mustard-agent", &vm, &text)?;
+        self.list(&vm, agent.addr(), VmKind::Agent)?;
+        Ok(Server {
+            agent,
+            _server: server,
+        })
+    }
+
+    /// Adds the entries of the model and of the plain service, without effective limits.
+    pub(super) fn open_all(&self) -> anyhow::Result<()> {
+        let model = Target::Model {
+            model: MODEL.to_owned(),
+            layers: 12,
+        };
+        let service = Target::Service {
+            service: SERVICE.to_owned(),
+            repeatable: false,
+        };
+        for (name, target) in [(MODEL, model), (SERVICE, service)] {
+            self.operator(0).put(&open_entry(name, target), 0)?;
+        }
+        Ok(())
     }
 
     /// Adds a VM to the platform's list.
@@ -156,6 +226,23 @@
     }
 }
 
+fn open_entry(name: &str, target: Target) -> Entry {
+    Entry {
+        name: name.to_owned(),
+        owner: "bench".to_owned(),
+        class: Class::Interactive,
+        target,
+        limits: Limits {
+            rate: 100_000.0,
+            burst: 100_000,
+            concurrency: 100_000,
+            max_tokens: 4_096,
+            ..Limits::default()
+        },
+        keys: vec![KeyHash::of(CUSTOMER)],
+    }
+}
+
 /// Waits for a condition and returns how long it took.
 pub(super) fn wait(
     what: &str,
--- a/crates/mustard-bench/src/slopes/probe.rs
+++ b/crates/mustard-bench/src/slopes/probe.rs
@@ -64,9 +64,14 @@
 }
 
 impl Reading {
+    /// Returns the seconds since an earlier reading.
+    pub(super) fn seconds_since(&self, earlier: &Reading) -> f64 {
+        self.at.duration_since(earlier.at).as_secs_f64().max(1e-3)
+    }
+
     /// Returns what was spent since an earlier reading.
     pub(super) fn since(&self, earlier: &Reading) -> Rates {
-        let seconds = self.at.duration_since(earlier.at).as_secs_f64().max(1e-3);
+        let seconds = self.seconds_since(earlier);
         let messages = (self.control_messages - earlier.control_messages) / seconds;
         let bytes = (self.control_bytes - earlier.control_bytes) / seconds;
         Rates {
