--- a/crates/mustard-bench/src/slopes/costs.rs
+++ b/crates/mustard-bench/src/slopes/costs.rs
@@ -17,7 +17,7 @@
 use mustard_proto::step::{Cancel, Hop, Input, Opening, Step};
 
 use super::Args;
-use super::fleet::{CUSTOMER, Fleet, MODEL, SERVICE, wait};
+use super::fleet::{CUSTOMER, Fleet, MODEL, SERVICE, customer_name, wait};
 use super::probe;
 use super::report::Series;
 use crate::load::{self, Arrival, Ending, Kind, Scenario};
@@ -286,3 +286,60 @@
     }
     Ok((first, gaps))
 }
+
+/// An entry process against customers that use it, each with one status read a second.
+///
+/// A second entry process holds the limits of half of them, as others do at any size.
+pub(super) fn customers(args: &Args, fleet: &mut Fleet) -> anyhow::Result<Series> {
+    let sizes = args.sizes(&[10, 20, 40, 80], &[25, 50, 100, 200]);
+    fleet.add_service()?;
+    for entry in 0..2 {
+        fleet.add_entry()?;
+        fleet.wait_ready(entry)?;
+    }
+    fleet.open_all()?;
+    warm(fleet, Kind::Read)?;
+    for number in 0..*sizes.last().unwrap_or(&0) {
+        fleet.open_customer(number)?;
+    }
+    let mut series = Series::new("entry", "customers that use it, at one request a second");
+    for size in sizes {
+        let running = read_often(fleet, size, args.settle() + args.window());
+        sleep(args.settle());
+        let before = probe::read(&fleet.entries[0])?;
+        sleep(args.window() - Duration::from_millis(500));
+        series.add(size as f64, probe::read(&fleet.entries[0])?.since(&before));
+        let Ok(()) = running.join() else {
+            bail!("the load did not end");
+        };
+    }
+    Ok(series)
+}
+
+fn read_often(fleet: &Fleet, size: usize, time: Duration) -> std::thread::JoinHandle<()> {
+    let args = load_args(fleet);
+    std::thread::spawn(move || {
+        System::new("customers", DefaultRuntime).block_on(async move {
+            let http = http::new_client().await;
+            let end = Instant::now() + time;
+            while Instant::now() < end {
+                let due = Instant::now();
+                for number in 0..size {
+                    let service = customer_name(number);
+                    let args = Rc::new(load::Args {
+                        service,
+                        ..args.clone()
+                    });
+                    let arrival = Arrival {
+                        number: 0,
+                        after: Duration::ZERO,
+                        kind: Kind::Read,
+                        salt: 0,
+                    };
+                    ntex::rt::spawn(load::send(http.clone(), args, arrival, due));
+                    tokio::time::sleep(Duration::from_secs(1) / size as u32).await;
+                }
+            }
+        });
+    })
+}
--- a/crates/mustard-bench/src/slopes/fleet.rs
+++ b/crates/mustard-bench/src/slopes/fleet.rs
@@ -128,6 +128,17 @@
         })
     }
 
+    /// Adds an entry that gives one more customer the plain service.
+    pub(super) fn open_customer(&self, number: usize) -> anyhow::Result<()> {
+        let target = Target::Service {
+            service: SERVICE.to_owned(),
+            repeatable: false,
+        };
+        let entry = open_entry(&customer_name(number), target);
+        self.operator(0).put(&entry, 0)?;
+        Ok(())
+    }
+
     /// Adds the entries of the model and of the plain service, without effective limits.
     pub(super) fn open_all(&self) -> anyhow::Result<()> {
         let model = Target::Model {
@@ -226,6 +237,11 @@
     }
 }
 
+/// Returns the catalogue entry of a customer.
+pub(super) fn customer_name(number: usize) -> String {
+    format!("customer-{number}")
+}
+
 fn open_entry(name: &str, target: Target) -> Entry {
     Entry {
         name: name.to_owned(),
--- a/crates/mustard-bench/src/slopes/mod.rs
+++ b/crates/mustard-bench/src/slopes/mod.rs
@@ -42,11 +42,13 @@
     Bookings,
     /// An entry process and an agent against drafts in flight.
     Flight,
+    /// An entry process against the customers that use it.
+    Customers,
     /// What an entry process adds to tokens over calling the stages directly.
     Tokens,
 }
 
-const ALL: [Part; 10] = [
+const ALL: [Part; 11] = [
     Part::Servers,
     Part::Entries,
     Part::Changes,
@@ -56,6 +58,7 @@
     Part::Reads,
     Part::Bookings,
     Part::Flight,
+    Part::Customers,
     Part::Tokens,
 ];
 
@@ -113,6 +116,7 @@
         Part::Reads => return Ok(show(&costs::calls(args, &mut fleet, false)?)),
         Part::Bookings => return Ok(show(&costs::calls(args, &mut fleet, true)?)),
         Part::Flight => return Ok(show(&costs::flight(args, &mut fleet)?)),
+        Part::Customers => costs::customers(args, &mut fleet)?,
         Part::Tokens => return costs::tokens(args, &mut fleet),
         Part::Servers => control::servers(args, &mut fleet)?,
         Part::Entries => control::entries(args, &mut fleet)?,
--- a/crates/mustard-bench/src/slopes/probe.rs
+++ b/crates/mustard-bench/src/slopes/probe.rs
@@ -8,8 +8,7 @@
 
 /// Paths that carry callers' work; every other message is control.
 const WORK: [&str; 3] = ["/x/v1/step", "/x/v1/call", "/x/v1/cancel"];
-/// HTTP head and framing of one message and its share of an answer, in bytes, as `ss` showed
-/// beside the counts of bodies.
+/// HTTP head of one message, in bytes.
 pub(super) const HEAD_BYTES: f64 = 150.0;
 const TABLE: &str = "table";
 const KIB: u64 = 1024;
--- a/crates/mustard-core/src/catalogue/entry.rs
+++ b/crates/mustard-core/src/catalogue/entry.rs
@@ -98,60 +98,66 @@
 
 impl Entry {
     /// Checks every field against its range.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault.
     pub fn check(&self) -> Result<()> {
-        self.check_name("name", &self.name)?;
-        self.check_name("owner", &self.owner)?;
+        self.faults().into_iter().next().map_or(Ok(()), Err)
+    }
+
+    /// Returns every field that lies outside its range.
+    pub fn faults(&self) -> Vec<CatalogueError> {
+        let mut checks = vec![
+            self.check_name("name", &self.name),
+            self.check_name("owner", &self.owner),
+        ];
         match &self.target {
             Target::Model { model, layers } => {
-                self.check_name("target.model", model)?;
-                self.check_range(
-                    "target.layers",
-                    f64::from(*layers),
-                    1.0,
-                    10_000.0,
-                    "1 to 10000",
-                )?;
+                checks.push(self.check_name("target.model", model));
+                checks.push(self.check_count("target.layers", *layers, 10_000.0, "1 to 10000"));
+            }
+            Target::Service { service, .. } => {
+                checks.push(self.check_name("target.service", service));
             }
-            Target::Service { service, .. } => self.check_name("target.service", service)?,
-        }
-        self.check_limits()?;
-        match self.keys.iter().find(|k| !k.is_valid()) {
-            Some(k) => Err(CatalogueError::bad_field(
-                &self.name,
-                "keys",
-                &k.0,
-                "64 hexadecimal digits",
-            )),
-            None => Ok(()),
         }
+        checks.extend(self.check_limits());
+        checks.extend(self.keys.iter().map(|k| self.check_key(k)));
+        checks.into_iter().filter_map(Result::err).collect()
     }
 
-    fn check_limits(&self) -> Result<()> {
+    fn check_limits(&self) -> [Result<()>; 6] {
         let l = &self.limits;
-        self.check_range("limits.rate", l.rate, 0.001, 1e6, "0.001 to 1000000")?;
-        self.check_range("limits.burst", f64::from(l.burst), 1.0, 1e6, "1 to 1000000")?;
-        self.check_range(
-            "limits.concurrency",
-            f64::from(l.concurrency),
-            1.0,
-            1e6,
-            "1 to 1000000",
-        )?;
-        self.check_range(
-            "limits.max_tokens",
-            f64::from(l.max_tokens),
-            1.0,
-            1e6,
-            "1 to 1000000",
-        )?;
-        self.check_range(
-            "limits.deadline_ms",
-            l.deadline_ms as f64,
-            1.0,
-            8.64e7,
-            "1 to 86400000",
-        )?;
-        self.check_range("limits.share", f64::from(l.share), 1.0, 1e4, "1 to 10000")
+        let million = "1 to 1000000";
+        let deadline = l.deadline_ms as f64;
+        [
+            self.check_range("limits.rate", l.rate, 0.001, 1e6, "0.001 to 1000000"),
+            self.check_count("limits.burst", l.burst, 1e6, million),
+            self.check_count("limits.concurrency", l.concurrency, 1e6, million),
+            self.check_count("limits.max_tokens", l.max_tokens, 1e6, million),
+            self.check_range("limits.deadline_ms", deadline, 1.0, 8.64e7, "1 to 86400000"),
+            self.check_count("limits.share", l.share, 1e4, "1 to 10000"),
+        ]
+    }
+
+    fn check_key(&self, key: &KeyHash) -> Result<()> {
+        if key.is_valid() {
+            return Ok(());
+        }
+        let allowed = "64 hexadecimal digits";
+        Err(CatalogueError::bad_field(
+            &self.name, "keys", &key.0, allowed,
+        ))
+    }
+
+    fn check_count(
+        &self,
+        field: &'static str,
+        count: u32,
+        most: f64,
+        allowed: &'static str,
+    ) -> Result<()> {
+        self.check_range(field, f64::from(count), 1.0, most, allowed)
     }
 
     fn check_name(&self, field: &'static str, text: &str) -> Result<()> {
--- a/crates/mustardctl/tests/files.rs
+++ b/crates/mustardctl/tests/files.rs
@@ -50,7 +50,7 @@
         [[entry]]
         name = "a b"
         owner = "o"
-        target = { kind = "service", service = "s" }
+        target = { kind = "model", model = "s", layers = 0 }
         [[entry]]
         name = "c"
         ownr = "o"
@@ -60,8 +60,14 @@
         panic!("the faults are not found");
     };
     let all = faults.join("\n");
-    assert_eq!(faults.len(), 3, "{all}");
-    for part in ["\"retired\" is not known", "\"a b\"", "number 2", "ownr"] {
+    assert_eq!(faults.len(), 4, "{all}");
+    for part in [
+        "\"retired\" is not known",
+        "name of entry \"a b\"",
+        "target.layers",
+        "number 2",
+        "ownr",
+    ] {
         assert!(all.contains(part), "{part} is not in {all}");
     }
 }
