--- a/crates/mustard-bench/src/slopes/costs.rs
+++ b/crates/mustard-bench/src/slopes/costs.rs
@@ -26,9 +26,11 @@
 const PROMPT: u32 = 32;
 const TOKENS: u32 = 64;
 const WARM: usize = 5;
+/// Tokens of such a draft.
+const LONG_TOKENS: u32 = 32;
 const CALL_LIMIT: Duration = Duration::from_secs(5);
 /// Engine time of a step that keeps drafts in flight while memory is read, in microseconds.
-const LONG_STEP_US: &str = "400000";
+const LONG_STEP_US: &str = "100000";
 
 fn load_args(fleet: &Fleet) -> load::Args {
     load::Args {
@@ -53,6 +55,7 @@
 fn warm(fleet: &Fleet, kind: Kind) -> anyhow::Result<()> {
     let mut args = load_args(fleet);
     args.rate = 5.0;
+    args.tokens = 2;
     args.bookings = f64::from(u8::from(kind == Kind::Booking));
     args.reads = f64::from(u8::from(kind == Kind::Read));
     wait("a first good answer", || {
@@ -123,7 +126,7 @@
     for size in sizes {
         let mut load = load_args(fleet);
         load.rate = size as f64;
-        load.tokens = 12;
+        load.tokens = LONG_TOKENS;
         load.seed = size as u64;
         let running = std::thread::spawn(move || load::offer(&load));
         sleep(Duration::from_millis(2_500));
--- a/crates/mustard-bench/src/slopes/report.rs
+++ b/crates/mustard-bench/src/slopes/report.rs
@@ -55,7 +55,7 @@
         }
         println!();
         for (count, rates) in &self.points {
-            print!("{count:>14}");
+            print!("{count:>14.0}");
             for (_, cost) in COSTS {
                 print!("{:>15.3}", cost(rates));
             }
