--- a/crates/mustard-policy/src/limits/grantor.rs
+++ b/crates/mustard-policy/src/limits/grantor.rs
@@ -113,11 +113,10 @@
         let Some(record) = self.holders.get(from) else {
             return 0;
         };
-        if record.demand() == 0 {
-            return 0;
-        }
-        let demands = self.holders.values().map(Record::demand).sum();
-        let mut fair = part(limit, record.demand(), demands);
+        // A holder that asks has been used recently, even if it holds enough for now: without
+        // a slot its next request would have to wait for a grant.
+        let demands = self.holders.values().map(|r| r.demand().max(1)).sum();
+        let mut fair = part(limit, record.demand().max(1), demands);
         if now.since(self.started) < GRANT_LIFE {
             fair = fair.min((limit / live.max(1)).max(1));
         }
--- a/crates/mustard-policy/src/limits/holder.rs
+++ b/crates/mustard-policy/src/limits/holder.rs
@@ -118,7 +118,8 @@
     pub fn demand(&mut self, now: Moment) -> Option<Demand> {
         let since = |at: Option<Moment>| at.map(|at| now.since(at));
         let idle = since(self.used).is_none_or(|age| age > IDLE_AFTER) && self.running == 0;
-        let pause = if self.is_short(now) {
+        // Only a request that came since the last ask can be waiting for a grant.
+        let pause = if self.arrived > 0 && self.is_short(now) {
             ASK_PAUSE
         } else {
             GRANT_LIFE / RENEW_SHARE
