Give suspects more time with each round when no other server is left

Cause, found by stream_only_stage_killed_waits_for_new_one: the only stage of a range died, its replacement joined within two seconds, and the draft had broken off before. With no other server the suspects were tried again every 20 ms, so that all 8 attempts were used up in 0.2 s. The pause now doubles with each such round, within the patience that stands.

--- a/crates/mustard-entry/src/drive/mod.rs
+++ b/crates/mustard-entry/src/drive/mod.rs
@@ -26,6 +26,7 @@
 
 /// How long a broken-off draft waits for servers that hold every layer.
 const CHAIN_PATIENCE: Duration = Duration::from_secs(5);
+const MAX_ROUNDS: u32 = 6;
 const CHAIN_PAUSE: Duration = Duration::from_millis(20);
 
 /// A draft to be generated.
@@ -59,6 +60,8 @@
     tokens: Vec<u32>,
     want: Want,
     ran: Ran,
+    /// How often only suspects were left.
+    rounds: u32,
 }
 
 impl<'a, P: Ports> Driver<'a, P> {
@@ -85,6 +88,7 @@
             tokens: Vec::new(),
             want,
             ran: Ran::No,
+            rounds: 0,
         }
     }
 
@@ -159,10 +163,18 @@
             match self.ports.choose(&self.want) {
                 Ok(chain) => return Ok(chain),
                 Err(none) if Instant::now() >= end => return Err(none),
-                // The suspects may be sound again by now.
-                Err(_) => self.want.avoid.clear(),
+                Err(_) => {}
             }
-            sleep(CHAIN_PAUSE).await;
+            if self.want.avoid.is_empty() {
+                sleep(CHAIN_PAUSE).await;
+                continue;
+            }
+            // Only suspects are left. They get more time with each round, so that a new server
+            // can join before the attempts are used up.
+            let pause = CHAIN_PAUSE * 2_u32.pow(self.rounds.min(MAX_ROUNDS));
+            sleep(pause.min(end.saturating_duration_since(Instant::now()))).await;
+            self.rounds += 1;
+            self.want.avoid.clear();
         }
     }
 
