--- a/crates/mustard-tests/tests/golden_operator.rs
+++ b/crates/mustard-tests/tests/golden_operator.rs
@@ -105,10 +105,10 @@
         self.session.note(&format!("exit {code}\n"));
     }
 
-    fn table(&self, fault: Fault) {
+    fn table(&self, fault: &Fault) {
         let fault = Fault {
             part: Some("table".to_owned()),
-            ..fault
+            ..fault.clone()
         };
         command(&self.cluster.platform, &fault).unwrap();
     }
@@ -210,19 +210,19 @@
 fn outage(operator: &mut Operator) {
     let change = ["catalogue", "change", "-f", "caption.toml"];
     let second = [&change[..], &["--id", "rise-3", "--expect", "2"]].concat();
-    operator.table(Fault {
+    operator.table(&Fault {
         lose_answers: Some(1),
         ..Fault::default()
     });
     operator.run("the table loses its answer", 0, &second);
-    operator.table(Fault {
+    operator.table(&Fault {
         down: Some(true),
         ..Fault::default()
     });
     let third = ["catalogue", "retire", "placements", "--wait", "1"];
     let third = [&third[..], &["--id", "end-1", "--expect", "1"]].concat();
     operator.run("the table is down", 1, &third);
-    operator.table(Fault {
+    operator.table(&Fault {
         down: Some(false),
         ..Fault::default()
     });
--- a/crates/mustard-tests/tests/stage_failure.rs
+++ b/crates/mustard-tests/tests/stage_failure.rs
@@ -51,7 +51,7 @@
 fn stream_engine_killed_continues() {
     let mut cluster = cluster(2);
     let draft = stream(&mut cluster, &[10], |c, i| {
-        c.stages[i].server.kill().unwrap()
+        c.stages[i].server.kill().unwrap();
     });
     assert_correct(&cluster, &draft);
 }
@@ -60,7 +60,7 @@
 fn stream_agent_frozen_continues() {
     let mut cluster = cluster(2);
     let draft = stream(&mut cluster, &[10], |c, i| {
-        c.stages[i].agent.freeze().unwrap()
+        c.stages[i].agent.freeze().unwrap();
     });
     assert_correct(&cluster, &draft);
     // The late stage wakes up with its old attempt and must not disturb a new draft.
@@ -75,7 +75,7 @@
 fn stream_engine_frozen_continues() {
     let mut cluster = cluster(2);
     let draft = stream(&mut cluster, &[10], |c, i| {
-        c.stages[i].server.freeze().unwrap()
+        c.stages[i].server.freeze().unwrap();
     });
     assert_correct(&cluster, &draft);
 }
