--- a/crates/mustard-entry/src/ports.rs
+++ b/crates/mustard-entry/src/ports.rs
@@ -13,15 +13,15 @@
 use mustard_policy::fleet::ServerKey;
 use mustard_policy::quarantine::Standing;
 use mustard_policy::route::{Query, choose};
+use mustard_proto::Refusal;
 use mustard_proto::agent::Heartbeat;
 use mustard_proto::step::{Cancel, Output, Step};
-use mustard_proto::{Ran, Refusal};
 
 use crate::admit::{Admitted, chain_of};
 use crate::app::Worker;
 use crate::drive::{Chain, NoChain, Ports, Veto, Want};
 use crate::harm::{self, Exposure};
-use crate::servers::report_of;
+use crate::metric;
 
 const PROBE_LIMIT: Duration = Duration::from_millis(150);
 const CANCEL_LIMIT: Duration = Duration::from_secs(2);
@@ -129,9 +129,15 @@
     async fn step(&self, chain: &Chain, step: Step, limit: Duration) -> Result<Output, CallError> {
         let first = &chain.hops[0];
         let client = &self.worker.client;
-        client
+        let started = Instant::now();
+        let result = client
             .call(first.addr, first.incarnation, step, limit)
-            .await
+            .await;
+        metric::step(started.elapsed(), result.is_ok());
+        if let Err(error) = &result {
+            metric::attempt_failed(reason_of(error));
+        }
+        result
     }
 
     async fn probe(&self, chain: &Chain) -> Vec<String> {
@@ -176,23 +182,14 @@
 
     fn learn(&self, chain: &Chain, positions: u32, took: Duration, output: &Output) {
         let shared = &self.worker.shared;
-        let now = shared.process.now();
-        let fleet = shared.servers.view();
         for (stage, load) in &output.loads {
-            let key = chain.planned.keys.get(*stage as usize).copied();
-            let Some(server) = key.and_then(|k| fleet.get(k)) else {
-                continue;
-            };
-            server.live().report(now, report_of(load));
-            if load.step_us > 0 {
-                server.live().observe_step(now, load.step_us as f32);
-            }
-            if load.prefill_us > 0 {
-                server.live().observe_prefill(load.prefill_us as f32);
+            if let Some(key) = chain.planned.keys.get(*stage as usize) {
+                shared.servers.loaded(*key, load);
             }
         }
         if positions == 1 {
-            learn_links(&fleet, &chain.planned.keys, now, took);
+            let fleet = shared.servers.view();
+            learn_links(&fleet, &chain.planned.keys, shared.process.now(), took);
             return;
         }
         for key in &chain.planned.keys {
@@ -202,9 +199,10 @@
 
     fn blame(&self, agent: &str, error: &CallError) {
         self.worker.shared.servers.failed(agent, error);
-        if is_death(error) {
+        let count = contents_at_death(error);
+        if count > 0 {
             self.deaths.set(self.deaths.get() + 1);
-            harm::note_death(&self.worker, agent);
+            harm::note_death(&self.worker, agent, count);
         }
     }
 
@@ -266,19 +264,36 @@
     fleet.links().observe_path(&slots, outside);
 }
 
-/// Tells whether a failure shows that a server died while it ran the request.
-fn is_death(error: &CallError) -> bool {
+/// Returns the number of request contents that ran on a server when it died, zero if the failure
+/// shows no death.
+fn contents_at_death(error: &CallError) -> u32 {
+    match error {
+        CallError::Refused(refusal) => contents_of(refusal),
+        _ => 0,
+    }
+}
+
+fn contents_of(refusal: &Refusal) -> u32 {
+    match refusal {
+        Refusal::NextFailed { cause, .. } => contents_of(cause),
+        Refusal::ServerFailed { suspects, .. } => *suspects,
+        _ => 0,
+    }
+}
+
+fn reason_of(error: &CallError) -> &'static str {
     match error {
-        CallError::Refused(refusal) => is_server_death(refusal),
-        CallError::Lost(_) => true,
-        _ => false,
+        CallError::NotSent(_) => "not_sent",
+        CallError::Lost(_) => "lost",
+        CallError::TimedOut(_) => "timed_out",
+        CallError::Status(_) | CallError::Proto(_) => "bad_answer",
+        CallError::Refused(refusal) => origin_of(refusal).name(),
     }
 }
 
-fn is_server_death(refusal: &Refusal) -> bool {
+fn origin_of(refusal: &Refusal) -> &Refusal {
     match refusal {
-        Refusal::NextFailed { cause, .. } => is_server_death(cause),
-        Refusal::ServerFailed { ran, .. } => *ran == Ran::Maybe,
-        _ => false,
+        Refusal::NextFailed { cause, .. } => origin_of(cause),
+        own => own,
     }
 }
