--- a/crates/mustard-policy/src/limits/grantor.rs
+++ b/crates/mustard-policy/src/limits/grantor.rs
@@ -113,15 +113,6 @@
         let Some(record) = self.holders.get(from) else {
             return 0;
         };
-<<<<<<< HEAD
-        // A holder that asks has been used recently, even if it holds enough for now: without
-        // a slot its next request would have to wait for a grant.
-        let demands = self.holders.values().map(|r| r.demand().max(1)).sum();
-        let mut fair = part(limit, record.demand().max(1), demands);
-=======
-        if record.demand() == 0 {
-            return 0;
-        }
         let others = || self.holders.iter().filter(|(name, _)| *name != from);
         let held: u32 = others().map(|(_, r)| r.held()).sum();
         let free = limit.saturating_sub(held);
@@ -133,10 +124,11 @@
             .map(|(_, r)| r.held().saturating_sub(reserve))
             .sum();
         let spare = limit.saturating_sub(reserve * live + above);
-        let demands = self.holders.values().map(Record::demand).sum();
-        let mut fair = part(limit, record.demand(), demands);
+        // A holder that asks has been used recently, even if it holds enough for now: without
+        // a slot its next request would have to wait for a grant.
+        let demands = self.holders.values().map(|r| r.demand().max(1)).sum();
+        let mut fair = part(limit, record.demand().max(1), demands);
         fair = fair.max(reserve).min(reserve + spare);
->>>>>>> entry
         if now.since(self.started) < GRANT_LIFE {
             fair = fair.min(even);
         }
