--- a/crates/mustard-tests/tests/golden_operator.rs
+++ b/crates/mustard-tests/tests/golden_operator.rs
@@ -105,11 +105,8 @@
         self.session.note(&format!("exit {code}\n"));
     }
 
-    fn table(&self, fault: Fault) {
-        let fault = Fault {
-            part: Some("table".to_owned()),
-            ..fault
-        };
+    fn table(&self, mut fault: Fault) {
+        fault.part = Some("table".to_owned());
         command(&self.cluster.platform, &fault).unwrap();
     }
 
