--- a/crates/mustard-policy/src/admission/queue.rs
+++ b/crates/mustard-policy/src/admission/queue.rs
@@ -24,7 +24,7 @@
 /// The factor by which a chain may exceed its floor where that is above the wanted pace.
 const FLOOR_STRETCH: f32 = 1.5;
 /// The share of the time up to the latest start that a request may be predicted to wait.
-const PATIENCE: f64 = 0.5;
+const PATIENCE: f64 = 0.45;
 /// The time for which a customer that was idle goes before others.
 const CREDIT: Duration = Duration::from_millis(500);
 /// The rounds of the search for a wait during which others' arrivals are counted too.
