--- a/crates/mustard-policy/src/admission/window.rs
+++ b/crates/mustard-policy/src/admission/window.rs
@@ -5,7 +5,7 @@
 use mustard_core::clock::Moment;
 
 /// The share of times between tokens that may be late.
-const LATE_SHARE: f64 = 0.05;
+const LATE_SHARE: f64 = 0.04;
 /// The times between tokens, and the time, that one correction looks at.
 const MIN_COUNT: u32 = 50;
 const MIN_TIME: Duration = Duration::from_millis(100);
