--- a/crates/mustard-bench/src/slopes/probe.rs
+++ b/crates/mustard-bench/src/slopes/probe.rs
@@ -8,8 +8,7 @@
 
 /// Paths that carry callers' work; every other message is control.
 const WORK: [&str; 3] = ["/x/v1/step", "/x/v1/call", "/x/v1/cancel"];
-/// HTTP head and framing of one message and its share of an answer, in bytes, as `ss` showed
-/// beside the counts of bodies.
+/// HTTP head of one message, in bytes.
 pub(super) const HEAD_BYTES: f64 = 150.0;
 const TABLE: &str = "table";
 const KIB: u64 = 1024;
@@ -64,9 +63,14 @@
 }
 
 impl Reading {
+    /// Returns the seconds since an earlier reading.
+    pub(super) fn seconds_since(&self, earlier: &Reading) -> f64 {
+        self.at.duration_since(earlier.at).as_secs_f64().max(1e-3)
+    }
+
     /// Returns what was spent since an earlier reading.
     pub(super) fn since(&self, earlier: &Reading) -> Rates {
-        let seconds = self.at.duration_since(earlier.at).as_secs_f64().max(1e-3);
+        let seconds = self.seconds_since(earlier);
         let messages = (self.control_messages - earlier.control_messages) / seconds;
         let bytes = (self.control_bytes - earlier.control_bytes) / seconds;
         Rates {
