--- a/crates/mustard-policy/src/fleet/server.rs
+++ b/crates/mustard-policy/src/fleet/server.rs
@@ -24,6 +24,9 @@
 const RECENT_WEIGHT: f32 = 0.1;
 /// The share of the short-term mean below which a prediction never falls.
 const RECENT_SHARE: f32 = 0.5;
+/// The factor between the short-term mean and the line at which the server counts as changed,
+/// and the line is learned anew.
+const TURNED: f32 = 3.0;
 /// The factor over its prediction at which a step's time is cut off before it is learned from.
 const OUTLIER: f32 = 3.0;
 /// The age at which learned delay counts half, so that an avoided server is tried again.
@@ -213,6 +216,10 @@
     /// Takes in the time of one decode step at the server, in microseconds.
     pub fn observe_step(&self, now: Moment, us: f32) {
         let work = self.work(now);
+        let ratio = self.recent.get() / self.step.at(work).max(1.0);
+        if !(1.0 / TURNED..TURNED).contains(&ratio) {
+            self.step.restart();
+        }
         let most = self.step.at(work).max(self.recent.get()) * OUTLIER;
         self.step.observe(work, us.min(most));
         self.recent.observe(us);
--- a/crates/mustard-policy/src/learn.rs
+++ b/crates/mustard-policy/src/learn.rs
@@ -130,6 +130,11 @@
         base + slope * x
     }
 
+    /// Lets the next observations move the line as far as the first ones did.
+    pub fn restart(&self) {
+        self.count.store(0, Ordering::Relaxed);
+    }
+
     /// Takes in the value `y` observed at `x`; base and slope never become negative.
     pub fn observe(&self, x: f32, y: f32) {
         if !(x.is_finite() && y.is_finite()) {
--- /dev/null
+++ b/crates/mustard-policy/tests/retry.rs
@@ -0,0 +1,97 @@
+//! Retry budgets, hedges and the detection of slow servers.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use bolero::check;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use mustard_core::catalogue::Class;
+use mustard_core::clock::Moment;
+use mustard_core::ids::{Incarnation, Layers};
+use mustard_policy::fleet::{Facts, Fleet, Role, ServerKey};
+use mustard_policy::hedge::Hedge;
+use mustard_policy::retry::RetryBudget;
+use mustard_policy::slow::SlowDetector;
+
+/// Retries never exceed their share of first attempts by more than the reserve.
+#[test]
+fn spend_drawn_failures() {
+    check!()
+        .with_iterations(300)
+        .with_type::<u64>()
+        .for_each(|seed| {
+            let mut rng = ChaCha8Rng::seed_from_u64(*seed);
+            let (share, reserve) = (0.1, 5.0);
+            let mut budget = RetryBudget::new(share, reserve);
+            let failing = rng.random::<f64>();
+            let (mut first, mut retries) = (0.0, 0.0);
+            for _ in 0..500 {
+                first += 1.0;
+                budget.earn();
+                while rng.random::<f64>() < failing && budget.spend() {
+                    retries += 1.0;
+                }
+                assert!(retries <= share * first + reserve);
+            }
+        });
+}
+
+/// A second copy is sent for some calls in a hundred, and only where the class allows it.
+#[test]
+fn delay_usual_calls() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut hedge = Hedge::new(Duration::from_millis(10));
+    assert_eq!(hedge.delay(Class::Batch, true), None);
+    assert_eq!(hedge.delay(Class::Interactive, false), None);
+    let mut sent = 0;
+    for _ in 0..10_000 {
+        let took = Duration::from_micros(rng.random_range(1_000..20_000));
+        let delay = hedge.delay(Class::Interactive, true).unwrap();
+        sent += u32::from(took > delay && hedge.spend());
+        hedge.observe(took);
+    }
+    assert!((200..=505).contains(&sent), "{sent} of 10,000");
+}
+
+/// One server of a group turns slow, is told once, and once again when it is sound.
+#[test]
+fn look_slow_server() {
+    let mut fleet = Fleet::default();
+    let keys: Vec<ServerKey> = (0..6)
+        .map(|i| {
+            fleet.upsert(Facts {
+                vm: format!("vm-{i}"),
+                addr: ([127, 0, 0, 1], i).into(),
+                domain: "d".into(),
+                incarnation: Incarnation(1),
+                role: Role::Stage {
+                    model: "m".into(),
+                    layers: Layers::new(0, 4),
+                    accelerator: "a".into(),
+                },
+            })
+        })
+        .collect();
+    let mut detector = SlowDetector::new();
+    let mut turns = Vec::new();
+    for round in 0..60_u64 {
+        let now = Moment::from_millis(round * 100);
+        for (i, key) in keys.iter().enumerate() {
+            let slow = i == 2 && (10..30).contains(&round);
+            let us = if slow { 20_000.0 } else { 2_000.0 };
+            let live = fleet.get(*key).unwrap().live();
+            (0..30).for_each(|_| live.observe_step(now, us));
+        }
+        for (key, slow) in detector.look(now, &fleet, "m") {
+            turns.push((round, key, slow));
+        }
+    }
+    assert_eq!(turns.len(), 2, "{turns:?}");
+    assert_eq!((turns[0].1, turns[0].2), (keys[2], true));
+    assert_eq!((turns[1].1, turns[1].2), (keys[2], false));
+    assert!(turns[0].0 < 20, "{turns:?}");
+    assert!(!detector.is_slow(keys[2]));
+}
