--- a/crates/mustard-tests/tests/booking_failure.rs
+++ b/crates/mustard-tests/tests/booking_failure.rs
@@ -11,6 +11,7 @@
 use mustard_tests::{Cluster, Plan, Result, eventually};
 use serde_json::{Value, json};
 
+const LONGEST_CALL: Duration = Duration::from_secs(2);
 const PATH: &str = "placements/pages/4";
 
 fn cluster(plan: Plan) -> Cluster {
@@ -92,6 +93,17 @@
 
 /// Runs a fault while the plain service works on a booking, then settles the booking.
 fn book_through(cluster: &mut Cluster, fault: impl FnOnce(&mut Cluster)) {
+    book_until(cluster, fault, |_| {});
+    let settled = settle(cluster, "key-1");
+    assert_truthful(cluster, "key-1", &settled);
+}
+
+/// Runs a fault while the plain service works on a booking and `heal` once the answer is there.
+fn book_until(
+    cluster: &mut Cluster,
+    fault: impl FnOnce(&mut Cluster),
+    heal: impl FnOnce(&mut Cluster),
+) {
     let caller = cluster.caller(0);
     let first = thread::spawn(move || caller.book(PATH, "key-1", &json!({"key": "key-1"})));
     eventually("the claim", || {
@@ -102,10 +114,11 @@
     .unwrap();
     fault(cluster);
     if let Ok(answer) = first.join().unwrap() {
+        // A call that reached the service has ended there by then.
+        thread::sleep(LONGEST_CALL);
         assert_truthful(cluster, "key-1", &answer);
     }
-    let settled = settle(cluster, "key-1");
-    assert_truthful(cluster, "key-1", &settled);
+    heal(cluster);
 }
 
 #[test]
@@ -121,10 +134,27 @@
     });
 }
 
+#[test]
+fn book_agents_killed_for_good_answer_is_true() {
+    let mut cluster = cluster(Plan::new().service(&["--call-ms", "1500"]));
+    let kill = |c: &mut Cluster| (0..2).for_each(|i| c.services[i].agent.kill().unwrap());
+    book_until(&mut cluster, kill, |c| {
+        (0..2).for_each(|i| c.restart_agent(Pick::Service(i)).unwrap());
+    });
+    let settled = settle(&cluster, "key-1");
+    assert_truthful(&cluster, "key-1", &settled);
+}
+
 #[test]
 fn book_entry_killed_in_call_keeps_booking() {
     let mut cluster = cluster(Plan::new().service(&["--call-ms", "1000"]));
     book_through(&mut cluster, |c| c.restart_entry(0).unwrap());
+    // The agent that holds the claim lives on, so its answer becomes known.
+    eventually("the answer of the booking", || {
+        let answer = book(&cluster, 1, "key-1").ok()?;
+        answer.is_done().then_some(())
+    })
+    .unwrap();
     assert_eq!(bookings_of(&cluster, "key-1"), 1);
 }
 
