Take every bounced step for a sign of a server's death in the comparison

Ruled out: quarantine (only the killing content was banned). Cause: an entry process without a running step at the dead server did not learn of the death before two missed heartbeats, kept sending there and used up its retry budget.

--- a/crates/mustard-bench/src/compare/product.rs
+++ b/crates/mustard-bench/src/compare/product.rs
@@ -232,6 +232,9 @@
     fn failed(&mut self, now: u64, id: usize, server: usize, delivered: u32) -> Option<Vec<usize>> {
         let now = Moment(now);
         let key = self.keys[server];
+        let vm = server.to_string();
+        let turn = self.membership.take(now, &vm, Sign::Unreachable);
+        self.apply(turn);
         let flight = self.flights.get_mut(&id)?;
         flight.guards.clear();
         flight.chain.clear();
