--- a/crates/mustard-fakes/src/serve.rs
+++ b/crates/mustard-fakes/src/serve.rs
@@ -10,6 +10,7 @@
 use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::sync::oneshot;
 
 use crate::errors::Result;
 use crate::fault::{Command, Faults};
@@ -163,13 +164,23 @@
     if writes && faults.loses_write() {
         return broken();
     }
-    let answer = stand_in.answer(call).await;
+    let answer = run_whole(Arc::clone(&state), call).await;
     if writes && faults.loses_answer() {
         return broken();
     }
     respond(answer)
 }
 
+/// Runs a call to its end even if the caller goes away, as a real server does.
+async fn run_whole<S: StandIn>(stand_in: Arc<S>, call: Call) -> Answer {
+    let (sender, answer) = oneshot::channel();
+    ntex::rt::spawn(async move {
+        let _ = sender.send(stand_in.answer(call).await);
+    });
+    let ended = |_| Answer::text(500, "the call ended without an answer");
+    answer.await.unwrap_or_else(ended)
+}
+
 fn control(stand_in: &impl StandIn, call: &Call) -> HttpResponse {
     match call.json::<Command>() {
         Ok(command) => {
--- a/crates/mustard-fakes/src/service.rs
+++ b/crates/mustard-fakes/src/service.rs
@@ -1,6 +1,7 @@
 //! A plain service whose calls may not be repeated: each one books anew.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -63,6 +64,7 @@
     flags: ServiceFlags,
     faults: Faults,
     ledger: Mutex<Vec<Booking>>,
+    running: AtomicUsize,
 }
 
 impl Service {
@@ -72,6 +74,7 @@
             flags,
             faults: Faults::default(),
             ledger: Mutex::default(),
+            running: AtomicUsize::new(0),
         }
     }
 
@@ -157,12 +160,17 @@
     async fn answer(&self, call: Call) -> Answer {
         match (&call.method, call.path.as_str()) {
             (&Method::GET, "/lookup") if !self.flags.no_lookup && self.flags.books.is_some() => {}
+            (&Method::GET, "/running") => {
+                return Answer::json(200, &self.running.load(Ordering::SeqCst));
+            }
             (&Method::GET, "/ledger") => return Answer::json(200, &*self.ledger()),
             (&Method::GET, "/lookup") => return self.lookup(call.query("reference")),
             _ => {}
         }
         let work = Duration::from_millis(self.flags.call_ms);
+        self.running.fetch_add(1, Ordering::SeqCst);
         time::sleep(self.faults.stretch(work)).await;
+        self.running.fetch_sub(1, Ordering::SeqCst);
         if let Some(books) = self.flags.books {
             return forward(books, call).await;
         }
--- a/crates/mustard-tests/tests/booking_failure.rs
+++ b/crates/mustard-tests/tests/booking_failure.rs
@@ -7,7 +7,7 @@
 use mustard_core::collections::Set;
 use mustard_fakes::fault::Command;
 use mustard_tests::cluster::{Pick, command};
-use mustard_tests::http::Answer;
+use mustard_tests::http::{Answer, Ask};
 use mustard_tests::{Cluster, Plan, Result, eventually};
 use serde_json::{Value, json};
 
@@ -137,12 +137,21 @@
 #[test]
 fn book_agents_killed_for_good_answer_is_true() {
     let mut cluster = cluster(Plan::new().service(&["--call-ms", "1500"]));
-    let kill = |c: &mut Cluster| (0..2).for_each(|i| c.services[i].agent.kill().unwrap());
+    let runs = |c: &Cluster, i: usize| {
+        let ask = Ask::get(c.services[i].server.addr(), "/running");
+        ask.send().is_ok_and(|a| a.body != "0")
+    };
+    let kill = |c: &mut Cluster| {
+        let both = || (0..2).any(|i| runs(c, i)).then_some(());
+        eventually("the service works on the booking", both).unwrap();
+        (0..2).for_each(|i| c.services[i].agent.kill().unwrap());
+    };
     book_until(&mut cluster, kill, |c| {
         (0..2).for_each(|i| c.restart_agent(Pick::Service(i)).unwrap());
     });
     let settled = settle(&cluster, "key-1");
     assert_truthful(&cluster, "key-1", &settled);
+    assert_eq!(bookings_of(&cluster, "key-1"), 1);
 }
 
 #[test]
