--- a/crates/mustard-bench/src/compare/mod.rs
+++ b/crates/mustard-bench/src/compare/mod.rs
@@ -9,6 +9,7 @@
 mod queues;
 mod report;
 mod scenario;
+mod state;
 mod tally;
 
 use std::path::PathBuf;
--- a/crates/mustard-bench/src/compare/queues.rs
+++ b/crates/mustard-bench/src/compare/queues.rs
@@ -9,7 +9,8 @@
 use super::arrivals::{self, Request};
 use super::bound;
 use super::policy::{Action, Policy, Seen};
-use super::scenario::{ENTRIES, Fault, GROUPS, Scenario, ServerSpec};
+use super::scenario::{ENTRIES, Fault, Scenario, ServerSpec};
+use super::state::{Event, Flight, Server, StepRef};
 use super::tally::{End, Tally};
 
 const POLL_EVERY: u64 = 5_000;
@@ -19,55 +20,6 @@
 /// Positions that a batch prefills at most, unless its first step has more.
 const PREFILL_BUDGET: u32 = 192;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
-    Arrive(usize),
-    Enter { server: usize, step: StepRef },
-    BatchDone { server: usize, life: u32 },
-    Token { step: StepRef },
-    Failed { server: usize, step: StepRef },
-    Deadline(usize),
-    Poll,
-    Beat,
-    Fault(usize),
-    Restart(usize),
-}
-
-/// A step of an attempt at a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct StepRef {
-    id: usize,
-    attempt: u32,
-    stage: usize,
-    positions: u32,
-    entered: u64,
-}
-
-#[derive(Debug)]
-struct Server {
-    spec: ServerSpec,
-    queue: VecDeque<StepRef>,
-    batch: Vec<StepRef>,
-    /// Requests whose chain includes the server.
-    load: u32,
-    life: u32,
-    up: bool,
-    slow: f64,
-}
-
-#[derive(Debug, Default)]
-struct Flight {
-    entry: usize,
-    chain: Vec<usize>,
-    attempt: u32,
-    delivered: u32,
-    sent: u64,
-    stages_us: [f64; GROUPS],
-    last_token: u64,
-    failed_at: Option<u64>,
-    ended: bool,
-}
-
 /// Runs one scenario under one policy.
 pub(crate) struct Run<'a> {
     scenario: &'a Scenario,
--- a/crates/mustard-policy/src/route/affinity.rs
+++ b/crates/mustard-policy/src/route/affinity.rs
@@ -7,7 +7,7 @@
 
 use mustard_core::collections::Map;
 
-use super::chain::Prefer;
+use super::plan::Prefer;
 use crate::fleet::ServerKey;
 
 /// The length of a block, in positions; prefixes are compared by whole blocks.
--- a/crates/mustard-policy/src/route/chain.rs
+++ b/crates/mustard-policy/src/route/chain.rs
@@ -5,9 +5,10 @@
 use mustard_core::clock::Moment;
 use mustard_core::ids::Layers;
 
+use super::beam::keep_best;
 use super::errors::{Result, RouteError};
-use crate::admission::Forecast;
-use crate::fleet::{Fleet, InFlight, Server, ServerKey, State};
+use super::plan::{Plan, PlanHop, Prefer, Query};
+use crate::fleet::{Fleet, Server, ServerKey, State};
 
 /// The weight of the delay that a request causes to others at the same server.
 const OTHERS_WEIGHT: f32 = 1.0;
@@ -15,115 +16,11 @@
 const JITTER: f32 = 0.1;
 /// A chain whose own floor is above the wanted pace may slow down by this factor.
 const STRETCH: f32 = 1.5;
-/// The most servers of one failure domain that a group hands on to the next layers.
-const DOMAIN_BEAM: usize = 4;
 /// The work by which a preferred server may exceed the mean of its group.
 const AFFINITY_SLACK: f32 = 4.0;
 /// The factor by which a preferred server may exceed the mean of its group.
 const AFFINITY_FACTOR: f32 = 1.25;
 
-/// A chain that holds a prefix of the prompt in its caches.
-#[derive(Clone, Copy, Debug)]
-pub struct Prefer<'a> {
-    /// The servers in layer order.
-    pub chain: &'a [ServerKey],
-    /// The number of cached positions.
-    pub cached: u32,
-}
-
-/// What a request needs of a chain.
-#[derive(Clone, Debug)]
-pub struct Query<'a> {
-    model: &'a str,
-    layers: u32,
-    prompt: u32,
-    tokens: u32,
-    pace_us: f32,
-    exclude: &'a [ServerKey],
-    prefer: Option<Prefer<'a>>,
-}
-
-impl<'a> Query<'a> {
-    /// Creates a query for a model of `layers` layers, with `prompt` positions to prefill and
-    /// `tokens` tokens to generate.
-    pub fn new(model: &'a str, layers: u32, prompt: u32, tokens: u32) -> Self {
-        Query {
-            model,
-            layers,
-            prompt,
-            tokens,
-            pace_us: f32::INFINITY,
-            exclude: &[],
-            prefer: None,
-        }
-    }
-
-    /// Sets the longest time per token, in microseconds, that a chain may reach by this request.
-    pub fn pace(mut self, us: f32) -> Self {
-        self.pace_us = us;
-        self
-    }
-
-    /// Leaves out servers, such as those that failed an earlier attempt.
-    pub fn exclude(mut self, servers: &'a [ServerKey]) -> Self {
-        self.exclude = servers;
-        self
-    }
-
-    /// Prefers a chain that has a prefix of the prompt cached, as long as it is not much more
-    /// loaded than others.
-    pub fn prefer(mut self, prefer: Option<Prefer<'a>>) -> Self {
-        self.prefer = prefer;
-        self
-    }
-}
-
-/// One stage of a chosen chain.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PlanHop {
-    /// The server.
-    pub server: ServerKey,
-    /// The layers that it runs.
-    pub layers: Layers,
-}
-
-/// A chosen chain with its predicted times.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Plan {
-    /// The stages in layer order.
-    pub hops: Vec<PlanHop>,
-    /// The predicted time to the first token, in microseconds.
-    pub first_us: f32,
-    /// The predicted time per token, in microseconds.
-    pub token_us: f32,
-    /// The time per token that the chain would take without other work, in microseconds.
-    pub floor_us: f32,
-}
-
-impl Plan {
-    /// Counts the request in flight at each stage until the guards are dropped.
-    pub fn begin(&self, fleet: &Fleet) -> Vec<InFlight> {
-        self.servers()
-            .filter_map(|key| fleet.get(key))
-            .map(Server::begin)
-            .collect()
-    }
-
-    /// Visits the servers in layer order.
-    pub fn servers(&self) -> impl Iterator<Item = ServerKey> {
-        self.hops.iter().map(|hop| hop.server)
-    }
-}
-
-impl From<&Plan> for Forecast {
-    fn from(plan: &Plan) -> Self {
-        Forecast {
-            floor_us: plan.floor_us,
-            ..Forecast::new(plan.first_us, plan.token_us)
-        }
-    }
-}
-
 /// Chooses the chain with the least predicted cost.
 ///
 /// Suspect servers are used only where the layers can't be covered without them.
@@ -148,12 +45,12 @@
 
 /// A server as the end of the best chain up to it.
 #[derive(Clone, Copy, Debug)]
-struct Node {
+pub(super) struct Node {
     key: ServerKey,
     layers: Layers,
-    domain: u16,
+    pub(super) domain: u16,
     previous: Option<usize>,
-    cost: f32,
+    pub(super) cost: f32,
     times: Times,
 }
 
@@ -385,50 +282,6 @@
     }
 }
 
-/// The best nodes of one failure domain, best first.
-#[derive(Debug)]
-struct Beam {
-    domain: u16,
-    best: [usize; DOMAIN_BEAM],
-    len: usize,
-}
-
-impl Beam {
-    fn insert(&mut self, nodes: &[Node], i: usize) {
-        let cost = |at: usize| nodes[at].cost;
-        if self.len == DOMAIN_BEAM && cost(i) >= cost(self.best[DOMAIN_BEAM - 1]) {
-            return;
-        }
-        self.len = (self.len + 1).min(DOMAIN_BEAM);
-        let mut place = self.len - 1;
-        while place > 0 && cost(i) < cost(self.best[place - 1]) {
-            self.best[place] = self.best[place - 1];
-            place -= 1;
-        }
-        self.best[place] = i;
-    }
-}
-
-/// Marks the best nodes of a group, some of each failure domain, for chains to continue.
-fn keep_best(nodes: &[Node], begin: usize, kept: &mut Vec<usize>) {
-    let mut beams: Vec<Beam> = Vec::new();
-    for (i, node) in nodes.iter().enumerate().skip(begin) {
-        let at = beams.iter().position(|b| b.domain == node.domain);
-        let at = at.unwrap_or_else(|| {
-            beams.push(Beam {
-                domain: node.domain,
-                best: [0; DOMAIN_BEAM],
-                len: 0,
-            });
-            beams.len() - 1
-        });
-        beams[at].insert(nodes, i);
-    }
-    for beam in &beams {
-        kept.extend_from_slice(&beam.best[..beam.len]);
-    }
-}
-
 fn trace(nodes: &[Node], last: usize) -> Plan {
     let mut hops = Vec::new();
     let mut next = Some(last);
--- a/crates/mustard-policy/src/route/mod.rs
+++ b/crates/mustard-policy/src/route/mod.rs
@@ -5,11 +5,14 @@
 //! plus its predicted time per token for all tokens, the link of each pair of servers included.
 
 mod affinity;
+mod beam;
 mod chain;
 mod errors;
+mod plan;
 mod service;
 
 pub use affinity::Affinity;
-pub use chain::{Plan, PlanHop, Prefer, Query, choose};
+pub use chain::choose;
 pub use errors::{Result, RouteError};
+pub use plan::{Plan, PlanHop, Prefer, Query};
 pub use service::choose_service;
--- /dev/null
+++ b/crates/mustard-policy/src/route/plan.rs
@@ -0,0 +1,108 @@
+//! What a request needs of a chain, and the chain chosen for it.
+
+use mustard_core::ids::Layers;
+
+use crate::admission::Forecast;
+use crate::fleet::{Fleet, InFlight, Server, ServerKey};
+
+/// A chain that holds a prefix of the prompt in its caches.
+#[derive(Clone, Copy, Debug)]
+pub struct Prefer<'a> {
+    /// The servers in layer order.
+    pub chain: &'a [ServerKey],
+    /// The number of cached positions.
+    pub cached: u32,
+}
+
+/// What a request needs of a chain.
+#[derive(Clone, Debug)]
+pub struct Query<'a> {
+    pub(super) model: &'a str,
+    pub(super) layers: u32,
+    pub(super) prompt: u32,
+    pub(super) tokens: u32,
+    pub(super) pace_us: f32,
+    pub(super) exclude: &'a [ServerKey],
+    pub(super) prefer: Option<Prefer<'a>>,
+}
+
+impl<'a> Query<'a> {
+    /// Creates a query for a model of `layers` layers, with `prompt` positions to prefill and
+    /// `tokens` tokens to generate.
+    pub fn new(model: &'a str, layers: u32, prompt: u32, tokens: u32) -> Self {
+        Query {
+            model,
+            layers,
+            prompt,
+            tokens,
+            pace_us: f32::INFINITY,
+            exclude: &[],
+            prefer: None,
+        }
+    }
+
+    /// Sets the longest time per token, in microseconds, that a chain may reach by this request.
+    pub fn pace(mut self, us: f32) -> Self {
+        self.pace_us = us;
+        self
+    }
+
+    /// Leaves out servers, such as those that failed an earlier attempt.
+    pub fn exclude(mut self, servers: &'a [ServerKey]) -> Self {
+        self.exclude = servers;
+        self
+    }
+
+    /// Prefers a chain that has a prefix of the prompt cached, as long as it is not much more
+    /// loaded than others.
+    pub fn prefer(mut self, prefer: Option<Prefer<'a>>) -> Self {
+        self.prefer = prefer;
+        self
+    }
+}
+
+/// One stage of a chosen chain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlanHop {
+    /// The server.
+    pub server: ServerKey,
+    /// The layers that it runs.
+    pub layers: Layers,
+}
+
+/// A chosen chain with its predicted times.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// The stages in layer order.
+    pub hops: Vec<PlanHop>,
+    /// The predicted time to the first token, in microseconds.
+    pub first_us: f32,
+    /// The predicted time per token, in microseconds.
+    pub token_us: f32,
+    /// The time per token that the chain would take without other work, in microseconds.
+    pub floor_us: f32,
+}
+
+impl Plan {
+    /// Counts the request in flight at each stage until the guards are dropped.
+    pub fn begin(&self, fleet: &Fleet) -> Vec<InFlight> {
+        self.servers()
+            .filter_map(|key| fleet.get(key))
+            .map(Server::begin)
+            .collect()
+    }
+
+    /// Visits the servers in layer order.
+    pub fn servers(&self) -> impl Iterator<Item = ServerKey> {
+        self.hops.iter().map(|hop| hop.server)
+    }
+}
+
+impl From<&Plan> for Forecast {
+    fn from(plan: &Plan) -> Self {
+        Forecast {
+            floor_us: plan.floor_us,
+            ..Forecast::new(plan.first_us, plan.token_us)
+        }
+    }
+}
