Wait for a new stage by time, not by number of attempts; keep suspects off each other's servers

Cause 1: when the only server of some layers died, the eight attempts of a draft were spent on the dead one within a fraction of a second, long before its replacement had joined. While no chain of sound servers exists, attempts now follow each other at growing pauses (20 to 250 ms) and are bounded by five seconds without a token and by the deadline. Cause 2: a draft counted the deaths that it saw itself, so an innocent one that shared batches with a killing request went on beside it until both were condemned. The count now comes from the strikes, and a draft that runs apart avoids servers where another suspect still runs.

--- a/crates/mustard-entry/src/drive/mod.rs
+++ b/crates/mustard-entry/src/drive/mod.rs
@@ -27,6 +27,7 @@
 /// How long a broken-off draft waits for servers that hold every layer.
 const CHAIN_PATIENCE: Duration = Duration::from_secs(5);
 const CHAIN_PAUSE: Duration = Duration::from_millis(20);
+const MAX_CHAIN_PAUSE: Duration = Duration::from_millis(250);
 
 /// A draft to be generated.
 #[derive(Clone, Debug)]
@@ -59,6 +60,9 @@
     tokens: Vec<u32>,
     want: Want,
     ran: Ran,
+    /// Since when no chain of sound servers holds every layer.
+    stalled: Option<Instant>,
+    pause: Duration,
 }
 
 impl<'a, P: Ports> Driver<'a, P> {
@@ -85,6 +89,8 @@
             tokens: Vec::new(),
             want,
             ran: Ran::No,
+            stalled: None,
+            pause: CHAIN_PAUSE,
         }
     }
 
@@ -96,7 +102,8 @@
     pub async fn run(mut self, out: &mut impl Deliver) -> Result<()> {
         let mut epoch = Epoch(1);
         let mut last = None;
-        for _ in 0..self.attempts {
+        let mut attempts = 0;
+        while attempts < self.attempts {
             self.check_deadline()?;
             if let Err(veto) = self.ports.allow().await {
                 return Err(self.fail(DriveError::vetoed(veto, last)));
@@ -105,6 +112,8 @@
                 Ok(chain) => chain,
                 Err(none) => return Err(self.fail(DriveError::no_chain(none, last))),
             };
+            // While a layer has no sound server, time bounds the attempts and not their number.
+            attempts += u32::from(self.stalled.is_none());
             let failure = match self.attempt(epoch, chain, out).await {
                 Ok(()) => return Ok(()),
                 Err(failure) => failure,
@@ -139,6 +148,8 @@
                     .emit(Some(self.job.request), EventKind::FirstToken { epoch });
             }
             self.tokens.push(token);
+            self.stalled = None;
+            self.pause = CHAIN_PAUSE;
             out.deliver(token);
             if !self.ports.on_time(self.tokens.len() as u32) {
                 return Err(Failure::hopeless());
@@ -148,21 +159,24 @@
     }
 
     /// Chooses a chain; once stages have run, waits a while for one to become available.
+    ///
+    /// The agents under suspicion are tried again after pauses that grow.
     async fn choose(&mut self) -> std::result::Result<Chain, NoChain> {
         self.want.positions = self.positions();
-        let patience = match self.ran {
-            Ran::No => Duration::ZERO,
-            Ran::Maybe => CHAIN_PATIENCE,
-        };
-        let end = (Instant::now() + patience).min(self.job.deadline);
         loop {
-            match self.ports.choose(&self.want) {
+            let none = match self.ports.choose(&self.want) {
                 Ok(chain) => return Ok(chain),
-                Err(none) if Instant::now() >= end => return Err(none),
-                // The suspects may be sound again by now.
-                Err(_) => self.want.avoid.clear(),
+                Err(none) => none,
+            };
+            let now = Instant::now();
+            let since = *self.stalled.get_or_insert(now);
+            let end = (since + CHAIN_PATIENCE).min(self.job.deadline);
+            if self.ran == Ran::No || now >= end {
+                return Err(none);
             }
-            sleep(CHAIN_PAUSE).await;
+            sleep(self.pause).await;
+            self.pause = (self.pause * 2).min(MAX_CHAIN_PAUSE);
+            self.want.avoid.clear();
         }
     }
 
--- a/crates/mustard-entry/src/harm.rs
+++ b/crates/mustard-entry/src/harm.rs
@@ -84,6 +84,23 @@
         Arc::clone(&self.apart).acquire_owned().await.ok()
     }
 
+    /// Returns the number of servers that died under a content.
+    pub fn deaths(&self, now: Moment, fingerprint: Fingerprint) -> usize {
+        let strikes = self.lock().quarantine.strikes(now);
+        let own = |strike: &&Strike| strike.fingerprint == fingerprint;
+        strikes.iter().filter(own).count()
+    }
+
+    /// Returns the servers at which other suspects run.
+    pub fn occupied(&self, now: Moment, fingerprint: Fingerprint) -> Vec<String> {
+        let state = self.lock();
+        let other = |f: &Fingerprint| {
+            *f != fingerprint && state.quarantine.standing(now, *f) != Standing::Clear
+        };
+        let names = state.running.iter().filter(|(_, r)| r.iter().any(other));
+        names.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Counts a content at the servers of a chain.
     pub fn expose(self: &Arc<Self>, names: &[String], fingerprint: Fingerprint) -> Exposure {
         let mut state = self.lock();
--- a/crates/mustard-entry/src/ports.rs
+++ b/crates/mustard-entry/src/ports.rs
@@ -26,7 +26,7 @@
 const PROBE_LIMIT: Duration = Duration::from_millis(150);
 const CANCEL_LIMIT: Duration = Duration::from_secs(2);
 const CANCEL_TRIES: u32 = 2;
-const DEATHS_TO_SUSPECT: u32 = 2;
+const DEATHS_TO_SUSPECT: usize = 2;
 const RETRY: Duration = Duration::from_millis(500);
 
 /// What one draft may use, under which entry of the catalogue.
@@ -48,7 +48,6 @@
     admitted: RefCell<Admitted>,
     tokens: u32,
     attempts: Cell<u32>,
-    deaths: Cell<u32>,
     apart: RefCell<Option<OwnedSemaphorePermit>>,
     exposure: RefCell<Option<Exposure>>,
 }
@@ -70,7 +69,6 @@
             admitted: RefCell::new(admitted),
             tokens,
             attempts: Cell::new(0),
-            deaths: Cell::new(0),
             apart: RefCell::new(apart),
             exposure: RefCell::new(None),
         }
@@ -92,7 +90,9 @@
     async fn run_apart(&self) -> Result<(), Veto> {
         let shared = &self.worker.shared;
         let alone = self.apart.borrow().is_some();
-        if alone || self.deaths.get() < DEATHS_TO_SUSPECT {
+        let now = shared.process.now();
+        let deaths = shared.harm.deaths(now, self.rights.fingerprint);
+        if alone || deaths < DEATHS_TO_SUSPECT {
             return Ok(());
         }
         *self.exposure.borrow_mut() = None;
@@ -102,12 +102,18 @@
     }
 
     fn chosen(&self, want: &Want) -> Option<Chain> {
-        if let Some(chain) = self.admitted.borrow_mut().chain() {
-            return Some(chain);
+        let first = self.admitted.borrow_mut().chain();
+        if first.is_some() && self.apart.borrow().is_none() {
+            return first;
         }
         let shared = &self.worker.shared;
         let fleet = shared.servers.view();
-        let avoid: Vec<ServerKey> = want.avoid.iter().filter_map(|n| fleet.find(n)).collect();
+        let mut avoid: Vec<ServerKey> = want.avoid.iter().filter_map(|n| fleet.find(n)).collect();
+        if self.apart.borrow().is_some() {
+            let now = shared.process.now();
+            let occupied = shared.harm.occupied(now, self.rights.fingerprint);
+            avoid.extend(occupied.iter().filter_map(|n| fleet.find(n)));
+        }
         let query =
             Query::new(&want.model, want.layers, want.positions, self.tokens).exclude(&avoid);
         let plan = choose(&fleet, &query, shared.process.now(), &mut rand::rng()).ok()?;
@@ -201,7 +207,6 @@
         self.worker.shared.servers.failed(agent, error);
         let count = contents_at_death(error);
         if count > 0 {
-            self.deaths.set(self.deaths.get() + 1);
             harm::note_death(&self.worker, agent, count);
         }
     }
