--- a/crates/mustard-bench/src/slopes/spread.rs
+++ b/crates/mustard-bench/src/slopes/spread.rs
@@ -53,7 +53,8 @@
             }
             let changes = match state {
                 TableState::DownAfter => args.sizes(&[1], &[3])[0],
-                _ => args.sizes(&[6], &[40])[0],
+                TableState::Slow => args.sizes(&[3], &[40])[0],
+                TableState::Up => args.sizes(&[6], &[40])[0],
             };
             all.push(measure(fleet, state, changes)?);
         }
