--- a/crates/mustard-tests/src/cluster.rs
+++ b/crates/mustard-tests/src/cluster.rs
@@ -7,13 +7,12 @@
 
 use serde::de::DeserializeOwned;
 
-use mustard_core::catalogue::{Entry, Limits, Target, Versioned};
+use mustard_core::catalogue::{Entry, Limits, Target};
 use mustard_core::fingerprint::KeyHash;
-use mustard_core::ids::{Layers, Revision, Seq};
+use mustard_core::ids::Layers;
 use mustard_fakes::engine::Ledger;
 use mustard_fakes::fault::Command;
 use mustard_fakes::service::Booking;
-use mustard_platform::table::Txn;
 use mustard_platform::vms::{Vm, VmKind, VmState};
 
 use crate::caller::Caller;
@@ -24,7 +23,6 @@
 use crate::plan::{CUSTOMER_KEY, DOMAINS, MODEL, OPERATOR_KEY, Plan, SERVICE};
 use crate::wait::eventually;
 
-const JOINED: &str = "members: Agent joined.";
 const ANY_PORT: &str = "127.0.0.1:0";
 
 static COUNTER: AtomicU64 = AtomicU64::new(0);
@@ -309,25 +307,10 @@
     }
 
     fn seed(&self) -> Result<()> {
-        let mut txn = Txn::default();
-        for (entry, seq) in [(self.model_entry(), 1), (self.service_entry(), 2)] {
-            let version = Versioned {
-                revision: Revision(1),
-                seq: Seq(seq),
-                entry: Some(entry.clone()),
-            };
-            txn = txn.put(
-                format!("cat/entry/{}", entry.name),
-                serde_json::to_string(&version)?,
-            );
+        for entry in [self.model_entry(), self.service_entry()] {
+            let add = || self.operator(0).put(&entry, 0).ok();
+            eventually("the catalogue takes an entry", add)?;
         }
-        txn = txn.put("cat/head", "2");
-        Ask::post(
-            self.platform.addr(),
-            "/table/commit",
-            serde_json::to_string(&txn)?,
-        )
-        .send()?;
         for entry in 0..self.entries.len() {
             self.wait_ready(entry)?;
         }
@@ -337,13 +320,20 @@
     /// Waits until an entry process serves both workloads.
     pub fn wait_ready(&self, entry: usize) -> Result<()> {
         let nodes = self.stages.len() + self.services.len();
-        let joined = || self.entries[entry].log().matches(JOINED).count() >= nodes;
-        eventually("all agents join", || joined().then_some(()))?;
+        let joined = || {
+            let status = self.operator(entry).status().ok()?;
+            let known = status.agents.iter().filter(|a| a.role.is_some()).count();
+            (known >= nodes).then_some(())
+        };
+        eventually("all agents join", joined)?;
         let caller = self.caller(entry);
-        eventually("a first draft", || {
+        let draft = || {
             let draft = caller.stream(MODEL, &[1], 1).ok()?;
             draft.is_whole().then_some(())
-        })?;
+        };
+        if !self.stages.is_empty() {
+            eventually("a first draft", draft)?;
+        }
         if self.services.is_empty() {
             return Ok(());
         }
