--- a/crates/mustard-bench/src/slopes/fleet.rs
+++ b/crates/mustard-bench/src/slopes/fleet.rs
@@ -17,6 +17,8 @@
 
 const OPERATOR: &str = "bench-operator";
 const ANY_PORT: &str = "127.0.0.1:0";
+/// The time between tokens that admission aims at; the bench's engines may be slow on purpose.
+const GAP_MS: u64 = 1_000;
 const READY_LIMIT: Duration = Duration::from_secs(30);
 const POLL: Duration = Duration::from_millis(10);
 /// The model and the plain service of the bench, and the bearer key of its customer.
@@ -68,7 +70,7 @@
             "name = \"{name}\"\nlisten = \"{ANY_PORT}\"\ndomain = \"{DOMAIN}\"\n\
              operators = [\"bench:{hash}\"]\n\
              [platform]\ntable = \"{platform}\"\nobjects = \"{platform}\"\nvms = \"{platform}\"\n\
-             [log]\nlevel = \"error\"\n"
+             [admission]\ngap_ms = {GAP_MS}\n[log]\nlevel = \"error\"\n"
         );
         let child = self.start("mustard-entry", &name, &text)?;
         self.list(&name, child.addr(), VmKind::Entry)?;
