--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -52,7 +52,8 @@
   shift 2
   # The file exists before it is read below.
   : >"$DIR/$name.out"
-  "$BIN/$program" "$@" >"$DIR/$name.out" 2>"$DIR/$name.log" &
+  # A session of its own keeps an interrupt at the terminal from the process.
+  setsid "$BIN/$program" "$@" >"$DIR/$name.out" 2>"$DIR/$name.log" &
   PID=$!
   PIDS+=("$PID")
   for ((i = 0; i < WAIT_STEPS; i++)); do
