--- a/crates/mustard-bench/src/slopes/costs.rs
+++ b/crates/mustard-bench/src/slopes/costs.rs
@@ -4,17 +4,12 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-use anyhow::{bail, ensure};
-use hdrhistogram::Histogram;
+use anyhow::bail;
 use ntex::rt::{DefaultRuntime, System};
-use serde_json::{Value, json};
 use tokio::time::Instant;
 
-use mustard_core::fingerprint::Fingerprint;
-use mustard_core::ids::{Epoch, Incarnation, Layers, RequestId};
-use mustard_net::{Client, Process, http};
-use mustard_proto::agent::{Heartbeat, Role};
-use mustard_proto::step::{Cancel, Hop, Input, Opening, Step};
+use mustard_core::ids::Layers;
+use mustard_net::http;
 
 use super::Args;
 use super::fleet::{CUSTOMER, Fleet, MODEL, SERVICE, customer_name, wait};
@@ -23,16 +18,17 @@
 use crate::load::{self, Arrival, Ending, Kind, Scenario};
 
 const STAGES: [Layers; 3] = [Layers::new(0, 4), Layers::new(4, 8), Layers::new(8, 12)];
-const PROMPT: u32 = 32;
-const TOKENS: u32 = 64;
-const WARM: usize = 5;
-/// Tokens of such a draft.
-const LONG_TOKENS: u32 = 13;
-const CALL_LIMIT: Duration = Duration::from_secs(5);
+/// Tokens of a prompt.
+pub(super) const PROMPT: u32 = 32;
+/// Tokens of a draft.
+pub(super) const TOKENS: u32 = 64;
 /// Engine time of a step that keeps drafts in flight while memory is read, in microseconds.
 const LONG_STEP_US: &str = "100000";
+/// Tokens of such a draft.
+const LONG_TOKENS: u32 = 13;
 
-fn load_args(fleet: &Fleet) -> load::Args {
+/// Describes a load of the bench's customer.
+pub(super) fn load_args(fleet: &Fleet) -> load::Args {
     load::Args {
         entry: vec![fleet.entries[0].addr()],
         key: CUSTOMER.to_owned(),
@@ -107,7 +103,8 @@
     Ok(vec![entry, agent])
 }
 
-fn add_stages(fleet: &mut Fleet, flags: &[&str]) -> anyhow::Result<()> {
+/// Starts three stages and an entry process that serves drafts over them.
+pub(super) fn add_stages(fleet: &mut Fleet, flags: &[&str]) -> anyhow::Result<()> {
     for layers in STAGES {
         fleet.add_stage(layers, flags)?;
     }
@@ -149,147 +146,6 @@
     Ok(vec![entry, agent])
 }
 
-/// Times of tokens by one way, in microseconds.
-struct Times {
-    first: Histogram<u64>,
-    gap: Histogram<u64>,
-}
-
-impl Times {
-    fn new() -> anyhow::Result<Self> {
-        Ok(Times {
-            first: Histogram::new(3)?,
-            gap: Histogram::new(3)?,
-        })
-    }
-
-    fn take(&mut self, first: Duration, gaps: &[Duration]) -> anyhow::Result<()> {
-        self.first.record(first.as_micros() as u64)?;
-        for gap in gaps {
-            self.gap.record(gap.as_micros() as u64)?;
-        }
-        Ok(())
-    }
-
-    fn json(&self) -> Value {
-        let of = |h: &Histogram<u64>| {
-            json!({
-                "p50": h.value_at_quantile(0.5),
-                "p95": h.value_at_quantile(0.95),
-                "p99": h.value_at_quantile(0.99),
-            })
-        };
-        json!({ "first_us": of(&self.first), "gap_us": of(&self.gap) })
-    }
-}
-
-/// Compares drafts through an entry process with steps sent to the stages directly, in turns.
-pub(super) fn tokens(args: &Args, fleet: &mut Fleet) -> anyhow::Result<Value> {
-    let drafts = args.sizes(&[40], &[200])[0];
-    add_stages(fleet, &[])?;
-    let args = Rc::new(load_args(fleet));
-    let agents: Vec<_> = fleet.stages.iter().map(|s| s.agent.addr()).collect();
-    let system = System::new("tokens", DefaultRuntime);
-    let (through, direct) = system.block_on(async move {
-        let client = Client::new(Process::new("bench", 4)).await;
-        let http = http::new_client().await;
-        let chain = chain(&client, &agents).await?;
-        let (mut through, mut direct) = (Times::new()?, Times::new()?);
-        for number in 0..drafts + WARM {
-            let arrival = Arrival {
-                number: 0,
-                after: Duration::ZERO,
-                kind: Kind::Draft,
-                salt: rand::random(),
-            };
-            let due = Instant::now();
-            let one = load::send(http.clone(), Rc::clone(&args), arrival, due).await;
-            ensure!(one.ending == Ending::Good, "a draft ended {:?}", one.ending);
-            let (first, gaps) = draft_directly(&client, &chain).await?;
-            if number >= WARM {
-                through.take(one.first.unwrap_or_default(), &one.gaps)?;
-                direct.take(first, &gaps)?;
-            }
-        }
-        Ok::<_, anyhow::Error>((through, direct))
-    })?;
-    let value = json!({ "through_entry": through.json(), "directly": direct.json() });
-    println!("tokens over three stages: {value}\n");
-    Ok(value)
-}
-
-async fn chain(client: &Client, agents: &[std::net::SocketAddr]) -> anyhow::Result<Vec<Hop>> {
-    let mut chain = Vec::new();
-    for addr in agents {
-        let from = "bench".to_owned();
-        let ask = Heartbeat { from };
-        let info = client.call(*addr, Incarnation(0), ask, CALL_LIMIT).await?;
-        let Role::Stage { layers, .. } = info.role else {
-            bail!("the agent at {addr} holds no layers");
-        };
-        chain.push(Hop {
-            addr: *addr,
-            incarnation: info.incarnation,
-            layers,
-        });
-    }
-    Ok(chain)
-}
-
-/// Drives one draft without an entry process and returns the times of its tokens.
-async fn draft_directly(
-    client: &Client,
-    chain: &[Hop],
-) -> anyhow::Result<(Duration, Vec<Duration>)> {
-    let request = RequestId::random();
-    let salt: u32 = rand::random();
-    let prompt: Vec<u32> = (0..PROMPT).map(|i| salt.wrapping_add(i) % 32_000).collect();
-    let opening = Opening {
-        chain: chain.to_vec(),
-        model: MODEL.to_owned(),
-        fingerprint: Fingerprint::of(&[&salt.to_le_bytes()]),
-        priority: 0,
-        deadline_ms: 60_000,
-    };
-    let mut step = Step {
-        request,
-        epoch: Epoch(1),
-        stage: 0,
-        pos: 0,
-        input: Input::Tokens(prompt),
-        opening: Some(opening),
-        limit_ms: 5_000,
-    };
-    let begin = Instant::now();
-    let mut last = begin;
-    let mut first = Duration::ZERO;
-    let mut gaps = Vec::with_capacity(TOKENS as usize);
-    for number in 0..TOKENS {
-        let pos = step.pos + step.input.len() as u32;
-        let head = &chain[0];
-        let output = client
-            .call(head.addr, head.incarnation, step.clone(), CALL_LIMIT)
-            .await?;
-        let now = Instant::now();
-        match number {
-            0 => first = now - begin,
-            _ => gaps.push(now - last),
-        }
-        last = now;
-        step.pos = pos;
-        step.input = Input::Tokens(vec![output.token]);
-        step.opening = None;
-    }
-    let epoch = Epoch(1);
-    for hop in chain {
-        let end = Cancel { request, epoch };
-        client
-            .call(hop.addr, hop.incarnation, end, CALL_LIMIT)
-            .await?;
-    }
-    Ok((first, gaps))
-}
-
 /// An entry process against customers that use it, each with one status read a second.
 ///
 /// A second entry process holds the limits of half of them, as others do at any size.
--- a/crates/mustard-bench/src/slopes/mod.rs
+++ b/crates/mustard-bench/src/slopes/mod.rs
@@ -11,6 +11,7 @@
 mod probe;
 mod report;
 mod spread;
+mod tokens;
 
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -117,7 +118,7 @@
         Part::Bookings => return Ok(show(&costs::calls(args, &mut fleet, true)?)),
         Part::Flight => return Ok(show(&costs::flight(args, &mut fleet)?)),
         Part::Customers => costs::customers(args, &mut fleet)?,
-        Part::Tokens => return costs::tokens(args, &mut fleet),
+        Part::Tokens => return tokens::tokens(args, &mut fleet),
         Part::Servers => control::servers(args, &mut fleet)?,
         Part::Entries => control::entries(args, &mut fleet)?,
         Part::Changes => control::changes(args, &mut fleet)?,
