Keep idle connections of agents and stand-ins longer than their clients use them

Cause: the entry's server kept idle connections for 75 s, the agents' and the stand-ins' for the framework's 5 s, while clients use a pooled connection for 15 s. A call sent at the moment of the close is lost in doubt. Change: all servers use the same configuration, which also limits headers in number, size and time. Run: connections_idle_stay_open fails without the change ('closed the connection') and passes.

--- a/crates/mustard-agent/src/run.rs
+++ b/crates/mustard-agent/src/run.rs
@@ -21,6 +21,9 @@
 use crate::watch;
 use crate::worker::Worker;
 
+/// Header fields of one message.
+const MAX_HEADERS: usize = 64;
+
 /// Runs the agent until it is told to stop and returns the exit code.
 ///
 /// # Errors
@@ -96,6 +99,7 @@
     })
     .workers(workers)
     .disable_signals()
+    .config(mustard_net::server::config("agent", MAX_HEADERS))
     .listen(listener)?
     .run();
     Ok(server)
--- a/crates/mustard-fakes/src/serve.rs
+++ b/crates/mustard-fakes/src/serve.rs
@@ -14,6 +14,8 @@
 use crate::errors::Result;
 use crate::fault::{Command, Faults};
 
+/// Header fields of one request.
+const MAX_HEADERS: usize = 64;
 const MAX_BODY: usize = 16 * 1024 * 1024;
 const JSON: &str = "application/json";
 const REFERENCE: &str = "x-reference";
@@ -120,6 +122,7 @@
     });
     server
         .workers(1)
+        .config(mustard_net::server::config("stand-in", MAX_HEADERS))
         .shutdown_timeout(ntex_seconds())
         .listen(listener)?
         .run()
