Wait for a claimant that lives until the caller's deadline

Cause: a repeat through another agent gave up after join_ms (in effect after 1.55 s) and was answered 'unknown' although the claimant lived and the call ran. Change: a claimant that answers with the life that its claim names is waited for until the deadline; join_ms holds only where nothing can be told.

--- a/crates/mustard-agent/src/claims/call.rs
+++ b/crates/mustard-agent/src/claims/call.rs
@@ -232,7 +232,7 @@
             ClaimState::Claimed { by, .. } => {
                 let until = deadline.min(Instant::now() + self.bounds.join);
                 let wait = (by != self.process.incarnation()).then_some(until);
-                let result = self.foreign(ports, key, row, wait).await;
+                let result = self.foreign(ports, key, row, wait, deadline).await;
                 result.map(plainly)
             }
             ClaimState::Other => Some(plainly(Err(Refusal::InDoubt))),
--- a/crates/mustard-agent/src/claims/foreign.rs
+++ b/crates/mustard-agent/src/claims/foreign.rs
@@ -14,16 +14,19 @@
 use super::Result;
 use super::call::Claims;
 use super::key::Key;
-use super::lives::{Lives, Ports};
+use super::lives::{Life, Lives, Ports};
 use super::op::Expect;
 use super::row::{ClaimState, KeptAnswer};
 use crate::calls;
 
 const FIRST_POLL: Duration = Duration::from_millis(50);
+/// Time before the deadline at which a call answers at the latest.
+const MARGIN: Duration = Duration::from_millis(50);
 const LAST_POLL: Duration = Duration::from_millis(800);
 
 impl Claims {
-    /// Finds out what became of a claim, waiting for its claimant until `wait`.
+    /// Finds out what became of a claim, waiting for its claimant until `wait`, or until the
+    /// deadline if the claimant is seen to live.
     ///
     /// The call is never made here. Returns none if the claim was given up, so that the key may
     /// be claimed again.
@@ -33,6 +36,7 @@
         key: &Key,
         row: &Row,
         mut wait: Option<Instant>,
+        deadline: Instant,
     ) -> Option<Result<CallAnswer>> {
         let mut row = row.clone();
         let mut pause = FIRST_POLL;
@@ -47,9 +51,13 @@
                 Some(ClaimState::Other) => return Some(Err(Refusal::InDoubt)),
                 Some(ClaimState::Free { .. }) | None => return None,
             };
-            if pause > FIRST_POLL && self.is_gone(ports, claimant).await {
-                // One more look at the row: the claimant may have written it before its end.
-                wait = wait.filter(|_| !std::mem::replace(&mut gone, true));
+            if pause > FIRST_POLL && wait.is_some() {
+                match look(ports, claimant).await {
+                    Life::Lives => wait = deadline.checked_sub(MARGIN),
+                    // One more look at the row: the claimant may have written it before its end.
+                    Life::Ended => wait = wait.filter(|_| !std::mem::replace(&mut gone, true)),
+                    Life::Unknown => {}
+                }
             }
             // The claimant records the first answer itself unless it is dead or cut off, so the
             // service's own record is asked only when the time to wait is over.
@@ -66,17 +74,6 @@
         }
     }
 
-    async fn is_gone<S, T, L: Lives>(
-        &self,
-        ports: &Ports<S, T, L>,
-        claimant: Option<(SocketAddr, Incarnation)>,
-    ) -> bool {
-        match claimant {
-            Some((addr, life)) => ports.lives.ended(addr, life).await,
-            None => false,
-        }
-    }
-
     /// Records a call as done if the service has it on record.
     pub(super) async fn settle_by_record<S: PlainService>(
         &self,
@@ -100,3 +97,13 @@
         Some(answer)
     }
 }
+
+async fn look<S, T, L: Lives>(
+    ports: &Ports<S, T, L>,
+    claimant: Option<(SocketAddr, Incarnation)>,
+) -> Life {
+    match claimant {
+        Some((addr, life)) => ports.lives.look(addr, life).await,
+        None => Life::Unknown,
+    }
+}
--- a/crates/mustard-agent/src/claims/lives.rs
+++ b/crates/mustard-agent/src/claims/lives.rs
@@ -4,14 +4,25 @@
 
 use mustard_core::ids::Incarnation;
 
+/// What can be seen of a life of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Life {
+    /// It answers.
+    Lives,
+    /// Its address refuses connections or belongs to another life.
+    Ended,
+    /// It gives no answer.
+    Unknown,
+}
+
 /// Knows of the lives of other processes.
 #[allow(async_fn_in_trait)]
 pub trait Lives {
-    /// Tells whether a life of the process at an address has ended, as far as can be seen.
+    /// Looks at a life of the process at an address.
     ///
-    /// The answer only decides whether to wait for the claimant's own result. A call is never
+    /// The answer only decides how long to wait for the claimant's own result. A call is never
     /// made again on the strength of it.
-    async fn ended(&self, addr: SocketAddr, life: Incarnation) -> bool;
+    async fn look(&self, addr: SocketAddr, life: Incarnation) -> Life;
 }
 
 /// What a call with an idempotency key is made with.
--- a/crates/mustard-agent/src/claims/mod.rs
+++ b/crates/mustard-agent/src/claims/mod.rs
@@ -20,7 +20,7 @@
 
 pub use call::{Bounds, Claims};
 pub use keeper::{Keeper, Pace};
-pub use lives::{Lives, Ports};
+pub use lives::{Life, Lives, Ports};
 pub use op::{Commit, Expect};
 pub use row::{ClaimState, KeptAnswer, reference, row_key};
 pub use sweep::{Sweeper, Swept};
--- a/crates/mustard-agent/src/worker.rs
+++ b/crates/mustard-agent/src/worker.rs
@@ -16,7 +16,7 @@
 use mustard_platform::http::HttpService;
 use mustard_proto::agent::Heartbeat;
 
-use crate::claims::Lives;
+use crate::claims::{Life, Lives};
 use crate::names;
 use crate::session::Closed;
 use crate::shared::Shared;
@@ -83,17 +83,18 @@
 }
 
 impl Lives for Worker {
-    async fn ended(&self, addr: SocketAddr, life: Incarnation) -> bool {
+    async fn look(&self, addr: SocketAddr, life: Incarnation) -> Life {
         let from = self.shared.settings.vm.clone();
         let heartbeat = Heartbeat { from };
         let answer = self
             .client
             .call(addr, Incarnation(0), heartbeat, PING_LIMIT);
         match answer.await {
-            Ok(info) => info.incarnation != life,
+            Ok(info) if info.incarnation == life => Life::Lives,
+            Ok(_) => Life::Ended,
             // A process that listens accepts connections even while it is paused.
-            Err(CallError::NotSent(_)) => true,
-            Err(_) => false,
+            Err(CallError::NotSent(_)) => Life::Ended,
+            Err(_) => Life::Unknown,
         }
     }
 }
--- a/crates/mustard-agent/tests/claims/main.rs
+++ b/crates/mustard-agent/tests/claims/main.rs
@@ -359,6 +359,27 @@
     });
 }
 
+#[test]
+fn call_claimant_alive_is_waited_for() {
+    run(async {
+        let mut world = World::new();
+        world.service.mood.set(Mood {
+            slow_ms: 2_000,
+            ..Mood::default()
+        });
+        world.call(0, 0, 0, 10_000);
+        sleep(Duration::from_millis(100)).await;
+        world.call(1, 0, 0, 10_000);
+        sleep(Duration::from_secs(5)).await;
+        let told = world.told.borrow();
+        let statuses: Vec<_> = told
+            .iter()
+            .map(|t| t.result.clone().unwrap().status)
+            .collect();
+        assert_eq!(statuses, [201, 201]);
+    });
+}
+
 #[test]
 fn call_claimant_dead_settles_by_record() {
     run(async {
--- a/crates/mustard-agent/tests/claims/world.rs
+++ b/crates/mustard-agent/tests/claims/world.rs
@@ -14,7 +14,7 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::sleep;
 
-use mustard_agent::claims::{Bounds, Claims, Keeper, Lives, Pace};
+use mustard_agent::claims::{Bounds, Claims, Keeper, Life, Lives, Pace};
 use mustard_backend::service::{PlainService, ServiceAnswer, ServiceCall};
 use mustard_backend::{BackendError, Result};
 use mustard_core::ids::Incarnation;
@@ -108,8 +108,11 @@
 pub(crate) struct Ends(Rc<RefCell<Vec<Incarnation>>>);
 
 impl Lives for Ends {
-    async fn ended(&self, _: SocketAddr, life: Incarnation) -> bool {
-        self.0.borrow().contains(&life)
+    async fn look(&self, _: SocketAddr, life: Incarnation) -> Life {
+        match self.0.borrow().contains(&life) {
+            true => Life::Ended,
+            false => Life::Lives,
+        }
     }
 }
 
