Ask at most 40 agents a second for their state by default

With today's 43 servers each idle one is still asked about once a second; busy ones need no heartbeat. Given up: failures of idle agents are seen up to half a second later.

--- a/crates/mustard-entry/src/settings.rs
+++ b/crates/mustard-entry/src/settings.rs
@@ -221,7 +221,7 @@
         Members {
             list_ms: 1_000,
             heartbeat_ms: 500,
-            heartbeats: 100,
+            heartbeats: 40,
             subset: 1_000,
         }
     }
