--- a/crates/mustard-tests/src/cluster.rs
+++ b/crates/mustard-tests/src/cluster.rs
@@ -19,6 +19,7 @@
 use crate::child::Child;
 use crate::errors::Result;
 use crate::http::Ask;
+use crate::node::{Node, Pick};
 use crate::operator::Operator;
 use crate::plan::{CUSTOMER_KEY, DOMAINS, MODEL, OPERATOR_KEY, Plan, SERVICE};
 use crate::wait::eventually;
@@ -30,41 +31,6 @@
 /// Held by the running cluster, so that tests of one executable do not crowd the VM.
 static ALONE: Mutex<()> = Mutex::new(());
 
-/// A backend server with the agent beside it.
-#[derive(Debug)]
-pub struct Node {
-    /// The engine or the plain service.
-    pub server: Child,
-    /// The agent.
-    pub agent: Child,
-    /// The layers, for an engine.
-    pub layers: Layers,
-    settings: Vec<String>,
-    domain: String,
-}
-
-impl Node {
-    /// Ends the server and the agent at once, as when the VM dies.
-    pub fn kill(&mut self) -> Result<()> {
-        self.agent.kill()?;
-        self.server.kill()
-    }
-
-    /// Returns the name of the VM.
-    pub fn vm(&self) -> &str {
-        self.agent.name()
-    }
-}
-
-/// Names a node of a cluster.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Pick {
-    /// A stage by its index.
-    Stage(usize),
-    /// A plain service by its index.
-    Service(usize),
-}
-
 /// A whole system of processes on loopback.
 #[derive(Debug)]
 pub struct Cluster {
--- a/crates/mustard-tests/src/lib.rs
+++ b/crates/mustard-tests/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod errors;
 pub mod golden;
 pub mod http;
+pub mod node;
 pub mod operator;
 pub mod plan;
 pub mod soak;
--- a/crates/mustard-tests/src/soak/fault.rs
+++ b/crates/mustard-tests/src/soak/fault.rs
@@ -10,8 +10,9 @@
 use mustard_fakes::fault::Command;
 
 use crate::child::Child;
-use crate::cluster::{Cluster, Node, Pick, command};
+use crate::cluster::{Cluster, command};
 use crate::errors::Result;
+use crate::node::{Node, Pick};
 
 use super::tally::Tally;
 
--- a/crates/mustard-tests/tests/booking_failure.rs
+++ b/crates/mustard-tests/tests/booking_failure.rs
@@ -6,8 +6,9 @@
 
 use mustard_core::collections::Set;
 use mustard_fakes::fault::Command;
-use mustard_tests::cluster::{Pick, command};
+use mustard_tests::cluster::command;
 use mustard_tests::http::{Answer, Ask};
+use mustard_tests::node::Pick;
 use mustard_tests::{Cluster, Plan, Result, eventually};
 use serde_json::{Value, json};
 
