Name the end of an attempt at an agent for what it is in the time line

Cause: the demo's time line showed 'cancelled' after each finished draft, because the entry's message that frees a session is the same after the last token. The event is now attempt_closed with the reason, and the reason of that message is by_entry.

--- a/crates/mustard-agent/src/session/one.rs
+++ b/crates/mustard-agent/src/session/one.rs
@@ -12,8 +12,8 @@
 /// Why a session ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Ended {
-    /// The entry cancelled it.
-    Cancelled,
+    /// The entry ended it, after its last token or before.
+    ByEntry,
     /// A newer attempt took its place.
     Superseded,
     /// Its deadline passed.
@@ -65,7 +65,7 @@
     /// Returns the stable name used in metrics and logs.
     pub fn name(self) -> &'static str {
         match self {
-            Ended::Cancelled => "cancelled",
+            Ended::ByEntry => "by_entry",
             Ended::Superseded => "superseded",
             Ended::Expired => "expired",
             Ended::Silent => "silent",
--- a/crates/mustard-agent/src/session/table.rs
+++ b/crates/mustard-agent/src/session/table.rs
@@ -264,7 +264,7 @@
         if self.arena.get(key)?.epoch > epoch {
             return None;
         }
-        self.close(request, Ended::Cancelled, now)
+        self.close(request, Ended::ByEntry, now)
     }
 
     /// Ends the sessions whose deadline passed or that were silent for too long.
--- a/crates/mustard-agent/src/worker.rs
+++ b/crates/mustard-agent/src/worker.rs
@@ -64,9 +64,9 @@
         let epoch = closed.epoch;
         let request = closed.request;
         counter!(names::SESSIONS_ENDED, "why" => closed.why.name()).increment(1);
-        self.shared
-            .process
-            .emit(Some(request), EventKind::Cancelled { epoch });
+        let reason = closed.why.name().to_owned();
+        let ended = EventKind::AttemptClosed { epoch, reason };
+        self.shared.process.emit(Some(request), ended);
         slog::debug!(self.shared.log, "stage: Session ended.";
             "request" => %request, "epoch" => epoch.0, "why" => closed.why.name());
         self.cancel_sequence(SeqId { request, epoch });
--- a/crates/mustard-agent/tests/messages/main.rs
+++ b/crates/mustard-agent/tests/messages/main.rs
@@ -11,8 +11,9 @@
 use mustard_proto::agent::{AgentState, Call, Drain, Heartbeat, Order, Role};
 use mustard_proto::step::{Cancel, Step};
 use mustard_proto::{Head, Message, Ran, Refusal};
-use mustard_tests::cluster::{Pick, command, ledger};
+use mustard_tests::cluster::{command, ledger};
 use mustard_tests::http::Ask;
+use mustard_tests::node::Pick;
 use mustard_tests::plan::{MODEL, SERVICE};
 use mustard_tests::{Cluster, Plan, eventually};
 
--- a/crates/mustard-agent/tests/messages/wire.rs
+++ b/crates/mustard-agent/tests/messages/wire.rs
@@ -68,7 +68,7 @@
 
 impl Draft {
     pub(crate) fn new(cluster: &Cluster, request: u128) -> Self {
-        let hop = |node: &mustard_tests::cluster::Node| Hop {
+        let hop = |node: &mustard_tests::node::Node| Hop {
             addr: node.agent.addr(),
             incarnation: Incarnation(0),
             layers: node.layers,
--- a/crates/mustard-core/src/event.rs
+++ b/crates/mustard-core/src/event.rs
@@ -35,8 +35,8 @@
         agent: String,
         reason: String,
     },
-    /// An attempt was cancelled at an agent.
-    Cancelled { epoch: Epoch },
+    /// An attempt ended at an agent.
+    AttemptClosed { epoch: Epoch, reason: String },
     /// The first token of a request was delivered.
     FirstToken { epoch: Epoch },
     /// A stage ran positions of an attempt.
