Give names that need no explaining; split the entry's registry of servers; measure recovery

Read as a newcomer: 'book', 'lives', 'tombs', 'one', 'harm' and 'strangers' said less than in_flight, liveness, tombstones, attempt, suspects and unseen.

--- a/crates/mustard-agent/src/claims/call.rs
+++ b/crates/mustard-agent/src/claims/call.rs
@@ -16,10 +16,10 @@
 use mustard_proto::Refusal;
 use mustard_proto::agent::{Call, CallAnswer};
 
-use super::book::{Book, Found, Hold, Rest, differ};
+use super::in_flight::{Found, Hold, InFlight, Rest, differ};
 use super::keeper::Keeper;
 use super::key::Key;
-use super::lives::{Lives, Ports};
+use super::liveness::{Liveness, Ports};
 use super::op::{Commit, Expect};
 use super::row::{ClaimState, KeptAnswer};
 use super::send::Claim;
@@ -44,7 +44,7 @@
     pub(super) gate: Arc<Gate>,
     pub(super) log: Logger,
     pub(super) keeper: Keeper,
-    pub(super) book: Arc<Book>,
+    pub(super) in_flight: Arc<InFlight>,
     pub(super) bounds: Bounds,
     addr: OnceLock<SocketAddr>,
     count: AtomicU64,
@@ -79,7 +79,7 @@
             gate,
             log,
             keeper,
-            book: Arc::default(),
+            in_flight: Arc::default(),
             bounds,
             addr: OnceLock::new(),
             count: AtomicU64::new(0),
@@ -99,7 +99,7 @@
     /// # Errors
     ///
     /// [`Refusal::ran`] tells whether the service may have run the call.
-    pub async fn call<S: PlainService, T: Table, L: Lives>(
+    pub async fn call<S: PlainService, T: Table, L: Liveness>(
         &self,
         ports: &Ports<S, T, L>,
         call: Call,
@@ -107,7 +107,7 @@
         let deadline = Instant::now() + Duration::from_millis(call.deadline_ms);
         let text = call.key.as_deref().unwrap_or_default();
         let key = Key::new(&call.service, &call.owner, text)?;
-        match self.book.enter(&key.row, Some(call.fingerprint)) {
+        match self.in_flight.enter(&key.row, Some(call.fingerprint)) {
             Found::Reused => Err(Refusal::KeyReused),
             Found::Freeing => Err(table_down(RETRY_MS)),
             Found::Kept(answer) => Ok(replay(&answer)),
@@ -133,17 +133,17 @@
         let (result, rest, written) = ended;
         hold.end(result.clone(), rest);
         if let Some(written) = written {
-            let book = Arc::clone(&self.book);
+            let in_flight = Arc::clone(&self.in_flight);
             let row = key.row.clone();
             tokio::task::spawn_local(async move {
                 let _ = written.await;
-                book.forget(&row);
+                in_flight.forget(&row);
             });
         }
         result
     }
 
-    async fn claim<S: PlainService, T: Table, L: Lives>(
+    async fn claim<S: PlainService, T: Table, L: Liveness>(
         &self,
         ports: &Ports<S, T, L>,
         call: Call,
@@ -211,7 +211,7 @@
     }
 
     /// Judges a row that is in the way; none means that the key may be claimed again.
-    async fn found<S: PlainService, T: Table, L: Lives>(
+    async fn found<S: PlainService, T: Table, L: Liveness>(
         &self,
         ports: &Ports<S, T, L>,
         call: &Call,
--- a/crates/mustard-agent/src/claims/foreign.rs
+++ b/crates/mustard-agent/src/claims/foreign.rs
@@ -14,7 +14,7 @@
 use super::Result;
 use super::call::Claims;
 use super::key::Key;
-use super::lives::{Life, Lives, Ports};
+use super::liveness::{Life, Liveness, Ports};
 use super::op::Expect;
 use super::row::{ClaimState, KeptAnswer};
 use crate::calls;
@@ -30,7 +30,7 @@
     ///
     /// The call is never made here. Returns none if the claim was given up, so that the key may
     /// be claimed again.
-    pub(super) async fn foreign<S: PlainService, T: Table, L: Lives>(
+    pub(super) async fn foreign<S: PlainService, T: Table, L: Liveness>(
         &self,
         ports: &Ports<S, T, L>,
         key: &Key,
@@ -53,7 +53,7 @@
             };
             if pause > FIRST_POLL && wait.is_some() {
                 match look(ports, claimant).await {
-                    Life::Lives => wait = deadline.checked_sub(MARGIN),
+                    Life::Alive => wait = deadline.checked_sub(MARGIN),
                     // One more look at the row: the claimant may have written it before its end.
                     Life::Ended => wait = wait.filter(|_| !std::mem::replace(&mut gone, true)),
                     Life::Unknown => {}
@@ -98,7 +98,7 @@
     }
 }
 
-async fn look<S, T, L: Lives>(
+async fn look<S, T, L: Liveness>(
     ports: &Ports<S, T, L>,
     claimant: Option<(SocketAddr, Incarnation)>,
 ) -> Life {
--- a/crates/mustard-agent/src/claims/book.rs
+++ b/crates/mustard-agent/src/claims/in_flight.rs
@@ -52,20 +52,20 @@
 
 /// All keys in work.
 #[derive(Debug, Default)]
-pub(super) struct Book {
+pub(super) struct InFlight {
     slots: Mutex<Map<String, Slot>>,
 }
 
 /// The right to work on a key; dropped unfinished, it leaves those who joined in doubt.
 #[derive(Debug)]
 pub(super) struct Hold {
-    book: Arc<Book>,
+    in_flight: Arc<InFlight>,
     key: String,
     tell: watch::Sender<Option<Result<CallAnswer>>>,
     ended: bool,
 }
 
-impl Book {
+impl InFlight {
     /// Takes a key for work, or finds who has it.
     pub(super) fn enter(self: &Arc<Self>, key: &str, content: Option<Fingerprint>) -> Found {
         let mut slots = self.lock();
@@ -78,7 +78,7 @@
                 let (tell, joined) = watch::channel(None);
                 slots.insert(key.to_owned(), Slot::Running(content, joined));
                 Found::Mine(Hold {
-                    book: Arc::clone(self),
+                    in_flight: Arc::clone(self),
                     key: key.to_owned(),
                     tell,
                     ended: false,
@@ -111,7 +111,7 @@
             Rest::Kept(content, answer) => Some(Slot::Kept(content, Arc::new(answer))),
             Rest::Freeing => Some(Slot::Freeing),
         };
-        let mut slots = self.book.lock();
+        let mut slots = self.in_flight.lock();
         match slot {
             Some(slot) => slots.insert(self.key.clone(), slot),
             None => slots.remove(&self.key),
@@ -124,7 +124,7 @@
 impl Drop for Hold {
     fn drop(&mut self) {
         if !self.ended {
-            self.book.forget(&self.key);
+            self.in_flight.forget(&self.key);
             self.tell.send_replace(Some(Err(Refusal::InDoubt)));
         }
     }
--- a/crates/mustard-agent/src/claims/lives.rs
+++ b/crates/mustard-agent/src/claims/liveness.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Life {
     /// It answers.
-    Lives,
+    Alive,
     /// Its address refuses connections or belongs to another life.
     Ended,
     /// It gives no answer.
@@ -17,7 +17,7 @@
 
 /// Knows of the lives of other processes.
 #[allow(async_fn_in_trait)]
-pub trait Lives {
+pub trait Liveness {
     /// Looks at a life of the process at an address.
     ///
     /// The answer only decides how long to wait for the claimant's own result. A call is never
--- a/crates/mustard-agent/src/claims/mod.rs
+++ b/crates/mustard-agent/src/claims/mod.rs
@@ -5,12 +5,12 @@
 //! answer. A key whose claimant gave no result is settled by the service's own record or by an
 //! operator, or stays in doubt.
 
-mod book;
 mod call;
 mod foreign;
+mod in_flight;
 mod keeper;
 mod key;
-mod lives;
+mod liveness;
 mod op;
 mod row;
 mod send;
@@ -20,7 +20,7 @@
 
 pub use call::{Bounds, Claims};
 pub use keeper::{Keeper, Pace};
-pub use lives::{Life, Lives, Ports};
+pub use liveness::{Life, Liveness, Ports};
 pub use op::{Commit, Expect};
 pub use row::{ClaimState, KeptAnswer, reference, row_key};
 pub use sweep::{Sweeper, Swept};
--- a/crates/mustard-agent/src/claims/send.rs
+++ b/crates/mustard-agent/src/claims/send.rs
@@ -11,8 +11,8 @@
 use mustard_proto::agent::{Call, CallAnswer};
 use mustard_proto::{Ran, Refusal};
 
-use super::book::Rest;
 use super::call::{Claims, Ended, plainly};
+use super::in_flight::Rest;
 use super::key::Key;
 use super::op::{Commit, Expect};
 use super::row::{ClaimState, KeptAnswer};
--- a/crates/mustard-agent/src/claims/settle.rs
+++ b/crates/mustard-agent/src/claims/settle.rs
@@ -11,8 +11,8 @@
 use mustard_proto::agent::{Settle, Verdict, Void, VoidAnswer};
 
 use super::Result;
-use super::book::Found;
 use super::call::{Claims, replay, table_down};
+use super::in_flight::Found;
 use super::key::Key;
 use super::op::{Commit, Expect};
 use super::row::{ClaimState, KeptAnswer};
@@ -55,7 +55,7 @@
         key: &Key,
         verdict: Option<&Verdict>,
     ) -> Result<VoidAnswer> {
-        let _hold = match self.book.enter(&key.row, None) {
+        let _hold = match self.in_flight.enter(&key.row, None) {
             Found::Mine(hold) => hold,
             Found::Kept(answer) => return Ok(VoidAnswer::Ran(replay(&answer))),
             Found::Freeing => return Err(table_down(RETRY_MS)),
--- a/crates/mustard-agent/src/session/mod.rs
+++ b/crates/mustard-agent/src/session/mod.rs
@@ -5,14 +5,14 @@
 //! or after a long silence. Every ended attempt leaves a tombstone, so that a late step of it is
 //! refused.
 
+mod attempt;
 mod check;
-mod one;
 mod table;
-mod tombs;
+mod tombstones;
 mod work;
 
+pub use attempt::{Closed, Ended, Ticket};
 pub use check::check_opening;
-pub use one::{Closed, Ended, Ticket};
 pub use table::{Begin, Limits, Sessions};
 pub use work::{Onward, Work};
 
--- a/crates/mustard-agent/src/session/table.rs
+++ b/crates/mustard-agent/src/session/table.rs
@@ -12,8 +12,8 @@
 use mustard_proto::step::Step;
 
 use super::Result;
-use super::one::{Closed, Ended, Session, Ticket};
-use super::tombs::Tombs;
+use super::attempt::{Closed, Ended, Session, Ticket};
+use super::tombstones::Tombstones;
 use super::work::{Onward, Phase, Work};
 
 const RETRY_BUSY_MS: u64 = 20;
@@ -25,9 +25,9 @@
     /// The most sessions at once.
     pub sessions: usize,
     /// The most tombstones at once.
-    pub tombs: usize,
+    pub tombstones: usize,
     /// How long a tombstone is kept.
-    pub tomb_life: Duration,
+    pub tombstone_life: Duration,
     /// How long a session may be silent.
     pub idle: Duration,
     /// How old the last load report of a session is before it gets another.
@@ -55,7 +55,7 @@
     limits: Limits,
     arena: Arena<Session<G>>,
     index: Map<RequestId, Key<Session<G>>>,
-    tombs: Tombs,
+    tombstones: Tombstones,
 }
 
 impl<G> Sessions<G> {
@@ -65,7 +65,7 @@
             limits,
             arena: Arena::new(),
             index: Map::default(),
-            tombs: Tombs::new(limits.tombs, limits.tomb_life),
+            tombstones: Tombstones::new(limits.tombstones, limits.tombstone_life),
         }
     }
 
@@ -99,7 +99,11 @@
             let detail = "step has no countable position".to_owned();
             return Err(Refusal::Malformed { detail });
         }
-        if let Some(ended) = self.tombs.get(step.request).filter(|e| step.epoch <= *e) {
+        if let Some(ended) = self
+            .tombstones
+            .get(step.request)
+            .filter(|e| step.epoch <= *e)
+        {
             let current = ended.next();
             return Err(Refusal::StaleEpoch { current });
         }
@@ -259,7 +263,7 @@
 
     /// Ends every attempt of a request up to an epoch.
     pub fn cancel(&mut self, request: RequestId, epoch: Epoch, now: Moment) -> Option<Closed> {
-        self.tombs.bury(request, epoch, now);
+        self.tombstones.insert(request, epoch, now);
         let key = *self.index.get(&request)?;
         if self.arena.get(key)?.epoch > epoch {
             return None;
@@ -269,7 +273,7 @@
 
     /// Ends the sessions whose deadline passed or that were silent for too long.
     pub fn sweep(&mut self, now: Moment) -> Vec<Closed> {
-        self.tombs.expire(now);
+        self.tombstones.expire(now);
         let idle = self.limits.idle;
         let over: Vec<_> = self
             .arena
@@ -319,7 +323,7 @@
 
     fn close(&mut self, request: RequestId, why: Ended, now: Moment) -> Option<Closed> {
         let epoch = self.remove(request)?;
-        self.tombs.bury(request, epoch, now);
+        self.tombstones.insert(request, epoch, now);
         Some(Closed {
             request,
             epoch,
--- a/crates/mustard-agent/src/session/tombs.rs
+++ b/crates/mustard-agent/src/session/tombstones.rs
@@ -9,16 +9,16 @@
 
 /// The newest ended epoch of each request that ended lately.
 #[derive(Debug)]
-pub(super) struct Tombs {
+pub(super) struct Tombstones {
     capacity: usize,
     life: Duration,
     ended: Map<RequestId, (Epoch, Moment)>,
     order: VecDeque<(Moment, RequestId)>,
 }
 
-impl Tombs {
+impl Tombstones {
     pub(super) fn new(capacity: usize, life: Duration) -> Self {
-        Tombs {
+        Tombstones {
             capacity,
             life,
             ended: Map::default(),
@@ -32,7 +32,7 @@
     }
 
     /// Records that every epoch up to the given one has ended.
-    pub(super) fn bury(&mut self, request: RequestId, epoch: Epoch, now: Moment) {
+    pub(super) fn insert(&mut self, request: RequestId, epoch: Epoch, now: Moment) {
         let until = now + self.life;
         let slot = self.ended.entry(request).or_insert((epoch, until));
         *slot = (slot.0.max(epoch), until);
--- a/crates/mustard-agent/src/shared.rs
+++ b/crates/mustard-agent/src/shared.rs
@@ -82,8 +82,8 @@
         let s = &settings.session;
         let limits = Limits {
             sessions: s.most,
-            tombs: s.most * TOMBS_PER_SESSION,
-            tomb_life: Duration::from_millis(s.memory_ms),
+            tombstones: s.most * TOMBS_PER_SESSION,
+            tombstone_life: Duration::from_millis(s.memory_ms),
             idle: Duration::from_millis(s.idle_ms),
             report: Duration::from_millis(s.report_ms),
         };
--- a/crates/mustard-agent/src/worker.rs
+++ b/crates/mustard-agent/src/worker.rs
@@ -16,7 +16,7 @@
 use mustard_platform::http::HttpService;
 use mustard_proto::agent::Heartbeat;
 
-use crate::claims::{Life, Lives};
+use crate::claims::{Life, Liveness};
 use crate::names;
 use crate::session::Closed;
 use crate::shared::Shared;
@@ -82,7 +82,7 @@
     }
 }
 
-impl Lives for Worker {
+impl Liveness for Worker {
     async fn look(&self, addr: SocketAddr, life: Incarnation) -> Life {
         let from = self.shared.settings.vm.clone();
         let heartbeat = Heartbeat { from };
@@ -90,7 +90,7 @@
             .client
             .call(addr, Incarnation(0), heartbeat, PING_LIMIT);
         match answer.await {
-            Ok(info) if info.incarnation == life => Life::Lives,
+            Ok(info) if info.incarnation == life => Life::Alive,
             Ok(_) => Life::Ended,
             // A process that listens accepts connections even while it is paused.
             Err(CallError::NotSent(_)) => Life::Ended,
--- a/crates/mustard-agent/tests/claims/world.rs
+++ b/crates/mustard-agent/tests/claims/world.rs
@@ -14,7 +14,7 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::sleep;
 
-use mustard_agent::claims::{Bounds, Claims, Keeper, Life, Lives, Pace};
+use mustard_agent::claims::{Bounds, Claims, Keeper, Life, Liveness, Pace};
 use mustard_backend::service::{PlainService, ServiceAnswer, ServiceCall};
 use mustard_backend::{BackendError, Result};
 use mustard_core::ids::Incarnation;
@@ -107,11 +107,11 @@
 #[derive(Clone, Default)]
 pub(crate) struct Ends(Rc<RefCell<Vec<Incarnation>>>);
 
-impl Lives for Ends {
+impl Liveness for Ends {
     async fn look(&self, _: SocketAddr, life: Incarnation) -> Life {
         match self.0.borrow().contains(&life) {
             true => Life::Ended,
-            false => Life::Lives,
+            false => Life::Alive,
         }
     }
 }
--- a/crates/mustard-agent/tests/session/main.rs
+++ b/crates/mustard-agent/tests/session/main.rs
@@ -233,8 +233,8 @@
 fn limits() -> Limits {
     Limits {
         sessions: 2,
-        tombs: 3,
-        tomb_life: Duration::from_secs(10),
+        tombstones: 3,
+        tombstone_life: Duration::from_secs(10),
         idle: Duration::from_secs(5),
         report: Duration::from_secs(1),
     }
--- a/crates/mustard-agent/tests/session/world.rs
+++ b/crates/mustard-agent/tests/session/world.rs
@@ -78,8 +78,8 @@
 fn sessions() -> Sessions<()> {
     Sessions::new(Limits {
         sessions: 4,
-        tombs: 1_000,
-        tomb_life: Duration::from_secs(3_600),
+        tombstones: 1_000,
+        tombstone_life: Duration::from_secs(3_600),
         idle: Duration::from_secs(20),
         report: Duration::from_secs(1),
     })
--- a/crates/mustard-entry/src/api/completions.rs
+++ b/crates/mustard-entry/src/api/completions.rs
@@ -85,7 +85,7 @@
 
 fn check_standing(worker: &Worker, fingerprint: Fingerprint) -> Result<()> {
     let now = worker.shared.process.now();
-    match worker.shared.harm.standing(now, fingerprint) {
+    match worker.shared.suspects.standing(now, fingerprint) {
         Standing::Quarantined(_) => Err(ApiError::Quarantined),
         _ => Ok(()),
     }
@@ -183,9 +183,9 @@
 ) -> Result<()> {
     let shared = &worker.shared;
     let now = shared.process.now();
-    let suspect = shared.harm.standing(now, rights.fingerprint) == Standing::Suspect;
+    let suspect = shared.suspects.standing(now, rights.fingerprint) == Standing::Suspect;
     let apart = match suspect {
-        true => timeout_at(job.deadline, shared.harm.apart())
+        true => timeout_at(job.deadline, shared.suspects.apart())
             .await
             .map_err(|_| ApiError::DeadlinePassed)?,
         false => None,
--- a/crates/mustard-entry/src/api/operate.rs
+++ b/crates/mustard-entry/src/api/operate.rs
@@ -200,7 +200,7 @@
 async fn quarantine(request: HttpRequest, state: State) -> HttpResponse {
     let result = operator(&state, &request).map(|_| {
         let now = state.shared.process.now();
-        let list = state.shared.harm.list(now);
+        let list = state.shared.suspects.list(now);
         let row = |(fingerprint, vms)| Quarantined { fingerprint, vms };
         list.into_iter().map(row).collect::<Vec<_>>()
     });
@@ -214,7 +214,7 @@
             what: text.to_owned(),
         };
         let number = u128::from_str_radix(text, 16).map_err(|_| missing())?;
-        if !state.shared.harm.clear(Fingerprint(number)) {
+        if !state.shared.suspects.clear(Fingerprint(number)) {
             return Err(missing());
         }
         info!(state.shared.log, "admin: Quarantine ended."; "content" => text,
--- a/crates/mustard-entry/src/api/peers.rs
+++ b/crates/mustard-entry/src/api/peers.rs
@@ -16,7 +16,7 @@
 
 use super::{ApiError, State, body};
 use crate::app::{Shared, Worker};
-use crate::{harm, quotas};
+use crate::{quotas, suspects};
 
 /// How long the body of a message may take to arrive.
 const MESSAGE_TIME: Duration = Duration::from_secs(10);
@@ -115,8 +115,12 @@
 
 async fn strikes(state: State, payload: Payload) -> HttpResponse {
     answer(state, payload, |worker, message: Strikes| {
-        let strikes: Vec<_> = message.strikes.into_iter().map(harm::strike_of).collect();
-        harm::note_strikes(worker, &strikes);
+        let strikes: Vec<_> = message
+            .strikes
+            .into_iter()
+            .map(suspects::strike_of)
+            .collect();
+        suspects::note_strikes(worker, &strikes);
     })
     .await
 }
--- a/crates/mustard-entry/src/app.rs
+++ b/crates/mustard-entry/src/app.rs
@@ -20,10 +20,10 @@
 use mustard_policy::retry::RetryBudget;
 
 use crate::admit::Admissions;
-use crate::harm::Harm;
 use crate::quotas::Quotas;
 use crate::servers::Servers;
 use crate::settings::{self, Settings};
+use crate::suspects::Suspects;
 
 /// What all threads share.
 pub struct Shared {
@@ -45,8 +45,8 @@
     pub admissions: Arc<Admissions>,
     /// The limits of catalogue entries.
     pub quotas: Quotas,
-    /// The contents that harm servers.
-    pub harm: Arc<Harm>,
+    /// The contents that suspects servers.
+    pub suspects: Arc<Suspects>,
     /// The budget for retries.
     pub retries: Retries,
     /// Renders the metrics.
@@ -86,7 +86,7 @@
             servers,
             admissions: Arc::new(admissions),
             quotas: Quotas::default(),
-            harm: Arc::default(),
+            suspects: Arc::default(),
             retries,
             addr: OnceLock::new(),
             listed: AtomicBool::new(false),
--- a/crates/mustard-entry/src/lib.rs
+++ b/crates/mustard-entry/src/lib.rs
@@ -8,12 +8,12 @@
 pub mod calls;
 pub mod drive;
 pub mod errors;
-pub mod harm;
 pub mod metric;
 pub mod ports;
 pub mod quotas;
 pub mod serve;
 pub mod servers;
 pub mod settings;
+pub mod suspects;
 
 pub use errors::{EntryError, Result};
--- a/crates/mustard-entry/src/ports.rs
+++ b/crates/mustard-entry/src/ports.rs
@@ -20,8 +20,8 @@
 use crate::admit::{Admitted, chain_of};
 use crate::app::Worker;
 use crate::drive::{Chain, NoChain, Ports, Veto, Want};
-use crate::harm::{self, Exposure};
 use crate::metric;
+use crate::suspects::{self, Exposure};
 
 const PROBE_LIMIT: Duration = Duration::from_millis(150);
 const CANCEL_LIMIT: Duration = Duration::from_secs(2);
@@ -78,8 +78,8 @@
     pub fn finish(self) {
         let shared = &self.worker.shared;
         let now = shared.process.now();
-        if shared.harm.standing(now, self.rights.fingerprint) == Standing::Suspect {
-            shared.harm.clear(self.rights.fingerprint);
+        if shared.suspects.standing(now, self.rights.fingerprint) == Standing::Suspect {
+            shared.suspects.clear(self.rights.fingerprint);
         }
         self.admitted.into_inner().finish(self.tokens);
     }
@@ -91,12 +91,12 @@
         let shared = &self.worker.shared;
         let alone = self.apart.borrow().is_some();
         let now = shared.process.now();
-        let deaths = shared.harm.deaths(now, self.rights.fingerprint);
+        let deaths = shared.suspects.deaths(now, self.rights.fingerprint);
         if alone || deaths < DEATHS_TO_SUSPECT {
             return Ok(());
         }
         *self.exposure.borrow_mut() = None;
-        let permit = timeout_at(self.rights.deadline, shared.harm.apart()).await;
+        let permit = timeout_at(self.rights.deadline, shared.suspects.apart()).await;
         *self.apart.borrow_mut() = permit.map_err(|_| Veto::Late)?;
         Ok(())
     }
@@ -111,7 +111,7 @@
         let mut avoid: Vec<ServerKey> = want.avoid.iter().filter_map(|n| fleet.find(n)).collect();
         if self.apart.borrow().is_some() {
             let now = shared.process.now();
-            let occupied = shared.harm.occupied(now, self.rights.fingerprint);
+            let occupied = shared.suspects.occupied(now, self.rights.fingerprint);
             avoid.extend(occupied.iter().filter_map(|n| fleet.find(n)));
         }
         let query =
@@ -124,10 +124,10 @@
 impl Ports for NetPorts {
     fn choose(&self, want: &Want) -> Result<Chain, NoChain> {
         let chain = self.chosen(want).ok_or(NoChain { retry: RETRY })?;
-        let harm = &self.worker.shared.harm;
+        let suspects = &self.worker.shared.suspects;
         // The earlier attempt's count ends first.
         *self.exposure.borrow_mut() = None;
-        let exposure = harm.expose(&chain.names, self.rights.fingerprint);
+        let exposure = suspects.expose(&chain.names, self.rights.fingerprint);
         *self.exposure.borrow_mut() = Some(exposure);
         Ok(chain)
     }
@@ -207,7 +207,7 @@
         self.worker.shared.servers.failed(agent, error);
         let count = contents_at_death(error);
         if count > 0 {
-            harm::note_death(&self.worker, agent, count);
+            suspects::note_death(&self.worker, agent, count);
         }
     }
 
@@ -222,7 +222,7 @@
         }
         self.run_apart().await?;
         let now = shared.process.now();
-        let standing = shared.harm.standing(now, self.rights.fingerprint);
+        let standing = shared.suspects.standing(now, self.rights.fingerprint);
         if matches!(standing, Standing::Quarantined(_)) {
             return Err(Veto::Quarantined);
         }
--- a/crates/mustard-entry/src/servers/mod.rs
+++ b/crates/mustard-entry/src/servers/mod.rs
@@ -5,6 +5,8 @@
 //! the published view without a lock.
 
 mod record;
+mod selection;
+mod sign;
 mod watch;
 
 pub use watch::{follow_list, watch_agents};
@@ -24,15 +26,14 @@
 use mustard_platform::vms::{Vm, VmKind, VmState};
 use mustard_policy::fleet::{Fleet, ServerKey, State};
 use mustard_policy::membership::{Membership, Sign, Turn};
-use mustard_policy::subset::{self, Candidate};
-use mustard_proto::Refusal;
 use mustard_proto::agent::{AgentInfo, Load};
 
 pub use record::Known;
-use record::{facts_of, group_of, listed_of, report_of, said_of};
+use record::{facts_of, listed_of, report_of, said_of};
+use sign::sign_of;
 
 /// The agents that are known beyond the subset, asked in turn to learn what they hold.
-const STRANGERS: usize = 4;
+const UNSEEN_ASKED: usize = 4;
 
 /// The servers and entry processes known to this process.
 pub struct Servers {
@@ -41,11 +42,11 @@
     domain: String,
     subset: usize,
     view: ArcSwap<Fleet>,
-    book: Mutex<Book>,
+    registry: Mutex<Registry>,
 }
 
 #[derive(Default)]
-struct Book {
+struct Registry {
     members: Membership,
     agents: Map<String, Known>,
     entries: Map<String, Vm>,
@@ -60,7 +61,7 @@
             domain: domain.to_owned(),
             subset,
             view: ArcSwap::default(),
-            book: Mutex::default(),
+            registry: Mutex::default(),
         }
     }
 
@@ -81,9 +82,9 @@
 
     /// Returns the other entry processes that the platform's list has as live.
     pub fn peers(&self) -> Vec<Vm> {
-        let book = self.lock();
+        let registry = self.lock();
         let other = |vm: &&Vm| vm.state == VmState::Live && vm.name != self.process.name();
-        book.entries.values().filter(other).cloned().collect()
+        registry.entries.values().filter(other).cloned().collect()
     }
 
     /// Returns the addresses of the other live entry processes.
@@ -94,10 +95,10 @@
     /// Takes in a VM of the platform's list.
     pub fn list(&self, vm: Vm) {
         if vm.kind == VmKind::Entry {
-            let mut book = self.lock();
+            let mut registry = self.lock();
             match vm.state {
-                VmState::Gone => drop(book.entries.remove(&vm.name)),
-                _ => drop(book.entries.insert(vm.name.clone(), vm)),
+                VmState::Gone => drop(registry.entries.remove(&vm.name)),
+                _ => drop(registry.entries.insert(vm.name.clone(), vm)),
             }
             return;
         }
@@ -105,11 +106,11 @@
         let sign = Sign::Listed(listed_of(vm.state));
         let gone = vm.state == VmState::Gone;
         {
-            let mut book = self.lock();
-            match book.agents.get_mut(&name) {
+            let mut registry = self.lock();
+            match registry.agents.get_mut(&name) {
                 Some(known) => known.relist(vm),
                 None if gone => return,
-                None => drop(book.agents.insert(name.clone(), Known::new(vm))),
+                None => drop(registry.agents.insert(name.clone(), Known::new(vm))),
             }
         }
         self.sign(&name, sign);
@@ -118,69 +119,22 @@
         }
     }
 
-    /// Chooses anew which agents are watched in detail.
-    pub fn choose_subset(&self) {
-        let mut book = self.lock();
-        let own = subset::Process {
-            name: self.process.name(),
-            domain: &self.domain,
-        };
-        let mut processes: Vec<subset::Process> = vec![own];
-        let entries: Vec<Vm> = book.entries.values().cloned().collect();
-        processes.extend(
-            entries
-                .iter()
-                .filter(|e| e.name != own.name)
-                .map(|e| subset::Process {
-                    name: &e.name,
-                    domain: &e.domain,
-                }),
-        );
-        let mut agents: Vec<Known> = book.agents.values().cloned().collect();
-        agents.sort_by(|a, b| a.vm.name.cmp(&b.vm.name));
-        let candidates: Vec<Candidate> = agents
-            .iter()
-            .map(|k| Candidate {
-                vm: &k.vm.name,
-                domain: &k.vm.domain,
-                group: group_of(k.info.as_ref()),
-            })
-            .collect();
-        let chosen = subset::choose(own, &processes, &candidates, self.subset);
-        for known in book.agents.values_mut() {
-            known.chosen = false;
-        }
-        for index in chosen {
-            if let Some(known) = book.agents.get_mut(&agents[index].vm.name) {
-                known.chosen = true;
-            }
-        }
-        let dropped: Vec<String> = book
-            .agents
-            .values()
-            .filter(|k| !k.chosen)
-            .map(|k| k.vm.name.clone())
-            .collect();
-        drop(book);
-        self.unpublish(&dropped);
-    }
-
     /// Returns the agents to ask for their state now: those that were silent for `pause`, or for
     /// longer where that would take more than `rate` messages a second.
     pub fn due(&self, pause: Duration, rate: u64) -> Vec<Known> {
         let now = self.process.now();
-        let mut book = self.lock();
-        let watched = book.agents.values().filter(|k| k.chosen).count();
+        let mut registry = self.lock();
+        let watched = registry.agents.values().filter(|k| k.chosen).count();
         let pause = pause.max(Duration::from_secs(1) * watched as u32 / rate.max(1) as u32);
-        let mut strangers = STRANGERS;
+        let mut unseen = UNSEEN_ASKED;
         let mut due = Vec::new();
-        for known in book.agents.values_mut() {
-            let stranger = !known.chosen && known.info.is_none() && strangers > 0;
-            let wanted = known.chosen || stranger;
+        for known in registry.agents.values_mut() {
+            let is_unseen = !known.chosen && known.info.is_none() && unseen > 0;
+            let wanted = known.chosen || is_unseen;
             if !wanted || now.since(known.asked) < pause || known.is_fresh(now, pause) {
                 continue;
             }
-            strangers -= usize::from(stranger);
+            unseen -= usize::from(is_unseen);
             known.asked = now;
             due.push(known.clone());
         }
@@ -189,16 +143,16 @@
 
     /// Tells whether every watched agent was heard or was silent at least once.
     pub fn is_surveyed(&self) -> bool {
-        let book = self.lock();
-        book.agents.values().all(|k| !k.chosen || k.surveyed)
+        let registry = self.lock();
+        registry.agents.values().all(|k| !k.chosen || k.surveyed)
     }
 
     /// Takes in the state that an agent reports.
     pub fn heard(&self, vm: &str, info: &AgentInfo, round_trip: Option<Duration>) {
         let now = self.process.now();
         let facts = {
-            let mut book = self.lock();
-            let Some(known) = book.agents.get_mut(vm) else {
+            let mut registry = self.lock();
+            let Some(known) = registry.agents.get_mut(vm) else {
                 return;
             };
             known.hear(now, info);
@@ -268,15 +222,15 @@
     pub fn sign(&self, vm: &str, sign: Sign) {
         let now = self.process.now();
         let turn = {
-            let mut book = self.lock();
-            let Some(known) = book.agents.get_mut(vm) else {
+            let mut registry = self.lock();
+            let Some(known) = registry.agents.get_mut(vm) else {
                 return;
             };
             if known.take(now, sign) {
                 let agent = vm.to_owned();
                 self.process.emit(None, EventKind::BreakerOpened { agent });
             }
-            book.members.take(now, vm, sign)
+            registry.members.take(now, vm, sign)
         };
         self.set_state(vm);
         if let Some(turn) = turn {
@@ -301,11 +255,11 @@
     fn set_state(&self, vm: &str) {
         let now = self.process.now();
         let (state, share) = {
-            let book = self.lock();
-            let Some(known) = book.agents.get(vm) else {
+            let registry = self.lock();
+            let Some(known) = registry.agents.get(vm) else {
                 return;
             };
-            let state = book.members.state(vm).unwrap_or(State::Suspect);
+            let state = registry.members.state(vm).unwrap_or(State::Suspect);
             (state, known.share(now))
         };
         let state = match state {
@@ -325,16 +279,16 @@
     }
 
     fn life(&self, vm: &str) -> Incarnation {
-        let book = self.lock();
-        let info = book.agents.get(vm).and_then(|k| k.info.as_ref());
+        let registry = self.lock();
+        let info = registry.agents.get(vm).and_then(|k| k.info.as_ref());
         info.map_or(Incarnation(0), |i| i.incarnation)
     }
 
     fn remove(&self, vm: &str) {
         {
-            let mut book = self.lock();
-            book.agents.remove(vm);
-            book.members.forget(vm);
+            let mut registry = self.lock();
+            registry.agents.remove(vm);
+            registry.members.forget(vm);
         }
         self.unpublish(&[vm.to_owned()]);
     }
@@ -354,7 +308,7 @@
     /// Publishes a changed view; `change` tells whether it changed anything.
     fn publish(&self, change: impl Fn(&mut Fleet) -> bool) {
         // The lock orders writers; readers take the view without it.
-        let _book = self.lock();
+        let _registry = self.lock();
         let mut fleet = Fleet::clone(&self.view.load());
         if change(&mut fleet) {
             self.view.store(Arc::new(fleet));
@@ -382,30 +336,8 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Book> {
-        self.book.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-/// Returns what a failed call says about its agent; none if it says nothing.
-fn sign_of(error: &CallError, life: Incarnation) -> Option<Sign> {
-    match error {
-        CallError::NotSent(_) => Some(Sign::Unreachable),
-        CallError::Refused(refusal) => sign_of_refusal(refusal, life),
-        CallError::Proto(_) | CallError::Status(_) => Some(Sign::Failed),
-        CallError::Lost(_) | CallError::TimedOut(_) => Some(Sign::Failed),
-    }
-}
-
-fn sign_of_refusal(refusal: &Refusal, life: Incarnation) -> Option<Sign> {
-    match refusal {
-        Refusal::Leaving => Some(Sign::RefusedLeaving(life)),
-        Refusal::NextFailed { cause, .. } => sign_of_refusal(cause, life),
-        Refusal::NoAnswer { ran, .. } if *ran == mustard_proto::Ran::No => Some(Sign::Unreachable),
-        Refusal::ServerFailed { .. } | Refusal::NoAnswer { .. } | Refusal::NotHeld { .. } => {
-            Some(Sign::Failed)
-        }
-        _ => None,
+    fn lock(&self) -> MutexGuard<'_, Registry> {
+        self.registry.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/mustard-entry/src/harm.rs
+++ b/crates/mustard-entry/src/suspects.rs
@@ -1,4 +1,4 @@
-//! Requests that harm the servers that run them: strikes, suspects and quarantine.
+//! Requests that suspects the servers that run them: strikes, suspects and quarantine.
 
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -22,7 +22,7 @@
 const SHARE_LIMIT: Duration = Duration::from_secs(1);
 
 /// What is known about harmful contents.
-pub struct Harm {
+pub struct Suspects {
     state: Mutex<State>,
     /// Suspects run one at a time, so that a death shows which of them caused it.
     apart: Arc<Semaphore>,
@@ -36,13 +36,13 @@
     deaths: Map<String, Moment>,
 }
 
-impl Default for Harm {
+impl Default for Suspects {
     fn default() -> Self {
         let state = State {
             quarantine: Quarantine::new(Settings::default()),
             ..State::default()
         };
-        Harm {
+        Suspects {
             state: Mutex::new(state),
             apart: Arc::new(Semaphore::new(1)),
         }
@@ -51,14 +51,14 @@
 
 /// Counts a content at the servers of a chain; dropping it ends the count.
 pub struct Exposure {
-    harm: Arc<Harm>,
+    suspects: Arc<Suspects>,
     names: Vec<String>,
     fingerprint: Fingerprint,
 }
 
 impl Drop for Exposure {
     fn drop(&mut self) {
-        let mut state = self.harm.lock();
+        let mut state = self.suspects.lock();
         for name in &self.names {
             let Some(running) = state.running.get_mut(name) else {
                 continue;
@@ -73,7 +73,7 @@
     }
 }
 
-impl Harm {
+impl Suspects {
     /// Tells how a content may run.
     pub fn standing(&self, now: Moment, fingerprint: Fingerprint) -> Standing {
         self.lock().quarantine.standing(now, fingerprint)
@@ -109,7 +109,7 @@
             running.push(fingerprint);
         }
         Exposure {
-            harm: Arc::clone(self),
+            suspects: Arc::clone(self),
             names: names.to_vec(),
             fingerprint,
         }
@@ -166,11 +166,11 @@
 /// Takes in that a server died while it ran contents, and shares the strikes.
 pub fn note_death(worker: &Rc<Worker>, vm: &str, count: u32) {
     let shared = &worker.shared;
-    let strikes = shared.harm.died(shared.process.now(), vm, count);
+    let strikes = shared.suspects.died(shared.process.now(), vm, count);
     if strikes.is_empty() {
         return;
     }
-    warn!(shared.log, "harm: Server died with requests running.";
+    warn!(shared.log, "suspects: Server died with requests running.";
         "agent" => vm, "contents" => strikes.len());
     note_strikes(worker, &strikes);
     let message = Strikes {
@@ -189,9 +189,9 @@
 /// Takes in strikes and tells of contents that became quarantined.
 pub fn note_strikes(worker: &Worker, strikes: &[Strike]) {
     let shared = &worker.shared;
-    for fingerprint in shared.harm.take(shared.process.now(), strikes) {
+    for fingerprint in shared.suspects.take(shared.process.now(), strikes) {
         let fingerprint = fingerprint.to_string();
-        warn!(shared.log, "harm: Content is quarantined."; "content" => &fingerprint);
+        warn!(shared.log, "suspects: Content is quarantined."; "content" => &fingerprint);
         metrics::counter!("mustard_entry_quarantined_total").increment(1);
         let event = EventKind::Quarantined { fingerprint };
         shared.process.emit(None, event);
--- a/crates/mustard-entry/tests/api.rs
+++ b/crates/mustard-entry/tests/api.rs
@@ -15,7 +15,7 @@
 use mustard_entry::api::services::check_key;
 use mustard_entry::api::{ApiError, auth};
 use mustard_entry::drive::{DriveError, Failed};
-use mustard_entry::harm::Harm;
+use mustard_entry::suspects::Suspects;
 use mustard_policy::quarantine::Standing;
 use mustard_proto::{Ran, Refusal};
 
@@ -172,23 +172,29 @@
 /// that shared the first batch, here or in another process, are not.
 #[test]
 fn died_shared_batch() {
-    let harm = std::sync::Arc::new(Harm::default());
+    let suspects = std::sync::Arc::new(Suspects::default());
     let (guilty, innocent) = (Fingerprint(1), Fingerprint(2));
     let first = ["a".to_owned()];
-    let shared = [harm.expose(&first, guilty), harm.expose(&first, innocent)];
+    let shared = [
+        suspects.expose(&first, guilty),
+        suspects.expose(&first, innocent),
+    ];
     let now = Moment::from_millis(1_000);
-    let strikes = harm.died(now, "a", 3);
+    let strikes = suspects.died(now, "a", 3);
     assert!(strikes.len() == 2 && strikes.iter().all(|s| s.shared == 3));
-    assert!(harm.take(now, &strikes).is_empty());
-    assert!(harm.died(now, "a", 2).is_empty(), "one death counts once");
+    assert!(suspects.take(now, &strikes).is_empty());
+    assert!(
+        suspects.died(now, "a", 2).is_empty(),
+        "one death counts once"
+    );
     drop(shared);
-    let _alone = harm.expose(&["b".to_owned()], guilty);
+    let _alone = suspects.expose(&["b".to_owned()], guilty);
     let later = now + Duration::from_secs(5);
-    let strikes = harm.died(later, "b", 1);
-    assert_eq!(harm.take(later, &strikes), vec![guilty]);
+    let strikes = suspects.died(later, "b", 1);
+    assert_eq!(suspects.take(later, &strikes), vec![guilty]);
     assert!(matches!(
-        harm.standing(later, guilty),
+        suspects.standing(later, guilty),
         Standing::Quarantined(_)
     ));
-    assert_eq!(harm.standing(later, innocent), Standing::Suspect);
+    assert_eq!(suspects.standing(later, innocent), Standing::Suspect);
 }
--- a/crates/mustard-tests/src/lib.rs
+++ b/crates/mustard-tests/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod node;
 pub mod operator;
 pub mod plan;
+pub mod recovery;
 pub mod soak;
 pub mod wait;
 
