Ask for grants only while there is something to grant

Cause: a holder renewed its grant three times a second for five seconds after its last request. Ruled out: stopping while requests run; the grantor counts slots by these asks. Change: no ask when nothing runs and nothing came since the last one. Given up: the first request after a pause waits for one exchange with the grantor.

--- a/crates/mustard-policy/src/limits/holder.rs
+++ b/crates/mustard-policy/src/limits/holder.rs
@@ -12,8 +12,6 @@
 
 /// The share of a grant's life after which it is renewed.
 const RENEW_SHARE: u32 = 3;
-/// How long a holder without requests keeps asking.
-const IDLE_AFTER: Duration = Duration::from_secs(5);
 /// The least time between two asks.
 const ASK_PAUSE: Duration = Duration::from_millis(20);
 const DEMAND_WEIGHT: f64 = 0.3;
@@ -63,7 +61,6 @@
     arrived: u32,
     usual: f64,
     asked: Option<Moment>,
-    used: Option<Moment>,
     split: Option<Bucket>,
 }
 
@@ -80,7 +77,6 @@
             arrived: 0,
             usual: 0.0,
             asked: None,
-            used: None,
             split: None,
         }
     }
@@ -102,7 +98,6 @@
     /// Returns why there is no permit.
     pub fn begin(&mut self, now: Moment) -> Result<()> {
         self.arrived = self.arrived.saturating_add(1);
-        self.used = Some(now);
         if now >= self.until {
             return Err(Denied::NoGrant);
         }
@@ -124,7 +119,8 @@
     /// Returns what to ask the grantor for, if it is time to ask.
     pub fn demand(&mut self, now: Moment) -> Option<Demand> {
         let since = |at: Option<Moment>| at.map(|at| now.since(at));
-        let idle = since(self.used).is_none_or(|age| age > IDLE_AFTER) && self.running == 0;
+        // The grantor counts what runs by these asks, so they go on until the last request ends.
+        let idle = self.arrived == 0 && self.running == 0;
         // Only a request that came since the last ask can be waiting for a grant.
         let pause = if self.arrived > 0 && self.is_short(now) {
             ASK_PAUSE
