Let a frozen server go on before the soak tells it to be slow

The fault loop told a frozen engine to be slow and waited 90 s for its answer, while the same loop was to wake it.

--- a/crates/mustard-tests/src/soak/fault.rs
+++ b/crates/mustard-tests/src/soak/fault.rs
@@ -191,7 +191,7 @@
             lose_answers: Some(2),
             ..Command::default()
         };
-        command(&any(&cluster.services, rng).server, &lose)
+        tell(any(&cluster.services, rng), &lose)
     }
 
     fn slow_engine(&mut self, cluster: &mut Cluster, rng: &mut ChaCha8Rng) -> Result<()> {
@@ -201,7 +201,7 @@
             slow_factor: Some(rng.random_range(5.0..50.0)),
             ..Command::default()
         };
-        command(&node.server, &slow)?;
+        tell(node, &slow)?;
         let quick = Command {
             slow_factor: Some(1.0),
             ..Command::default()
@@ -248,7 +248,7 @@
             Heal::Table(command) => tell_table(cluster, &command),
             Heal::Server(vm, order) => {
                 let node = cluster.stages.iter().find(|n| n.vm() == vm);
-                node.map_or(Ok(()), |n| command(&n.server, &order))
+                node.map_or(Ok(()), |n| tell(n, &order))
             }
         }
     }
@@ -272,6 +272,13 @@
     &nodes[rng.random_range(0..nodes.len())]
 }
 
+/// Tells the stand-in of a node to have a fault.
+fn tell(node: &Node, order: &Command) -> Result<()> {
+    // A frozen process answers nothing, so it is let go on first.
+    node.server.thaw()?;
+    command(&node.server, order)
+}
+
 fn tell_table(cluster: &Cluster, order: &Command) -> Result<()> {
     let part = Some("table".to_owned());
     command(
