Test bad input over the real programs

Body above the limit, header flood, slow body, garbage on the ports of an entry and an agent, a caller that vanishes in mid-stream, wrong operators' keys; after each another caller's draft is whole and right.

--- /dev/null
+++ b/crates/mustard-tests/tests/bad_input.rs
@@ -0,0 +1,139 @@
+//! Bad input gets a clear error and harms nobody else.
+#![allow(clippy::unwrap_used)]
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use mustard_tests::caller::expected_text;
+use mustard_tests::http::Ask;
+use mustard_tests::plan::{CUSTOMER_KEY, MODEL};
+use mustard_tests::{Cluster, Operator, Plan, eventually};
+
+const PROMPT: [u32; 2] = [5, 9];
+const TOKENS: usize = 12;
+const BODY_BYTES: usize = 4_096;
+const READ_LIMIT: Duration = Duration::from_secs(60);
+
+fn cluster() -> Cluster {
+    let limits = format!("[limits]\nbody_bytes = {BODY_BYTES}\nbody_ms = 500\n");
+    Cluster::start(&Plan::new().entries(1).services(0).entry(&limits)).unwrap()
+}
+
+/// Checks that another caller is served as if nothing had happened.
+fn assert_serves(cluster: &Cluster) {
+    let draft = cluster.caller(0).stream(MODEL, &PROMPT, TOKENS).unwrap();
+    assert!(draft.is_whole(), "{draft:?}");
+    assert_eq!(draft.text, expected_text(cluster.layers(), &PROMPT, TOKENS));
+}
+
+fn open(to: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(to).unwrap();
+    stream.set_read_timeout(Some(READ_LIMIT)).unwrap();
+    stream
+}
+
+/// Sends raw bytes and returns the start of the answer; empty if the connection was closed.
+fn raw(to: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = open(to);
+    // The receiver may close before it has read everything.
+    let _ = stream.write_all(bytes);
+    let mut buffer = [0; 256];
+    let read = stream.read(&mut buffer).unwrap_or(0);
+    String::from_utf8_lossy(&buffer[..read]).into_owned()
+}
+
+fn head(more: &str) -> String {
+    format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {CUSTOMER_KEY}\r\n\
+         content-type: application/json\r\n{more}"
+    )
+}
+
+#[test]
+fn body_over_limit_names_the_limit() {
+    let cluster = cluster();
+    let to = cluster.entries[0].addr();
+    let body = format!("{{\"model\":\"{}\"}}", "x".repeat(2 * BODY_BYTES));
+    let answer = Ask::post(to, "/v1/completions", body)
+        .bearer(CUSTOMER_KEY)
+        .send()
+        .unwrap();
+    assert_eq!(answer.status, 413);
+    assert_eq!(answer.outcome().as_deref(), Some("not_run"));
+    assert!(answer.body.contains(&BODY_BYTES.to_string()), "{answer:?}");
+    assert_serves(&cluster);
+}
+
+#[test]
+fn header_flood_is_refused() {
+    let cluster = cluster();
+    let flood: String = (0..50_000)
+        .map(|i| format!("x-flood-{i}: {i}\r\n"))
+        .collect();
+    let answer = raw(cluster.entries[0].addr(), head(&flood).as_bytes());
+    assert!(!answer.starts_with("HTTP/1.1 2"), "{answer}");
+    assert_serves(&cluster);
+}
+
+#[test]
+fn slow_body_is_refused() {
+    let cluster = cluster();
+    let slow = head("content-length: 100\r\n\r\n{\"model\":");
+    let answer = raw(cluster.entries[0].addr(), slow.as_bytes());
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert_serves(&cluster);
+}
+
+#[test]
+fn garbage_on_every_port() {
+    let cluster = cluster();
+    let entry = (cluster.entries[0].addr(), "/x/v1/grant");
+    let agent = (cluster.stages[0].agent.addr(), "/x/v1/step");
+    for (to, own) in [entry, agent] {
+        let answer = raw(to, &[0xff; 600]);
+        assert!(!answer.starts_with("HTTP/1.1 2"), "{answer}");
+        for path in [own, "/x/v1/heartbeat", "/x/v1/timeline"] {
+            let answer = Ask::post(to, path, "\u{1}garbage").send();
+            // A refusal inside an answer is MessagePack, which is no text.
+            assert!(answer.is_err() || answer.unwrap().body.contains("Malformed"));
+        }
+    }
+    assert_serves(&cluster);
+}
+
+#[test]
+fn caller_gone_ends_the_work() {
+    let cluster = cluster();
+    let body =
+        format!("{{\"model\":\"{MODEL}\",\"prompt\":[1,2],\"max_tokens\":4000,\"stream\":true}}");
+    let request = head(&format!("content-length: {}\r\n\r\n{body}", body.len()));
+    let mut stream = open(cluster.entries[0].addr());
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut buffer = [0; 64];
+    assert!(stream.read(&mut buffer).unwrap() > 0);
+    drop(stream);
+    for stage in 0..cluster.stages.len() {
+        eventually("the end of the abandoned sequence", || {
+            (cluster.engine_ledger(stage).ok()?.open == 0).then_some(())
+        })
+        .unwrap();
+    }
+    assert_serves(&cluster);
+}
+
+#[test]
+fn operator_key_wrong_changes_nothing() {
+    let cluster = cluster();
+    let before = cluster.operator(0).catalogue().unwrap();
+    let to = cluster.entries[0].addr();
+    for key in ["wrong", CUSTOMER_KEY] {
+        let change = "{\"id\":\"a\",\"expected\":1,\"op\":{\"retire\":\"caption\"}}";
+        let answer = Operator::new(to, key)
+            .post("/admin/catalogue/changes", change)
+            .unwrap();
+        assert!(matches!(answer.status, 401 | 403), "{answer:?}");
+    }
+    assert_eq!(cluster.operator(0).catalogue().unwrap(), before);
+    assert_serves(&cluster);
+}
