--- a/crates/mustard-bench/src/compare/product.rs
+++ b/crates/mustard-bench/src/compare/product.rs
@@ -297,24 +297,11 @@
 
     fn heartbeat(&mut self, now: u64, server: usize, up: bool, load: u32) {
         if let Some(s) = self.fleet.get(self.keys[server]) {
-            let running = load;
-            s.live().report(
-                Moment(now),
-                Report {
-                    running,
-                    ..Report::default()
-                },
-            );
-        }
-        if let Some(s) = self.fleet.get(self.keys[server]) {
-            let running = load;
-            s.live().report(
-                Moment(now),
-                Report {
-                    running,
-                    ..Report::default()
-                },
-            );
+            let report = Report {
+                running: load,
+                ..Report::default()
+            };
+            s.live().report(Moment(now), report);
         }
         let now = Moment(now);
         let sign = if up {
