--- a/crates/mustard-core/src/lib.rs
+++ b/crates/mustard-core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod catalogue;
 pub mod clock;
 pub mod collections;
+pub mod deployment;
 pub mod errors;
 pub mod event;
 pub mod fingerprint;
--- /dev/null
+++ b/crates/mustard-gateway/src/forward/mod.rs
@@ -0,0 +1,203 @@
+//! One request's way: route, key, body, then a server or a path of servers.
+
+mod attempt;
+mod frames;
+mod plain;
+mod reply;
+mod stream;
+
+pub use frames::{Frame, Frames};
+pub use reply::Refusal;
+
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ntex::http::{HeaderMap, Method, Payload, Request, Response};
+use ntex::util::{Bytes, BytesMut};
+use rand::Rng;
+use slog::info;
+use tokio::time::timeout;
+
+use mustard_adapter::asks::{self, Ask};
+use mustard_core::clock::Moment;
+use mustard_core::deployment::{Config, Kind, Part, Route, Service};
+use mustard_core::fingerprint::Fingerprint;
+use mustard_net::shutdown::Pass;
+use mustard_policy::pipeline::Demand;
+use mustard_policy::quarantine::Standing;
+
+use crate::app::App;
+use crate::journal::Topic;
+use crate::metric;
+
+/// The time for the body of a request to arrive when the request doesn't say how long it waits.
+const BODY_LIMIT: Duration = Duration::from_secs(10);
+/// When to come back to a gateway that knows no configuration yet.
+const START_WAIT: Duration = Duration::from_millis(500);
+/// When to come back with a content that ends servers.
+const QUARANTINE_WAIT: Duration = Duration::from_secs(10);
+
+/// A request that is allowed and read.
+pub struct Job {
+    /// What the headers say.
+    pub ask: Ask,
+    /// The method.
+    pub method: Method,
+    /// The path with its query.
+    pub path: String,
+    /// The headers as they came.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// The route.
+    pub route: Route,
+    /// The service that the route's split chose.
+    pub service: Service,
+    /// The customer's name.
+    pub customer: Option<String>,
+    /// The digest of customer, path and body.
+    pub content: Fingerprint,
+    /// When the request arrived.
+    pub arrived: Moment,
+    /// When it needs no answer any more.
+    pub deadline: Moment,
+    /// Counts the request as running.
+    pub pass: Pass,
+}
+
+impl Job {
+    /// Returns what the request needs of the servers on its path.
+    pub fn demand(&self, domain: u32) -> Demand {
+        Demand {
+            prompt: self.ask.prompt_tokens.max(1.0),
+            answer: self.ask.answer_tokens.max(1.0),
+            domain,
+        }
+    }
+}
+
+/// Returns the memory that a request takes at each part of its path, in tokens times layers.
+pub fn parts_memory(
+    parts: &[Part],
+    demand: &Demand,
+) -> impl Iterator<Item = (SocketAddr, f64)> {
+    // Half of the answer is written at the mean moment.
+    let tokens = demand.prompt + demand.answer / 2.0;
+    parts.iter().map(move |p| (p.addr, tokens * f64::from(p.layers.count())))
+}
+
+/// Answers a caller's request; the error type is what the server's handler asks for, and no
+/// request ends with one.
+pub async fn handle(app: Rc<App>, mut request: Request) -> std::io::Result<Response> {
+    app.asked.set(true);
+    let arrived = app.now();
+    let payload = request.take_payload();
+    let response = match admit(&app, &request, payload, arrived).await {
+        Ok(job) => match job.route.kind {
+            Kind::Stream { .. } => stream::run(&app, job).await,
+            _ => plain::run(&app, job).await,
+        },
+        Err(refusal) => refusal.respond(&app),
+    };
+    Ok(response)
+}
+
+async fn admit(
+    app: &Rc<App>,
+    request: &Request,
+    payload: Payload,
+    arrived: Moment,
+) -> Result<Job, Refusal> {
+    let pass = app.gate.enter().ok_or(Refusal::new("stopping", 503))?;
+    let headers = request.headers();
+    let ask = asks::decode(headers).map_err(|_| Refusal::new("no id", 400))?;
+    let not_run = |reason, wait| Refusal::not_run(reason, wait).of(&ask);
+    let config = app.config().ok_or_else(|| not_run("no configuration", START_WAIT))?;
+    let path = request.uri().path();
+    let Some(route) = config.route(&ask.host, path) else {
+        return Err(Refusal::new("no route", 404).of(&ask));
+    };
+    let customer = authorize(&config, route, &ask)?;
+    let limit = ask.budget.unwrap_or(BODY_LIMIT);
+    let body = timeout(limit, read(payload, config.body_limit)).await;
+    let body = body.map_err(|_| Refusal::new("slow body", 408).of(&ask))??;
+    let service = choose_service(app, &config, route);
+    let service = service.ok_or_else(|| not_run("no service", START_WAIT))?;
+    let content = content(&ask, path, &body);
+    let standing = app.quarantine.borrow().standing(app.now(), content);
+    if let Standing::Quarantined(_) = standing {
+        return Err(not_run("content ends servers", QUARANTINE_WAIT));
+    }
+    let now = app.now();
+    app.with_allowance(&service.name, |a| a.request(now));
+    let left = route.timeout.min(ask.budget.unwrap_or(route.timeout));
+    Ok(Job {
+        method: request.method().clone(),
+        path: request.uri().path_and_query().map_or(path, |p| p.as_str()).to_owned(),
+        headers: headers.clone(),
+        body,
+        service: service.clone(),
+        customer,
+        content,
+        arrived,
+        deadline: arrived + left,
+        pass,
+        route: route.clone(),
+        ask,
+    })
+}
+
+/// Returns the customer's name, or none on a public route.
+fn authorize(config: &Config, route: &Route, ask: &Ask) -> Result<Option<String>, Refusal> {
+    if !config.has_customers() {
+        return Ok(None);
+    }
+    let customer = ask.key.and_then(|k| config.customer(k));
+    match customer {
+        Some(c) => Ok(Some(c.name.clone())),
+        None if route.public => Ok(None),
+        None => Err(Refusal::new("unknown key", 401).of(ask)),
+    }
+}
+
+/// Digests what makes a request the same as an earlier one.
+fn content(ask: &Ask, path: &str, body: &[u8]) -> Fingerprint {
+    let key = ask.key.map_or(0, |k| k.0).to_le_bytes();
+    Fingerprint::of(&[&key, ask.host.as_bytes(), path.as_bytes(), body])
+}
+
+fn choose_service<'a>(app: &App, config: &'a Config, route: &Route) -> Option<&'a Service> {
+    let total: f64 = route.splits.iter().map(|s| s.weight).sum();
+    let mut point = app.rng.borrow_mut().random::<f64>() * total;
+    for split in &route.splits {
+        if point < split.weight {
+            return config.service(&split.service);
+        }
+        point -= split.weight;
+    }
+    config.service(&route.splits.last()?.service)
+}
+
+async fn read(mut payload: Payload, limit: usize) -> Result<Bytes, Refusal> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = poll_fn(|cx| payload.poll_recv(cx)).await {
+        let chunk = chunk.map_err(|_| Refusal::new("broken body", 400))?;
+        if body.len() + chunk.len() > limit {
+            return Err(Refusal::new("large body", 413));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+/// Logs and counts that a request ended well.
+fn note_served(app: &App, job: &Job, kind: &'static str, attempts: u32) {
+    metric::outcome(kind, "served");
+    if let Some(log) = app.journal.admit(Topic::Served) {
+        info!(log, "request: Served."; "request" => &job.ask.id, "route" => &job.route.name,
+            "took_ms" => app.now().since(job.arrived).as_millis() as u64,
+            "attempts" => attempts);
+    }
+}
--- /dev/null
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -0,0 +1,464 @@
+//! Streams of events over paths of servers.
+
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use ntex::http::{Response, StatusCode};
+use ntex::util::{Bytes, Stream};
+use slog::{info, warn};
+use thiserror::Error;
+use tokio::sync::Notify;
+use tokio::sync::mpsc::{Receiver, Sender, channel};
+use tokio::time::{sleep, timeout};
+
+use mustard_adapter::answers;
+use mustard_core::deployment::Kind;
+use mustard_policy::pipeline::choose;
+use mustard_policy::quarantine::Strike;
+use mustard_policy::stall::Progress;
+use mustard_policy::suspicion::Fault;
+
+use crate::app::App;
+use crate::fleet::Load;
+use crate::flights::{Flight, FlightGuard};
+use crate::journal::Topic;
+use crate::metric;
+
+use super::attempt::{Head, Miss, Piece, Target, send};
+use super::frames::Frames;
+use super::{Job, Refusal, note_served, parts_memory};
+
+/// Events that wait for a caller that reads slowly.
+const QUEUE: usize = 32;
+/// The share of the wanted time to the first event that a request waits for servers.
+const WAIT_SHARE: f64 = 0.5;
+/// Sends of one request that no server ran, at most.
+const MAX_UNRUN: u32 = 6;
+/// When to come back if no path is to be had; a server that restarted has its layers again after
+/// about this time.
+const PATH_WAIT: Duration = Duration::from_millis(1_500);
+/// When to come back if the servers are full.
+const FULL_WAIT: Duration = Duration::from_millis(700);
+
+/// A stream that is broken off.
+#[derive(Clone, Copy, Debug, Error)]
+#[error("the stream is broken off")]
+struct BrokenOff;
+
+/// The body of a stream's answer; dropping it tells the task that the caller has left.
+struct EventBody {
+    receiver: Receiver<Result<Bytes, BrokenOff>>,
+}
+
+impl Stream for EventBody {
+    type Item = Result<Bytes, BrokenOff>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        self.receiver.poll_recv(cx)
+    }
+}
+
+/// An attempt that has begun to answer.
+struct Running {
+    head: Head,
+    guard: FlightGuard,
+    abandon: Rc<Notify>,
+    first: SocketAddr,
+}
+
+/// Why no attempt answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Failure {
+    /// No path over servers in use.
+    NoPath,
+    /// Servers refused as full or gone, and none ran the request.
+    NotRun,
+    /// A server may have run the request.
+    Lost,
+}
+
+/// The attempts of one request.
+struct Attempts {
+    /// Sends that a server may have run.
+    ran: u32,
+    /// Sends that no server ran.
+    unrun: u32,
+}
+
+/// Serves a request whose answer is a stream.
+pub(super) async fn run(app: &Rc<App>, job: Job) -> Response {
+    let mut attempts = Attempts { ran: 0, unrun: 0 };
+    let left = app.now().until(job.deadline);
+    let opened = timeout(left, open(app, &job, &mut attempts, job.ask.last_event)).await;
+    let running = match opened {
+        Ok(Ok(running)) => running,
+        Ok(Err(failure)) => return refuse(app, &job, failure),
+        Err(_) => {
+            metric::outcome("stream", "timeout");
+            return Refusal::new("timeout", 504).of(&job.ask).respond(app);
+        }
+    };
+    let status = StatusCode::from_u16(running.head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut out = Response::build(status);
+    for (name, value) in answers::forward(&running.head.headers) {
+        out.header(name, value);
+    }
+    if app.stopping.has_begun() {
+        out.force_close();
+    }
+    if !status.is_success() {
+        let mut running = running;
+        return match running.head.whole().await {
+            Ok(body) => out.body(body),
+            Err(_) => refuse(app, &job, Failure::Lost),
+        };
+    }
+    let (sender, receiver) = channel(QUEUE);
+    let app = Rc::clone(app);
+    ntex::rt::spawn(async move { pump(&app, job, running, attempts, sender).await });
+    out.streaming(EventBody { receiver })
+}
+
+fn refuse(app: &Rc<App>, job: &Job, failure: Failure) -> Response {
+    metric::outcome("stream", "refused");
+    let refusal = match failure {
+        Failure::NoPath => Refusal::not_run("no path", PATH_WAIT),
+        Failure::NotRun => Refusal::not_run("servers full or out of reach", FULL_WAIT),
+        Failure::Lost => Refusal::new("no answer of the servers", 502),
+    };
+    refusal.of(&job.ask).respond(app)
+}
+
+/// Sends the request until a server begins to answer or no further attempt is allowed.
+async fn open(
+    app: &Rc<App>,
+    job: &Job,
+    attempts: &mut Attempts,
+    last_event: Option<u64>,
+) -> Result<Running, Failure> {
+    let repeatable = matches!(job.route.kind, Kind::Stream { resumable: true });
+    loop {
+        let Some((target, demand)) = wait_for_path(app, job).await else {
+            return Err(if attempts.ran > 0 { Failure::Lost } else { Failure::NoPath });
+        };
+        let further = attempts.ran + attempts.unrun > 0;
+        if further && !spend(app, job) {
+            return Err(if attempts.ran > 0 { Failure::Lost } else { Failure::NotRun });
+        }
+        let first = target.addr;
+        let abandon = Rc::new(Notify::new());
+        let now = app.now();
+        let flight = Flight {
+            id: job.ask.id.clone(),
+            service: job.service.name.clone(),
+            parts: target.path.clone(),
+            demand,
+            progress: Progress {
+                last: now,
+                begun: false,
+                asked: None,
+            },
+            abandon: Rc::clone(&abandon),
+            moving: false,
+            load: Load::begin(app, parts_memory(&target.path, &demand)),
+        };
+        let guard = FlightGuard::register(app, flight);
+        note_chosen(app, job, &target, last_event);
+        let result = tokio::select! {
+            result = send(app, job, &target, last_event) => result,
+            () = abandon.notified() => Err(Miss::Lost),
+        };
+        match result {
+            Ok(head) if head.status < 500 || !repeatable => {
+                attempts.ran += 1;
+                return Ok(Running {
+                    head,
+                    guard,
+                    abandon,
+                    first,
+                });
+            }
+            Ok(head) => {
+                attempts.ran += 1;
+                note_miss(app, job, first, &format!("status {}", head.status));
+                if attempts.ran >= job.route.attempts {
+                    return Ok(Running {
+                        head,
+                        guard,
+                        abandon,
+                        first,
+                    });
+                }
+            }
+            Err(miss) => {
+                drop(guard);
+                blame(app, first, miss);
+                note_miss(app, job, first, &format!("{miss:?}"));
+                match miss {
+                    Miss::NotSent | Miss::NotRun(..) => attempts.unrun += 1,
+                    Miss::Lost => attempts.ran += 1,
+                }
+                let spent = attempts.ran >= job.route.attempts || attempts.unrun >= MAX_UNRUN;
+                if attempts.ran > 0 && (spent || !repeatable) {
+                    return Err(Failure::Lost);
+                }
+                if spent {
+                    return Err(Failure::NotRun);
+                }
+            }
+        }
+    }
+}
+
+/// Takes a further attempt out of the retry budget.
+fn spend(app: &App, job: &Job) -> bool {
+    let now = app.now();
+    let allowed = app.with_allowance(&job.service.name, |a| a.spend(now));
+    metric::retry(if allowed { "failed" } else { "budget empty" });
+    allowed
+}
+
+/// Takes in what a send without an answer says of the servers.
+fn blame(app: &App, first: SocketAddr, miss: Miss) {
+    let now = app.now();
+    let mut fleet = app.fleet.borrow_mut();
+    match miss {
+        Miss::NotSent => fleet.fail(now, first, Fault::Silent),
+        Miss::NotRun(421, at) => fleet.fail(now, at.unwrap_or(first), Fault::Empty),
+        Miss::NotRun(_, at) => fleet.fail(now, at.unwrap_or(first), Fault::Full),
+        Miss::Lost => fleet.fail(now, first, Fault::Broken),
+    };
+}
+
+/// Returns a path, once there is one within the time that a request may wait for it.
+async fn wait_for_path(
+    app: &Rc<App>,
+    job: &Job,
+) -> Option<(Target, mustard_policy::pipeline::Demand)> {
+    let until = job.arrived + job.route.first.mul_f64(WAIT_SHARE);
+    loop {
+        let changed = app.changed.notified();
+        if let Some(found) = find_path(app, job) {
+            return Some(found);
+        }
+        let left = app.now().until(until);
+        if left.is_zero() || timeout(left, changed).await.is_err() {
+            return find_path(app, job);
+        }
+    }
+}
+
+fn find_path(app: &App, job: &Job) -> Option<(Target, mustard_policy::pipeline::Demand)> {
+    let now = app.now();
+    let gateways = app.gateways() as f64;
+    let domain = app.fleet.borrow_mut().domain(&app.node.domain);
+    let demand = job.demand(domain);
+    let fleet = app.fleet.borrow();
+    let path = match &job.service.engine {
+        Some(engine) => {
+            let holders = fleet.holders(&job.service.name, engine, now, gateways);
+            let mut rng = app.rng.borrow_mut();
+            choose(engine, &holders, &demand, &mut *rng)?.parts
+        }
+        None => Vec::new(),
+    };
+    let first = match path.first() {
+        Some(part) => part.addr,
+        None => {
+            let usable = fleet.iter().filter(|(_, s)| s.entry.service == job.service.name);
+            let usable = usable.filter(|(_, s)| s.is_usable(now));
+            usable.min_by_key(|(_, s)| s.running)?.1.entry.addr
+        }
+    };
+    let server = fleet.get(fleet.at(first)?)?;
+    let target = Target {
+        addr: first,
+        identity: server.entry.id.clone(),
+        path,
+    };
+    Some((target, demand))
+}
+
+/// Passes events on until the stream ends, going on at another server where that is allowed.
+async fn pump(
+    app: &Rc<App>,
+    job: Job,
+    mut running: Running,
+    mut attempts: Attempts,
+    sender: Sender<Result<Bytes, BrokenOff>>,
+) {
+    let mut last = job.ask.last_event;
+    let mut begun = false;
+    let deadline = sleep(app.now().until(job.deadline));
+    let mut deadline = pin!(deadline);
+    loop {
+        let abandon = Rc::clone(&running.abandon);
+        let ended = tokio::select! {
+            ended = pass(app, &job, &mut running, &mut last, &mut begun, &sender) => ended,
+            () = abandon.notified() => Ended::Broken("given up"),
+            () = sender.closed() => Ended::Left,
+            () = &mut deadline => Ended::Deadline,
+        };
+        let first = running.first;
+        let cause = match ended {
+            Ended::Whole => {
+                app.quarantine.borrow_mut().clear(job.content);
+                note_served(app, &job, "stream", attempts.ran);
+                return;
+            }
+            Ended::Left => {
+                metric::outcome("stream", "caller left");
+                return;
+            }
+            Ended::Deadline => {
+                fail(app, &job, "deadline", last, &sender).await;
+                return;
+            }
+            Ended::Broken(cause) => cause,
+        };
+        if cause != "given up" {
+            strike(app, &job, first);
+            blame(app, first, Miss::Lost);
+        }
+        note_miss(app, &job, first, cause);
+        drop(running);
+        let repeatable = matches!(job.route.kind, Kind::Stream { resumable: true });
+        if !repeatable || attempts.ran >= job.route.attempts {
+            fail(app, &job, cause, last, &sender).await;
+            return;
+        }
+        let opened = tokio::select! {
+            opened = open(app, &job, &mut attempts, last) => opened,
+            () = sender.closed() => return,
+            () = &mut deadline => Err(Failure::Lost),
+        };
+        running = match opened {
+            Ok(next) if next.head.status == 200 => next,
+            _ => {
+                fail(app, &job, "no server goes on", last, &sender).await;
+                return;
+            }
+        };
+        metric::moved("resumed");
+        if let Some(log) = app.journal.admit(Topic::Stream) {
+            info!(log, "request: A stream goes on elsewhere."; "request" => &job.ask.id,
+                "after" => last, "server" => %running.first);
+        }
+    }
+}
+
+/// How an attempt ended.
+enum Ended {
+    /// With its last event.
+    Whole,
+    /// Before its last event.
+    Broken(&'static str),
+    /// The caller has left.
+    Left,
+    /// The time is over.
+    Deadline,
+}
+
+/// Passes the events of one attempt on.
+async fn pass(
+    app: &App,
+    job: &Job,
+    running: &mut Running,
+    last: &mut Option<u64>,
+    begun: &mut bool,
+    sender: &Sender<Result<Bytes, BrokenOff>>,
+) -> Ended {
+    let mut frames = Frames::default();
+    loop {
+        match running.head.piece().await {
+            Piece::Bytes(bytes) => {
+                if frames.push(&bytes) {
+                    return Ended::Broken("event too large");
+                }
+            }
+            Piece::End if frames.is_empty() => return Ended::Whole,
+            Piece::End => return Ended::Broken("ended within an event"),
+            Piece::Broken => return Ended::Broken("connection lost"),
+        }
+        let mut out = ntex::util::BytesMut::new();
+        let mut fault = None;
+        while let Some(frame) = frames.next() {
+            if let Some(id) = frame.id {
+                if last.is_some_and(|l| id != l + 1) {
+                    fault = Some("event out of order");
+                    break;
+                }
+                *last = Some(id);
+            }
+            out.extend_from_slice(&frame.bytes);
+        }
+        if !out.is_empty() {
+            let now = app.now();
+            running.guard.progress(now);
+            if !*begun {
+                *begun = true;
+                metric::first("stream", now.since(job.arrived));
+            }
+            if sender.send(Ok(out.freeze())).await.is_err() {
+                return Ended::Left;
+            }
+        }
+        if let Some(fault) = fault {
+            return Ended::Broken(fault);
+        }
+    }
+}
+
+/// Counts a strike against a content whose server broke off, and tells nobody yet.
+fn strike(app: &App, job: &Job, server: SocketAddr) {
+    let strike = Strike {
+        fingerprint: job.content,
+        vm: server.to_string(),
+        shared: 1,
+    };
+    let now = app.now();
+    if app.quarantine.borrow_mut().strike(now, &strike)
+        && let Some(log) = app.journal.admit(Topic::Server)
+    {
+        warn!(log, "request: A content ends the servers that run it.";
+            "request" => &job.ask.id, "content" => %job.content);
+    }
+}
+
+/// Breaks the stream off so that it doesn't look whole.
+async fn fail(
+    app: &App,
+    job: &Job,
+    cause: &'static str,
+    last: Option<u64>,
+    sender: &Sender<Result<Bytes, BrokenOff>>,
+) {
+    metric::outcome("stream", "broken off");
+    if let Some(log) = app.journal.admit(Topic::Failed) {
+        warn!(log, "request: A stream was broken off."; "request" => &job.ask.id,
+            "cause" => cause, "after" => last,
+            "took_ms" => app.now().since(job.arrived).as_millis() as u64);
+    }
+    let _ = sender.send(Err(BrokenOff)).await;
+}
+
+fn note_chosen(app: &App, job: &Job, target: &Target, last_event: Option<u64>) {
+    if let Some(log) = app.journal.admit(Topic::Chosen) {
+        let version = app.config().map_or(0, |c| c.version);
+        info!(log, "request: Path chosen."; "request" => &job.ask.id,
+            "service" => &job.service.name, "first" => %target.addr,
+            "parts" => target.path.len(), "after" => last_event, "config" => version,
+            "waited_ms" => app.now().since(job.arrived).as_millis() as u64);
+    }
+}
+
+fn note_miss(app: &App, job: &Job, first: SocketAddr, cause: &str) {
+    if let Some(log) = app.journal.admit(Topic::Attempt) {
+        info!(log, "request: An attempt failed."; "request" => &job.ask.id,
+            "server" => %first, "cause" => cause,
+            "took_ms" => app.now().since(job.arrived).as_millis() as u64);
+    }
+}
--- /dev/null
+++ b/crates/mustard-gateway/src/lib.rs
@@ -0,0 +1,21 @@
+//! The gateway: takes callers' requests before servers that drive their own pipelines.
+//!
+//! One thread serves callers, follows the platform's store and watches the streams, so that what
+//! they share needs no lock.
+
+#![forbid(unsafe_code)]
+
+pub mod app;
+pub mod errors;
+pub mod fleet;
+pub mod flights;
+pub mod follow;
+pub mod forward;
+pub mod journal;
+pub mod keeper;
+pub mod metric;
+pub mod peers;
+pub mod serve;
+pub mod watch;
+
+pub use errors::{GatewayError, Result};
--- a/crates/mustard-net/src/http.rs
+++ b/crates/mustard-net/src/http.rs
@@ -5,8 +5,11 @@
 
 use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client as HttpClient, ClientResponse, Connector};
+use ntex::SharedCfg;
 use ntex::http::Method;
-use ntex::time::Seconds;
+use ntex::http::header::{HeaderName, HeaderValue};
+use ntex::io::IoConfig;
+use ntex::time::{Millis, Seconds};
 use ntex::util::Bytes;
 
 use crate::errors::{CallError, Result};
@@ -57,8 +60,34 @@
     pub body: Bytes,
 }
 
+/// A request that is passed on over a connection of its own.
+#[derive(Clone, Debug)]
+pub struct Passed {
+    /// The receiver.
+    pub to: SocketAddr,
+    /// The method.
+    pub method: Method,
+    /// The path with its query.
+    pub path: String,
+    /// The headers.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    /// The body.
+    pub body: Bytes,
+}
+
 /// Creates an HTTP client; it belongs to the calling thread.
 pub async fn new_client() -> HttpClient {
+    build_client(SharedCfg::default()).await
+}
+
+/// Creates an HTTP client that gives up a connection that isn't made within a time.
+pub async fn new_client_within(connect: Duration) -> HttpClient {
+    let millis = Millis(connect.as_millis() as u32);
+    let io = IoConfig::new().set_connect_timeout(millis);
+    build_client(SharedCfg::new("client").add(io).into()).await
+}
+
+async fn build_client(shared: SharedCfg) -> HttpClient {
     let connector = Connector::new()
         .limit(MAX_CONNECTIONS)
         .keep_alive(KEEP_ALIVE)
@@ -69,8 +98,8 @@
         .disable_redirects()
         .no_default_headers()
         .response_payload_limit(MAX_ANSWER)
-        .response_payload_timeout(ntex::time::Millis::ZERO)
-        .build(ntex::SharedCfg::default())
+        .response_payload_timeout(Millis::ZERO)
+        .build(shared)
         .await
         .expect("an HTTP client without TLS is always built")
 }
@@ -111,6 +140,25 @@
         .map_err(|e| sort_error(&e))
 }
 
+/// Passes a request on over a new connection and returns the head of the answer, whose body is
+/// still to be read. Dropping either the future or the answer closes the connection.
+///
+/// # Errors
+///
+/// As for [`exchange`].
+pub async fn pass_on(client: &HttpClient, passed: Passed) -> Result<ClientResponse> {
+    let url = format!("http://{}{}", passed.to, passed.path);
+    let mut out = client
+        .request(passed.method, url)
+        .address(passed.to)
+        .no_decompress()
+        .force_close();
+    for (name, value) in passed.headers {
+        out = out.header(name, value);
+    }
+    out.send_body(passed.body).await.map_err(|e| sort_error(&e))
+}
+
 async fn read(response: ClientResponse) -> Result<Answer> {
     let status = response.status().as_u16();
     let content_type = response
--- a/crates/mustard-net/src/log.rs
+++ b/crates/mustard-net/src/log.rs
@@ -18,6 +18,17 @@
     Json,
 }
 
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogOutput {
+    /// Standard error.
+    #[default]
+    Stderr,
+    /// Standard output.
+    Stdout,
+}
+
 /// What is logged and how.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -26,6 +37,8 @@
     pub format: LogFormat,
     /// The least severe level: `error`, `warning`, `info` or `debug`.
     pub level: String,
+    /// Where lines go.
+    pub output: LogOutput,
 }
 
 impl Default for LogOptions {
@@ -33,22 +46,36 @@
         LogOptions {
             format: LogFormat::default(),
             level: "info".to_owned(),
+            output: LogOutput::default(),
         }
     }
 }
 
-/// Creates the root logger of a process; lines go to standard error.
+/// Creates the root logger of a process.
+///
+/// A thread of its own writes the lines. While the reader of the output doesn't read, lines beyond
+/// the queue are dropped and counted, and no caller waits.
 pub fn root(options: &LogOptions, process: &str) -> Logger {
+    match options.output {
+        LogOutput::Stderr => write_to(std::io::stderr(), options, process),
+        LogOutput::Stdout => write_to(std::io::stdout(), options, process),
+    }
+}
+
+fn write_to<W>(output: W, options: &LogOptions, process: &str) -> Logger
+where
+    W: std::io::Write + Send + 'static,
+{
     let level = Level::from_str(&options.level).unwrap_or(Level::Info);
     let name = process.to_owned();
     match options.format {
         LogFormat::Terminal => {
-            let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+            let decorator = slog_term::PlainDecorator::new(output);
             let drain = slog_term::FullFormat::new(decorator).build().fuse();
             filtered(drain, level, name)
         }
         LogFormat::Json => {
-            let drain = slog_json::Json::default(std::io::stderr()).fuse();
+            let drain = slog_json::Json::default(output).fuse();
             filtered(drain, level, name)
         }
     }
--- a/crates/mustard-policy/src/lib.rs
+++ b/crates/mustard-policy/src/lib.rs
@@ -55,14 +55,18 @@
 #![forbid(unsafe_code)]
 
 pub mod admission;
+pub mod allowance;
 pub mod breaker;
 pub mod fleet;
 pub mod hedge;
 pub mod learn;
 pub mod limits;
 pub mod membership;
+pub mod pipeline;
 pub mod quarantine;
 pub mod retry;
 pub mod route;
 pub mod slow;
+pub mod stall;
 pub mod subset;
+pub mod suspicion;
--- a/crates/mustard-policy/src/quarantine.rs
+++ b/crates/mustard-policy/src/quarantine.rs
@@ -12,7 +12,7 @@
 use mustard_core::collections::Map;
 use mustard_core::fingerprint::Fingerprint;
 
-/// The distinct servers that must have died under a content.
+/// The distinct servers that must have died under a content by default.
 const MIN_SERVERS: usize = 2;
 /// The weight that must be exceeded.
 const MIN_WEIGHT: f64 = 1.0;
@@ -24,6 +24,8 @@
     pub life: Duration,
     /// The most contents remembered; the oldest goes first.
     pub capacity: usize,
+    /// The distinct servers that must have died under a content.
+    pub deaths: usize,
 }
 
 impl Default for Settings {
@@ -31,6 +33,7 @@
         Settings {
             life: Duration::from_secs(600),
             capacity: 4_096,
+            deaths: MIN_SERVERS,
         }
     }
 }
@@ -140,7 +143,7 @@
                 record.until = until;
             }
         }
-        let guilty = record.struck.len() >= MIN_SERVERS && record.weight() > MIN_WEIGHT;
+        let guilty = record.struck.len() >= self.settings.deaths && record.weight() > MIN_WEIGHT;
         let changed = guilty && !record.quarantined;
         record.quarantined |= guilty;
         changed
--- /dev/null
+++ b/crates/mustard-policy/src/stall.rs
@@ -0,0 +1,69 @@
+//! Streams that have fallen silent, and which servers are to blame.
+//!
+//! A server that dies without a word holds up every stream that crosses it. The watch raises an
+//! alarm for a stream whose pause exceeds what its like usually show; the servers on its path are
+//! then asked, and what they say or don't say decides.
+
+use std::time::Duration;
+
+use mustard_core::clock::Moment;
+
+/// The shortest pause that raises an alarm.
+const MIN_PAUSE: Duration = Duration::from_millis(90);
+/// The longest pause that raises none.
+const MAX_PAUSE: Duration = Duration::from_millis(400);
+/// The alarm stands at this many times the usual pause.
+const PAUSE_FACTOR: f64 = 3.0;
+/// The weight of one pause in the mean.
+const WEIGHT: f64 = 0.02;
+
+/// Learns the usual pause between events, over all streams of a process.
+#[derive(Clone, Copy, Debug)]
+pub struct Pauses {
+    mean_ms: f64,
+}
+
+impl Default for Pauses {
+    fn default() -> Self {
+        Pauses { mean_ms: 25.0 }
+    }
+}
+
+impl Pauses {
+    /// Takes in a pause between two events.
+    pub fn observe(&mut self, pause: Duration) {
+        let ms = (pause.as_secs_f64() * 1e3).min(MAX_PAUSE.as_secs_f64() * 1e3);
+        self.mean_ms += WEIGHT * (ms - self.mean_ms);
+    }
+
+    /// Returns the pause that raises an alarm.
+    pub fn limit(&self) -> Duration {
+        let limit = Duration::from_secs_f64(self.mean_ms * PAUSE_FACTOR / 1e3);
+        limit.clamp(MIN_PAUSE, MAX_PAUSE)
+    }
+}
+
+/// What is known of a stream's progress.
+#[derive(Clone, Copy, Debug)]
+pub struct Progress {
+    /// When the last event arrived, or when the request was sent.
+    pub last: Moment,
+    /// Whether an event has arrived.
+    pub begun: bool,
+    /// When the servers of its path were last asked.
+    pub asked: Option<Moment>,
+}
+
+/// The pause after which the same path is asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(150);
+/// The time to the first event that raises an alarm, over the pause between events.
+const FIRST_FACTOR: u32 = 3;
+
+impl Progress {
+    /// Tells whether the servers of the stream's path are to be asked now.
+    pub fn is_due(&self, now: Moment, limit: Duration) -> bool {
+        let limit = if self.begun { limit } else { limit * FIRST_FACTOR };
+        let silent = now.since(self.last) >= limit;
+        silent && self.asked.is_none_or(|a| now.since(a) >= ASK_AGAIN)
+    }
+}
