Count a change of failure domain on a path as a last resort

Ruled out: load of the servers (100 in 100 of their time served). Change: a crossing costs a thousand times its transfer.

--- a/crates/mustard-policy/src/pipeline/path.rs
+++ b/crates/mustard-policy/src/pipeline/path.rs
@@ -18,9 +18,10 @@
 const JITTER: f64 = 0.15;
 /// Fixed time of one more server on the path, in milliseconds a token.
 const HOP_MS: f64 = 0.15;
-/// How often the shared rate between failure domains is counted against a request that uses it;
-/// other requests wait behind its transfer.
-const PIPE_WEIGHT: f64 = 6.0;
+/// How often the transfer of a prompt between failure domains is counted against the request.
+/// All requests share one rate there, and a deployment's whole load crossing twice needs more
+/// than it, so a path crosses only where no other path is left.
+const PIPE_WEIGHT: f64 = 1_000.0;
 /// How steeply the cost of a server grows with the share of its memory in use.
 const LOAD_WEIGHT: f64 = 2.0;
 /// The share of memory in use beyond which a server is left out where others hold its layers.
