--- a/crates/mustard-gateway/src/forward/mod.rs
+++ b/crates/mustard-gateway/src/forward/mod.rs
@@ -94,9 +94,10 @@
     app.asked.set(true);
     let arrived = app.now();
     let payload = request.take_payload();
+    let io = request.io().cloned();
     let response = match admit(&app, &request, payload, arrived).await {
         Ok(job) => match job.route.kind {
-            Kind::Stream { .. } => stream::run(&app, job).await,
+            Kind::Stream { .. } => stream::run(&app, job, io).await,
             _ => plain::run(&app, job).await,
         },
         Err(refusal) => refusal.respond(&app),
--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -1,5 +1,6 @@
 //! Streams of events over paths of servers.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
@@ -7,6 +8,7 @@
 use std::time::Duration;
 
 use ntex::http::{Response, StatusCode};
+use ntex::io::{IoRef, OnDisconnect};
 use ntex::util::{Bytes, Stream};
 use slog::{info, warn};
 use thiserror::Error;
@@ -51,13 +53,39 @@
 /// The body of a stream's answer; dropping it tells the task that the caller has left.
 struct EventBody {
     receiver: Receiver<Result<Bytes, BrokenOff>>,
+    io: Option<IoRef>,
+    closing: Option<OnDisconnect>,
+}
+
+impl EventBody {
+    /// Closes the connection behind what was written. The server would answer an error of the
+    /// body with a second head, which no caller could read there.
+    fn close(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BrokenOff>>> {
+        let Some(io) = &self.io else {
+            return Poll::Ready(Some(Err(BrokenOff)));
+        };
+        if self.closing.is_none() {
+            io.close();
+        }
+        let closing = self.closing.get_or_insert_with(|| io.on_disconnect());
+        if Pin::new(closing).poll(cx).is_ready() {
+            cx.waker().wake_by_ref();
+        }
+        Poll::Pending
+    }
 }
 
 impl Stream for EventBody {
     type Item = Result<Bytes, BrokenOff>;
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        self.receiver.poll_recv(cx)
+        if self.closing.is_some() {
+            return self.close(cx);
+        }
+        match self.receiver.poll_recv(cx) {
+            Poll::Ready(Some(Err(BrokenOff))) => self.close(cx),
+            other => other,
+        }
     }
 }
 
@@ -89,7 +117,7 @@
 }
 
 /// Serves a request whose answer is a stream.
-pub(super) async fn run(app: &Rc<App>, job: Job) -> Response {
+pub(super) async fn run(app: &Rc<App>, job: Job, io: Option<IoRef>) -> Response {
     let mut attempts = Attempts { ran: 0, unrun: 0 };
     let left = app.now().until(job.deadline);
     let opened = timeout(left, open(app, &job, &mut attempts, job.ask.last_event)).await;
@@ -119,7 +147,11 @@
     let (sender, receiver) = channel(QUEUE);
     let app = Rc::clone(app);
     ntex::rt::spawn(async move { pump(&app, job, running, attempts, sender).await });
-    out.streaming(EventBody { receiver })
+    out.streaming(EventBody {
+        receiver,
+        io,
+        closing: None,
+    })
 }
 
 fn refuse(app: &Rc<App>, job: &Job, failure: Failure) -> Response {
--- a/crates/mustard-gateway/src/serve.rs
+++ b/crates/mustard-gateway/src/serve.rs
@@ -9,7 +9,8 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use ntex::http::{HttpService, Method, Request, Response};
 use ntex::server::Server;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
+use tokio::signal::unix::{SignalKind, signal};
 
 use mustard_adapter::Node;
 use mustard_adapter::store::Followed;
@@ -80,6 +81,7 @@
         stopping.begin();
         info!(log, "gateway: Draining."; "running" => seed.gate.running());
     };
+    ntex::rt::spawn(follow_settings(seed.node.clone(), log.clone()));
     let grace = seed.node.grace.saturating_sub(END_MARGIN);
     let stop = shutdown::wait(&seed.gate, NOTICE, grace, unready).await?;
     info!(log, "gateway: Stopped."; "stop" => ?stop, "running" => seed.gate.running());
@@ -96,6 +98,23 @@
     })
 }
 
+/// Reads the settings again when the platform says that they changed.
+///
+/// What they hold is fixed for the life of a process but for the bounds, which a process takes in
+/// when it starts; a change is logged so that an operator knows to restart.
+async fn follow_settings(node: Node, log: Logger) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        warn!(log, "gateway: The reload signal can't be awaited.");
+        return;
+    };
+    while hangup.recv().await.is_some() {
+        match Node::load() {
+            Ok(new) => info!(log, "gateway: Settings read again."; "changed" => new != node),
+            Err(e) => warn!(log, "gateway: Settings can't be read again."; "error" => %e),
+        }
+    }
+}
+
 fn listen(seed: &Seed, options: &Options, handle: PrometheusHandle) -> Result<Server> {
     let node = &seed.node;
     let own = |port| SocketAddr::new(node.ip, port);
