--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -93,8 +93,10 @@
     pub changed: Notify,
     /// Whether a request has arrived.
     pub asked: Cell<bool>,
-    /// When the store last failed a call.
-    pub store_failed: Cell<Option<Moment>>,
+    /// Whether the store's last call failed.
+    pub store_failed: Cell<bool>,
+    /// When the store answered again after failed calls.
+    pub store_back: Cell<Option<Moment>>,
     /// Random numbers.
     pub rng: RefCell<ChaCha8Rng>,
 }
@@ -133,7 +135,8 @@
             stopping,
             changed: Notify::new(),
             asked: Cell::new(false),
-            store_failed: Cell::new(None),
+            store_failed: Cell::new(false),
+            store_back: Cell::new(None),
             rng: RefCell::new(ChaCha8Rng::from_os_rng()),
             node,
         })
--- a/crates/mustard-gateway/src/fleet/mod.rs
+++ b/crates/mustard-gateway/src/fleet/mod.rs
@@ -19,6 +19,15 @@
 /// How long a row that vanished while the store was in trouble may take to come back.
 const RETURN_TIME: Duration = Duration::from_millis(2_200);
 
+/// Which servers are taken for there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trust {
+    /// Those in the list.
+    Listed,
+    /// Also those whose rows vanished while the store was in trouble.
+    Missing,
+}
+
 /// What a row of the list changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Turn {
@@ -159,8 +168,13 @@
         engine: &Engine,
         now: Moment,
         gateways: f64,
+        trust: Trust,
     ) -> Vec<Holder> {
-        let usable = self.iter().filter(|(_, s)| s.entry.service == service && s.is_usable(now));
+        let usable = |s: &Server| match trust {
+            Trust::Listed => s.is_usable(now),
+            Trust::Missing => s.is_last_resort(now),
+        };
+        let usable = self.iter().filter(|(_, s)| s.entry.service == service && usable(s));
         usable
             .filter_map(|(_, s)| s.holder(engine, now, gateways))
             .collect()
--- a/crates/mustard-gateway/src/fleet/server.rs
+++ b/crates/mustard-gateway/src/fleet/server.rs
@@ -14,6 +14,9 @@
 /// Names a server in the fleet.
 pub type ServerKey = Key<Server>;
 
+/// How long a server without a row gets requests that no other can serve; shorter than the time
+/// for which a leaving server goes on serving.
+const LAST_RESORT: Duration = Duration::from_millis(1_700);
 /// How long a reported slowness is believed.
 const PACE_AGE: Duration = Duration::from_millis(3_000);
 /// How long a server that is out of use stays covered by the plan; a process that restarts is
@@ -122,7 +125,7 @@
 
     /// Tells whether new requests may be sent to it.
     pub fn is_usable(&self, now: Moment) -> bool {
-        self.entry.life == Life::Ready && !self.suspicion.is_out(now)
+        self.is_staying() && self.missing.is_none() && !self.suspicion.is_out(now)
     }
 
     /// Tells whether it has not announced that it is leaving.
@@ -130,6 +133,14 @@
         self.entry.life == Life::Ready
     }
 
+    /// Tells whether new requests may be sent to it where no listed server will do.
+    ///
+    /// Its row vanished while the store was in trouble, and it may still come back.
+    pub fn is_last_resort(&self, now: Moment) -> bool {
+        let missing = self.missing.is_none_or(|m| now.since(m) < LAST_RESORT);
+        self.is_staying() && missing && !self.suspicion.is_out(now)
+    }
+
     /// Returns the layers that it holds.
     pub fn layers(&self) -> Option<Held> {
         self.entry.held
--- a/crates/mustard-gateway/src/follow.rs
+++ b/crates/mustard-gateway/src/follow.rs
@@ -19,8 +19,9 @@
 const WAIT: Duration = Duration::from_millis(2_300);
 /// The pause after a failed call.
 const BACKOFF: Duration = Duration::from_millis(250);
-/// How long after a failed call of the store a vanished row may be the store's doing.
-const UNSURE: Duration = Duration::from_millis(4_000);
+/// How long after the store's return a vanished row may be the store's doing: servers that live
+/// are back within about two seconds.
+const UNSURE: Duration = Duration::from_millis(2_200);
 
 /// Follows one table for the life of the process.
 pub async fn run(app: Rc<App>, followed: Followed) {
@@ -67,17 +68,21 @@
 
 fn regained(app: &App, followed: Followed) {
     metric::store("follow", "ok");
-    let mut peers = app.peers.borrow_mut();
-    if peers.set_store(followed, true)
-        && let Some(log) = app.journal.admit(Topic::Dependency)
-    {
+    if !app.peers.borrow_mut().set_store(followed, true) {
+        return;
+    }
+    if app.store_failed.get() {
+        app.store_back.set(Some(app.now()));
+    }
+    app.store_failed.set(false);
+    if let Some(log) = app.journal.admit(Topic::Dependency) {
         info!(log, "store: The table is followed."; "table" => ?followed);
     }
 }
 
 fn lost(app: &App, followed: Followed, error: &mustard_platform::PlatformError) {
     metric::store("follow", "failed");
-    app.store_failed.set(Some(app.now()));
+    app.store_failed.set(true);
     let mut peers = app.peers.borrow_mut();
     if peers.set_store(followed, false)
         && let Some(log) = app.journal.admit(Topic::Dependency)
@@ -130,8 +135,8 @@
 
 fn take_servers(app: &App, changes: Changes, whole: bool) {
     let now = app.now();
-    let failed = app.store_failed.get();
-    let unsure = failed.is_some_and(|f| now.since(f) < UNSURE);
+    let back = app.store_back.get();
+    let unsure = app.store_failed.get() || back.is_some_and(|b| now.since(b) < UNSURE);
     let mut listed = Vec::new();
     for row in changes.rows {
         let turn = match &row.value {
--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -193,7 +193,7 @@
         fleet
             .iter()
             .filter(|(_, s)| s.entry.service == *service && !tried.contains(&s.entry.addr))
-            .filter(|(_, s)| if out { s.is_staying() } else { s.is_usable(now) })
+            .filter(|(_, s)| if out { s.is_last_resort(now) || (s.is_staying() && s.missing.is_none()) } else { s.is_usable(now) })
             .min_by_key(|(k, s)| {
                 let far = s.entry.domain != app.node.domain;
                 // One request of work is worth the way to another failure domain.
--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -24,7 +24,7 @@
 use mustard_policy::suspicion::Fault;
 
 use crate::app::App;
-use crate::fleet::Load;
+use crate::fleet::{Load, Trust};
 use crate::flights::{Flight, FlightGuard};
 use crate::journal::Topic;
 use crate::metric;
@@ -291,9 +291,12 @@
     let fleet = app.fleet.borrow();
     let path = match &job.service.engine {
         Some(engine) => {
-            let holders = fleet.holders(&job.service.name, engine, now, gateways);
             let mut rng = app.rng.borrow_mut();
-            choose(engine, &holders, &demand, &mut *rng)?.parts
+            let mut path = |trust| {
+                let holders = fleet.holders(&job.service.name, engine, now, gateways, trust);
+                choose(engine, &holders, &demand, &mut *rng)
+            };
+            path(Trust::Listed).or_else(|| path(Trust::Missing))?.parts
         }
         None => Vec::new(),
     };
--- a/crates/mustard-gateway/src/watch.rs
+++ b/crates/mustard-gateway/src/watch.rs
@@ -16,7 +16,7 @@
 use mustard_policy::suspicion::Fault;
 
 use crate::app::App;
-use crate::fleet::Load;
+use crate::fleet::{Load, Trust};
 use crate::flights::FlightKey;
 use crate::forward::parts_memory;
 use crate::journal::Topic;
@@ -239,10 +239,10 @@
     let first = *flight.parts.first()?;
     let now = app.now();
     let gateways = app.gateways() as f64;
-    let mut holders = app.fleet.borrow().holders(&flight.service, engine, now, gateways);
+    let fleet = app.fleet.borrow();
+    let mut holders = fleet.holders(&flight.service, engine, now, gateways, Trust::Missing);
     if !holders.iter().any(|h| h.addr == first.addr) {
         // The first server may be left out for new requests and still serve this one.
-        let fleet = app.fleet.borrow();
         let server = fleet.at(first.addr).and_then(|k| fleet.get(k))?;
         holders.push(server.holder(engine, now, gateways)?);
     }
