Count an answer without a length as lost

Ruled out: a reset taken for the end (the test shows the same with a plain end). Test: mustard-net unframed. What is given up: such an answer isn't delivered.

--- a/crates/mustard-gateway/src/forward/attempt.rs
+++ b/crates/mustard-gateway/src/forward/attempt.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 
 use ntex::client::ClientResponse;
-use ntex::http::error::PayloadError;
 use ntex::http::{HeaderMap, Payload};
 use ntex::util::{Bytes, BytesMut};
 
@@ -38,8 +37,6 @@
     pub headers: HeaderMap,
     /// The body, still to be read.
     pub body: Payload,
-    /// Whether the answer says where its body ends.
-    pub framed: bool,
 }
 
 /// Why a send brought no answer of the server.
@@ -91,7 +88,6 @@
         Verdict::Genuine => Ok(Head {
             status,
             headers: headers.clone(),
-            framed: answers::is_framed(headers),
             body: response.take_payload(),
         }),
     }
@@ -110,12 +106,9 @@
 impl Head {
     /// Reads the next piece of the body.
     pub(super) async fn piece(&mut self) -> Piece {
-        let framed = self.framed;
         match poll_fn(|cx| self.body.poll_recv(cx)).await {
             Some(Ok(bytes)) => Piece::Bytes(bytes),
             None => Piece::End,
-            // Without a length the body ends with its connection.
-            Some(Err(PayloadError::Incomplete(None))) if !framed => Piece::End,
             Some(Err(_)) => Piece::Broken,
         }
     }
--- a/crates/mustard-net/src/http.rs
+++ b/crates/mustard-net/src/http.rs
@@ -6,8 +6,8 @@
 use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client as HttpClient, ClientResponse, Connector};
 use ntex::SharedCfg;
-use ntex::http::Method;
-use ntex::http::header::{HeaderName, HeaderValue};
+use ntex::http::header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use ntex::http::{Method, StatusCode};
 use ntex::io::IoConfig;
 use ntex::time::{Millis, Seconds};
 use ntex::util::Bytes;
@@ -145,7 +145,8 @@
 ///
 /// # Errors
 ///
-/// As for [`exchange`].
+/// As for [`exchange`]. An answer without a length, whose body ends with its connection, counts as
+/// lost: the HTTP client takes its body for empty.
 pub async fn pass_on(client: &HttpClient, passed: Passed) -> Result<ClientResponse> {
     let url = format!("http://{}{}", passed.to, passed.path);
     let mut out = client
@@ -156,7 +157,20 @@
     for (name, value) in passed.headers {
         out = out.header(name, value);
     }
-    out.send_body(passed.body).await.map_err(|e| sort_error(&e))
+    let answer = out.send_body(passed.body).await.map_err(|e| sort_error(&e))?;
+    if has_body(&answer) && !is_framed(&answer) {
+        return Err(CallError::Lost("an answer without a length".to_owned()));
+    }
+    Ok(answer)
+}
+
+fn has_body(answer: &ClientResponse) -> bool {
+    !matches!(answer.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
+
+fn is_framed(answer: &ClientResponse) -> bool {
+    let headers = answer.headers();
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
 
 async fn read(response: ClientResponse) -> Result<Answer> {
--- /dev/null
+++ b/crates/mustard-net/tests/unframed.rs
@@ -0,0 +1,53 @@
+//! Answers without a length, whose body ends with the connection.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+use ntex::http::Method;
+use ntex::util::Bytes;
+use socket2::SockRef;
+
+use mustard_net::CallError;
+use mustard_net::http::{Passed, new_client, pass_on};
+
+const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf of the body";
+
+/// Answers one request with a body of no stated length, then ends or resets the connection.
+fn serve(reset: bool, pause: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut buffer = [0; 4096];
+        let _ = stream.read(&mut buffer).unwrap();
+        stream.write_all(HEAD).unwrap();
+        std::thread::sleep(pause);
+        if reset {
+            SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+        }
+    });
+    addr
+}
+
+async fn pass(addr: SocketAddr) -> Result<(), CallError> {
+    let client = new_client().await;
+    let passed = Passed {
+        to: addr,
+        method: Method::GET,
+        path: "/".to_owned(),
+        headers: Vec::new(),
+        body: Bytes::new(),
+    };
+    pass_on(&client, passed).await.map(|_| ())
+}
+
+#[ntex::test]
+async fn pass_on_unframed() {
+    for reset in [true, false] {
+        for ms in [0, 30] {
+            let answered = pass(serve(reset, Duration::from_millis(ms))).await;
+            assert!(matches!(answered, Err(CallError::Lost(_))), "{answered:?}");
+        }
+    }
+}
