--- a/crates/mustard-gateway/src/fleet/server.rs
+++ b/crates/mustard-gateway/src/fleet/server.rs
@@ -161,6 +161,10 @@
     /// Returns the server as a request sees it, if it holds layers.
     pub fn holder(&self, engine: &Engine, now: Moment, gateways: f64) -> Option<Holder> {
         let held = self.entry.held?;
+        if self.loading.is_some_and(|l| now < l.until) {
+            // It is giving up what it holds.
+            return None;
+        }
         let accelerator = engine.accelerator(self.entry.accelerator.as_deref()?)?;
         let slow = self.slowness(now);
         let layers_mb = f64::from(held.layers.count()) * engine.layer_mb;
--- a/crates/mustard-gateway/src/watch.rs
+++ b/crates/mustard-gateway/src/watch.rs
@@ -24,10 +24,10 @@
 use crate::metric;
 
 /// The pause between two looks at the streams in flight.
-const LOOK: Duration = Duration::from_millis(25);
+const LOOK: Duration = Duration::from_millis(15);
 /// The time for a report while streams stand still; a live server answers within a few
 /// milliseconds.
-const ASK_LIMIT: Duration = Duration::from_millis(80);
+const ASK_LIMIT: Duration = Duration::from_millis(40);
 /// The pause of a stream after which it goes on elsewhere although no server is to blame.
 const PATIENCE: Duration = Duration::from_millis(900);
 
--- a/crates/mustard-policy/src/pipeline/placement.rs
+++ b/crates/mustard-policy/src/pipeline/placement.rs
@@ -2,8 +2,8 @@
 //!
 //! A server that holds nothing takes the range whose layers have the fewest holders in its
 //! failure domain, then over all domains. That one rule fills an empty deployment, a gap that a
-//! death left, and a new server; servers that hold layers are moved only where a layer has no
-//! holder left in any domain and everything they hold has another holder.
+//! death left, and a new server. A server that holds layers is moved only where that gives a
+//! layer of its domain a holder that has none, and takes the last holder from no other.
 
 use mustard_core::deployment::Engine;
 use mustard_core::ids::Layers;
@@ -17,6 +17,10 @@
 /// The worth of one more holder of a layer that has none, one, or two in all domains.
 const COMMON_WORTH: [f64; 3] = [300.0, 3.0, 0.3];
 
+/// The least worth of a move of a server that holds layers: that of one layer without a holder in
+/// the domain, less the last but one holders that a large server gives up for it.
+const MOVE_GAIN: f64 = LAYER_WORTH[0] / 2.0;
+
 /// A server that may hold layers.
 #[derive(Clone, Debug)]
 pub struct Site {
@@ -91,7 +95,7 @@
         }
     }
     while moves.len() < placement.moves {
-        let Some(next) = rescue(engine, sites, placement, &mut cover, &moves) else {
+        let Some(next) = improve(engine, sites, placement, &mut cover, &moves) else {
             break;
         };
         moves.push(next);
@@ -99,26 +103,36 @@
     moves
 }
 
-/// Moves a server whose layers all have another holder to a layer that has none anywhere.
-fn rescue(
+/// Returns the move that is worth most, if it gives a layer its first holder in a domain.
+///
+/// What the server gives up is counted against the move, so that none leaves a gap behind that
+/// is as large as the one it fills.
+fn improve(
     engine: &Engine,
     sites: &[Site],
     placement: &Placement,
     cover: &mut Cover,
     moves: &[Move],
 ) -> Option<Move> {
-    let gap = cover.first_gap()?;
-    let movable = |s: &&Site| {
-        let moved = moves.iter().any(|m| m.index == s.index);
-        s.free && s.stays && !moved && s.held.is_some_and(|h| cover.spares(h))
-    };
-    let site = sites
-        .iter()
-        .filter(movable)
-        .max_by(|a, b| a.memory_mb.total_cmp(&b.memory_mb).then(b.index.cmp(&a.index)))?;
-    let size = size(engine, site, placement.fill);
-    let first = gap.min(engine.layers.saturating_sub(size));
-    let layers = Layers::new(first, first + size);
+    let mut best: Option<(f64, &Site, Layers)> = None;
+    for site in sites.iter().filter(|s| s.free && s.stays) {
+        let Some(held) = site.held else {
+            continue;
+        };
+        if moves.iter().any(|m| m.index == site.index) {
+            continue;
+        }
+        cover.remove(site.domain, held);
+        let size = size(engine, site, placement.fill);
+        if let Some(layers) = cover.best(site.domain, size) {
+            let gain = cover.sum(site.domain, layers) - cover.sum(site.domain, held);
+            if gain >= MOVE_GAIN && best.is_none_or(|(g, ..)| gain > g + 1e-6) {
+                best = Some((gain, site, layers));
+            }
+        }
+        cover.add(site.domain, held);
+    }
+    let (_, site, layers) = best?;
     cover.remove(site.domain, site.held?);
     cover.add(site.domain, layers);
     Some(Move {
@@ -206,12 +220,7 @@
         near + COMMON_WORTH.get(far).copied().unwrap_or(0.03)
     }
 
-    fn first_gap(&self) -> Option<u32> {
-        self.all.iter().position(|&c| c == 0).map(|l| l as u32)
-    }
-
-    /// Tells whether every layer of a range has another holder in all domains.
-    fn spares(&self, layers: Layers) -> bool {
-        self.range(layers).all(|l| self.all[l] > 1)
+    fn sum(&self, domain: u32, layers: Layers) -> f64 {
+        self.range(layers).map(|l| self.worth(domain, l)).sum()
     }
 }
