--- a/crates/mustard-gateway/src/forward/attempt.rs
+++ b/crates/mustard-gateway/src/forward/attempt.rs
@@ -27,6 +27,8 @@
     pub identity: String,
     /// The servers that the request crosses; empty for a plain service.
     pub path: Vec<Part>,
+    /// How often the path changes the failure domain.
+    pub crossings: u32,
 }
 
 /// The head of a server's answer.
--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -206,6 +206,7 @@
         addr: server.entry.addr,
         identity: server.entry.id.clone(),
         path: Vec::new(),
+        crossings: 0,
     })
 }
 
--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -289,16 +289,17 @@
     let domain = app.fleet.borrow_mut().domain(&app.node.domain);
     let demand = job.demand(domain);
     let fleet = app.fleet.borrow();
-    let path = match &job.service.engine {
+    let (path, crossings) = match &job.service.engine {
         Some(engine) => {
             let mut rng = app.rng.borrow_mut();
             let mut path = |trust| {
                 let holders = fleet.holders(&job.service.name, engine, now, gateways, trust);
                 choose(engine, &holders, &demand, &mut *rng)
             };
-            path(Trust::Listed).or_else(|| path(Trust::Missing))?.parts
+            let route = path(Trust::Listed).or_else(|| path(Trust::Missing))?;
+            (route.parts, route.crossings)
         }
-        None => Vec::new(),
+        None => (Vec::new(), 0),
     };
     let first = match path.first() {
         Some(part) => part.addr,
@@ -313,6 +314,7 @@
         addr: first,
         identity: server.entry.id.clone(),
         path,
+        crossings,
     };
     Some((target, demand))
 }
@@ -485,7 +487,7 @@
         let version = app.config().map_or(0, |c| c.version);
         info!(log, "request: Path chosen."; "request" => &job.ask.id,
             "service" => &job.service.name, "first" => %target.addr,
-            "parts" => target.path.len(), "after" => last_event, "config" => version,
+            "parts" => target.path.len(), "crossings" => target.crossings, "after" => last_event, "config" => version,
             "waited_ms" => app.now().since(job.arrived).as_millis() as u64);
     }
 }
