--- a/crates/mustard-gateway/src/forward/mod.rs
+++ b/crates/mustard-gateway/src/forward/mod.rs
@@ -68,11 +68,18 @@
 }
 
 impl Job {
+    /// Returns the number of tokens that the answer is expected to have.
+    fn likely_answer(&self) -> f64 {
+        let usual = self.service.engine.as_ref().map(|e| e.usual_answer);
+        let likely = self.ask.likely_tokens.or(usual).unwrap_or(f64::INFINITY);
+        likely.min(self.ask.answer_tokens).max(1.0)
+    }
+
     /// Returns what the request needs of the servers on its path.
     pub fn demand(&self, domain: u32) -> Demand {
         Demand {
             prompt: self.ask.prompt_tokens.max(1.0),
-            answer: self.ask.answer_tokens.max(1.0),
+            answer: self.likely_answer(),
             domain,
         }
     }
