--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -19,6 +19,7 @@
 use mustard_net::http::{new_client, new_client_within};
 use mustard_net::shutdown::Gate;
 use mustard_policy::allowance::{Allowance, Budget};
+use mustard_policy::pipe::Pipes;
 use mustard_policy::quarantine::{Quarantine, Settings};
 use mustard_policy::stall::Pauses;
 
@@ -79,6 +80,8 @@
     pub flights: RefCell<Flights>,
     /// The usual pauses of streams.
     pub pauses: RefCell<Pauses>,
+    /// The transfers between failure domains.
+    pub pipes: RefCell<Pipes>,
     /// The retry budget of each service.
     pub allowances: RefCell<Map<String, Allowance>>,
     /// Contents that end the servers that run them.
@@ -125,6 +128,7 @@
             listed: Cell::new(false),
             flights: RefCell::default(),
             pauses: RefCell::default(),
+            pipes: RefCell::default(),
             allowances: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(Settings {
                 deaths: DEADLY,
--- a/crates/mustard-gateway/src/forward/attempt.rs
+++ b/crates/mustard-gateway/src/forward/attempt.rs
@@ -28,7 +28,7 @@
     /// The servers that the request crosses; empty for a plain service.
     pub path: Vec<Part>,
     /// How often the path changes the failure domain.
-    pub crossings: u32,
+    pub crossings: usize,
 }
 
 /// The head of a server's answer.
