--- a/crates/mustard-core/src/deployment.rs
+++ b/crates/mustard-core/src/deployment.rs
@@ -122,11 +122,6 @@
         self.token_bytes / f64::from(self.layers.max(1)) / 1e6
     }
 
-    /// Returns the bits that a prompt sends from one server to the next.
-    pub fn prompt_bits(&self, tokens: f64) -> f64 {
-        tokens * self.activation_bytes * 8.0
-    }
-
     /// Returns the most layers that fit in a memory.
     pub fn capacity(&self, memory_mb: f64) -> u32 {
         if self.layer_mb <= 0.0 {
--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -19,7 +19,6 @@
 use mustard_net::http::{new_client, new_client_within};
 use mustard_net::shutdown::Gate;
 use mustard_policy::allowance::{Allowance, Budget};
-use mustard_policy::pipe::Pipes;
 use mustard_policy::quarantine::{Quarantine, Settings};
 use mustard_policy::stall::Pauses;
 
@@ -80,8 +79,6 @@
     pub flights: RefCell<Flights>,
     /// The usual pauses of streams.
     pub pauses: RefCell<Pauses>,
-    /// The transfers between failure domains.
-    pub pipes: RefCell<Pipes>,
     /// The retry budget of each service.
     pub allowances: RefCell<Map<String, Allowance>>,
     /// Contents that end the servers that run them.
@@ -128,7 +125,6 @@
             listed: Cell::new(false),
             flights: RefCell::default(),
             pauses: RefCell::default(),
-            pipes: RefCell::default(),
             allowances: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(Settings {
                 deaths: DEADLY,
--- a/crates/mustard-gateway/src/forward/attempt.rs
+++ b/crates/mustard-gateway/src/forward/attempt.rs
@@ -28,7 +28,7 @@
     /// The servers that the request crosses; empty for a plain service.
     pub path: Vec<Part>,
     /// How often the path changes the failure domain.
-    pub crossings: usize,
+    pub crossings: u32,
 }
 
 /// The head of a server's answer.
--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -17,9 +17,8 @@
 use tokio::time::{sleep, timeout};
 
 use mustard_adapter::answers;
-use mustard_core::deployment::{Engine, Kind};
-use mustard_policy::pipe::Pair;
-use mustard_policy::pipeline::{Demand, choose};
+use mustard_core::deployment::Kind;
+use mustard_policy::pipeline::choose;
 use mustard_policy::quarantine::Strike;
 use mustard_policy::stall::Progress;
 use mustard_policy::suspicion::Fault;
@@ -38,8 +37,6 @@
 const QUEUE: usize = 32;
 /// The share of the wanted time to the first event that a request waits for servers.
 const WAIT_SHARE: f64 = 0.5;
-/// The pause after which a request that waits for a path looks again.
-const LOOK_AGAIN: Duration = Duration::from_millis(40);
 /// Sends of one request that no server ran, at most.
 const MAX_UNRUN: u32 = 6;
 /// When to come back if no path is to be had; a server that restarted has its layers again after
@@ -272,7 +269,7 @@
 async fn wait_for_path(
     app: &Rc<App>,
     job: &Job,
-) -> Option<(Target, Demand)> {
+) -> Option<(Target, mustard_policy::pipeline::Demand)> {
     let until = job.arrived + job.route.first.mul_f64(WAIT_SHARE);
     loop {
         let changed = app.changed.notified();
@@ -280,15 +277,13 @@
             return Some(found);
         }
         let left = app.now().until(until);
-        if left.is_zero() {
-            return None;
+        if left.is_zero() || timeout(left, changed).await.is_err() {
+            return find_path(app, job);
         }
-        // The share of the rate between failure domains frees itself without a change.
-        let _ = timeout(left.min(LOOK_AGAIN), changed).await;
     }
 }
 
-fn find_path(app: &App, job: &Job) -> Option<(Target, Demand)> {
+fn find_path(app: &App, job: &Job) -> Option<(Target, mustard_policy::pipeline::Demand)> {
     let now = app.now();
     let gateways = app.gateways() as f64;
     let domain = app.fleet.borrow_mut().domain(&app.node.domain);
@@ -302,10 +297,7 @@
                 choose(engine, &holders, &demand, &mut *rng)
             };
             let route = path(Trust::Listed).or_else(|| path(Trust::Missing))?;
-            if !enter_pipes(app, engine, &demand, &route.crossings) {
-                return None;
-            }
-            (route.parts, route.crossings.len())
+            (route.parts, route.crossings)
         }
         None => (Vec::new(), 0),
     };
@@ -327,20 +319,6 @@
     Some((target, demand))
 }
 
-/// Takes a path's changes of failure domain out of this gateway's share of the rate there.
-fn enter_pipes(app: &App, engine: &Engine, demand: &Demand, crossings: &[Pair]) -> bool {
-    if crossings.is_empty() {
-        return true;
-    }
-    let now = app.now();
-    let mut pipes = app.pipes.borrow_mut();
-    let allowed = pipes.allow(now, crossings, engine.pipe_mbps, app.gateways());
-    if allowed {
-        pipes.begin(now, crossings, engine.prompt_bits(demand.prompt));
-    }
-    allowed
-}
-
 /// Passes events on until the stream ends, going on at another server where that is allowed.
 async fn pump(
     app: &Rc<App>,
--- a/crates/mustard-policy/src/lib.rs
+++ b/crates/mustard-policy/src/lib.rs
@@ -62,7 +62,6 @@
 pub mod learn;
 pub mod limits;
 pub mod membership;
-pub mod pipe;
 pub mod pipeline;
 pub mod quarantine;
 pub mod retry;
--- a/crates/mustard-policy/src/pipeline/path.rs
+++ b/crates/mustard-policy/src/pipeline/path.rs
@@ -11,8 +11,6 @@
 use mustard_core::deployment::{Engine, Part};
 use mustard_core::ids::Layers;
 
-use crate::pipe::Pair;
-
 /// The most servers on one path.
 const MAX_PARTS: usize = 32;
 /// The share by which costs are drawn apart, so that entry processes with the same view don't
@@ -67,7 +65,7 @@
     /// The time until the last token, in milliseconds, with the delay caused to others.
     pub cost: f64,
     /// The changes of failure domain.
-    pub crossings: Vec<Pair>,
+    pub crossings: u32,
 }
 
 #[derive(Clone, Copy)]
@@ -200,7 +198,7 @@
     let (domain, last) = ends.min_by(|a, b| a.1.cost.total_cmp(&b.1.cost).then(a.0.cmp(b.0)))?;
     let cost = last.cost;
     let mut parts = Vec::new();
-    let mut crossings = Vec::new();
+    let mut crossings = 0;
     let mut state = Some((engine.layers, *domain));
     while let Some((boundary, domain)) = state {
         let step = best[boundary as usize].get(&domain)?;
@@ -208,11 +206,7 @@
             addr: holders[step.holder].addr,
             layers: Layers::new(step.start, boundary),
         });
-        if let Some((_, before)) = step.from
-            && before != domain
-        {
-            crossings.push((before.min(domain), before.max(domain)));
-        }
+        crossings += u32::from(step.from.is_some_and(|(_, d)| d != domain));
         state = step.from;
     }
     parts.reverse();
@@ -239,7 +233,8 @@
         None => fixed + if to == demand.domain { 0.0 } else { 1.0 },
         Some(domain) if domain == to => fixed,
         Some(_) => {
-            let pipe_ms = engine.prompt_bits(demand.prompt) / (engine.pipe_mbps * 1e3);
+            let bits = demand.prompt * engine.activation_bytes * 8.0;
+            let pipe_ms = bits / (engine.pipe_mbps * 1e3);
             fixed * 3.0 + pipe_ms * PIPE_WEIGHT
         }
     }
