--- a/crates/mustard-gateway/src/fleet/mod.rs
+++ b/crates/mustard-gateway/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 pub use server::{Server, ServerKey};
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use mustard_core::arena::Arena;
@@ -152,13 +153,43 @@
     }
 
     /// Takes in a report of the server at an address.
-    pub fn report(&mut self, now: Moment, addr: SocketAddr, report: &Report) {
+    pub fn report(&mut self, now: Moment, addr: SocketAddr, report: Rc<Report>) {
         let key = self.at(addr);
         if let Some(server) = key.and_then(|k| self.servers.get_mut(k)) {
             server.take_report(now, report);
         }
     }
 
+    /// Takes in that the server at an address gave no sign of life; tells whether that is news.
+    pub fn silent(&mut self, now: Moment, addr: SocketAddr) -> bool {
+        let key = self.at(addr);
+        let Some(server) = key.and_then(|k| self.servers.get_mut(k)) else {
+            return false;
+        };
+        let news = server.silent.is_none();
+        server.silent.get_or_insert(now);
+        server.suspicion.fail(now, Fault::Silent);
+        news
+    }
+
+    /// Tells whether the server at an address has ended or is cut off, as far as is known here.
+    pub fn is_lost(&self, addr: SocketAddr) -> bool {
+        let server = self.at(addr).and_then(|k| self.servers.get(k));
+        server.is_none_or(|s| s.silent.is_some())
+    }
+
+    /// Returns the servers that gave no sign of life when they were last asked.
+    pub fn silent_ones(&self) -> Vec<SocketAddr> {
+        let silent = self.iter().filter(|(_, s)| s.silent.is_some());
+        silent.map(|(_, s)| s.entry.addr).collect()
+    }
+
+    /// Returns what the server at an address answered within a time.
+    pub fn fresh_report(&self, addr: SocketAddr, since: Moment) -> Option<Rc<Report>> {
+        let (at, report) = self.servers.get(self.at(addr)?)?.reported.as_ref()?;
+        (*at >= since).then(|| Rc::clone(report))
+    }
+
     /// Returns the servers of a service that requests may cross.
     ///
     /// `gateways` is the number of processes that send requests as this one does.
--- a/crates/mustard-gateway/src/fleet/server.rs
+++ b/crates/mustard-gateway/src/fleet/server.rs
@@ -1,5 +1,6 @@
 //! One server as one gateway sees it.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use mustard_core::arena::Key;
@@ -51,12 +52,10 @@
     pub used: f64,
     /// This gateway's requests that it runs.
     pub running: u32,
-    /// When a report was last asked of it.
-    pub asked: Option<Moment>,
     /// When it last failed to answer.
     pub silent: Option<Moment>,
-    pace: f64,
-    paced: Moment,
+    /// What it last answered, and when.
+    pub reported: Option<(Moment, Rc<Report>)>,
 }
 
 impl Server {
@@ -70,10 +69,8 @@
             loading: None,
             used: 0.0,
             running: 0,
-            asked: None,
             silent: None,
-            pace: 1.0,
-            paced: Moment::default(),
+            reported: None,
         }
     }
 
@@ -110,22 +107,23 @@
     }
 
     /// Takes in what the server answered just now.
-    pub fn take_report(&mut self, now: Moment, report: &Report) {
+    pub fn take_report(&mut self, now: Moment, report: Rc<Report>) {
         if report.born != 0 && self.entry.born != 0 && report.born < self.entry.born {
             return;
         }
-        self.pace = report.pace.max(1.0);
-        self.paced = now;
-        self.silent = None;
+        if self.silent.take().is_some() {
+            self.suspicion.clear();
+        }
         self.entry.held = report.held;
         if self.loading.is_some_and(|l| self.holds(l.layers)) {
             self.loading = None;
         }
+        self.reported = Some((now, report));
     }
 
     /// Tells whether new requests may be sent to it.
     pub fn is_usable(&self, now: Moment) -> bool {
-        self.is_staying() && self.missing.is_none() && !self.suspicion.is_out(now)
+        self.is_staying() && self.silent.is_none() && self.missing.is_none() && !self.suspicion.is_out(now)
     }
 
     /// Tells whether it has not announced that it is leaving.
@@ -138,7 +136,7 @@
     /// Its row vanished while the store was in trouble, and it may still come back.
     pub fn is_last_resort(&self, now: Moment) -> bool {
         let missing = self.missing.is_none_or(|m| now.since(m) < LAST_RESORT);
-        self.is_staying() && missing && !self.suspicion.is_out(now)
+        self.is_staying() && self.silent.is_none() && missing && !self.suspicion.is_out(now)
     }
 
     /// Returns the layers that it holds.
@@ -151,11 +149,8 @@
     }
 
     fn slowness(&self, now: Moment) -> f64 {
-        if now.since(self.paced) < PACE_AGE {
-            self.pace
-        } else {
-            1.0
-        }
+        let fresh = self.reported.as_ref().filter(|(at, _)| now.since(*at) < PACE_AGE);
+        fresh.map_or(1.0, |(_, report)| report.pace.max(1.0))
     }
 
     /// Returns the server as a request sees it, if it holds layers.
--- a/crates/mustard-gateway/src/forward/attempt.rs
+++ b/crates/mustard-gateway/src/forward/attempt.rs
@@ -50,6 +50,8 @@
     NotRun(u16, Option<SocketAddr>),
     /// The request may have run.
     Lost,
+    /// The attempt was given up here; the request may have run.
+    GivenUp,
 }
 
 /// Sends the request and reads the head of the answer.
--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -89,7 +89,7 @@
                 last = Some(sent.result);
                 break;
             }
-            Err(Miss::Lost) if !repeatable => {
+            Err(Miss::Lost | Miss::GivenUp) if !repeatable => {
                 last = Some(sent.result);
                 break;
             }
@@ -171,7 +171,7 @@
             fleet.fail(now, sent.addr, Fault::Full);
             "not run"
         }
-        Err(Miss::Lost) => {
+        Err(Miss::Lost | Miss::GivenUp) => {
             fleet.fail(now, sent.addr, Fault::Broken);
             "lost"
         }
@@ -225,7 +225,7 @@
             }
             out.body(answer.body)
         }
-        Some(Err(Miss::Lost)) => {
+        Some(Err(Miss::Lost | Miss::GivenUp)) => {
             metric::outcome("plain", "lost");
             Refusal::new("no answer of the server", 502).of(&job.ask).respond(app)
         }
--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -9,7 +9,7 @@
 
 use ntex::http::{Response, StatusCode};
 use ntex::io::{IoRef, OnDisconnect};
-use ntex::util::{Bytes, Stream};
+use ntex::util::{Bytes, BytesMut, Stream};
 use slog::{info, warn};
 use thiserror::Error;
 use tokio::sync::Notify;
@@ -28,6 +28,7 @@
 use crate::flights::{Flight, FlightGuard};
 use crate::journal::Topic;
 use crate::metric;
+use crate::watch::verify;
 
 use super::attempt::{Head, Miss, Piece, Target, send};
 use super::frames::Frames;
@@ -92,6 +93,7 @@
 /// An attempt that has begun to answer.
 struct Running {
     head: Head,
+    frames: Frames,
     guard: FlightGuard,
     abandon: Rc<Notify>,
     first: SocketAddr,
@@ -109,6 +111,7 @@
 }
 
 /// The attempts of one request.
+#[derive(Clone, Copy)]
 struct Attempts {
     /// Sends that a server may have run.
     ran: u32,
@@ -145,8 +148,15 @@
         };
     }
     let (sender, receiver) = channel(QUEUE);
-    let app = Rc::clone(app);
-    ntex::rt::spawn(async move { pump(&app, job, running, attempts, sender).await });
+    let session = Session {
+        app: Rc::clone(app),
+        last: job.ask.last_event,
+        job: Rc::new(job),
+        attempts,
+        sender,
+        begun: false,
+    };
+    ntex::rt::spawn(pump(session, running));
     out.streaming(EventBody {
         receiver,
         io,
@@ -201,13 +211,14 @@
         note_chosen(app, job, &target, last_event);
         let result = tokio::select! {
             result = send(app, job, &target, last_event) => result,
-            () = abandon.notified() => Err(Miss::Lost),
+            () = abandon.notified() => Err(Miss::GivenUp),
         };
         match result {
             Ok(head) if head.status < 500 || !repeatable => {
                 attempts.ran += 1;
                 return Ok(Running {
                     head,
+                    frames: Frames::default(),
                     guard,
                     abandon,
                     first,
@@ -219,6 +230,7 @@
                 if attempts.ran >= job.route.attempts {
                     return Ok(Running {
                         head,
+                        frames: Frames::default(),
                         guard,
                         abandon,
                         first,
@@ -231,7 +243,10 @@
                 note_miss(app, job, first, &format!("{miss:?}"));
                 match miss {
                     Miss::NotSent | Miss::NotRun(..) => attempts.unrun += 1,
-                    Miss::Lost => attempts.ran += 1,
+                    Miss::Lost | Miss::GivenUp if app.fleet.borrow().is_lost(first) => {
+                        attempts.unrun += 1;
+                    }
+                    Miss::Lost | Miss::GivenUp => attempts.ran += 1,
                 }
                 let spent = attempts.ran >= job.route.attempts || attempts.unrun >= MAX_UNRUN;
                 if attempts.ran > 0 && (spent || !repeatable) {
@@ -254,15 +269,23 @@
 }
 
 /// Takes in what a send without an answer says of the servers.
-fn blame(app: &App, first: SocketAddr, miss: Miss) {
+///
+/// Which server is at fault is only guessed at here, so the one that is blamed is asked.
+fn blame(app: &Rc<App>, first: SocketAddr, miss: Miss) {
     let now = app.now();
-    let mut fleet = app.fleet.borrow_mut();
-    match miss {
-        Miss::NotSent => fleet.fail(now, first, Fault::Silent),
-        Miss::NotRun(421, at) => fleet.fail(now, at.unwrap_or(first), Fault::Empty),
-        Miss::NotRun(_, at) => fleet.fail(now, at.unwrap_or(first), Fault::Full),
-        Miss::Lost => fleet.fail(now, first, Fault::Broken),
+    let (addr, fault) = match miss {
+        Miss::NotSent => (first, Fault::Silent),
+        Miss::NotRun(421, at) => (at.unwrap_or(first), Fault::Empty),
+        Miss::NotRun(_, at) => (at.unwrap_or(first), Fault::Full),
+        Miss::Lost => return verify(app, first),
+        Miss::GivenUp => return,
     };
+    if fault == Fault::Silent {
+        app.fleet.borrow_mut().silent(now, addr);
+    } else {
+        app.fleet.borrow_mut().fail(now, addr, fault);
+        verify(app, addr);
+    }
 }
 
 /// Returns a path, once there is one within the time that a request may wait for it.
@@ -319,136 +342,221 @@
     Some((target, demand))
 }
 
-/// Passes events on until the stream ends, going on at another server where that is allowed.
-async fn pump(
-    app: &Rc<App>,
-    job: Job,
-    mut running: Running,
-    mut attempts: Attempts,
+/// A stream that has begun to be answered.
+struct Session {
+    app: Rc<App>,
+    job: Rc<Job>,
+    attempts: Attempts,
     sender: Sender<Result<Bytes, BrokenOff>>,
-) {
-    let mut last = job.ask.last_event;
-    let mut begun = false;
-    let deadline = sleep(app.now().until(job.deadline));
+    /// The last event that the caller has.
+    last: Option<u64>,
+    begun: bool,
+}
+
+/// How an attempt ended.
+enum Ended {
+    /// With its last event.
+    Whole,
+    /// Before its last event.
+    Broken(&'static str),
+    /// It stands still, and may go on elsewhere.
+    Still,
+    /// The caller has left.
+    Left,
+    /// The time is over.
+    Deadline,
+}
+
+/// Passes events on until the stream ends, going on at another server where that is allowed.
+async fn pump(mut session: Session, mut running: Running) {
+    let deadline = sleep(session.app.now().until(session.job.deadline));
     let mut deadline = pin!(deadline);
     loop {
         let abandon = Rc::clone(&running.abandon);
+        let gone = session.sender.clone();
         let ended = tokio::select! {
-            ended = pass(app, &job, &mut running, &mut last, &mut begun, &sender) => ended,
-            () = abandon.notified() => Ended::Broken("given up"),
-            () = sender.closed() => Ended::Left,
+            ended = session.pass(&mut running) => ended,
+            () = abandon.notified() => Ended::Still,
+            () = gone.closed() => Ended::Left,
             () = &mut deadline => Ended::Deadline,
         };
         let first = running.first;
-        let cause = match ended {
-            Ended::Whole => {
-                app.quarantine.borrow_mut().clear(job.content);
-                note_served(app, &job, "stream", attempts.ran);
-                return;
-            }
-            Ended::Left => {
-                metric::outcome("stream", "caller left");
-                return;
-            }
-            Ended::Deadline => {
-                fail(app, &job, "deadline", last, &sender).await;
-                return;
+        let next = match ended {
+            Ended::Whole => return session.served(),
+            Ended::Left => return metric::outcome("stream", "caller left"),
+            Ended::Deadline => return session.fail("deadline").await,
+            Ended::Still if !session.may_resume(first) => continue,
+            Ended::Still => tokio::select! {
+                next = session.overtake(running) => next,
+                () = gone.closed() => return metric::outcome("stream", "caller left"),
+                () = &mut deadline => return session.fail("deadline").await,
+            },
+            Ended::Broken(cause) => {
+                session.note_broken(first, cause);
+                drop(running);
+                if !session.may_resume(first) {
+                    return session.fail(cause).await;
+                }
+                let resumed = tokio::select! {
+                    next = session.resume() => next,
+                    () = gone.closed() => return metric::outcome("stream", "caller left"),
+                    () = &mut deadline => return session.fail("deadline").await,
+                };
+                match resumed {
+                    Some(next) => Next::Elsewhere(next),
+                    None => return session.fail("no server goes on").await,
+                }
             }
-            Ended::Broken(cause) => cause,
         };
-        if cause != "given up" {
-            strike(app, &job, first);
-            blame(app, first, Miss::Lost);
-        }
-        note_miss(app, &job, first, cause);
-        drop(running);
-        let repeatable = matches!(job.route.kind, Kind::Stream { resumable: true });
-        if !repeatable || attempts.ran >= job.route.attempts {
-            fail(app, &job, cause, last, &sender).await;
-            return;
-        }
-        let opened = tokio::select! {
-            opened = open(app, &job, &mut attempts, last) => opened,
-            () = sender.closed() => return,
-            () = &mut deadline => Err(Failure::Lost),
-        };
-        running = match opened {
-            Ok(next) if next.head.status == 200 => next,
-            _ => {
-                fail(app, &job, "no server goes on", last, &sender).await;
-                return;
+        running = match next {
+            Next::Elsewhere(next) => next,
+            Next::Same(same) => {
+                running = same;
+                continue;
             }
+            Next::Whole => return session.served(),
+            Next::None => return session.fail("no server goes on").await,
         };
         metric::moved("resumed");
-        if let Some(log) = app.journal.admit(Topic::Stream) {
-            info!(log, "request: A stream goes on elsewhere."; "request" => &job.ask.id,
-                "after" => last, "server" => %running.first);
+        if let Some(log) = session.app.journal.admit(Topic::Stream) {
+            info!(log, "request: A stream goes on elsewhere."; "request" => &session.job.ask.id,
+                "after" => session.last, "server" => %running.first);
         }
     }
 }
 
-/// How an attempt ended.
-enum Ended {
-    /// With its last event.
+/// How a stream goes on.
+enum Next {
+    /// At another server.
+    Elsewhere(Running),
+    /// As before.
+    Same(Running),
+    /// It has ended meanwhile.
     Whole,
-    /// Before its last event.
-    Broken(&'static str),
-    /// The caller has left.
-    Left,
-    /// The time is over.
-    Deadline,
+    /// Not at all.
+    None,
 }
 
-/// Passes the events of one attempt on.
-async fn pass(
-    app: &App,
-    job: &Job,
-    running: &mut Running,
-    last: &mut Option<u64>,
-    begun: &mut bool,
-    sender: &Sender<Result<Bytes, BrokenOff>>,
-) -> Ended {
-    let mut frames = Frames::default();
-    loop {
-        match running.head.piece().await {
-            Piece::Bytes(bytes) => {
-                if frames.push(&bytes) {
-                    return Ended::Broken("event too large");
+impl Session {
+    /// Tells whether another server may go on with the stream.
+    fn may_resume(&self, first: SocketAddr) -> bool {
+        let repeatable = matches!(self.job.route.kind, Kind::Stream { resumable: true });
+        // An attempt at a server that has ended doesn't count.
+        let lost = u32::from(self.app.fleet.borrow().is_lost(first));
+        repeatable && self.attempts.ran.saturating_sub(lost) < self.job.route.attempts
+    }
+
+    /// Opens the stream at another server.
+    async fn resume(&mut self) -> Option<Running> {
+        let opened = open(&self.app, &self.job, &mut self.attempts, self.last).await;
+        opened.ok().filter(|next| next.head.status == 200)
+    }
+
+    /// Opens the stream at another server while the first attempt may still go on; whichever
+    /// brings events first is kept.
+    async fn overtake(&mut self, mut running: Running) -> Next {
+        let (app, job) = (Rc::clone(&self.app), Rc::clone(&self.job));
+        let mut attempts = self.attempts;
+        let last = self.last;
+        let mut broken = false;
+        let next = {
+            let mut opening = pin!(open(&app, &job, &mut attempts, last));
+            loop {
+                if broken {
+                    break opening.await;
+                }
+                tokio::select! {
+                    opened = &mut opening => break opened,
+                    ended = self.pass(&mut running) => match ended {
+                        Ended::Broken(_) => broken = true,
+                        _ => return Next::Whole,
+                    },
                 }
             }
-            Piece::End if frames.is_empty() => return Ended::Whole,
-            Piece::End => return Ended::Broken("ended within an event"),
-            Piece::Broken => return Ended::Broken("connection lost"),
+        };
+        self.attempts = attempts;
+        match next {
+            Ok(next) if next.head.status == 200 => Next::Elsewhere(next),
+            _ if broken => Next::None,
+            _ => Next::Same(running),
         }
-        let mut out = ntex::util::BytesMut::new();
-        let mut fault = None;
-        while let Some(frame) = frames.next() {
-            if let Some(id) = frame.id {
-                if last.is_some_and(|l| id != l + 1) {
-                    fault = Some("event out of order");
-                    break;
+    }
+
+    /// Passes the events of one attempt on; may be dropped and called again at any time.
+    async fn pass(&mut self, running: &mut Running) -> Ended {
+        loop {
+            let Ok(permit) = self.sender.reserve().await else {
+                return Ended::Left;
+            };
+            match running.head.piece().await {
+                Piece::Bytes(bytes) => {
+                    if running.frames.push(&bytes) {
+                        return Ended::Broken("event too large");
+                    }
                 }
-                *last = Some(id);
+                Piece::End if running.frames.is_empty() => return Ended::Whole,
+                Piece::End => return Ended::Broken("ended within an event"),
+                Piece::Broken => return Ended::Broken("connection lost"),
             }
-            out.extend_from_slice(&frame.bytes);
-        }
-        if !out.is_empty() {
-            let now = app.now();
-            running.guard.progress(now);
-            if !*begun {
-                *begun = true;
-                metric::first("stream", now.since(job.arrived));
+            let (out, fault) = take_events(&mut running.frames, &mut self.last);
+            if !out.is_empty() {
+                let now = self.app.now();
+                running.guard.progress(now);
+                if !self.begun {
+                    self.begun = true;
+                    metric::first("stream", now.since(self.job.arrived));
+                }
+                permit.send(Ok(out));
             }
-            if sender.send(Ok(out.freeze())).await.is_err() {
-                return Ended::Left;
+            if let Some(fault) = fault {
+                return Ended::Broken(fault);
             }
         }
-        if let Some(fault) = fault {
-            return Ended::Broken(fault);
+    }
+
+    fn note_broken(&self, first: SocketAddr, cause: &'static str) {
+        strike(&self.app, &self.job, first);
+        blame(&self.app, first, Miss::Lost);
+        note_miss(&self.app, &self.job, first, cause);
+    }
+
+    fn served(self) {
+        self.app.quarantine.borrow_mut().clear(self.job.content);
+        note_served(&self.app, &self.job, "stream", self.attempts.ran);
+    }
+
+    /// Breaks the stream off so that it doesn't look whole.
+    async fn fail(self, cause: &'static str) {
+        metric::outcome("stream", "broken off");
+        if let Some(log) = self.app.journal.admit(Topic::Failed) {
+            warn!(log, "request: A stream was broken off."; "request" => &self.job.ask.id,
+                "cause" => cause, "after" => self.last,
+                "took_ms" => self.app.now().since(self.job.arrived).as_millis() as u64);
         }
+        // A caller that has left meanwhile needs no sign.
+        let _ = self.sender.send(Err(BrokenOff)).await;
     }
 }
 
+/// Takes the whole events that follow the last one, and tells what is wrong with the next.
+fn take_events(frames: &mut Frames, last: &mut Option<u64>) -> (Bytes, Option<&'static str>) {
+    let mut out = BytesMut::new();
+    while let Some(frame) = frames.next() {
+        if let (Some(id), Some(before)) = (frame.id, *last) {
+            // A second attempt may begin before the events that the first one still brought.
+            if id <= before {
+                continue;
+            }
+            if id != before + 1 {
+                return (out.freeze(), Some("event out of order"));
+            }
+        }
+        *last = frame.id.or(*last);
+        out.extend_from_slice(&frame.bytes);
+    }
+    (out.freeze(), None)
+}
+
 /// Counts a strike against a content whose server broke off, and tells nobody yet.
 fn strike(app: &App, job: &Job, server: SocketAddr) {
     let strike = Strike {
@@ -465,23 +573,6 @@
     }
 }
 
-/// Breaks the stream off so that it doesn't look whole.
-async fn fail(
-    app: &App,
-    job: &Job,
-    cause: &'static str,
-    last: Option<u64>,
-    sender: &Sender<Result<Bytes, BrokenOff>>,
-) {
-    metric::outcome("stream", "broken off");
-    if let Some(log) = app.journal.admit(Topic::Failed) {
-        warn!(log, "request: A stream was broken off."; "request" => &job.ask.id,
-            "cause" => cause, "after" => last,
-            "took_ms" => app.now().since(job.arrived).as_millis() as u64);
-    }
-    let _ = sender.send(Err(BrokenOff)).await;
-}
-
 fn note_chosen(app: &App, job: &Job, target: &Target, last_event: Option<u64>) {
     if let Some(log) = app.journal.admit(Topic::Chosen) {
         let version = app.config().map_or(0, |c| c.version);
--- a/crates/mustard-gateway/src/keeper.rs
+++ b/crates/mustard-gateway/src/keeper.rs
@@ -19,7 +19,6 @@
 use mustard_net::CallError;
 use mustard_platform::lease::{Lease, LeaseOptions};
 use mustard_policy::pipeline::{Placement, initial_fill, plan};
-use mustard_policy::suspicion::Fault;
 
 use crate::app::App;
 use crate::fleet::ServerKey;
@@ -187,7 +186,7 @@
     let report = match ask(app, due.addr, CALL_LIMIT).await {
         Ok(report) => report,
         Err(e) => {
-            app.fleet.borrow_mut().fail(app.now(), due.addr, Fault::Silent);
+            app.fleet.borrow_mut().silent(app.now(), due.addr);
             if let Some(log) = app.journal.admit(Topic::Order) {
                 warn!(log, "keeper: A server gives no report."; "server" => %due.addr,
                     "error" => %e);
@@ -254,7 +253,7 @@
     app: &App,
     to: SocketAddr,
     limit: Duration,
-) -> std::result::Result<Report, CallError> {
+) -> std::result::Result<Rc<Report>, CallError> {
     let request = Request {
         to,
         method: Method::GET,
@@ -271,7 +270,8 @@
         return Err(CallError::Status(answer.status));
     }
     let report = decode_report(&answer.body).map_err(|e| CallError::Lost(e.to_string()))?;
-    app.fleet.borrow_mut().report(app.now(), to, &report);
+    let report = Rc::new(report);
+    app.fleet.borrow_mut().report(app.now(), to, Rc::clone(&report));
     Ok(report)
 }
 
--- a/crates/mustard-gateway/src/serve.rs
+++ b/crates/mustard-gateway/src/serve.rs
@@ -184,6 +184,7 @@
     ntex::rt::spawn(follow::run(Rc::clone(app), Followed::Servers));
     ntex::rt::spawn(keeper::run(Rc::clone(app)));
     ntex::rt::spawn(watch::run(Rc::clone(app)));
+    ntex::rt::spawn(watch::recall(Rc::clone(app)));
     ntex::rt::spawn(peers::run(Rc::clone(app)));
     ntex::rt::spawn(peers::register(Rc::clone(app)));
     ntex::rt::spawn(set_gauges(Rc::clone(app)));
--- a/crates/mustard-gateway/src/watch.rs
+++ b/crates/mustard-gateway/src/watch.rs
@@ -28,11 +28,15 @@
 /// The time for a report while streams stand still; a live server answers within a few
 /// milliseconds.
 const ASK_LIMIT: Duration = Duration::from_millis(40);
+/// How old a report may be that is taken instead of a new one.
+const REPORT_AGE: Duration = Duration::from_millis(120);
+/// The pause between two calls of a server that gave no sign of life.
+const RECALL: Duration = Duration::from_millis(500);
 /// The pause of a stream after which it goes on elsewhere although no server is to blame.
 const PATIENCE: Duration = Duration::from_millis(900);
 
 /// What the servers of silent streams said.
-type Answers = Map<SocketAddr, Option<Report>>;
+type Answers = Map<SocketAddr, Option<Rc<Report>>>;
 
 /// Watches for the life of the process.
 pub async fn run(app: Rc<App>) {
@@ -80,7 +84,7 @@
     }
 }
 
-/// Asks every server on the paths of the streams.
+/// Asks every server on the paths of the streams that wasn't asked just before.
 async fn ask_all(app: &Rc<App>, due: &[FlightKey]) -> Answers {
     let mut addrs: Set<SocketAddr> = Set::default();
     for key in due {
@@ -88,37 +92,67 @@
             addrs.extend(flight.parts.iter().map(|p| p.addr));
         }
     }
+    let recent = app.now() - REPORT_AGE;
     let tasks: Vec<_> = addrs
         .into_iter()
         .map(|addr| {
             let app = Rc::clone(app);
-            let task = async move { ask(&app, addr, ASK_LIMIT).await.ok() };
-            (addr, ntex::rt::spawn(task))
+            (addr, ntex::rt::spawn(async move { probe(&app, addr, recent).await }))
         })
         .collect();
     let mut answers = Answers::default();
     for (addr, task) in tasks {
-        let report = task.await.ok().flatten();
-        if report.is_none() {
-            note_silent(app, addr);
-        }
-        answers.insert(addr, report);
+        answers.insert(addr, task.await.ok().flatten());
     }
     answers
 }
 
-fn note_silent(app: &App, addr: SocketAddr) {
-    let now = app.now();
-    let turned = {
-        let mut fleet = app.fleet.borrow_mut();
-        let key = fleet.at(addr);
-        if let Some(server) = key.and_then(|k| fleet.get_mut(k)) {
-            server.silent.get_or_insert(now);
+/// Returns what a server answers or has answered since a moment; none if it is silent.
+async fn probe(app: &App, addr: SocketAddr, since: Moment) -> Option<Rc<Report>> {
+    let known = app.fleet.borrow().fresh_report(addr, since);
+    if known.is_some() {
+        return known;
+    }
+    match ask(app, addr, ASK_LIMIT).await {
+        Ok(report) => Some(report),
+        Err(e) => {
+            let news = app.fleet.borrow_mut().silent(app.now(), addr);
+            if news && let Some(log) = app.journal.admit(Topic::Server) {
+                warn!(log, "watch: A server gives no sign of life."; "server" => %addr,
+                    "error" => %e);
+            }
+            None
+        }
+    }
+}
+
+/// Asks a server that is blamed for a failure, so that its state and not the blame decides.
+pub fn verify(app: &Rc<App>, addr: SocketAddr) {
+    let app = Rc::clone(app);
+    ntex::rt::spawn(async move {
+        let recent = app.now() - REPORT_AGE;
+        if probe(&app, addr, recent).await.is_some() {
+            app.changed.notify_waiters();
+        }
+    });
+}
+
+/// Asks silent servers again and again, and takes those that answer back into use.
+pub async fn recall(app: Rc<App>) {
+    loop {
+        sleep(RECALL).await;
+        let silent = app.fleet.borrow().silent_ones();
+        for addr in silent {
+            let app = Rc::clone(&app);
+            ntex::rt::spawn(async move {
+                if ask(&app, addr, ASK_LIMIT).await.is_ok() {
+                    app.changed.notify_waiters();
+                    if let Some(log) = app.journal.admit(Topic::Server) {
+                        info!(log, "watch: A server answers again."; "server" => %addr);
+                    }
+                }
+            });
         }
-        fleet.fail(now, addr, Fault::Silent)
-    };
-    if turned && let Some(log) = app.journal.admit(Topic::Server) {
-        warn!(log, "watch: A server gives no sign of life."; "server" => %addr);
     }
 }
 
@@ -156,7 +190,7 @@
     if flight.parts[1..].iter().any(silent) {
         let now = app.now();
         for addr in blamed {
-            app.fleet.borrow_mut().fail(now, addr, Fault::Silent);
+            app.fleet.borrow_mut().fail(now, addr, Fault::Broken);
         }
         return if flight.progress.begun {
             Verdict::Move
--- a/crates/mustard-policy/src/suspicion.rs
+++ b/crates/mustard-policy/src/suspicion.rs
@@ -17,7 +17,8 @@
     Empty,
 }
 
-/// The first time out of use after each fault; it doubles with each further one.
+/// The first time out of use after each fault; but for a full server, which has room again as
+/// soon as a request ends, it doubles with each further fault.
 const SILENT: Duration = Duration::from_millis(1_000);
 const BROKEN: Duration = Duration::from_millis(400);
 const FULL: Duration = Duration::from_millis(150);
@@ -41,6 +42,10 @@
         if now < self.until && fault != Fault::Silent {
             return;
         }
+        if fault == Fault::Full {
+            self.until = self.until.max(now + FULL);
+            return;
+        }
         let recent = self.level > 0 && now.since(self.last) < MEMORY;
         self.level = if recent { (self.level + 1).min(4) } else { 1 };
         let base = match fault {
