Move streams as soon as a server is silent, and keep more room for requests

The search for a path took most of a gateway's processor when 30 streams moved at once. Ruled out: slow answers of the servers to the orders.

--- a/crates/mustard-core/src/deployment.rs
+++ b/crates/mustard-core/src/deployment.rs
@@ -293,7 +293,7 @@
 }
 
 /// One part of a request's path: a server and the layers that it runs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Part {
     /// The server's address.
     pub addr: SocketAddr,
--- a/crates/mustard-gateway/src/flights.rs
+++ b/crates/mustard-gateway/src/flights.rs
@@ -1,5 +1,6 @@
 //! Streams in flight, as the watch sees them.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use tokio::sync::Notify;
@@ -39,6 +40,18 @@
     pub load: Load,
 }
 
+impl Flight {
+    /// Tells whether the stream crosses the server at an address.
+    pub fn crosses(&self, addr: SocketAddr) -> bool {
+        self.parts.iter().any(|p| p.addr == addr)
+    }
+
+    /// Tells whether the server at an address is the first of its path.
+    pub fn starts_at(&self, addr: SocketAddr) -> bool {
+        self.parts.first().is_some_and(|p| p.addr == addr)
+    }
+}
+
 /// Keeps a stream registered until it is dropped.
 pub struct FlightGuard {
     app: Rc<App>,
--- a/crates/mustard-gateway/src/keeper.rs
+++ b/crates/mustard-gateway/src/keeper.rs
@@ -34,7 +34,7 @@
 /// The time for one report or order.
 const CALL_LIMIT: Duration = Duration::from_millis(400);
 /// Requests expected at once for each server while nothing is known of the load.
-const REQUESTS_A_SERVER: f64 = 4.0;
+const REQUESTS_A_SERVER: f64 = 6.0;
 /// Orders given at once before the first request arrives, when loads are cheap.
 const EARLY_ORDERS: usize = 256;
 const JSON: &str = "application/json";
@@ -205,7 +205,7 @@
         return None;
     }
     let body = orders::place(due.layers, fence, report.orders);
-    let outcome = send(app, due.addr, body).await;
+    let outcome = send(app, due.addr, body).await.map(|(outcome, _)| outcome);
     if matches!(outcome, Ok(Outcome::Begun | Outcome::Done) | Err(_))
         && let Some(server) = app.fleet.borrow_mut().get_mut(due.server)
     {
@@ -221,7 +221,7 @@
     outcome.ok()
 }
 
-/// Sends an order to a server.
+/// Sends an order to a server; returns with the outcome the server that a refusal blames.
 ///
 /// # Errors
 ///
@@ -230,7 +230,7 @@
     app: &App,
     to: SocketAddr,
     body: Vec<u8>,
-) -> std::result::Result<Outcome, CallError> {
+) -> std::result::Result<(Outcome, Option<SocketAddr>), CallError> {
     let request = Request {
         to,
         method: Method::POST,
@@ -241,7 +241,7 @@
         limit: CALL_LIMIT,
     };
     let answer = exchange(&app.client, request).await?;
-    Ok(orders::outcome(answer.status))
+    Ok((orders::outcome(answer.status), orders::blamed(&answer.body)))
 }
 
 /// Asks a server for its state and takes it in.
--- a/crates/mustard-gateway/src/watch.rs
+++ b/crates/mustard-gateway/src/watch.rs
@@ -1,5 +1,6 @@
 //! Watches the streams in flight, and moves those that a silent server holds up.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,7 +18,7 @@
 
 use crate::app::App;
 use crate::fleet::{Load, Trust};
-use crate::flights::FlightKey;
+use crate::flights::{Flight, FlightKey};
 use crate::forward::parts_memory;
 use crate::journal::Topic;
 use crate::keeper::{ask, engine_of, send};
@@ -27,9 +28,11 @@
 const LOOK: Duration = Duration::from_millis(15);
 /// The time for a report while streams stand still; a live server answers within a few
 /// milliseconds.
-const ASK_LIMIT: Duration = Duration::from_millis(40);
+const ASK_LIMIT: Duration = Duration::from_millis(25);
 /// How old a report may be that is taken instead of a new one.
 const REPORT_AGE: Duration = Duration::from_millis(120);
+/// The paths that a stream is moved to at most, after refusals that name another server.
+const RELOCATIONS: u32 = 3;
 /// The pause between two calls of a server that gave no sign of life.
 const RECALL: Duration = Duration::from_millis(500);
 /// The pause of a stream after which it goes on elsewhere although no server is to blame.
@@ -71,6 +74,7 @@
 
 async fn diagnose(app: &Rc<App>, due: Vec<FlightKey>) {
     let answers = ask_all(app, &due).await;
+    let paths = Rc::new(RefCell::new(Paths::default()));
     for key in due {
         let app = Rc::clone(app);
         let verdict = judge(&app, key, &answers);
@@ -78,7 +82,7 @@
             Verdict::Fine => {}
             Verdict::Abandon(why) => abandon(&app, key, why),
             Verdict::Move => {
-                ntex::rt::spawn(async move { relocate(&app, key).await });
+                ntex::rt::spawn(relocate(app, key, Rc::clone(&paths)));
             }
         }
     }
@@ -108,7 +112,7 @@
 }
 
 /// Returns what a server answers or has answered since a moment; none if it is silent.
-async fn probe(app: &App, addr: SocketAddr, since: Moment) -> Option<Rc<Report>> {
+async fn probe(app: &Rc<App>, addr: SocketAddr, since: Moment) -> Option<Rc<Report>> {
     let known = app.fleet.borrow().fresh_report(addr, since);
     if known.is_some() {
         return known;
@@ -121,6 +125,9 @@
                 warn!(log, "watch: A server gives no sign of life."; "server" => %addr,
                     "error" => %e);
             }
+            if news {
+                leave(app, addr);
+            }
             None
         }
     }
@@ -216,40 +223,69 @@
     flight.abandon.notify_one();
 }
 
-/// Orders the first server to go on over a path without the servers that are out of use.
-async fn relocate(app: &Rc<App>, key: FlightKey) {
-    let Some((id, first, route)) = find_path(app, key) else {
-        abandon(app, key, "no other path");
-        return;
+/// Moves every stream away from a server that gives no sign of life.
+fn leave(app: &Rc<App>, addr: SocketAddr) {
+    let crossing: Vec<(FlightKey, bool)> = {
+        let flights = app.flights.borrow();
+        let crossing = flights.iter().filter(|(_, f)| !f.moving && f.crosses(addr));
+        crossing.map(|(k, f)| (k, f.progress.begun && !f.starts_at(addr))).collect()
     };
-    let body = orders::repath(&id, &route, None);
-    let result = send(app, first, body).await;
-    let moved = matches!(result, Ok(Outcome::Begun | Outcome::Done));
-    metric::order("repath", if moved { "done" } else { "failed" });
-    let now = app.now();
-    let silent = {
-        let mut flights = app.flights.borrow_mut();
-        let Some(flight) = flights.get_mut(key) else {
+    let paths = Rc::new(RefCell::new(Paths::default()));
+    for (key, movable) in crossing {
+        if movable {
+            ntex::rt::spawn(relocate(Rc::clone(app), key, Rc::clone(&paths)));
+        } else {
+            abandon(app, key, "server silent");
+        }
+    }
+}
+
+/// New paths by old ones; streams on the same path move together, as each search costs more than
+/// an order.
+type Paths = Map<Vec<Part>, Vec<Part>>;
+
+/// Orders the first server to go on over a path without the servers that are out of use.
+async fn relocate(app: Rc<App>, key: FlightKey, paths: Rc<RefCell<Paths>>) {
+    for _ in 0..RELOCATIONS {
+        let Some((id, first, route)) = find_path(&app, key, &paths) else {
+            return abandon(&app, key, "no other path");
+        };
+        let body = orders::repath(&id, &route, None);
+        let result = send(&app, first, body).await;
+        let moved = matches!(result, Ok((Outcome::Begun | Outcome::Done, _)));
+        metric::order("repath", if moved { "done" } else { "failed" });
+        let Some(silent) = note_moved(&app, key, &route, moved) else {
             return;
         };
-        flight.moving = false;
-        let silent = silent_ms(now, flight.progress.last);
+        if let Some(log) = app.journal.admit(Topic::Stream) {
+            info!(log, "watch: A stream was moved."; "request" => &id, "silent_ms" => silent,
+                "parts" => route.len(), "outcome" => format!("{result:?}"));
+        }
         if moved {
-            flight.parts.clone_from(&route);
-            flight.progress.asked = Some(now);
+            metric::moved("repath");
+            return count_anew(&app, key, &route);
         }
-        silent
-    };
-    if let Some(log) = app.journal.admit(Topic::Stream) {
-        info!(log, "watch: A stream was moved."; "request" => &id, "silent_ms" => silent,
-            "parts" => route.len(), "outcome" => format!("{result:?}"));
+        let Ok((Outcome::Conflict, Some(blamed))) = result else {
+            break;
+        };
+        app.fleet.borrow_mut().fail(app.now(), blamed, Fault::Full);
+        paths.borrow_mut().clear();
+        verify(&app, blamed);
     }
-    if !moved {
-        abandon(app, key, "the first server didn't take the new path");
-        return;
+    abandon(&app, key, "the first server didn't take the new path");
+}
+
+/// Takes in the end of an order to move a stream; returns how long it has been silent.
+fn note_moved(app: &App, key: FlightKey, route: &[Part], moved: bool) -> Option<u64> {
+    let now = app.now();
+    let mut flights = app.flights.borrow_mut();
+    let flight = flights.get_mut(key)?;
+    flight.moving = false;
+    if moved {
+        flight.parts = route.to_vec();
+        flight.progress.asked = Some(now);
     }
-    metric::moved("repath");
-    count_anew(app, key, &route);
+    Some(silent_ms(now, flight.progress.last))
 }
 
 fn count_anew(app: &Rc<App>, key: FlightKey, parts: &[Part]) {
@@ -265,12 +301,30 @@
     drop(old);
 }
 
-fn find_path(app: &App, key: FlightKey) -> Option<(String, SocketAddr, Vec<Part>)> {
-    let config = app.config()?;
+fn find_path(
+    app: &App,
+    key: FlightKey,
+    paths: &RefCell<Paths>,
+) -> Option<(String, SocketAddr, Vec<Part>)> {
     let mut flights = app.flights.borrow_mut();
     let flight = flights.get_mut(key)?;
-    let engine = engine_of(&config, &flight.service)?;
     let first = *flight.parts.first()?;
+    let known = paths.borrow().get(&flight.parts).cloned();
+    let route = match known {
+        Some(route) => route,
+        None => {
+            let route = search(app, flight, first)?;
+            paths.borrow_mut().insert(flight.parts.clone(), route.clone());
+            route
+        }
+    };
+    flight.moving = true;
+    Some((flight.id.clone(), first.addr, route))
+}
+
+fn search(app: &App, flight: &Flight, first: Part) -> Option<Vec<Part>> {
+    let config = app.config()?;
+    let engine = engine_of(&config, &flight.service)?;
     let now = app.now();
     let gateways = app.gateways() as f64;
     let fleet = app.fleet.borrow();
@@ -281,9 +335,7 @@
         holders.push(server.holder(engine, now, gateways)?);
     }
     let mut rng = app.rng.borrow_mut();
-    let route = replace(engine, &holders, &flight.demand, first, &mut *rng)?;
-    flight.moving = true;
-    Some((flight.id.clone(), first.addr, route.parts))
+    Some(replace(engine, &holders, &flight.demand, first, &mut *rng)?.parts)
 }
 
 fn silent_ms(now: Moment, last: Moment) -> u64 {
--- a/crates/mustard-policy/src/pipeline/path.rs
+++ b/crates/mustard-policy/src/pipeline/path.rs
@@ -7,7 +7,6 @@
 use rand::Rng;
 use rand::RngCore;
 
-use mustard_core::collections::Map;
 use mustard_core::deployment::{Engine, Part};
 use mustard_core::ids::Layers;
 
@@ -108,6 +107,51 @@
     )
 }
 
+/// The best known way to each boundary, by the failure domain of the server that ends there.
+struct Table {
+    domains: usize,
+    steps: Vec<Option<Step>>,
+}
+
+impl Table {
+    fn new(layers: u32, holders: &[Holder]) -> Self {
+        let domains = holders.iter().map(|h| h.domain as usize + 1).max().unwrap_or(0);
+        Table {
+            domains,
+            steps: vec![None; (layers as usize + 1) * domains],
+        }
+    }
+
+    fn get(&self, at: u32, domain: u32) -> Option<&Step> {
+        self.steps[at as usize * self.domains + domain as usize].as_ref()
+    }
+
+    fn offer(&mut self, at: u32, domain: u32, step: Step) {
+        let slot = &mut self.steps[at as usize * self.domains + domain as usize];
+        if slot.is_none_or(|s| step.cost < s.cost) {
+            *slot = Some(step);
+        }
+    }
+
+    /// Visits the ways to a boundary as domain and cost.
+    fn ways(&self, at: u32) -> impl Iterator<Item = (u32, f64)> {
+        let start = at as usize * self.domains;
+        let row = &self.steps[start..start + self.domains];
+        let row = row.iter().enumerate();
+        row.filter_map(|(d, step)| Some((d as u32, step.as_ref()?.cost)))
+    }
+
+    /// Lists the holders on the way to a boundary.
+    fn visited(&self, at: u32, domain: u32, list: &mut Vec<usize>) {
+        list.clear();
+        let mut state = Some((at, domain));
+        while let Some(step) = state.and_then(|(at, d)| self.get(at, d)) {
+            list.push(step.holder);
+            state = step.from;
+        }
+    }
+}
+
 fn search(
     engine: &Engine,
     holders: &[Holder],
@@ -120,7 +164,7 @@
         .iter()
         .map(|h| layer_cost(engine, h, demand) * (1.0 + JITTER * rng.random::<f64>()))
         .collect();
-    let mut best: Vec<Map<u32, Step>> = vec![Map::default(); engine.layers as usize + 1];
+    let mut table = Table::new(engine.layers, holders);
     if let Some((holder, layers)) = first {
         let step = Step {
             cost: 0.0,
@@ -128,80 +172,64 @@
             holder,
             start: layers.first,
         };
-        best[start as usize].insert(holders[holder].domain, step);
+        table.offer(start, holders[holder].domain, step);
     }
-    let cuts = boundaries(engine.layers, holders);
-    for at in start..engine.layers {
-        let mut origins: Vec<(Option<u32>, f64)> = best[at as usize]
-            .iter()
-            .map(|(domain, step)| (Some(*domain), step.cost))
-            .collect();
+    let cuts = boundaries(engine.layers, holders, start);
+    let mut origins: Vec<(Option<u32>, f64)> = Vec::new();
+    let mut visited = Vec::new();
+    for (i, &at) in cuts.iter().enumerate() {
+        origins.clear();
+        origins.extend(table.ways(at).map(|(domain, cost)| (Some(domain), cost)));
         if at == 0 {
             origins.push((None, 0.0));
         }
-        // The order of a hash map must not decide between equal costs.
-        origins.sort_by(|a, b| a.1.total_cmp(&b.1).then(a.0.cmp(&b.0)));
-        for (domain, cost) in origins {
-            let visited = domain.map_or_else(Vec::new, |d| visited(&best, at, d));
+        for &(domain, cost) in &origins {
+            visited.clear();
+            if let Some(domain) = domain {
+                table.visited(at, domain, &mut visited);
+            }
             if visited.len() >= MAX_PARTS {
                 continue;
             }
-            for (i, holder) in holders.iter().enumerate() {
+            for (index, holder) in holders.iter().enumerate() {
                 let holds = holder.layers.first <= at && at < holder.layers.end;
-                if !holds || visited.contains(&i) {
+                if !holds || visited.contains(&index) {
                     continue;
                 }
                 let entered = cost + hop_cost(engine, demand, domain, holder.domain);
-                for &cut in cuts.iter().filter(|&&c| c > at && c <= holder.layers.end) {
-                    let total = entered + costs[i] * f64::from(cut - at);
-                    let slot = best[cut as usize].get(&holder.domain);
-                    if slot.is_none_or(|s| total < s.cost) {
-                        let step = Step {
-                            cost: total,
-                            from: domain.map(|d| (at, d)),
-                            holder: i,
-                            start: at,
-                        };
-                        best[cut as usize].insert(holder.domain, step);
-                    }
+                for &cut in cuts[i + 1..].iter().take_while(|&&c| c <= holder.layers.end) {
+                    let step = Step {
+                        cost: entered + costs[index] * f64::from(cut - at),
+                        from: domain.map(|d| (at, d)),
+                        holder: index,
+                        start: at,
+                    };
+                    table.offer(cut, holder.domain, step);
                 }
             }
         }
     }
-    finish(engine, holders, &best)
+    finish(engine, holders, &table)
 }
 
-/// Returns the boundaries at which a path may change its server.
-fn boundaries(layers: u32, holders: &[Holder]) -> Vec<u32> {
+/// Returns the boundaries at which a path may change its server, in order.
+fn boundaries(layers: u32, holders: &[Holder], start: u32) -> Vec<u32> {
     let ends = holders.iter().flat_map(|h| [h.layers.first, h.layers.end]);
-    let mut cuts: Vec<u32> = ends.chain([layers]).filter(|&c| c <= layers).collect();
+    let cuts = ends.chain([start, layers]);
+    let mut cuts: Vec<u32> = cuts.filter(|&c| c >= start && c <= layers).collect();
     cuts.sort_unstable();
     cuts.dedup();
     cuts
 }
 
-fn visited(best: &[Map<u32, Step>], at: u32, domain: u32) -> Vec<usize> {
-    let mut list = Vec::new();
-    let mut state = Some((at, domain));
-    while let Some((boundary, domain)) = state {
-        let Some(step) = best[boundary as usize].get(&domain) else {
-            break;
-        };
-        list.push(step.holder);
-        state = step.from;
-    }
-    list
-}
-
-fn finish(engine: &Engine, holders: &[Holder], best: &[Map<u32, Step>]) -> Option<Route> {
-    let ends = best[engine.layers as usize].iter();
-    let (domain, last) = ends.min_by(|a, b| a.1.cost.total_cmp(&b.1.cost).then(a.0.cmp(b.0)))?;
-    let cost = last.cost;
+fn finish(engine: &Engine, holders: &[Holder], table: &Table) -> Option<Route> {
+    let ends = table.ways(engine.layers);
+    let (domain, cost) = ends.min_by(|a, b| a.1.total_cmp(&b.1))?;
     let mut parts = Vec::new();
     let mut crossings = 0;
-    let mut state = Some((engine.layers, *domain));
+    let mut state = Some((engine.layers, domain));
     while let Some((boundary, domain)) = state {
-        let step = best[boundary as usize].get(&domain)?;
+        let step = table.get(boundary, domain)?;
         parts.push(Part {
             addr: holders[step.holder].addr,
             layers: Layers::new(step.start, boundary),
--- a/crates/mustard-policy/src/stall.rs
+++ b/crates/mustard-policy/src/stall.rs
@@ -9,7 +9,7 @@
 use mustard_core::clock::Moment;
 
 /// The shortest pause that raises an alarm.
-const MIN_PAUSE: Duration = Duration::from_millis(65);
+const MIN_PAUSE: Duration = Duration::from_millis(55);
 /// The longest pause that raises none.
 const MAX_PAUSE: Duration = Duration::from_millis(400);
 /// The alarm stands at this many times the usual pause.
