--- a/crates/mustard-gateway/src/forward/mod.rs
+++ b/crates/mustard-gateway/src/forward/mod.rs
@@ -18,7 +18,7 @@
 use ntex::util::{Bytes, BytesMut};
 use rand::Rng;
 use slog::info;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use mustard_adapter::asks::{self, Ask};
 use mustard_core::clock::Moment;
@@ -34,6 +34,9 @@
 
 /// The time for the body of a request to arrive when the request doesn't say how long it waits.
 const BODY_LIMIT: Duration = Duration::from_secs(10);
+/// How long a request waits for a gateway that has just started; the first answers of the store
+/// and of the peers come within a tenth of a second.
+const START_HOLD: Duration = Duration::from_millis(500);
 /// When to come back to a gateway that knows no configuration yet.
 const START_WAIT: Duration = Duration::from_millis(500);
 /// When to come back with a content that ends servers.
@@ -122,7 +125,8 @@
     let headers = request.headers();
     let ask = asks::decode(headers).map_err(|_| Refusal::new("no id", 400))?;
     let not_run = |reason, wait| Refusal::not_run(reason, wait).of(&ask);
-    let config = app.config().ok_or_else(|| not_run("no configuration", START_WAIT))?;
+    let config = wait_for_start(app).await;
+    let config = config.ok_or_else(|| not_run("no configuration", START_WAIT))?;
     let path = request.uri().path();
     let Some(route) = config.route(&ask.host, path) else {
         return Err(Refusal::new("no route", 404).of(&ask));
@@ -157,6 +161,23 @@
     })
 }
 
+/// Returns the configuration once it and the list of servers are known.
+///
+/// Callers connect as soon as a process that restarted listens, a moment before it has read them.
+async fn wait_for_start(app: &App) -> Option<Rc<Config>> {
+    let until = Instant::now() + START_HOLD;
+    loop {
+        let changed = app.changed.notified();
+        let config = app.config();
+        if config.is_some() && app.listed.get() {
+            return config;
+        }
+        if timeout_at(until, changed).await.is_err() {
+            return app.config();
+        }
+    }
+}
+
 /// Returns the customer's name, or none on a public route.
 fn authorize(config: &Config, route: &Route, ask: &Ask) -> Result<Option<String>, Refusal> {
     if !config.has_customers() {
