Plan once the list has settled, gather changes, share retries among all known gateways

Change: a pause of 60 ms (400 ms before traffic) after changes, gateways take the lease in turn by address, asks of a still stream back off, no request is given up without a cause before its first event, the share counts every known gateway.

--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -30,6 +30,9 @@
 /// The time in which a server in the same region accepts a connection: a hundred times the
 /// one-way delay between failure domains.
 const CONNECT: Duration = Duration::from_millis(100);
+/// The gateways that share the retry budget at least, while a process that has just started
+/// knows few of them.
+const FEWEST_GATEWAYS: usize = 4;
 /// The servers that must have ended under a content before it is refused.
 const DEADLY: usize = 3;
 
@@ -166,10 +169,11 @@
                 slack: self.node.retry_slack,
                 window: self.node.retry_window,
             };
-            all.insert(service.to_owned(), Allowance::new(budget, self.gateways()));
+            all.insert(service.to_owned(), Allowance::new(budget, FEWEST_GATEWAYS));
         }
         let allowance = all.get_mut(service).expect("it was inserted above");
-        allowance.share(self.gateways());
+        // A gateway that isn't heard of may still spend its share.
+        allowance.share(self.peers.borrow().known() + 1);
         f(allowance)
     }
 
--- a/crates/mustard-gateway/src/flights.rs
+++ b/crates/mustard-gateway/src/flights.rs
@@ -78,11 +78,7 @@
             let pause = now.since(flight.progress.last);
             self.app.pauses.borrow_mut().observe(pause);
         }
-        flight.progress = Progress {
-            last: now,
-            begun: true,
-            asked: None,
-        };
+        flight.progress.advance(now);
     }
 }
 
--- a/crates/mustard-gateway/src/follow.rs
+++ b/crates/mustard-gateway/src/follow.rs
@@ -17,6 +17,11 @@
 /// How long one call waits for changes. A connection that has gone silent is noticed after this
 /// time and a margin, which has to lie within the platform's 3 s to get back in touch.
 const WAIT: Duration = Duration::from_millis(2_300);
+/// The pause after changes, so that the next call brings several; far below the 2 s in which a
+/// change has to be in force.
+const GATHER: Duration = Duration::from_millis(60);
+/// The same before the first request, while servers join.
+const GATHER_EARLY: Duration = Duration::from_millis(400);
 /// The pause after a failed call.
 const BACKOFF: Duration = Duration::from_millis(250);
 /// How long after the store's return a vanished row may be the store's doing: servers that live
@@ -48,7 +53,12 @@
             Ok(Feed::Changes(changes)) => {
                 regained(app, followed);
                 revision = revision.max(changes.revision);
+                let changed = !changes.rows.is_empty();
                 take(app, followed, changes, false);
+                if changed {
+                    // Changes come in bursts, and each call is paid for by every gateway.
+                    sleep(if app.asked.get() { GATHER } else { GATHER_EARLY }).await;
+                }
             }
             Ok(Feed::Forgotten) => {
                 metric::store("feed", "forgotten");
--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -39,7 +39,7 @@
 /// The share of the wanted time to the first event that a request waits for servers.
 const WAIT_SHARE: f64 = 0.5;
 /// Sends of one request that no server ran, at most.
-const MAX_UNRUN: u32 = 6;
+const MAX_UNRUN: u32 = 4;
 /// When to come back if no path is to be had; a server that restarted has its layers again after
 /// about this time.
 const PATH_WAIT: Duration = Duration::from_millis(1_500);
@@ -201,11 +201,7 @@
             service: job.service.name.clone(),
             parts: target.path.clone(),
             demand,
-            progress: Progress {
-                last: now,
-                begun: false,
-                asked: None,
-            },
+            progress: Progress::start(now),
             abandon: Rc::clone(&abandon),
             moving: false,
             load: Load::begin(app, parts_memory(&target.path, &demand)),
--- a/crates/mustard-gateway/src/keeper.rs
+++ b/crates/mustard-gateway/src/keeper.rs
@@ -31,6 +31,12 @@
 const TERM: Duration = Duration::from_millis(2_500);
 /// A lease that lasts less than this is renewed before orders are given.
 const FRESH: Duration = Duration::from_millis(800);
+/// How long the list must not grow before the first plan.
+const SETTLE: Duration = Duration::from_millis(1_300);
+/// How much longer than the one before it a gateway waits until it takes the lease itself.
+const TURN: Duration = Duration::from_millis(250);
+/// The gateways that wait for each other at most.
+const MAX_TURNS: usize = 4;
 /// The time for one report or order.
 const CALL_LIMIT: Duration = Duration::from_millis(400);
 /// Requests expected at once for each server while nothing is known of the load.
@@ -55,25 +61,34 @@
         term: TERM,
     };
     let mut lease = Lease::new(app.store.clone(), options);
-    let mut known = 0;
+    let mut known = (0, app.now());
+    let mut since = None;
     loop {
         sleep(PAUSE).await;
         let gone = app.fleet.borrow_mut().expire(app.now());
         if gone > 0 {
             app.changed.notify_waiters();
         }
-        // At the start the list fills within a second; a plan for a part of it would be moved.
         let count = app.fleet.borrow().iter().count();
-        let settled = count == known && count > 0;
-        known = count;
-        if !settled || !app.is_ready() {
+        if count != known.0 {
+            known = (count, app.now());
+        }
+        // At the start the list fills within seconds; a plan for a part of it has gaps and doubles
+        // in the wrong places, and no later plan moves servers for a mere imbalance.
+        let settle = if app.asked.get() { Duration::ZERO } else { SETTLE };
+        if count == 0 || app.now().since(known.1) < settle || !app.is_ready() {
             continue;
         }
         let due = due(&app);
         if due.is_empty() {
+            since = None;
             release(&app, &mut lease).await;
             continue;
         }
+        let waited = app.now().since(*since.get_or_insert(app.now()));
+        if waited < TURN * app.peers.borrow().rank().min(MAX_TURNS) as u32 {
+            continue;
+        }
         let Some(fence) = hold(&app, &mut lease).await else {
             continue;
         };
--- a/crates/mustard-gateway/src/peers.rs
+++ b/crates/mustard-gateway/src/peers.rs
@@ -38,8 +38,9 @@
 const FANOUT: usize = 2;
 /// The time for one call.
 const CALL_LIMIT: Duration = Duration::from_millis(400);
-/// How long a gateway that was heard of counts as alive.
-const ALIVE: Duration = Duration::from_secs(10);
+/// How long a gateway that was heard of counts as alive; among 30 gateways two are heard of each
+/// other every 4 s on the mean.
+const ALIVE: Duration = Duration::from_secs(20);
 /// Addresses told in one message.
 const TOLD: usize = 24;
 /// Strikes told in one message.
@@ -85,6 +86,18 @@
         self.known.values().filter(alive).count()
     }
 
+    /// Returns the number of other gateways that are known, alive or not.
+    pub fn known(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Returns the place of this gateway among those that are alive, by address.
+    pub fn rank(&self) -> usize {
+        let alive = |p: &Peer| p.heard.is_some_and(|h| self.now.since(h) < ALIVE);
+        let before = self.known.iter().filter(|(a, p)| **a < self.own && alive(p));
+        before.count()
+    }
+
     /// Takes in whether a table can be followed; tells whether that changed.
     pub fn set_store(&mut self, followed: Followed, works: bool) -> bool {
         let slot = &mut self.followed[followed as usize];
--- a/crates/mustard-gateway/src/watch.rs
+++ b/crates/mustard-gateway/src/watch.rs
@@ -30,7 +30,7 @@
 /// milliseconds.
 const ASK_LIMIT: Duration = Duration::from_millis(25);
 /// How old a report may be that is taken instead of a new one.
-const REPORT_AGE: Duration = Duration::from_millis(120);
+const REPORT_AGE: Duration = Duration::from_millis(40);
 /// The paths that a stream is moved to at most, after refusals that name another server.
 const RELOCATIONS: u32 = 3;
 /// The pause between two calls of a server that gave no sign of life.
@@ -66,7 +66,7 @@
         .collect();
     for key in &due {
         if let Some(flight) = flights.get_mut(*key) {
-            flight.progress.asked = Some(now);
+            flight.progress.ask(now);
         }
     }
     due
@@ -205,7 +205,9 @@
             Verdict::Abandon("part silent before the first event")
         };
     }
-    if app.now().since(flight.progress.last) >= PATIENCE {
+    // A request that waits for its first event may wait behind others, and would do so elsewhere.
+    let still = app.now().since(flight.progress.last) >= PATIENCE;
+    if flight.progress.begun && still {
         return Verdict::Abandon("silent without a cause");
     }
     Verdict::Fine
@@ -283,7 +285,7 @@
     flight.moving = false;
     if moved {
         flight.parts = route.to_vec();
-        flight.progress.asked = Some(now);
+        flight.progress.ask(now);
     }
     Some(silent_ms(now, flight.progress.last))
 }
--- a/crates/mustard-policy/src/stall.rs
+++ b/crates/mustard-policy/src/stall.rs
@@ -52,10 +52,15 @@
     pub begun: bool,
     /// When the servers of its path were last asked.
     pub asked: Option<Moment>,
+    /// How often they were asked in this pause.
+    pub asks: u32,
 }
 
-/// The pause after which the same path is asked again.
+/// The pause after which the same path is asked again; it doubles with each time, since answers
+/// that showed nothing seldom show more a moment later.
 const ASK_AGAIN: Duration = Duration::from_millis(150);
+/// The doublings at most.
+const MAX_DOUBLINGS: u32 = 2;
 /// The time to the first event that raises an alarm, over the pause between events.
 const FIRST_FACTOR: u32 = 3;
 
@@ -64,6 +69,31 @@
     pub fn is_due(&self, now: Moment, limit: Duration) -> bool {
         let limit = if self.begun { limit } else { limit * FIRST_FACTOR };
         let silent = now.since(self.last) >= limit;
-        silent && self.asked.is_none_or(|a| now.since(a) >= ASK_AGAIN)
+        let again = ASK_AGAIN * 2u32.pow(self.asks.saturating_sub(1).min(MAX_DOUBLINGS));
+        silent && self.asked.is_none_or(|a| now.since(a) >= again)
+    }
+
+    /// Takes in that the servers of the path are asked.
+    pub fn ask(&mut self, now: Moment) {
+        self.asked = Some(now);
+        self.asks += 1;
+    }
+
+    /// Starts to wait for the first event of an attempt.
+    pub fn start(now: Moment) -> Self {
+        Progress {
+            last: now,
+            begun: false,
+            asked: None,
+            asks: 0,
+        }
+    }
+
+    /// Takes in that events arrived.
+    pub fn advance(&mut self, now: Moment) {
+        *self = Progress {
+            begun: true,
+            ..Progress::start(now)
+        };
     }
 }
