Order a server only if its report agrees with what the plan took it to hold

Change: the holder keeps the lease until its loads show, an order needs a report that agrees with the plan, the next gateway waits 0.6 s.

--- a/crates/mustard-gateway/src/fleet/mod.rs
+++ b/crates/mustard-gateway/src/fleet/mod.rs
@@ -178,6 +178,11 @@
         server.is_none_or(|s| s.silent.is_some())
     }
 
+    /// Tells whether a server carries out an order.
+    pub fn is_loading(&self, now: Moment) -> bool {
+        self.iter().any(|(_, s)| s.is_loading(now))
+    }
+
     /// Returns the servers that gave no sign of life when they were last asked.
     pub fn silent_ones(&self) -> Vec<SocketAddr> {
         let silent = self.iter().filter(|(_, s)| s.silent.is_some());
--- a/crates/mustard-gateway/src/fleet/server.rs
+++ b/crates/mustard-gateway/src/fleet/server.rs
@@ -23,6 +23,8 @@
 /// How long a server that is out of use stays covered by the plan; a process that restarts is
 /// back within a few seconds, and loading its layers elsewhere takes about as long.
 const PATIENCE: Duration = Duration::from_millis(1_500);
+/// How long a row lags behind what its server holds: a heartbeat and the time of the feed.
+const ROW_LAG: Duration = Duration::from_millis(1_500);
 /// The time after which an order without effect is given up, over the time to load.
 const ORDER_MARGIN: Duration = Duration::from_millis(4_000);
 
@@ -156,7 +158,7 @@
     /// Returns the server as a request sees it, if it holds layers.
     pub fn holder(&self, engine: &Engine, now: Moment, gateways: f64) -> Option<Holder> {
         let held = self.entry.held?;
-        if self.loading.is_some_and(|l| now < l.until) {
+        if self.is_loading(now) {
             // It is giving up what it holds.
             return None;
         }
@@ -191,6 +193,20 @@
         })
     }
 
+    /// Takes in that another process has just ordered something of the server, whose row will
+    /// show it soon.
+    pub fn wait_for_row(&mut self, now: Moment, layers: Layers) {
+        self.loading = Some(Loading {
+            layers,
+            until: now + ROW_LAG,
+        });
+    }
+
+    /// Tells whether an order is being carried out.
+    pub fn is_loading(&self, now: Moment) -> bool {
+        self.loading.is_some_and(|l| now < l.until)
+    }
+
     /// Takes in that the server was ordered to hold layers.
     pub fn begin_loading(&mut self, now: Moment, layers: Layers, time: Duration) {
         self.loading = Some(Loading {
--- a/crates/mustard-gateway/src/keeper.rs
+++ b/crates/mustard-gateway/src/keeper.rs
@@ -34,7 +34,7 @@
 /// How long the list must not grow before the first plan.
 const SETTLE: Duration = Duration::from_millis(1_300);
 /// How much longer than the one before it a gateway waits until it takes the lease itself.
-const TURN: Duration = Duration::from_millis(250);
+const TURN: Duration = Duration::from_millis(600);
 /// The gateways that wait for each other at most.
 const MAX_TURNS: usize = 4;
 /// The time for one report or order.
@@ -50,6 +50,8 @@
     server: ServerKey,
     addr: SocketAddr,
     layers: Layers,
+    /// What the plan took the server to hold.
+    held: Option<Layers>,
     time: Duration,
 }
 
@@ -82,7 +84,10 @@
         let due = due(&app);
         if due.is_empty() {
             since = None;
-            release(&app, &mut lease).await;
+            // While loads go on, others see servers that look empty and are not.
+            if !app.fleet.borrow().is_loading(app.now()) {
+                release(&app, &mut lease).await;
+            }
             continue;
         }
         let waited = app.now().since(*since.get_or_insert(app.now()));
@@ -125,12 +130,13 @@
     };
     let moves = plan(engine, &list, &placement);
     let orders = moves.iter().filter_map(|m| {
-        let (key, _) = sites.iter().find(|(_, s)| s.index == m.index)?;
+        let (key, site) = sites.iter().find(|(_, s)| s.index == m.index)?;
         let share = f64::from(m.layers.count()) / f64::from(engine.layers.max(1));
         Some(Due {
             server: *key,
             addr: fleet.get(*key)?.entry.addr,
             layers: m.layers,
+            held: site.held,
             time: engine.load.mul_f64(share),
         })
     });
@@ -210,13 +216,18 @@
         }
     };
     let now = app.now();
-    if report.busy {
-        if let Some(server) = app.fleet.borrow_mut().get_mut(due.server) {
-            server.begin_loading(now, due.layers, due.time);
+    // The plan knew the server from its row, which is older than this report.
+    let held = report.held.map(|h| h.layers);
+    if report.busy || held != due.held {
+        if report.busy
+            && let Some(server) = app.fleet.borrow_mut().get_mut(due.server)
+        {
+            server.wait_for_row(now, due.layers);
+        }
+        if let Some(log) = app.journal.admit(Topic::Order) {
+            info!(log, "keeper: A server isn't as planned with."; "server" => %due.addr,
+                "busy" => report.busy, "held" => held.map(|h| h.to_string()));
         }
-        return None;
-    }
-    if report.held.is_some_and(|h| h.layers == due.layers) {
         return None;
     }
     let body = orders::place(due.layers, fence, report.orders);
