Count every attempt that may have run; end the process although nobody reads its log

(2) a gateway whose output nobody read never ended after a stop signal, since the writer of the log was waited for (test run_planned_stop hung); a closed output ended the writer with a panic. Change: no attempt is exempt; the process ends without waiting for the writer, and errors of the output are ignored by design.

--- a/crates/mustard-fakes/src/site/mod.rs
+++ b/crates/mustard-fakes/src/site/mod.rs
@@ -43,6 +43,8 @@
     pub events: u64,
     /// How long a server waits for a silent next stage.
     pub stall: Duration,
+    /// The time to load layers, after which the server's row shows them.
+    pub load: Duration,
 }
 
 impl Default for SiteOptions {
@@ -54,6 +56,7 @@
             pause: Duration::from_millis(20),
             events: 40,
             stall: Duration::from_millis(2_500),
+            load: Duration::from_millis(50),
         }
     }
 }
@@ -82,6 +85,7 @@
     pub(crate) model: bool,
     pub(crate) health: Health,
     pub(crate) held: Option<(u32, u32)>,
+    pub(crate) busy: bool,
     pub(crate) orders: u64,
     pub(crate) fence: u64,
     pub(crate) born: u64,
@@ -162,6 +166,7 @@
                 model,
                 health: Health::Well,
                 held: None,
+                busy: false,
                 orders: 0,
                 fence: 0,
                 born: 1,
--- a/crates/mustard-gateway/src/fleet/mod.rs
+++ b/crates/mustard-gateway/src/fleet/mod.rs
@@ -172,12 +172,6 @@
         news
     }
 
-    /// Tells whether the server at an address has ended or is cut off, as far as is known here.
-    pub fn is_lost(&self, addr: SocketAddr) -> bool {
-        let server = self.at(addr).and_then(|k| self.servers.get(k));
-        server.is_none_or(|s| s.silent.is_some())
-    }
-
     /// Tells whether a server carries out an order.
     pub fn is_loading(&self, now: Moment) -> bool {
         self.iter().any(|(_, s)| s.is_loading(now))
--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -242,9 +242,6 @@
                 note_miss(app, job, first, &format!("{miss:?}"));
                 match miss {
                     Miss::NotSent | Miss::NotRun(..) => attempts.unrun += 1,
-                    Miss::Lost | Miss::GivenUp if app.fleet.borrow().is_lost(first) => {
-                        attempts.unrun += 1;
-                    }
                     Miss::Lost | Miss::GivenUp => attempts.ran += 1,
                 }
                 let spent = attempts.ran >= job.route.attempts || attempts.unrun >= MAX_UNRUN;
@@ -391,7 +388,7 @@
             Ended::Whole => return session.served(),
             Ended::Left => return metric::outcome("stream", "caller left"),
             Ended::Deadline => return session.fail("deadline").await,
-            Ended::Still if !session.may_resume(first) => continue,
+            Ended::Still if !session.may_resume() => continue,
             Ended::Still => tokio::select! {
                 next = session.overtake(running) => next,
                 () = gone.closed() => return metric::outcome("stream", "caller left"),
@@ -400,7 +397,7 @@
             Ended::Broken(cause) => {
                 session.note_broken(first, cause);
                 drop(running);
-                if !session.may_resume(first) {
+                if !session.may_resume() {
                     return session.fail(cause).await;
                 }
                 let resumed = tokio::select! {
@@ -444,12 +441,11 @@
 }
 
 impl Session {
-    /// Tells whether another server may go on with the stream.
-    fn may_resume(&self, first: SocketAddr) -> bool {
+    /// Tells whether another server may go on with the stream. An attempt counts also if its server
+    /// seems to have ended: one that is only out of reach from here goes on with its run.
+    fn may_resume(&self) -> bool {
         let repeatable = matches!(self.job.route.kind, Kind::Stream { resumable: true });
-        // An attempt at a server that has ended doesn't count.
-        let lost = u32::from(self.app.fleet.borrow().is_lost(first));
-        repeatable && self.attempts.ran.saturating_sub(lost) < self.job.route.attempts
+        repeatable && self.attempts.ran < self.job.route.attempts
     }
 
     /// Opens the stream at another server.
--- a/crates/mustard-gateway/src/main.rs
+++ b/crates/mustard-gateway/src/main.rs
@@ -54,6 +54,5 @@
         metrics_port: args.metrics_port,
         log_level: args.log_level,
     };
-    let code = serve::run(node, &options, metrics).await?;
-    Ok(ExitCode::from(code))
+    match serve::run(node, &options, metrics).await? {}
 }
--- a/crates/mustard-gateway/src/serve.rs
+++ b/crates/mustard-gateway/src/serve.rs
@@ -1,6 +1,7 @@
 //! The daemon's life from its settings to its exit code.
 
 use std::cell::RefCell;
+use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -16,7 +17,7 @@
 use mustard_adapter::store::Followed;
 use mustard_net::log::{self, LogFormat, LogOptions, LogOutput};
 use mustard_net::server;
-use mustard_net::shutdown::{self, Gate, Stop};
+use mustard_net::shutdown::{self, Gate};
 
 use crate::app::{App, Stopping};
 use crate::errors::{GatewayError, Result};
@@ -55,12 +56,12 @@
     static STATE: RefCell<Option<Rc<App>>> = const { RefCell::new(None) };
 }
 
-/// Runs the daemon until a planned stop and returns its exit code.
+/// Runs the daemon until a planned stop and ends the process with its exit code.
 ///
 /// # Errors
 ///
 /// Returns an error if a port can't be opened or signals can't be awaited.
-pub async fn run(node: Node, options: &Options, handle: PrometheusHandle) -> Result<u8> {
+pub async fn run(node: Node, options: &Options, handle: PrometheusHandle) -> Result<Infallible> {
     let log_options = LogOptions {
         format: LogFormat::Json,
         level: options.log_level.clone(),
@@ -75,7 +76,7 @@
     let log = seed.log.clone();
     info!(log, "gateway: Started."; "domain" => &seed.node.domain,
         "callers" => %seed.node.callers, "version" => env!("CARGO_PKG_VERSION"));
-    let running = listen(&seed, options, handle)?;
+    let _running = listen(&seed, options, handle)?;
     let stopping = Arc::clone(&seed.stopping);
     let unready = || {
         stopping.begin();
@@ -85,17 +86,10 @@
     let grace = seed.node.grace.saturating_sub(END_MARGIN);
     let stop = shutdown::wait(&seed.gate, NOTICE, grace, unready).await?;
     info!(log, "gateway: Stopped."; "stop" => ?stop, "running" => seed.gate.running());
-    drop(running);
-    let _ = tokio::time::timeout(END_MARGIN / 2, async {
-        // The writer of the log ends with its last handle.
-        drop(log);
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    })
-    .await;
-    Ok(match stop {
-        Stop::Clean => 0,
-        other => other.exit_code(),
-    })
+    // Gives the writer of the log a moment. It isn't waited for: whoever reads the output may
+    // have stopped, and the end of the process must not hang on that.
+    tokio::time::sleep(END_MARGIN / 4).await;
+    std::process::exit(i32::from(stop.exit_code()))
 }
 
 /// Reads the settings again when the platform says that they changed.
--- a/crates/mustard-net/src/log.rs
+++ b/crates/mustard-net/src/log.rs
@@ -71,11 +71,12 @@
     match options.format {
         LogFormat::Terminal => {
             let decorator = slog_term::PlainDecorator::new(output);
-            let drain = slog_term::FullFormat::new(decorator).build().fuse();
+            // Whoever reads the output may have closed it; that ends no process.
+            let drain = slog_term::FullFormat::new(decorator).build().ignore_res();
             filtered(drain, level, name)
         }
         LogFormat::Json => {
-            let drain = slog_json::Json::default(output).fuse();
+            let drain = slog_json::Json::default(output).ignore_res();
             filtered(drain, level, name)
         }
     }
