--- a/crates/mustard-core/src/deployment.rs
+++ b/crates/mustard-core/src/deployment.rs
@@ -203,7 +203,9 @@
     /// Returns the route with the longest prefix of a path on a host.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let list = self.hosts.get(host)?;
-        let found = list.iter().find(|&&i| path.starts_with(&self.routes[i].prefix));
+        let found = list
+            .iter()
+            .find(|&&i| path.starts_with(&self.routes[i].prefix));
         found.map(|&i| &self.routes[i])
     }
 
--- a/crates/mustard-fakes/src/site/http.rs
+++ b/crates/mustard-fakes/src/site/http.rs
@@ -75,15 +75,18 @@
 async fn run(site: Site, store_listener: TcpListener, listeners: Vec<TcpListener>) {
     let for_store = site.clone();
     let mut builder = ntex::server::build().workers(1).disable_signals();
-    builder = builder
-        .listen("store", store_listener, async move |_| {
-            let site = for_store.clone();
-            HttpService::h1(move |r: Request| {
-                let site = site.clone();
-                async move { Ok::<_, std::io::Error>(store::answer(&site, Call::read(r).await).await) }
+    builder =
+        builder
+            .listen("store", store_listener, async move |_| {
+                let site = for_store.clone();
+                HttpService::h1(move |r: Request| {
+                    let site = site.clone();
+                    async move {
+                        Ok::<_, std::io::Error>(store::answer(&site, Call::read(r).await).await)
+                    }
+                })
             })
-        })
-        .expect("a bound listener is taken");
+            .expect("a bound listener is taken");
     for (index, listener) in listeners.into_iter().enumerate() {
         let for_server = site.clone();
         builder = builder
--- a/crates/mustard-fakes/src/site/model.rs
+++ b/crates/mustard-fakes/src/site/model.rs
@@ -52,16 +52,21 @@
         .paths
         .iter()
         .filter(|(_, path)| path.first().is_some_and(|h| h.addr == own))
-        .filter_map(|(id, path)| match check(&state.addrs, &state.servers, path) {
-            Err(Fault::Down(addr) | Fault::Lacks(addr)) => {
-                Some(json!({"id": id, "address": addr.to_string()}))
-            }
-            Ok(()) => None,
-        })
+        .filter_map(
+            |(id, path)| match check(&state.addrs, &state.servers, path) {
+                Err(Fault::Down(addr) | Fault::Lacks(addr)) => {
+                    Some(json!({"id": id, "address": addr.to_string()}))
+                }
+                Ok(()) => None,
+            },
+        )
         .collect();
-    json(200, &json!({"stage": "combined", "busy": server.busy, "seq": server.orders,
+    json(
+        200,
+        &json!({"stage": "combined", "busy": server.busy, "seq": server.orders,
         "born": server.born, "pace": 1.0, "kv_in_use": 0, "kv_total": 100_000, "queued": 0,
-        "in_flight": 0, "kind": "card", "layers": layers, "stalled": stalled}))
+        "in_flight": 0, "kind": "card", "layers": layers, "stalled": stalled}),
+    )
 }
 
 fn order(site: &Site, index: usize, call: &Call) -> Response {
@@ -127,8 +132,7 @@
     if known.is_none_or(|h| h.addr != own || path.first() != Some(&h)) {
         return json(404, &json!({}));
     }
-    if let Err(Fault::Lacks(addr) | Fault::Down(addr)) =
-        check(&state.addrs, &state.servers, &path)
+    if let Err(Fault::Lacks(addr) | Fault::Down(addr)) = check(&state.addrs, &state.servers, &path)
     {
         return json(409, &json!({"address": addr.to_string()}));
     }
@@ -162,21 +166,33 @@
         if matches!(server.health, Health::Silent | Health::Resets) {
             return Err(Fault::Down(hop.addr));
         }
-        let holds = server.held.is_some_and(|(a, b)| a <= hop.first && hop.end <= b);
+        let holds = server
+            .held
+            .is_some_and(|(a, b)| a <= hop.first && hop.end <= b);
         if !holds || hop.first != next {
             return Err(Fault::Lacks(hop.addr));
         }
         next = hop.end;
     }
-    let last = path.last().map_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)), |h| h.addr);
-    if next == LAYERS { Ok(()) } else { Err(Fault::Lacks(last)) }
+    let last = path
+        .last()
+        .map_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)), |h| h.addr);
+    if next == LAYERS {
+        Ok(())
+    } else {
+        Err(Fault::Lacks(last))
+    }
 }
 
 fn stream(site: &Site, index: usize, call: &Call) -> Response {
     if is_misdirected(site, index, call) {
         return misdirected();
     }
-    let path = call.header("hop-count").as_deref().and_then(parse).unwrap_or_default();
+    let path = call
+        .header("hop-count")
+        .as_deref()
+        .and_then(parse)
+        .unwrap_or_default();
     let own = site.addrs()[index];
     let checked = {
         let state = site.lock();
@@ -191,15 +207,20 @@
             Fault::Down(addr) => (503, addr),
         };
         let mut out = Response::build(StatusCode::from_u16(status).unwrap_or(StatusCode::OK));
-        out.header("not-executed", "1").header("at-server", addr.to_string());
+        out.header("not-executed", "1")
+            .header("at-server", addr.to_string());
         return out.finish();
     }
     let id = note_run(site, index, call);
-    let after = call.header("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
+    let after = call
+        .header("last-event-id")
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(0);
     site.lock().paths.insert(id.clone(), path);
     let (sender, receiver) = channel(4);
     let mut out = Response::Ok();
-    out.header("attempt-id", id.clone()).header("response-seal", format!("seal-{id}"));
+    out.header("attempt-id", id.clone())
+        .header("response-seal", format!("seal-{id}"));
     out.content_type("text/event-stream");
     let body = Body {
         receiver,
@@ -239,7 +260,11 @@
 async fn produce(site: &Site, index: usize, id: &str, after: u64, sender: &Sender<Piece>) {
     let (pause, events, stall) = {
         let state = site.lock();
-        (state.options.pause, state.options.events, state.options.stall)
+        (
+            state.options.pause,
+            state.options.events,
+            state.options.stall,
+        )
     };
     for event in after + 1..=events {
         sleep(pause).await;
--- a/crates/mustard-fakes/src/site/store.rs
+++ b/crates/mustard-fakes/src/site/store.rs
@@ -43,7 +43,10 @@
     }
 
     fn list(&self, table: &str, wanted: impl Fn(&str, &Row) -> bool) -> Vec<Value> {
-        let rows = self.rows.iter().filter(|((t, k), r)| t == table && wanted(k, r));
+        let rows = self
+            .rows
+            .iter()
+            .filter(|((t, k), r)| t == table && wanted(k, r));
         let mut rows: Vec<_> = rows.collect();
         rows.sort_by_key(|(_, r)| r.revision);
         rows.into_iter().map(|((t, k), r)| spell(t, k, r)).collect()
@@ -77,8 +80,10 @@
 
 fn spell(table: &str, key: &str, row: &Row) -> Value {
     match &row.value {
-        Some(value) => json!({"table": table, "part": "", "key": key, "value": STANDARD.encode(value),
-            "resource_version": row.revision}),
+        Some(value) => {
+            json!({"table": table, "part": "", "key": key, "value": STANDARD.encode(value),
+            "resource_version": row.revision})
+        }
         None => json!({"table": table, "part": "", "key": key, "deleted": true,
             "resource_version": row.revision}),
     }
@@ -123,7 +128,11 @@
 }
 
 async fn feed(site: &Site, call: &Call) -> Response {
-    let number = |name| call.query(name).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
+    let number = |name| {
+        call.query(name)
+            .and_then(|v| v.parse::<u64>().ok())
+            .unwrap_or(0)
+    };
     let (since, table) = (number("since_rev"), call.query("table").unwrap_or_default());
     let until = Instant::now() + Duration::from_millis(number("wait_ms"));
     loop {
--- a/crates/mustard-gateway/src/fleet/mod.rs
+++ b/crates/mustard-gateway/src/fleet/mod.rs
@@ -84,7 +84,11 @@
     /// Takes in a row of the list.
     pub fn upsert(&mut self, now: Moment, entry: ServerEntry) -> Turn {
         let domain = self.domain(&entry.domain);
-        if let Some(server) = self.ids.get(&entry.id).and_then(|k| self.servers.get_mut(*k)) {
+        if let Some(server) = self
+            .ids
+            .get(&entry.id)
+            .and_then(|k| self.servers.get_mut(*k))
+        {
             return server.update(now, entry);
         }
         let leaving = entry.life == Life::Leaving;
@@ -114,7 +118,11 @@
     /// Removes servers whose rows have not come back in time; returns how many.
     pub fn expire(&mut self, now: Moment) -> usize {
         let lost = |s: &Server| s.missing.is_some_and(|m| now.since(m) >= RETURN_TIME);
-        let gone: Vec<ServerKey> = self.iter().filter(|(_, s)| lost(s)).map(|(k, _)| k).collect();
+        let gone: Vec<ServerKey> = self
+            .iter()
+            .filter(|(_, s)| lost(s))
+            .map(|(k, _)| k)
+            .collect();
         for key in &gone {
             self.forget(*key);
         }
@@ -204,7 +212,9 @@
             Trust::Listed => s.is_usable(now),
             Trust::Missing => s.is_last_resort(now),
         };
-        let usable = self.iter().filter(|(_, s)| s.entry.service == service && usable(s));
+        let usable = self
+            .iter()
+            .filter(|(_, s)| s.entry.service == service && usable(s));
         usable
             .filter_map(|(_, s)| s.holder(engine, now, gateways))
             .collect()
--- a/crates/mustard-gateway/src/fleet/server.rs
+++ b/crates/mustard-gateway/src/fleet/server.rs
@@ -125,7 +125,10 @@
 
     /// Tells whether new requests may be sent to it.
     pub fn is_usable(&self, now: Moment) -> bool {
-        self.is_staying() && self.silent.is_none() && self.missing.is_none() && !self.suspicion.is_out(now)
+        self.is_staying()
+            && self.silent.is_none()
+            && self.missing.is_none()
+            && !self.suspicion.is_out(now)
     }
 
     /// Tells whether it has not announced that it is leaving.
@@ -151,7 +154,10 @@
     }
 
     fn slowness(&self, now: Moment) -> f64 {
-        let fresh = self.reported.as_ref().filter(|(at, _)| now.since(*at) < PACE_AGE);
+        let fresh = self
+            .reported
+            .as_ref()
+            .filter(|(at, _)| now.since(*at) < PACE_AGE);
         fresh.map_or(1.0, |(_, report)| report.pace.max(1.0))
     }
 
@@ -187,7 +193,9 @@
             domain: self.domain,
             memory_mb: accelerator.memory_mb,
             pace: accelerator.pace,
-            held: loading.map(|l| l.layers).or(self.entry.held.map(|h| h.layers)),
+            held: loading
+                .map(|l| l.layers)
+                .or(self.entry.held.map(|h| h.layers)),
             free: loading.is_none() && self.silent.is_none() && self.missing.is_none(),
             stays: self.entry.life == Life::Ready && !lost,
         })
--- a/crates/mustard-gateway/src/follow.rs
+++ b/crates/mustard-gateway/src/follow.rs
@@ -57,7 +57,12 @@
                 take(app, followed, changes, false);
                 if changed {
                     // Changes come in bursts, and each call is paid for by every gateway.
-                    sleep(if app.asked.get() { GATHER } else { GATHER_EARLY }).await;
+                    sleep(if app.asked.get() {
+                        GATHER
+                    } else {
+                        GATHER_EARLY
+                    })
+                    .await;
                 }
             }
             Ok(Feed::Forgotten) => {
--- a/crates/mustard-gateway/src/forward/mod.rs
+++ b/crates/mustard-gateway/src/forward/mod.rs
@@ -89,13 +89,12 @@
 }
 
 /// Returns the memory that a request takes at each part of its path, in tokens times layers.
-pub fn parts_memory(
-    parts: &[Part],
-    demand: &Demand,
-) -> impl Iterator<Item = (SocketAddr, f64)> {
+pub fn parts_memory(parts: &[Part], demand: &Demand) -> impl Iterator<Item = (SocketAddr, f64)> {
     // Half of the answer is written at the mean moment.
     let tokens = demand.prompt + demand.answer / 2.0;
-    parts.iter().map(move |p| (p.addr, tokens * f64::from(p.layers.count())))
+    parts
+        .iter()
+        .map(move |p| (p.addr, tokens * f64::from(p.layers.count())))
 }
 
 /// Answers a caller's request; the error type is what the server's handler asks for, and no
@@ -147,7 +146,11 @@
     let left = route.timeout.min(ask.budget.unwrap_or(route.timeout));
     Ok(Job {
         method: request.method().clone(),
-        path: request.uri().path_and_query().map_or(path, |p| p.as_str()).to_owned(),
+        path: request
+            .uri()
+            .path_and_query()
+            .map_or(path, |p| p.as_str())
+            .to_owned(),
         headers: headers.clone(),
         body,
         service: service.clone(),
--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -193,11 +193,21 @@
         fleet
             .iter()
             .filter(|(_, s)| s.entry.service == *service && !tried.contains(&s.entry.addr))
-            .filter(|(_, s)| if out { s.is_last_resort(now) || (s.is_staying() && s.missing.is_none()) } else { s.is_usable(now) })
+            .filter(|(_, s)| {
+                if out {
+                    s.is_last_resort(now) || (s.is_staying() && s.missing.is_none())
+                } else {
+                    s.is_usable(now)
+                }
+            })
             .min_by_key(|(k, s)| {
                 let far = s.entry.domain != app.node.domain;
                 // One request of work is worth the way to another failure domain.
-                (s.running * 2 + u32::from(far), s.suspicion.until(), k.index())
+                (
+                    s.running * 2 + u32::from(far),
+                    s.suspicion.until(),
+                    k.index(),
+                )
             })
             .map(|(_, s)| s)
     };
@@ -210,7 +220,12 @@
     })
 }
 
-fn respond(app: &Rc<App>, job: &Job, last: Option<Result<Answer, Miss>>, attempts: u32) -> Response {
+fn respond(
+    app: &Rc<App>,
+    job: &Job,
+    last: Option<Result<Answer, Miss>>,
+    attempts: u32,
+) -> Response {
     match last {
         Some(Ok(answer)) => {
             note_served(app, job, "plain", attempts);
@@ -227,11 +242,15 @@
         }
         Some(Err(Miss::Lost | Miss::GivenUp)) => {
             metric::outcome("plain", "lost");
-            Refusal::new("no answer of the server", 502).of(&job.ask).respond(app)
+            Refusal::new("no answer of the server", 502)
+                .of(&job.ask)
+                .respond(app)
         }
         Some(Err(Miss::NotSent | Miss::NotRun(..))) | None => {
             metric::outcome("plain", "refused");
-            Refusal::not_run("servers full or out of reach", BUSY_WAIT).of(&job.ask).respond(app)
+            Refusal::not_run("servers full or out of reach", BUSY_WAIT)
+                .of(&job.ask)
+                .respond(app)
         }
     }
 }
--- a/crates/mustard-gateway/src/forward/reply.rs
+++ b/crates/mustard-gateway/src/forward/reply.rs
@@ -55,7 +55,11 @@
     /// Logs, counts and builds the answer.
     pub fn respond(self, app: &App) -> Response {
         metric::refused(self.reason);
-        let topic = if self.status == 503 { Topic::Refused } else { Topic::Failed };
+        let topic = if self.status == 503 {
+            Topic::Refused
+        } else {
+            Topic::Failed
+        };
         if let Some(log) = app.journal.admit(topic) {
             info!(log, "request: Answered without a server's answer."; "request" => &self.id,
                 "reason" => self.reason, "status" => self.status,
--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -187,11 +187,19 @@
     let repeatable = matches!(job.route.kind, Kind::Stream { resumable: true });
     loop {
         let Some((target, demand)) = wait_for_path(app, job, &attempts.avoid).await else {
-            return Err(if attempts.ran > 0 { Failure::Lost } else { Failure::NoPath });
+            return Err(if attempts.ran > 0 {
+                Failure::Lost
+            } else {
+                Failure::NoPath
+            });
         };
         let further = attempts.ran + attempts.unrun > 0;
         if further && !spend(app, job) {
-            return Err(if attempts.ran > 0 { Failure::Lost } else { Failure::NotRun });
+            return Err(if attempts.ran > 0 {
+                Failure::Lost
+            } else {
+                Failure::NotRun
+            });
         }
         let first = target.addr;
         let abandon = Rc::new(Notify::new());
@@ -306,7 +314,11 @@
     }
 }
 
-fn find_path(app: &App, job: &Job, avoid: &[SocketAddr]) -> Option<(Target, mustard_policy::pipeline::Demand)> {
+fn find_path(
+    app: &App,
+    job: &Job,
+    avoid: &[SocketAddr],
+) -> Option<(Target, mustard_policy::pipeline::Demand)> {
     let now = app.now();
     let gateways = app.gateways() as f64;
     let domain = app.fleet.borrow_mut().domain(&app.node.domain);
@@ -330,7 +342,9 @@
     let first = match path.first() {
         Some(part) => part.addr,
         None => {
-            let usable = fleet.iter().filter(|(_, s)| s.entry.service == job.service.name);
+            let usable = fleet
+                .iter()
+                .filter(|(_, s)| s.entry.service == job.service.name);
             let usable = usable.filter(|(_, s)| s.is_usable(now));
             usable.min_by_key(|(_, s)| s.running)?.1.entry.addr
         }
@@ -518,7 +532,9 @@
 
     fn note_broken(&mut self, first: SocketAddr, cause: &'static str) {
         strike(&self.app, &self.job, first);
-        self.attempts.avoid.extend(blame(&self.app, first, Miss::Lost));
+        self.attempts
+            .avoid
+            .extend(blame(&self.app, first, Miss::Lost));
         note_miss(&self.app, &self.job, first, cause);
     }
 
--- a/crates/mustard-gateway/src/keeper.rs
+++ b/crates/mustard-gateway/src/keeper.rs
@@ -15,8 +15,8 @@
 use mustard_adapter::servers::decode_report;
 use mustard_core::deployment::{Config, Engine, Report, Service};
 use mustard_core::ids::{Fence, Layers};
-use mustard_net::http::{Request, exchange};
 use mustard_net::CallError;
+use mustard_net::http::{Request, exchange};
 use mustard_platform::lease::{Lease, LeaseOptions};
 use mustard_policy::pipeline::{Placement, initial_fill, plan};
 
@@ -77,7 +77,11 @@
         }
         // At the start the list fills within seconds; a plan for a part of it has gaps and doubles
         // in the wrong places, and no later plan moves servers for a mere imbalance.
-        let settle = if app.asked.get() { Duration::ZERO } else { SETTLE };
+        let settle = if app.asked.get() {
+            Duration::ZERO
+        } else {
+            SETTLE
+        };
         if count == 0 || app.now().since(known.1) < settle || !app.is_ready() {
             continue;
         }
@@ -105,8 +109,12 @@
     let Some(config) = app.config() else {
         return Vec::new();
     };
-    let services = config.services().filter_map(|s| Some((s, s.engine.as_ref()?)));
-    services.flat_map(|(s, engine)| due_for(app, s, engine)).collect()
+    let services = config
+        .services()
+        .filter_map(|s| Some((s, s.engine.as_ref()?)));
+    services
+        .flat_map(|(s, engine)| due_for(app, s, engine))
+        .collect()
 }
 
 fn due_for(app: &App, service: &Service, engine: &Engine) -> Vec<Due> {
@@ -118,7 +126,9 @@
     domains.sort_unstable();
     domains.dedup();
     let requests = REQUESTS_A_SERVER * list.len() as f64;
-    let loading = sites.iter().filter(|(k, _)| fleet.get(*k).is_some_and(|s| s.loading.is_some()));
+    let loading = sites
+        .iter()
+        .filter(|(k, _)| fleet.get(*k).is_some_and(|s| s.loading.is_some()));
     let moves = if app.asked.get() {
         (engine.parallel_loads as usize).saturating_sub(loading.count())
     } else {
@@ -238,12 +248,21 @@
         // An order without an answer may still be carried out.
         server.begin_loading(now, due.layers, due.time);
     }
-    let text = outcome.as_ref().map_or_else(ToString::to_string, |o| format!("{o:?}"));
+    let text = outcome
+        .as_ref()
+        .map_or_else(ToString::to_string, |o| format!("{o:?}"));
     if let Some(log) = app.journal.admit(Topic::Order) {
         info!(log, "keeper: A server was ordered to hold layers."; "server" => %due.addr,
             "layers" => %due.layers, "fence" => fence.map(|f| f.0), "outcome" => text);
     }
-    metric::order("place", if outcome.is_ok() { "answered" } else { "unanswered" });
+    metric::order(
+        "place",
+        if outcome.is_ok() {
+            "answered"
+        } else {
+            "unanswered"
+        },
+    );
     outcome.ok()
 }
 
@@ -297,7 +316,9 @@
     }
     let report = decode_report(&answer.body).map_err(|e| CallError::Lost(e.to_string()))?;
     let report = Rc::new(report);
-    app.fleet.borrow_mut().report(app.now(), to, Rc::clone(&report));
+    app.fleet
+        .borrow_mut()
+        .report(app.now(), to, Rc::clone(&report));
     Ok(report)
 }
 
--- a/crates/mustard-gateway/src/peers.rs
+++ b/crates/mustard-gateway/src/peers.rs
@@ -71,10 +71,16 @@
     /// Creates the set with the gateways that the settings name.
     pub fn new(node: &Node) -> Self {
         let own = SocketAddr::new(node.ip, node.peer_port);
-        let seeds = node.seeds.iter().map(|ip| SocketAddr::new(*ip, node.peer_port));
+        let seeds = node
+            .seeds
+            .iter()
+            .map(|ip| SocketAddr::new(*ip, node.peer_port));
         Peers {
             own,
-            known: seeds.filter(|a| *a != own).map(|a| (a, Peer::default())).collect(),
+            known: seeds
+                .filter(|a| *a != own)
+                .map(|a| (a, Peer::default()))
+                .collect(),
             now: Moment::default(),
             followed: [None; 2],
         }
@@ -94,7 +100,10 @@
     /// Returns the place of this gateway among those that are alive, by address.
     pub fn rank(&self) -> usize {
         let alive = |p: &Peer| p.heard.is_some_and(|h| self.now.since(h) < ALIVE);
-        let before = self.known.iter().filter(|(a, p)| **a < self.own && alive(p));
+        let before = self
+            .known
+            .iter()
+            .filter(|(a, p)| **a < self.own && alive(p));
         before.count()
     }
 
@@ -216,7 +225,9 @@
             peers.now = now;
             let list: Vec<SocketAddr> = peers.known.keys().copied().collect();
             let mut rng = app.rng.borrow_mut();
-            list.choose_multiple(&mut *rng, FANOUT).copied().collect::<Vec<_>>()
+            list.choose_multiple(&mut *rng, FANOUT)
+                .copied()
+                .collect::<Vec<_>>()
         };
         for addr in chosen {
             let app = Rc::clone(&app);
@@ -273,7 +284,10 @@
         match app.store.scan(ROWS, "", ROWS_LIMIT).await {
             Ok(scan) => {
                 let mut peers = app.peers.borrow_mut();
-                let addrs = scan.rows.iter().filter_map(|r| r.key.strip_prefix(ROWS)?.parse().ok());
+                let addrs = scan
+                    .rows
+                    .iter()
+                    .filter_map(|r| r.key.strip_prefix(ROWS)?.parse().ok());
                 for addr in addrs {
                     peers.learn(addr);
                 }
--- a/crates/mustard-gateway/src/serve.rs
+++ b/crates/mustard-gateway/src/serve.rs
@@ -153,7 +153,11 @@
 
 fn bind(addr: SocketAddr) -> Result<TcpListener> {
     ntex::server::bind_addr(addr, BACKLOG)
-        .and_then(|list| list.into_iter().next().ok_or_else(|| std::io::ErrorKind::Other.into()))
+        .and_then(|list| {
+            list.into_iter()
+                .next()
+                .ok_or_else(|| std::io::ErrorKind::Other.into())
+        })
         .map_err(|source| GatewayError::Port { addr, source })
 }
 
@@ -207,10 +211,7 @@
     Ok(response)
 }
 
-async fn answer_peer(
-    app: Rc<App>,
-    mut request: Request,
-) -> std::io::Result<Response> {
+async fn answer_peer(app: Rc<App>, mut request: Request) -> std::io::Result<Response> {
     if request.method() != Method::POST || request.path() != peers::PATH {
         return Ok(Response::NotFound().finish());
     }
@@ -223,7 +224,9 @@
         }
     }
     Ok(match peers::answer(&app, &body) {
-        Some(bytes) => Response::Ok().content_type(peers::media()).body(peers::body(bytes)),
+        Some(bytes) => Response::Ok()
+            .content_type(peers::media())
+            .body(peers::body(bytes)),
         None => Response::BadRequest().finish(),
     })
 }
--- a/crates/mustard-gateway/src/watch.rs
+++ b/crates/mustard-gateway/src/watch.rs
@@ -101,7 +101,10 @@
         .into_iter()
         .map(|addr| {
             let app = Rc::clone(app);
-            (addr, ntex::rt::spawn(async move { probe(&app, addr, recent).await }))
+            (
+                addr,
+                ntex::rt::spawn(async move { probe(&app, addr, recent).await }),
+            )
         })
         .collect();
     let mut answers = Answers::default();
@@ -230,7 +233,9 @@
     let crossing: Vec<(FlightKey, bool)> = {
         let flights = app.flights.borrow();
         let crossing = flights.iter().filter(|(_, f)| !f.moving && f.crosses(addr));
-        crossing.map(|(k, f)| (k, f.progress.begun && !f.starts_at(addr))).collect()
+        crossing
+            .map(|(k, f)| (k, f.progress.begun && !f.starts_at(addr)))
+            .collect()
     };
     let paths = Rc::new(RefCell::new(Paths::default()));
     for (key, movable) in crossing {
@@ -298,7 +303,9 @@
     let load = Load::begin(app, parts_memory(parts, &demand));
     let old = {
         let mut flights = app.flights.borrow_mut();
-        flights.get_mut(key).map(|f| std::mem::replace(&mut f.load, load))
+        flights
+            .get_mut(key)
+            .map(|f| std::mem::replace(&mut f.load, load))
     };
     drop(old);
 }
@@ -316,7 +323,9 @@
         Some(route) => route,
         None => {
             let route = search(app, flight, first)?;
-            paths.borrow_mut().insert(flight.parts.clone(), route.clone());
+            paths
+                .borrow_mut()
+                .insert(flight.parts.clone(), route.clone());
             route
         }
     };
--- a/crates/mustard-gateway/tests/gateway/main.rs
+++ b/crates/mustard-gateway/tests/gateway/main.rs
@@ -31,10 +31,17 @@
     let site = start(options);
     let caller = Caller::new().await;
     let gateway = Gateway::ready(&site, &caller).await;
-    wait_until("a placement", || (0..models).all(|i| site.held(i).is_some())).await;
+    wait_until("a placement", || {
+        (0..models).all(|i| site.held(i).is_some())
+    })
+    .await;
     // The gateway knows of the layers once the rows reach it.
     let until = Instant::now() + KNOWN_WITHIN;
-    while caller.ask(&gateway, "/draft/x", WARM).await.is_none_or(|a| a.status != 200) {
+    while caller
+        .ask(&gateway, "/draft/x", WARM)
+        .await
+        .is_none_or(|a| a.status != 200)
+    {
         assert!(Instant::now() < until, "no path is known after 2 s");
     }
     (site, gateway, caller)
@@ -86,17 +93,29 @@
     for seen in ledger.requests.iter().filter(|r| r.id != WARM) {
         assert_eq!(seen.customer.as_deref(), Some(CUSTOMER));
         assert!(!seen.key, "the key stays here");
-        assert!(seen.budget.is_some_and(|b| b <= 7_000 && b > 6_000), "{seen:?}");
+        assert!(
+            seen.budget.is_some_and(|b| b <= 7_000 && b > 6_000),
+            "{seen:?}"
+        );
     }
 }
 
 #[ntex::test]
 async fn handle_unknown() {
     let (_site, gateway, caller) = ready(SiteOptions::default()).await;
-    let none = caller.ask(&gateway, "/nowhere/x", "unknown-1").await.unwrap();
+    let none = caller
+        .ask(&gateway, "/nowhere/x", "unknown-1")
+        .await
+        .unwrap();
     assert_eq!(none.status, 404);
-    let headers = [("attempt-id", "unknown-2"), ("authorization", "Bearer other")];
-    let denied = caller.call(gateway.callers, "POST", "/book/x", &headers).await.unwrap();
+    let headers = [
+        ("attempt-id", "unknown-2"),
+        ("authorization", "Bearer other"),
+    ];
+    let denied = caller
+        .call(gateway.callers, "POST", "/book/x", &headers)
+        .await
+        .unwrap();
     assert_eq!(denied.status, 401);
 }
 
@@ -106,12 +125,25 @@
     let (site, gateway, caller) = ready(SiteOptions::default()).await;
     site.configure(5, &["another"]);
     let until = Instant::now() + Duration::from_secs(2);
-    while caller.ask(&gateway, "/book/x", "revoked-1").await.unwrap().status == 200 {
+    while caller
+        .ask(&gateway, "/book/x", "revoked-1")
+        .await
+        .unwrap()
+        .status
+        == 200
+    {
         assert!(Instant::now() < until, "the key is still taken after 2 s");
     }
     site.configure(4, &[KEY]);
     tokio::time::sleep(Duration::from_millis(200)).await;
-    assert_eq!(caller.ask(&gateway, "/book/x", "revoked-2").await.unwrap().status, 401);
+    assert_eq!(
+        caller
+            .ask(&gateway, "/book/x", "revoked-2")
+            .await
+            .unwrap()
+            .status,
+        401
+    );
 }
 
 /// The pause of a stream whose middle part dies is short, and nothing is repeated or skipped.
@@ -129,7 +161,10 @@
     let answer = task.await.unwrap().unwrap();
     assert_eq!((answer.status, answer.whole), (200, true));
     assert_eq!(answer.text, whole_stream("part-1", EVENTS));
-    assert!(started.elapsed() < Duration::from_millis(2_500), "it waited for the stall's end");
+    assert!(
+        started.elapsed() < Duration::from_millis(2_500),
+        "it waited for the stall's end"
+    );
     assert!(site.ledger().moved >= 1);
     assert_eq!(site.ledger().runs["part-1"], 1);
 }
@@ -172,7 +207,11 @@
     task.abort();
     let left = Instant::now();
     wait_until("a cancelled run", || site.ledger().cancelled == 1).await;
-    assert!(left.elapsed() < Duration::from_millis(500), "{:?}", left.elapsed());
+    assert!(
+        left.elapsed() < Duration::from_millis(500),
+        "{:?}",
+        left.elapsed()
+    );
 }
 
 /// With a layer that nobody holds a request is refused as not run, well before its deadline.
@@ -186,7 +225,11 @@
     let asked = Instant::now();
     let answer = caller.ask(&gateway, "/draft/x", "none-1").await.unwrap();
     assert_eq!((answer.status, answer.retry_after), (503, true));
-    assert!(asked.elapsed() < Duration::from_millis(600), "{:?}", asked.elapsed());
+    assert!(
+        asked.elapsed() < Duration::from_millis(600),
+        "{:?}",
+        asked.elapsed()
+    );
     assert!(!site.ledger().runs.contains_key("none-1"));
 }
 
@@ -218,7 +261,10 @@
     let (site, gateway, caller) = ready(SiteOptions::default()).await;
     site.set_health(6, Health::Fails);
     for i in 0..6 {
-        let read = caller.ask(&gateway, "/status/x", &format!("read-{i}")).await.unwrap();
+        let read = caller
+            .ask(&gateway, "/status/x", &format!("read-{i}"))
+            .await
+            .unwrap();
         assert_eq!(read.status, 200);
     }
 }
@@ -231,10 +277,18 @@
     site.write_foreign("i-other", b"{\"service\": 7}");
     tokio::time::sleep(KNOWN_WITHIN).await;
     for i in 0..8 {
-        let booked = caller.ask(&gateway, "/book/x", &format!("leave-{i}")).await.unwrap();
+        let booked = caller
+            .ask(&gateway, "/book/x", &format!("leave-{i}"))
+            .await
+            .unwrap();
         assert_eq!(booked.status, 200);
     }
-    assert!(site.ledger().requests.iter().all(|r| r.id == WARM || r.server == 7));
+    assert!(
+        site.ledger()
+            .requests
+            .iter()
+            .all(|r| r.id == WARM || r.server == 7)
+    );
 }
 
 /// Requests go on while the store is away, and changes are followed after its return.
@@ -250,7 +304,13 @@
     site.set_store(StoreMode::Well);
     site.configure(9, &["another"]);
     let until = Instant::now() + Duration::from_secs(3);
-    while caller.ask(&gateway, "/book/x", "away-2").await.unwrap().status == 200 {
+    while caller
+        .ask(&gateway, "/book/x", "away-2")
+        .await
+        .unwrap()
+        .status
+        == 200
+    {
         assert!(Instant::now() < until, "the change isn't followed");
     }
 }
@@ -275,7 +335,10 @@
         if answer.is_some_and(|a| a.status == 401) {
             break;
         }
-        assert!(Instant::now() < until, "no configuration came from the peer");
+        assert!(
+            Instant::now() < until,
+            "no configuration came from the peer"
+        );
     }
 }
 
@@ -324,13 +387,19 @@
 
 fn signal(gateway: &Gateway, name: &str) {
     let pid = gateway.pid().to_string();
-    let status = Command::new("kill").args(["-s", name, &pid]).status().unwrap();
+    let status = Command::new("kill")
+        .args(["-s", name, &pid])
+        .status()
+        .unwrap();
     assert!(status.success());
 }
 
 async fn wait_until_unready(gateway: &Gateway, caller: &Caller) {
     let until = Instant::now() + Duration::from_secs(1);
     while gateway.is_ready(caller).await {
-        assert!(Instant::now() < until, "still ready 1 s after the stop signal");
+        assert!(
+            Instant::now() < until,
+            "still ready 1 s after the stop signal"
+        );
     }
 }
--- a/crates/mustard-gateway/tests/gateway/world.rs
+++ b/crates/mustard-gateway/tests/gateway/world.rs
@@ -45,7 +45,11 @@
     pub(crate) fn start(site: &Site, ip: Ipv4Addr, peer_port: u16, seeds: &[Ipv4Addr]) -> Self {
         let ports = [free_port(ip), free_port(ip), peer_port];
         let text = site.settings(ip, ports, seeds).to_string();
-        let name = format!("mustard-gateway-{}-{ip}-{}.json", std::process::id(), ports[0]);
+        let name = format!(
+            "mustard-gateway-{}-{ip}-{}.json",
+            std::process::id(),
+            ports[0]
+        );
         let settings = std::env::temp_dir().join(name);
         std::fs::write(&settings, text).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_mustard-gateway"))
@@ -132,7 +136,10 @@
         path: &str,
         headers: &[(&str, &str)],
     ) -> Option<Answer> {
-        let mut list = vec![(HeaderName::from_static("host"), HeaderValue::from_static(HOST))];
+        let mut list = vec![(
+            HeaderName::from_static("host"),
+            HeaderValue::from_static(HOST),
+        )];
         for (name, value) in headers {
             let name = HeaderName::try_from(*name).unwrap();
             list.push((name, HeaderValue::from_str(value).unwrap()));
@@ -174,7 +181,11 @@
     /// Sends a request of the customer.
     pub(crate) async fn ask(&self, gateway: &Gateway, path: &str, id: &str) -> Option<Answer> {
         let key = format!("Bearer {KEY}");
-        let method = if path.starts_with("/status/") { "GET" } else { "POST" };
+        let method = if path.starts_with("/status/") {
+            "GET"
+        } else {
+            "POST"
+        };
         let headers = [
             ("attempt-id", id),
             ("authorization", key.as_str()),
--- a/crates/mustard-net/src/http.rs
+++ b/crates/mustard-net/src/http.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use ntex::SharedCfg;
 use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client as HttpClient, ClientResponse, Connector};
-use ntex::SharedCfg;
 use ntex::http::header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use ntex::http::{Method, StatusCode};
 use ntex::io::IoConfig;
@@ -157,7 +157,10 @@
     for (name, value) in passed.headers {
         out = out.header(name, value);
     }
-    let answer = out.send_body(passed.body).await.map_err(|e| sort_error(&e))?;
+    let answer = out
+        .send_body(passed.body)
+        .await
+        .map_err(|e| sort_error(&e))?;
     if has_body(&answer) && !is_framed(&answer) {
         return Err(CallError::Lost("an answer without a length".to_owned()));
     }
@@ -165,7 +168,10 @@
 }
 
 fn has_body(answer: &ClientResponse) -> bool {
-    !matches!(answer.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+    !matches!(
+        answer.status(),
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    )
 }
 
 fn is_framed(answer: &ClientResponse) -> bool {
--- a/crates/mustard-net/tests/unframed.rs
+++ b/crates/mustard-net/tests/unframed.rs
@@ -1,4 +1,5 @@
 //! Answers without a length, whose body ends with the connection.
+#![allow(clippy::unwrap_used)]
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
@@ -24,7 +25,9 @@
         stream.write_all(HEAD).unwrap();
         std::thread::sleep(pause);
         if reset {
-            SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+            SockRef::from(&stream)
+                .set_linger(Some(Duration::ZERO))
+                .unwrap();
         }
     });
     addr
--- a/crates/mustard-policy/src/pipeline/path.rs
+++ b/crates/mustard-policy/src/pipeline/path.rs
@@ -115,7 +115,11 @@
 
 impl Table {
     fn new(layers: u32, holders: &[Holder]) -> Self {
-        let domains = holders.iter().map(|h| h.domain as usize + 1).max().unwrap_or(0);
+        let domains = holders
+            .iter()
+            .map(|h| h.domain as usize + 1)
+            .max()
+            .unwrap_or(0);
         Table {
             domains,
             steps: vec![None; (layers as usize + 1) * domains],
@@ -197,7 +201,10 @@
                     continue;
                 }
                 let entered = cost + hop_cost(engine, demand, domain, holder.domain);
-                for &cut in cuts[i + 1..].iter().take_while(|&&c| c <= holder.layers.end) {
+                for &cut in cuts[i + 1..]
+                    .iter()
+                    .take_while(|&&c| c <= holder.layers.end)
+                {
                     let step = Step {
                         cost: entered + costs[index] * f64::from(cut - at),
                         from: domain.map(|d| (at, d)),
@@ -250,7 +257,11 @@
     let share = 1.0 / f64::from(engine.layers.max(1));
     let read_ms = demand.prompt / engine.step.tokens_s.max(1.0) * 1e3 * holder.read_factor;
     let write_ms = demand.answer * engine.step.base_ms * holder.pace;
-    let full = if holder.used >= FULL { FULL_FACTOR } else { 1.0 };
+    let full = if holder.used >= FULL {
+        FULL_FACTOR
+    } else {
+        1.0
+    };
     share * (read_ms + write_ms) * (1.0 + LOAD_WEIGHT * holder.used.clamp(0.0, 1.0)) * full
 }
 
--- a/crates/mustard-policy/src/pipeline/placement.rs
+++ b/crates/mustard-policy/src/pipeline/placement.rs
@@ -142,7 +142,10 @@
 }
 
 fn size(engine: &Engine, site: &Site, fill: f64) -> u32 {
-    engine.capacity(site.memory_mb * fill).max(1).min(engine.capacity(site.memory_mb).max(1))
+    engine
+        .capacity(site.memory_mb * fill)
+        .max(1)
+        .min(engine.capacity(site.memory_mb).max(1))
 }
 
 impl Site {
--- a/crates/mustard-policy/src/stall.rs
+++ b/crates/mustard-policy/src/stall.rs
@@ -67,7 +67,11 @@
 impl Progress {
     /// Tells whether the servers of the stream's path are to be asked now.
     pub fn is_due(&self, now: Moment, limit: Duration) -> bool {
-        let limit = if self.begun { limit } else { limit * FIRST_FACTOR };
+        let limit = if self.begun {
+            limit
+        } else {
+            limit * FIRST_FACTOR
+        };
         let silent = now.since(self.last) >= limit;
         let again = ASK_AGAIN * 2u32.pow(self.asks.saturating_sub(1).min(MAX_DOUBLINGS));
         silent && self.asked.is_none_or(|a| now.since(a) >= again)
--- a/crates/mustard-policy/tests/pipeline.rs
+++ b/crates/mustard-policy/tests/pipeline.rs
@@ -102,7 +102,11 @@
                     holder(i, rng.random_range(0..3), first, end)
                 })
                 .collect();
-            let held = |l: u32| holders.iter().any(|h| h.layers.first <= l && l < h.layers.end);
+            let held = |l: u32| {
+                holders
+                    .iter()
+                    .any(|h| h.layers.first <= l && l < h.layers.end)
+            };
             match choose(&engine(), &holders, &DEMAND, &mut rng) {
                 Some(route) => assert_whole(&route.parts, &holders),
                 None => assert!((0..LAYERS).any(|l| !held(l)), "every layer is held"),
@@ -163,8 +167,11 @@
     assert_whole(&parts, &holders);
 }
 
-const FLEET: [(&str, [usize; 3]); 3] =
-    [("large", [3, 1, 1]), ("middle", [3, 5, 7]), ("small", [5, 8, 5])];
+const FLEET: [(&str, [usize; 3]); 3] = [
+    ("large", [3, 1, 1]),
+    ("middle", [3, 5, 7]),
+    ("small", [5, 8, 5]),
+];
 
 fn sites() -> Vec<Site> {
     let engine = engine();
@@ -201,7 +208,10 @@
     for m in &moves {
         assert!(m.layers.end <= LAYERS);
         let memory = sites[m.index].memory_mb;
-        assert!(f64::from(m.layers.count()) * engine().layer_mb <= memory, "more than it holds");
+        assert!(
+            f64::from(m.layers.count()) * engine().layer_mb <= memory,
+            "more than it holds"
+        );
         sites[m.index].held = Some(m.layers);
     }
     moves.len()
@@ -221,7 +231,11 @@
     for domain in 0..3 {
         assert_eq!(gaps(&sites, Some(domain)), 0, "domain {domain}");
     }
-    assert_eq!(apply(&mut sites, &placement()), 0, "a plan that stands moves nothing");
+    assert_eq!(
+        apply(&mut sites, &placement()),
+        0,
+        "a plan that stands moves nothing"
+    );
 }
 
 /// Each server in turn is lost for good: its domain is whole again after few moves.
@@ -261,7 +275,13 @@
             match rng.random_range(0..3) {
                 0 => sites[i].stays = false,
                 1 => sites[i].held = None,
-                _ => sites[i] = Site { stays: true, held: None, ..sites[i].clone() },
+                _ => {
+                    sites[i] = Site {
+                        stays: true,
+                        held: None,
+                        ..sites[i].clone()
+                    }
+                }
             }
             let before = gaps(&sites, None);
             apply(&mut sites, &placement());
--- a/crates/mustard-policy/tests/watch.rs
+++ b/crates/mustard-policy/tests/watch.rs
@@ -24,7 +24,10 @@
         pauses.observe(Duration::from_millis(30));
     }
     let limit = pauses.limit();
-    assert!(limit >= Duration::from_millis(60) && limit <= Duration::from_millis(120), "{limit:?}");
+    assert!(
+        limit >= Duration::from_millis(60) && limit <= Duration::from_millis(120),
+        "{limit:?}"
+    );
     for _ in 0..1_000 {
         pauses.observe(Duration::from_secs(2));
     }
@@ -39,10 +42,16 @@
     assert!(!progress.is_due(at(1_050), limit));
     assert!(progress.is_due(at(1_061), limit));
     progress.ask(at(1_061));
-    assert!(!progress.is_due(at(1_100), limit), "the servers were asked just now");
+    assert!(
+        !progress.is_due(at(1_100), limit),
+        "the servers were asked just now"
+    );
     assert!(progress.is_due(at(1_300), limit));
     let waiting = Progress::start(at(1_000));
-    assert!(!waiting.is_due(at(1_100), limit), "reading a prompt takes longer than a step");
+    assert!(
+        !waiting.is_due(at(1_100), limit),
+        "reading a prompt takes longer than a step"
+    );
 }
 
 /// A stream that stands still for two seconds asks its servers a few times, not each look.
@@ -96,7 +105,10 @@
         }
     }
     let requests = 8.0 * 200.0;
-    assert!(f64::from(spent) <= 0.2 * requests + 198.0, "{spent} retries");
+    assert!(
+        f64::from(spent) <= 0.2 * requests + 198.0,
+        "{spent} retries"
+    );
 }
 
 /// A gateway that loses sight of the others takes no more than before.
