--- a/crates/mustard-gateway/src/forward/frames.rs
+++ b/crates/mustard-gateway/src/forward/frames.rs
@@ -29,7 +29,7 @@
     }
 
     /// Takes the next whole event.
-    pub fn next(&mut self) -> Option<Frame> {
+    pub fn take(&mut self) -> Option<Frame> {
         let end = end_of_event(&self.buffer)?;
         let bytes = self.buffer.split_to(end);
         Some(Frame {
--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -246,6 +246,9 @@
             }
             Err(miss) => {
                 drop(guard);
+                if miss == Miss::Lost {
+                    strike(app, job, first);
+                }
                 attempts.avoid.extend(blame(app, first, miss));
                 note_miss(app, job, first, &format!("{miss:?}"));
                 match miss {
@@ -559,7 +562,7 @@
 /// Takes the whole events that follow the last one, and tells what is wrong with the next.
 fn take_events(frames: &mut Frames, last: &mut Option<u64>) -> (Bytes, Option<&'static str>) {
     let mut out = BytesMut::new();
-    while let Some(frame) = frames.next() {
+    while let Some(frame) = frames.take() {
         if let (Some(id), Some(before)) = (frame.id, *last) {
             // A second attempt may begin before the events that the first one still brought.
             if id <= before {
@@ -575,7 +578,7 @@
     (out.freeze(), None)
 }
 
-/// Counts a strike against a content whose server broke off, and tells nobody yet.
+/// Counts a strike against a content whose server broke off; the peers hear of it next round.
 fn strike(app: &App, job: &Job, server: SocketAddr) {
     let strike = Strike {
         fingerprint: job.content,
--- a/crates/mustard-policy/tests/quarantine.rs
+++ b/crates/mustard-policy/tests/quarantine.rs
@@ -131,3 +131,26 @@
     assert!(q.strikes(later).is_empty());
     assert_eq!(q.standing(later, Fingerprint(99)), Standing::Clear);
 }
+
+/// With three deaths asked for, two servers that died under a content don't condemn it.
+#[test]
+fn strike_third_server() {
+    let mut quarantine = Quarantine::new(Settings {
+        deaths: 3,
+        ..Settings::default()
+    });
+    let content = Fingerprint(9);
+    let now = Moment::from_millis(1);
+    let mut strike = |vm: &str| {
+        let strike = Strike {
+            fingerprint: content,
+            vm: vm.to_owned(),
+            shared: 1,
+        };
+        quarantine.strike(now, &strike)
+    };
+    assert!(!strike("a"));
+    assert!(!strike("b"));
+    assert!(!strike("a"), "the same server counts once");
+    assert!(strike("c"));
+}
