Count a request as lost if its connection was reset while it was sent

Cause (found by handle_revoked_key and handle_unknown, each red once): (1) a refusal given before the body was read closed a connection with unread bytes, so the caller saw a reset and no answer; (2) the HTTP client reports a reset while sending as a failed connection, which counted as not sent: a request that may not be repeated could have been sent to a second server. Ruled out: the tests' timing (the printed error was a reset). Change: bodies are read before anything is refused; only refused or unreachable connections count as not sent. Test: mustard-net pass_on_reset_while_sending, red before (NotSent), green after. The ports of the gateway tests lie below those that the system hands out: two tests had failed with 'Address already in use' (reproduced in 6 loops).

--- a/crates/mustard-gateway/src/forward/mod.rs
+++ b/crates/mustard-gateway/src/forward/mod.rs
@@ -34,11 +34,15 @@
 
 /// The time for the body of a request to arrive when the request doesn't say how long it waits.
 const BODY_LIMIT: Duration = Duration::from_secs(10);
+/// The largest body while no configuration says so, in bytes.
+const BODY_SIZE: usize = 4 * 1024 * 1024;
 /// How long a request waits for a gateway that has just started; the first answers of the store
 /// and of the peers come within a tenth of a second.
 const START_HOLD: Duration = Duration::from_millis(500);
 /// When to come back to a gateway that knows no configuration yet.
 const START_WAIT: Duration = Duration::from_millis(500);
+/// When to come back, to another gateway, from one that has stopped taking requests.
+const STOP_WAIT: Duration = Duration::from_millis(50);
 /// When to come back with a content that ends servers.
 const QUARANTINE_WAIT: Duration = Duration::from_secs(10);
 
@@ -120,9 +124,19 @@
     payload: Payload,
     arrived: Moment,
 ) -> Result<Job, Refusal> {
-    let pass = app.gate.enter().ok_or(Refusal::new("stopping", 503))?;
+    let pass = app
+        .gate
+        .enter()
+        .ok_or_else(|| Refusal::not_run("stopping", STOP_WAIT))?;
     let headers = request.headers();
-    let ask = asks::decode(headers).map_err(|_| Refusal::new("no id", 400))?;
+    let ask = asks::decode(headers);
+    // The body is read before anything is refused: closing a connection with unread bytes resets
+    // it, and the caller never sees the answer.
+    let limit = app.config().map_or(BODY_SIZE, |c| c.body_limit);
+    let wait = ask.as_ref().ok().and_then(|a| a.budget);
+    let body = timeout(wait.unwrap_or(BODY_LIMIT), read(payload, limit)).await;
+    let ask = ask.map_err(|_| Refusal::new("no id", 400))?;
+    let body = body.map_err(|_| Refusal::new("slow body", 408).of(&ask))??;
     let not_run = |reason, wait| Refusal::not_run(reason, wait).of(&ask);
     let config = wait_for_start(app).await;
     let config = config.ok_or_else(|| not_run("no configuration", START_WAIT))?;
@@ -131,9 +145,6 @@
         return Err(Refusal::new("no route", 404).of(&ask));
     };
     let customer = authorize(&config, route, &ask)?;
-    let limit = ask.budget.unwrap_or(BODY_LIMIT);
-    let body = timeout(limit, read(payload, config.body_limit)).await;
-    let body = body.map_err(|_| Refusal::new("slow body", 408).of(&ask))??;
     let service = choose_service(app, &config, route);
     let service = service.ok_or_else(|| not_run("no service", START_WAIT))?;
     let content = content(&ask, path, &body);
--- a/crates/mustard-gateway/tests/gateway/main.rs
+++ b/crates/mustard-gateway/tests/gateway/main.rs
@@ -321,7 +321,7 @@
     let site = start(SiteOptions::default());
     let caller = Caller::new().await;
     let ips = [Ipv4Addr::LOCALHOST, Ipv4Addr::new(127, 0, 0, 2)];
-    let port = free_port(ips[1]);
+    let port = free_port();
     let one = Gateway::start(&site, ips[0], port, &ips);
     one.wait_ready(&caller).await;
     // The second one is told of a store that isn't there.
@@ -351,7 +351,7 @@
     });
     let caller = Caller::new().await;
     let ips = [1, 2, 3].map(|n| Ipv4Addr::new(127, 0, 0, n));
-    let port = free_port(ips[2]);
+    let port = free_port();
     let gateways = ips.map(|ip| Gateway::start(&site, ip, port, &ips));
     for gateway in &gateways {
         gateway.wait_ready(&caller).await;
--- a/crates/mustard-gateway/tests/gateway/world.rs
+++ b/crates/mustard-gateway/tests/gateway/world.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use ntex::client::Client;
@@ -34,16 +35,31 @@
     }
 }
 
-/// Returns a port that is free on an address.
-pub(crate) fn free_port(ip: Ipv4Addr) -> u16 {
-    let listener = TcpListener::bind((ip, 0)).unwrap();
-    listener.local_addr().unwrap().port()
+/// The ports below those that the system hands out by itself, so that no connection or listener
+/// of another test takes one between its choice and its use.
+const FIRST_PORT: u16 = 20_000;
+const PORTS: u16 = 12_000;
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// Returns a port that is free on each of the addresses that the tests use.
+pub(crate) fn free_port() -> u16 {
+    // Test processes that run at the same time start at different ports.
+    let start = (std::process::id() % u32::from(PORTS / 100)) as u16 * 100;
+    for _ in 0..PORTS {
+        let step = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + start.wrapping_add(step) % PORTS;
+        let free = |n: u8| TcpListener::bind((Ipv4Addr::new(127, 0, 0, n), port)).is_ok();
+        if (1..=3).all(free) {
+            return port;
+        }
+    }
+    panic!("no port is free");
 }
 
 impl Gateway {
     /// Starts a gateway on an address of its own.
     pub(crate) fn start(site: &Site, ip: Ipv4Addr, peer_port: u16, seeds: &[Ipv4Addr]) -> Self {
-        let ports = [free_port(ip), free_port(ip), peer_port];
+        let ports = [free_port(), free_port(), peer_port];
         let text = site.settings(ip, ports, seeds).to_string();
         let name = format!(
             "mustard-gateway-{}-{ip}-{}.json",
@@ -70,7 +86,7 @@
     /// Starts the only gateway of a site and waits until it serves.
     pub(crate) async fn ready(site: &Site, caller: &Caller) -> Self {
         let ip = Ipv4Addr::LOCALHOST;
-        let gateway = Gateway::start(site, ip, free_port(ip), &[]);
+        let gateway = Gateway::start(site, ip, free_port(), &[]);
         gateway.wait_ready(caller).await;
         gateway
     }
--- a/crates/mustard-net/src/http.rs
+++ b/crates/mustard-net/src/http.rs
@@ -1,5 +1,6 @@
 //! One HTTP exchange with a time limit that does not depend on coarse timers.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -199,10 +200,24 @@
 
 fn sort_error(e: &ClientError) -> CallError {
     match e {
-        // A pooled connection that closes while the request is sent is reported as
-        // disconnected too, so only errors before a connection exists mean "not sent".
-        ClientError::Connect(ConnectError::Disconnected(None)) => CallError::Lost(e.to_string()),
+        // A connection that closes while the request is sent is reported as disconnected too, so
+        // only errors that come before a connection exists mean "not sent".
+        ClientError::Connect(ConnectError::Disconnected(Some(io))) if is_unmade(io.kind()) => {
+            CallError::NotSent(e.to_string())
+        }
+        ClientError::Connect(ConnectError::Disconnected(_)) => CallError::Lost(e.to_string()),
         ClientError::Url(_) | ClientError::Connect(_) => CallError::NotSent(e.to_string()),
         _ => CallError::Lost(e.to_string()),
     }
 }
+
+/// Tells whether an error can only come from making a connection.
+fn is_unmade(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::ConnectionRefused
+            | ErrorKind::AddrNotAvailable
+            | ErrorKind::HostUnreachable
+            | ErrorKind::NetworkUnreachable
+    )
+}
--- a/crates/mustard-net/tests/unframed.rs
+++ b/crates/mustard-net/tests/unframed.rs
@@ -54,3 +54,28 @@
         }
     }
 }
+
+/// A server that resets the connection while the request is on its way may have read it.
+#[ntex::test]
+async fn pass_on_reset_while_sending() {
+    for _ in 0..20 {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        std::thread::spawn(move || {
+            let (stream, _) = listener.accept().unwrap();
+            SockRef::from(&stream)
+                .set_linger(Some(Duration::ZERO))
+                .unwrap();
+        });
+        let client = new_client().await;
+        let passed = Passed {
+            to: addr,
+            method: Method::POST,
+            path: "/".to_owned(),
+            headers: Vec::new(),
+            body: Bytes::from(vec![b'x'; 4 * 1024 * 1024]),
+        };
+        let answered = pass_on(&client, passed).await.map(|_| ());
+        assert!(matches!(answered, Err(CallError::Lost(_))), "{answered:?}");
+    }
+}
