--- a/crates/mustard-gateway/src/forward/mod.rs
+++ b/crates/mustard-gateway/src/forward/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod frames;
+mod open;
 mod plain;
 mod reply;
 mod stream;
@@ -235,6 +236,14 @@
     Ok(body.freeze())
 }
 
+/// Takes a further attempt out of the retry budget.
+fn spend(app: &App, job: &Job) -> bool {
+    let now = app.now();
+    let allowed = app.with_allowance(&job.service.name, |a| a.spend(now));
+    metric::retry(if allowed { "failed" } else { "budget empty" });
+    allowed
+}
+
 /// Logs and counts that a request ended well.
 fn note_served(app: &App, job: &Job, kind: &'static str, attempts: u32) {
     metric::outcome(kind, "served");
--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -20,7 +20,7 @@
 use crate::metric;
 
 use super::attempt::{Miss, Target, send};
-use super::{Job, Refusal, note_served};
+use super::{Job, Refusal, note_served, spend};
 
 /// The share of the wanted time after which an idempotent request is sent to a second server.
 const HEDGE_SHARE: f64 = 0.5;
@@ -100,14 +100,6 @@
     respond(app, job, last, attempt + 1)
 }
 
-/// Takes a further attempt out of the retry budget.
-fn spend(app: &App, job: &Job) -> bool {
-    let now = app.now();
-    let allowed = app.with_allowance(&job.service.name, |a| a.spend(now));
-    metric::retry(if allowed { "failed" } else { "budget empty" });
-    allowed
-}
-
 /// Sends to a server, and to a second one if the first is slower than usual.
 async fn hedged(
     app: &Rc<App>,
--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -1,4 +1,4 @@
-//! Streams of events over paths of servers.
+//! Streams of events: passing them on, and going on elsewhere when an attempt ends early.
 
 use std::future::Future;
 use std::net::SocketAddr;
@@ -12,34 +12,23 @@
 use ntex::util::{Bytes, BytesMut, Stream};
 use slog::{info, warn};
 use thiserror::Error;
-use tokio::sync::Notify;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::time::{sleep, timeout};
 
 use mustard_adapter::answers;
 use mustard_core::deployment::Kind;
-use mustard_policy::pipeline::choose;
-use mustard_policy::quarantine::Strike;
-use mustard_policy::stall::Progress;
-use mustard_policy::suspicion::Fault;
 
 use crate::app::App;
-use crate::fleet::{Load, Trust};
-use crate::flights::{Flight, FlightGuard};
 use crate::journal::Topic;
 use crate::metric;
-use crate::watch::verify;
 
-use super::attempt::{Head, Miss, Piece, Target, send};
+use super::attempt::{Miss, Piece};
 use super::frames::Frames;
-use super::{Job, Refusal, note_served, parts_memory};
+use super::open::{Attempts, Failure, Running, blame, note_miss, open, strike};
+use super::{Job, Refusal, note_served};
 
 /// Events that wait for a caller that reads slowly.
 const QUEUE: usize = 32;
-/// The share of the wanted time to the first event that a request waits for servers.
-const WAIT_SHARE: f64 = 0.5;
-/// Sends of one request that no server ran, at most.
-const MAX_UNRUN: u32 = 4;
 /// When to come back if no path is to be had; a server that restarted has its layers again after
 /// about this time.
 const PATH_WAIT: Duration = Duration::from_millis(1_500);
@@ -90,38 +79,6 @@
     }
 }
 
-/// An attempt that has begun to answer.
-struct Running {
-    head: Head,
-    frames: Frames,
-    guard: FlightGuard,
-    abandon: Rc<Notify>,
-    first: SocketAddr,
-}
-
-/// Why no attempt answers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Failure {
-    /// No path over servers in use.
-    NoPath,
-    /// Servers refused as full or gone, and none ran the request.
-    NotRun,
-    /// A server may have run the request.
-    Lost,
-}
-
-/// The attempts of one request.
-#[derive(Clone, Default)]
-struct Attempts {
-    /// Sends that a server may have run.
-    ran: u32,
-    /// Sends that no server ran.
-    unrun: u32,
-    /// Servers that failed this request. Whether they are at fault shows only once they are
-    /// asked, which the next attempt doesn't wait for.
-    avoid: Vec<SocketAddr>,
-}
-
 /// Serves a request whose answer is a stream.
 pub(super) async fn run(app: &Rc<App>, job: Job, io: Option<IoRef>) -> Response {
     let mut attempts = Attempts::default();
@@ -177,191 +134,6 @@
     refusal.of(&job.ask).respond(app)
 }
 
-/// Sends the request until a server begins to answer or no further attempt is allowed.
-async fn open(
-    app: &Rc<App>,
-    job: &Job,
-    attempts: &mut Attempts,
-    last_event: Option<u64>,
-) -> Result<Running, Failure> {
-    let repeatable = matches!(job.route.kind, Kind::Stream { resumable: true });
-    loop {
-        let Some((target, demand)) = wait_for_path(app, job, &attempts.avoid).await else {
-            return Err(if attempts.ran > 0 {
-                Failure::Lost
-            } else {
-                Failure::NoPath
-            });
-        };
-        let further = attempts.ran + attempts.unrun > 0;
-        if further && !spend(app, job) {
-            return Err(if attempts.ran > 0 {
-                Failure::Lost
-            } else {
-                Failure::NotRun
-            });
-        }
-        let first = target.addr;
-        let abandon = Rc::new(Notify::new());
-        let now = app.now();
-        let flight = Flight {
-            id: job.ask.id.clone(),
-            service: job.service.name.clone(),
-            parts: target.path.clone(),
-            demand,
-            progress: Progress::start(now),
-            abandon: Rc::clone(&abandon),
-            moving: false,
-            load: Load::begin(app, parts_memory(&target.path, &demand)),
-        };
-        let guard = FlightGuard::register(app, flight);
-        note_chosen(app, job, &target, last_event);
-        let result = tokio::select! {
-            result = send(app, job, &target, last_event) => result,
-            () = abandon.notified() => Err(Miss::GivenUp),
-        };
-        match result {
-            Ok(head) if head.status < 500 || !repeatable => {
-                attempts.ran += 1;
-                return Ok(Running {
-                    head,
-                    frames: Frames::default(),
-                    guard,
-                    abandon,
-                    first,
-                });
-            }
-            Ok(head) => {
-                attempts.ran += 1;
-                note_miss(app, job, first, &format!("status {}", head.status));
-                if attempts.ran >= job.route.attempts {
-                    return Ok(Running {
-                        head,
-                        frames: Frames::default(),
-                        guard,
-                        abandon,
-                        first,
-                    });
-                }
-            }
-            Err(miss) => {
-                drop(guard);
-                if miss == Miss::Lost {
-                    strike(app, job, first);
-                }
-                attempts.avoid.extend(blame(app, first, miss));
-                note_miss(app, job, first, &format!("{miss:?}"));
-                match miss {
-                    Miss::NotSent | Miss::NotRun(..) => attempts.unrun += 1,
-                    Miss::Lost | Miss::GivenUp => attempts.ran += 1,
-                }
-                let spent = attempts.ran >= job.route.attempts || attempts.unrun >= MAX_UNRUN;
-                if attempts.ran > 0 && (spent || !repeatable) {
-                    return Err(Failure::Lost);
-                }
-                if spent {
-                    return Err(Failure::NotRun);
-                }
-            }
-        }
-    }
-}
-
-/// Takes a further attempt out of the retry budget.
-fn spend(app: &App, job: &Job) -> bool {
-    let now = app.now();
-    let allowed = app.with_allowance(&job.service.name, |a| a.spend(now));
-    metric::retry(if allowed { "failed" } else { "budget empty" });
-    allowed
-}
-
-/// Takes in what a send without an answer says of the servers.
-///
-/// Which server is at fault is only guessed at here, so the one that is blamed is asked. Returns
-/// the server that this request had better avoid.
-fn blame(app: &Rc<App>, first: SocketAddr, miss: Miss) -> Option<SocketAddr> {
-    let now = app.now();
-    let (addr, fault) = match miss {
-        Miss::NotSent => {
-            app.fleet.borrow_mut().silent(now, first);
-            return Some(first);
-        }
-        Miss::NotRun(421, at) => (at.unwrap_or(first), Some(Fault::Empty)),
-        Miss::NotRun(_, at) => (at.unwrap_or(first), Some(Fault::Full)),
-        Miss::Lost => (first, None),
-        Miss::GivenUp => return None,
-    };
-    if let Some(fault) = fault {
-        app.fleet.borrow_mut().fail(now, addr, fault);
-    }
-    verify(app, addr);
-    Some(addr)
-}
-
-/// Returns a path, once there is one within the time that a request may wait for it.
-async fn wait_for_path(
-    app: &Rc<App>,
-    job: &Job,
-    avoid: &[SocketAddr],
-) -> Option<(Target, mustard_policy::pipeline::Demand)> {
-    let until = job.arrived + job.route.first.mul_f64(WAIT_SHARE);
-    loop {
-        let changed = app.changed.notified();
-        if let Some(found) = find_path(app, job, avoid) {
-            return Some(found);
-        }
-        let left = app.now().until(until);
-        if left.is_zero() || timeout(left, changed).await.is_err() {
-            return find_path(app, job, avoid);
-        }
-    }
-}
-
-fn find_path(
-    app: &App,
-    job: &Job,
-    avoid: &[SocketAddr],
-) -> Option<(Target, mustard_policy::pipeline::Demand)> {
-    let now = app.now();
-    let gateways = app.gateways() as f64;
-    let domain = app.fleet.borrow_mut().domain(&app.node.domain);
-    let demand = job.demand(domain);
-    let fleet = app.fleet.borrow();
-    let (path, crossings) = match &job.service.engine {
-        Some(engine) => {
-            let mut rng = app.rng.borrow_mut();
-            let mut path = |trust, avoid: &[SocketAddr]| {
-                let mut holders = fleet.holders(&job.service.name, engine, now, gateways, trust);
-                holders.retain(|h| !avoid.contains(&h.addr));
-                choose(engine, &holders, &demand, &mut *rng)
-            };
-            let route = path(Trust::Listed, avoid)
-                .or_else(|| path(Trust::Listed, &[]))
-                .or_else(|| path(Trust::Missing, &[]))?;
-            (route.parts, route.crossings)
-        }
-        None => (Vec::new(), 0),
-    };
-    let first = match path.first() {
-        Some(part) => part.addr,
-        None => {
-            let usable = fleet
-                .iter()
-                .filter(|(_, s)| s.entry.service == job.service.name);
-            let usable = usable.filter(|(_, s)| s.is_usable(now));
-            usable.min_by_key(|(_, s)| s.running)?.1.entry.addr
-        }
-    };
-    let server = fleet.get(fleet.at(first)?)?;
-    let target = Target {
-        addr: first,
-        identity: server.entry.id.clone(),
-        path,
-        crossings,
-    };
-    Some((target, demand))
-}
-
 /// A stream that has begun to be answered.
 struct Session {
     app: Rc<App>,
@@ -577,37 +349,3 @@
     }
     (out.freeze(), None)
 }
-
-/// Counts a strike against a content whose server broke off; the peers hear of it next round.
-fn strike(app: &App, job: &Job, server: SocketAddr) {
-    let strike = Strike {
-        fingerprint: job.content,
-        vm: server.to_string(),
-        shared: 1,
-    };
-    let now = app.now();
-    if app.quarantine.borrow_mut().strike(now, &strike)
-        && let Some(log) = app.journal.admit(Topic::Server)
-    {
-        warn!(log, "request: A content ends the servers that run it.";
-            "request" => &job.ask.id, "content" => %job.content);
-    }
-}
-
-fn note_chosen(app: &App, job: &Job, target: &Target, last_event: Option<u64>) {
-    if let Some(log) = app.journal.admit(Topic::Chosen) {
-        let version = app.config().map_or(0, |c| c.version);
-        info!(log, "request: Path chosen."; "request" => &job.ask.id,
-            "service" => &job.service.name, "first" => %target.addr,
-            "parts" => target.path.len(), "crossings" => target.crossings, "after" => last_event, "config" => version,
-            "waited_ms" => app.now().since(job.arrived).as_millis() as u64);
-    }
-}
-
-fn note_miss(app: &App, job: &Job, first: SocketAddr, cause: &str) {
-    if let Some(log) = app.journal.admit(Topic::Attempt) {
-        info!(log, "request: An attempt failed."; "request" => &job.ask.id,
-            "server" => %first, "cause" => cause,
-            "took_ms" => app.now().since(job.arrived).as_millis() as u64);
-    }
-}
