Divide the servers between the entry processes' suspects; name the contents at a death

Change: ready servers with the same layers are divided between entry processes by rendezvous hash (mustard-policy, separation); the agent names the contents; a process that joins greets the others and takes their strikes; a draft waits 100 ms at most until its strikes have arrived. The test's cluster waits until its entries know each other, as the list's lag is the platform's.

--- a/crates/mustard-agent/src/calls.rs
+++ b/crates/mustard-agent/src/calls.rs
@@ -115,6 +115,6 @@
     Refusal::ServerFailed {
         ran: e.ran(),
         detail: e.to_string(),
-        suspects: 0,
+        suspects: Vec::new(),
     }
 }
--- a/crates/mustard-agent/src/stage/failure.rs
+++ b/crates/mustard-agent/src/stage/failure.rs
@@ -6,6 +6,7 @@
 
 use mustard_backend::BackendError;
 use mustard_backend::engine::Engine;
+use mustard_core::fingerprint::Fingerprint;
 use mustard_proto::{Ran, Refusal};
 
 use super::run::Run;
@@ -29,7 +30,7 @@
             }
             BackendError::Unreachable(detail) => {
                 self.unrun();
-                self.failure(Ran::No, detail, 0)
+                self.failure(Ran::No, detail, Vec::new())
             }
             BackendError::Broken(detail) => {
                 let suspects = self.suspects().await;
@@ -39,17 +40,17 @@
             other => {
                 // An engine that lost the sequence may have run a part of it.
                 self.end(Ended::Broken);
-                self.failure(Ran::Maybe, other.to_string(), 0)
+                self.failure(Ran::Maybe, other.to_string(), Vec::new())
             }
         }
     }
 
-    /// Counts the request contents that the engine ran when it died; zero if it lives.
-    async fn suspects(&self) -> u32 {
+    /// Returns the request contents that the engine ran when it died; none if it lives.
+    async fn suspects(&self) -> Vec<Fingerprint> {
         let shared = &self.worker.shared;
         let running = shared.sessions().at_engine();
         if self.worker.server.held().await.is_ok() {
-            return 0;
+            return Vec::new();
         }
         let now = shared.process.now();
         let mut deaths = shared.deaths.lock().unwrap_or_else(PoisonError::into_inner);
@@ -61,7 +62,7 @@
         suspects
     }
 
-    fn failure(&self, ran: Ran, detail: String, suspects: u32) -> Refusal {
+    fn failure(&self, ran: Ran, detail: String, suspects: Vec<Fingerprint>) -> Refusal {
         Refusal::ServerFailed {
             ran,
             detail,
--- a/crates/mustard-agent/src/stage/order.rs
+++ b/crates/mustard-agent/src/stage/order.rs
@@ -119,7 +119,7 @@
         other => Refusal::ServerFailed {
             ran: other.ran(),
             detail: other.to_string(),
-            suspects: 0,
+            suspects: Vec::new(),
         },
     }
 }
--- a/crates/mustard-agent/src/stage/run.rs
+++ b/crates/mustard-agent/src/stage/run.rs
@@ -234,6 +234,6 @@
     Refusal::ServerFailed {
         ran: Ran::Maybe,
         detail: detail.to_owned(),
-        suspects: 0,
+        suspects: Vec::new(),
     }
 }
--- a/crates/mustard-agent/tests/messages/main.rs
+++ b/crates/mustard-agent/tests/messages/main.rs
@@ -126,7 +126,7 @@
 }
 
 #[test]
-fn step_engine_death_counts_suspects() {
+fn step_engine_death_names_suspects() {
     let mut cluster = Cluster::start(&stages().engine(&["--step-us", "20000000"])).unwrap();
     let running: Vec<_> = (1..3)
         .map(|request| {
@@ -143,10 +143,15 @@
     cluster.stages[0].server.kill().unwrap();
     for stream in running {
         let refused = read::<Step>(stream).unwrap_err();
-        let Refusal::ServerFailed { ran, suspects, .. } = refused else {
+        let Refusal::ServerFailed {
+            ran, mut suspects, ..
+        } = refused
+        else {
             panic!("{refused:?}");
         };
-        assert_eq!((ran, suspects), (Ran::Maybe, 2));
+        suspects.sort_unstable();
+        assert_eq!(ran, Ran::Maybe);
+        assert_eq!(suspects, [Fingerprint(1), Fingerprint(2)]);
     }
     eventually("the notice", || {
         (info(agent).state == AgentState::Ailing).then_some(())
--- a/crates/mustard-entry/src/api/peers.rs
+++ b/crates/mustard-entry/src/api/peers.rs
@@ -10,13 +10,13 @@
 use mustard_net::server::{self, MAX_MESSAGE};
 use mustard_proto::agent::{AgentInfo, AgentState, Heartbeat, Load, Role};
 use mustard_proto::catalogue::{Pull, Push};
-use mustard_proto::limits::{GrantAsk, Strikes};
+use mustard_proto::limits::{GrantAsk, Greeting, Strikes};
 use mustard_proto::timeline::{Events, Timeline};
 use mustard_proto::{Message, Refusal};
 
 use super::{ApiError, State, body};
 use crate::app::{Shared, Worker};
-use crate::{quotas, suspects};
+use crate::{greeting, quotas, suspects};
 
 /// How long the body of a message may take to arrive.
 const MESSAGE_TIME: Duration = Duration::from_secs(10);
@@ -30,7 +30,8 @@
         .service(path(Pull::PATH).route(web::post().to(pull)))
         .service(path(Push::PATH).route(web::post().to(push)))
         .service(path(GrantAsk::PATH).route(web::post().to(grant)))
-        .service(path(Strikes::PATH).route(web::post().to(strikes)));
+        .service(path(Strikes::PATH).route(web::post().to(strikes)))
+        .service(path(Greeting::PATH).route(web::post().to(greeting)));
 }
 
 /// Answers a message by a function of the message and the worker's state.
@@ -115,12 +116,11 @@
 
 async fn strikes(state: State, payload: Payload) -> HttpResponse {
     answer(state, payload, |worker, message: Strikes| {
-        let strikes: Vec<_> = message
-            .strikes
-            .into_iter()
-            .map(suspects::strike_of)
-            .collect();
-        suspects::note_strikes(worker, &strikes);
+        suspects::take_strikes(worker, message);
     })
     .await
 }
+
+async fn greeting(state: State, payload: Payload) -> HttpResponse {
+    answer(state, payload, greeting::answer).await
+}
--- a/crates/mustard-entry/src/lib.rs
+++ b/crates/mustard-entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod calls;
 pub mod drive;
 pub mod errors;
+pub mod greeting;
 pub mod metric;
 pub mod ports;
 pub mod quotas;
--- a/crates/mustard-entry/src/ports.rs
+++ b/crates/mustard-entry/src/ports.rs
@@ -10,9 +10,10 @@
 use mustard_core::fingerprint::{Fingerprint, KeyHash};
 use mustard_core::ids::{Epoch, RequestId, Seq};
 use mustard_net::CallError;
-use mustard_policy::fleet::ServerKey;
+use mustard_policy::fleet::{Fleet, ServerKey};
 use mustard_policy::quarantine::Standing;
 use mustard_policy::route::{Query, choose};
+use mustard_policy::separation::reserved_elsewhere;
 use mustard_proto::Refusal;
 use mustard_proto::agent::Heartbeat;
 use mustard_proto::step::{Cancel, Output, Step};
@@ -21,7 +22,7 @@
 use crate::app::Worker;
 use crate::drive::{Chain, NoChain, Ports, Veto, Want};
 use crate::metric;
-use crate::suspects::{self, Exposure};
+use crate::suspects::{self, Exposure, Telling};
 
 const PROBE_LIMIT: Duration = Duration::from_millis(150);
 const CANCEL_LIMIT: Duration = Duration::from_secs(2);
@@ -50,6 +51,7 @@
     attempts: Cell<u32>,
     apart: RefCell<Option<OwnedSemaphorePermit>>,
     exposure: RefCell<Option<Exposure>>,
+    telling: RefCell<Telling>,
 }
 
 impl NetPorts {
@@ -71,6 +73,7 @@
             attempts: Cell::new(0),
             apart: RefCell::new(apart),
             exposure: RefCell::new(None),
+            telling: RefCell::default(),
         }
     }
 
@@ -108,16 +111,37 @@
         }
         let shared = &self.worker.shared;
         let fleet = shared.servers.view();
+        let now = shared.process.now();
         let mut avoid: Vec<ServerKey> = want.avoid.iter().filter_map(|n| fleet.find(n)).collect();
-        if self.apart.borrow().is_some() {
-            let now = shared.process.now();
-            let occupied = shared.suspects.occupied(now, self.rights.fingerprint);
-            avoid.extend(occupied.iter().filter_map(|n| fleet.find(n)));
+        let plan = |avoid: &[ServerKey]| {
+            let query =
+                Query::new(&want.model, want.layers, want.positions, self.tokens).exclude(avoid);
+            choose(&fleet, &query, now, &mut rand::rng()).ok()
+        };
+        if self.apart.borrow().is_none() {
+            return chain_of(&fleet, &plan(&avoid)?);
         }
-        let query =
-            Query::new(&want.model, want.layers, want.positions, self.tokens).exclude(&avoid);
-        let plan = choose(&fleet, &query, shared.process.now(), &mut rand::rng()).ok()?;
-        chain_of(&fleet, &plan)
+        let occupied = shared.suspects.occupied(now, self.rights.fingerprint);
+        avoid.extend(occupied.iter().filter_map(|n| fleet.find(n)));
+        let mut reserved = self.reserved_elsewhere(&fleet, &want.model);
+        reserved.extend_from_slice(&avoid);
+        // Servers that other suspects of this process hold come free again; those that failed
+        // under this draft may not.
+        let spare = || occupied.is_empty().then(|| plan(&avoid)).flatten();
+        chain_of(&fleet, &plan(&reserved).or_else(spare)?)
+    }
+
+    /// Returns the servers that other entry processes use for their suspects.
+    fn reserved_elsewhere(&self, fleet: &Fleet, model: &str) -> Vec<ServerKey> {
+        let shared = &self.worker.shared;
+        let peers = shared.servers.peers();
+        let own = shared.process.name();
+        let entries: Vec<&str> = peers
+            .iter()
+            .map(|vm| vm.name.as_str())
+            .chain([own])
+            .collect();
+        reserved_elsewhere(fleet, model, own, &entries)
     }
 }
 
@@ -205,9 +229,9 @@
 
     fn blame(&self, agent: &str, error: &CallError) {
         self.worker.shared.servers.failed(agent, error);
-        let count = contents_at_death(error);
-        if count > 0 {
-            suspects::note_death(&self.worker, agent, count);
+        let contents = contents_at_death(error);
+        if !contents.is_empty() {
+            *self.telling.borrow_mut() = suspects::note_death(&self.worker, agent, contents);
         }
     }
 
@@ -220,6 +244,9 @@
             _ if !shared.retries.spend() => return Err(Veto::Budget),
             _ => {}
         }
+        // A caller that is refused here may come back through another process at once.
+        let telling = self.telling.take();
+        telling.end().await;
         self.run_apart().await?;
         let now = shared.process.now();
         let standing = shared.suspects.standing(now, self.rights.fingerprint);
@@ -269,20 +296,15 @@
     fleet.links().observe_path(&slots, outside);
 }
 
-/// Returns the number of request contents that ran on a server when it died, zero if the failure
-/// shows no death.
-fn contents_at_death(error: &CallError) -> u32 {
+/// Returns the request contents that ran on a server when it died, none if the failure shows no
+/// death.
+fn contents_at_death(error: &CallError) -> &[Fingerprint] {
     match error {
-        CallError::Refused(refusal) => contents_of(refusal),
-        _ => 0,
-    }
-}
-
-fn contents_of(refusal: &Refusal) -> u32 {
-    match refusal {
-        Refusal::NextFailed { cause, .. } => contents_of(cause),
-        Refusal::ServerFailed { suspects, .. } => *suspects,
-        _ => 0,
+        CallError::Refused(refusal) => match origin_of(refusal) {
+            Refusal::ServerFailed { suspects, .. } => suspects,
+            _ => &[],
+        },
+        _ => &[],
     }
 }
 
--- a/crates/mustard-entry/src/servers/mod.rs
+++ b/crates/mustard-entry/src/servers/mod.rs
@@ -92,6 +92,11 @@
         self.peers().into_iter().map(|vm| vm.addr).collect()
     }
 
+    /// Takes in an entry process that introduced itself; the platform's list goes first.
+    pub fn meet(&self, vm: Vm) {
+        self.lock().entries.entry(vm.name.clone()).or_insert(vm);
+    }
+
     /// Takes in a VM of the platform's list.
     pub fn list(&self, vm: Vm) {
         if vm.kind == VmKind::Entry {
--- a/crates/mustard-entry/src/servers/watch.rs
+++ b/crates/mustard-entry/src/servers/watch.rs
@@ -17,6 +17,7 @@
 
 use super::record::Known;
 use crate::app::Worker;
+use crate::greeting::{Greeted, greet_new};
 
 const MAX_DOUBLINGS: u32 = 4;
 const JITTER: f64 = 0.2;
@@ -33,6 +34,7 @@
     let pause = Duration::from_millis(shared.settings.members.list_ms);
     let mut version = 0;
     let mut failures: u32 = 0;
+    let mut greeted = Greeted::default();
     loop {
         match list.changes(version).await {
             Ok(changes) => {
@@ -50,6 +52,7 @@
                 if changed {
                     shared.servers.choose_subset();
                 }
+                greet_new(&worker, &mut greeted).await;
                 shared.set_listed();
             }
             Err(e) => {
--- a/crates/mustard-entry/src/suspects.rs
+++ b/crates/mustard-entry/src/suspects.rs
@@ -4,14 +4,17 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use ntex::rt::JoinHandle;
 use slog::warn;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
 
 use mustard_core::clock::Moment;
-use mustard_core::collections::{Map, Set};
+use mustard_core::collections::Map;
 use mustard_core::event::EventKind;
 use mustard_core::fingerprint::Fingerprint;
 use mustard_core::ids::Incarnation;
+use mustard_platform::vms::Vm;
 use mustard_policy::quarantine::{Quarantine, Settings, Standing, Strike};
 use mustard_proto::limits::{Strike as Sent, Strikes};
 
@@ -20,6 +23,9 @@
 /// Failures of one server within this time count as one death.
 const ONE_DEATH: Duration = Duration::from_secs(3);
 const SHARE_LIMIT: Duration = Duration::from_secs(1);
+/// How long a draft waits for its strikes to reach the other processes before it goes on: some
+/// round trips between failure domains.
+const TELLING_LIMIT: Duration = Duration::from_millis(100);
 
 /// What is known about harmful contents.
 pub struct Suspects {
@@ -91,6 +97,11 @@
         strikes.iter().filter(own).count()
     }
 
+    /// Returns the strikes that count.
+    pub fn strikes(&self, now: Moment) -> Vec<Strike> {
+        self.lock().quarantine.strikes(now)
+    }
+
     /// Returns the servers at which other suspects run.
     pub fn occupied(&self, now: Moment, fingerprint: Fingerprint) -> Vec<String> {
         let state = self.lock();
@@ -115,25 +126,16 @@
         }
     }
 
-    /// Takes in that a server died with `count` contents of all entry processes; returns the
+    /// Takes in that a server died while it ran contents, of all entry processes; returns the
     /// strikes to share, none if the death is known already.
-    pub fn died(&self, now: Moment, vm: &str, count: u32) -> Vec<Strike> {
+    pub fn died(&self, now: Moment, vm: &str, contents: &[Fingerprint]) -> Vec<Strike> {
         let mut state = self.lock();
         state.deaths.retain(|_, at| now.since(*at) < ONE_DEATH);
         if state.deaths.contains_key(vm) {
             return Vec::new();
         }
         state.deaths.insert(vm.to_owned(), now);
-        let running = state.running.get(vm).cloned().unwrap_or_default();
-        let mut strikes = state.quarantine.blame(now, vm, &running);
-        let distinct: Set<Fingerprint> = running.into_iter().collect();
-        if strikes.len() == distinct.len() {
-            // No suspect stands out, so the contents of other processes share the blame.
-            for strike in &mut strikes {
-                strike.shared = strike.shared.max(count);
-            }
-        }
-        strikes
+        state.quarantine.blame(now, vm, contents)
     }
 
     /// Takes in strikes; returns the contents that became quarantined by them.
@@ -163,27 +165,58 @@
     }
 }
 
+/// The strikes of a death on their way to the other entry processes.
+#[derive(Default)]
+pub struct Telling(Vec<JoinHandle<()>>);
+
+impl Telling {
+    /// Waits until every other process was told or did not answer in time.
+    pub async fn end(self) {
+        let all = async {
+            for told in self.0 {
+                let _ = told.await;
+            }
+        };
+        // A process that did not answer is logged by the task that tells it.
+        let _ = timeout(TELLING_LIMIT, all).await;
+    }
+}
+
 /// Takes in that a server died while it ran contents, and shares the strikes.
-pub fn note_death(worker: &Rc<Worker>, vm: &str, count: u32) {
+pub fn note_death(worker: &Rc<Worker>, vm: &str, contents: &[Fingerprint]) -> Telling {
     let shared = &worker.shared;
-    let strikes = shared.suspects.died(shared.process.now(), vm, count);
+    let strikes = shared.suspects.died(shared.process.now(), vm, contents);
     if strikes.is_empty() {
-        return;
+        return Telling::default();
     }
     warn!(shared.log, "suspects: Server died with requests running.";
         "agent" => vm, "contents" => strikes.len());
     note_strikes(worker, &strikes);
-    let message = Strikes {
-        strikes: strikes.iter().map(sent_of).collect(),
-    };
-    for addr in shared.servers.peer_addrs() {
+    let message = message_of(&strikes);
+    let tell = |peer: Vm| {
         let (client, message) = (worker.client.clone(), message.clone());
+        let log = shared.log.clone();
         ntex::rt::spawn(async move {
-            let _ = client
-                .call(addr, Incarnation(0), message, SHARE_LIMIT)
-                .await;
-        });
-    }
+            let told = client.call(peer.addr, Incarnation(0), message, SHARE_LIMIT);
+            if let Err(e) = told.await {
+                warn!(log, "suspects: Peer was not told of strikes.";
+                    "peer" => peer.name, "error" => %e);
+            }
+        })
+    };
+    Telling(shared.servers.peers().into_iter().map(tell).collect())
+}
+
+/// Returns the message of all strikes that count here.
+pub fn all_strikes(worker: &Worker) -> Strikes {
+    let shared = &worker.shared;
+    message_of(&shared.suspects.strikes(shared.process.now()))
+}
+
+/// Takes in the strikes of another entry process.
+pub fn take_strikes(worker: &Worker, message: Strikes) {
+    let strikes: Vec<_> = message.strikes.into_iter().map(strike_of).collect();
+    note_strikes(worker, &strikes);
 }
 
 /// Takes in strikes and tells of contents that became quarantined.
@@ -198,6 +231,12 @@
     }
 }
 
+fn message_of(strikes: &[Strike]) -> Strikes {
+    Strikes {
+        strikes: strikes.iter().map(sent_of).collect(),
+    }
+}
+
 fn sent_of(strike: &Strike) -> Sent {
     Sent {
         fingerprint: strike.fingerprint,
@@ -207,7 +246,7 @@
 }
 
 /// Returns a strike of another process in the terms of the policy.
-pub fn strike_of(sent: Sent) -> Strike {
+fn strike_of(sent: Sent) -> Strike {
     Strike {
         fingerprint: sent.fingerprint,
         vm: sent.vm,
--- a/crates/mustard-entry/tests/api.rs
+++ b/crates/mustard-entry/tests/api.rs
@@ -173,28 +173,23 @@
 #[test]
 fn died_shared_batch() {
     let suspects = std::sync::Arc::new(Suspects::default());
-    let (guilty, innocent) = (Fingerprint(1), Fingerprint(2));
-    let first = ["a".to_owned()];
-    let shared = [
-        suspects.expose(&first, guilty),
-        suspects.expose(&first, innocent),
-    ];
+    let (guilty, innocent, foreign) = (Fingerprint(1), Fingerprint(2), Fingerprint(3));
     let now = Moment::from_millis(1_000);
-    let strikes = suspects.died(now, "a", 3);
-    assert!(strikes.len() == 2 && strikes.iter().all(|s| s.shared == 3));
+    let strikes = suspects.died(now, "a", &[guilty, innocent, foreign]);
+    assert!(strikes.len() == 3 && strikes.iter().all(|s| s.shared == 3));
     assert!(suspects.take(now, &strikes).is_empty());
     assert!(
-        suspects.died(now, "a", 2).is_empty(),
+        suspects.died(now, "a", &[guilty, innocent]).is_empty(),
         "one death counts once"
     );
-    drop(shared);
-    let _alone = suspects.expose(&["b".to_owned()], guilty);
     let later = now + Duration::from_secs(5);
-    let strikes = suspects.died(later, "b", 1);
+    let strikes = suspects.died(later, "b", &[guilty]);
     assert_eq!(suspects.take(later, &strikes), vec![guilty]);
     assert!(matches!(
         suspects.standing(later, guilty),
         Standing::Quarantined(_)
     ));
-    assert_eq!(suspects.standing(later, innocent), Standing::Suspect);
+    for content in [innocent, foreign] {
+        assert_eq!(suspects.standing(later, content), Standing::Suspect);
+    }
 }
--- a/crates/mustard-entry/tests/calls.rs
+++ b/crates/mustard-entry/tests/calls.rs
@@ -130,7 +130,7 @@
                 refused(Refusal::ServerFailed {
                     ran: Ran::Maybe,
                     detail: "no answer in time".to_owned(),
-                    suspects: 0,
+                    suspects: Vec::new(),
                 })
             }
         }
--- a/crates/mustard-policy/src/lib.rs
+++ b/crates/mustard-policy/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod quarantine;
 pub mod retry;
 pub mod route;
+pub mod separation;
 pub mod slow;
 pub mod stall;
 pub mod subset;
--- a/crates/mustard-policy/src/limits/mod.rs
+++ b/crates/mustard-policy/src/limits/mod.rs
@@ -12,13 +12,12 @@
 mod grantor;
 mod holder;
 
-use std::hash::Hasher;
 use std::time::Duration;
 
-use rustc_hash::FxHasher;
-
 use mustard_core::catalogue::Limits;
 
+use crate::subset::first_by_hash;
+
 pub use grantor::Grantor;
 pub use holder::{Demand, Denied, Holder, Meter, Permit, Result};
 
@@ -61,12 +60,5 @@
 
 /// Returns the entry process that grants the limits of a catalogue entry.
 pub fn grantor_of<'a>(entry: &str, live: &[&'a str]) -> Option<&'a str> {
-    let rank = |process: &str| {
-        let mut hasher = FxHasher::default();
-        hasher.write(entry.as_bytes());
-        hasher.write_u8(0);
-        hasher.write(process.as_bytes());
-        crate::subset::mix(hasher.finish())
-    };
-    live.iter().copied().max_by_key(|p| (rank(p), *p))
+    first_by_hash(entry, live)
 }
--- a/crates/mustard-policy/src/subset.rs
+++ b/crates/mustard-policy/src/subset.rs
@@ -62,6 +62,18 @@
     (0..servers.len()).filter(|&i| chosen[i]).collect()
 }
 
+/// Returns the process that comes first for an item by rendezvous hash.
+pub fn first_by_hash<'a>(item: &str, processes: &[&'a str]) -> Option<&'a str> {
+    let rank = |process: &str| {
+        let mut hasher = FxHasher::default();
+        hasher.write(item.as_bytes());
+        hasher.write_u8(0);
+        hasher.write(process.as_bytes());
+        mix(hasher.finish())
+    };
+    processes.iter().copied().max_by_key(|p| (rank(p), *p))
+}
+
 /// Tells whether a process is among the first `count` for a server.
 fn is_first(own: Process, near: &[Process], server: &Candidate, count: usize) -> bool {
     let own_rank = rank(own.name, server.vm);
--- a/crates/mustard-proto/src/limits.rs
+++ b/crates/mustard-proto/src/limits.rs
@@ -1,5 +1,7 @@
 //! Messages between entry processes: grants of a customer's limits, and strikes.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use mustard_core::fingerprint::Fingerprint;
@@ -59,3 +61,23 @@
     const PATH: &'static str = "/x/v1/strikes";
     type Answer = ();
 }
+
+/// Introduces an entry process to another one, which may not have it in its list of VMs yet.
+///
+/// The answer holds the strikes that count at the other process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Greeting {
+    /// The name of the sender's VM.
+    pub name: String,
+    /// The sender's failure domain.
+    pub domain: String,
+    /// Where the sender takes messages.
+    pub addr: SocketAddr,
+    /// The strikes that count at the sender.
+    pub strikes: Strikes,
+}
+
+impl Message for Greeting {
+    const PATH: &'static str = "/x/v1/greeting";
+    type Answer = Strikes;
+}
--- a/crates/mustard-proto/src/refusal.rs
+++ b/crates/mustard-proto/src/refusal.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use mustard_core::fingerprint::Fingerprint;
 use mustard_core::ids::{Epoch, Fence, Incarnation, Seq};
 
 /// Whether the refused work may have run.
@@ -89,10 +90,10 @@
         ran: Ran,
         /// What was seen.
         detail: String,
-        /// The number of different request contents that ran on the server when it died, this
-        /// one included; zero if it did not die.
+        /// The different request contents that ran on the server when it died, this one
+        /// included; none if it did not die.
         #[serde(default)]
-        suspects: u32,
+        suspects: Vec<Fingerprint>,
     },
     /// The next agent of the chain failed or refused.
     #[error("stage {stage} failed: {cause}")]
--- a/crates/mustard-tests/src/cluster.rs
+++ b/crates/mustard-tests/src/cluster.rs
@@ -14,6 +14,7 @@
 use mustard_fakes::fault::Command;
 use mustard_fakes::service::Booking;
 use mustard_platform::vms::{Vm, VmKind, VmState};
+use mustard_proto::admin::EntryState;
 
 use crate::caller::Caller;
 use crate::child::Child;
@@ -279,6 +280,13 @@
         }
         for entry in 0..self.entries.len() {
             self.wait_ready(entry)?;
+            // Until the platform's list names a new process, the others cannot tell it anything.
+            let knows_peers = || {
+                let status = self.operator(entry).status().ok()?;
+                let known = status.entries.len() + 1 >= self.entries.len();
+                (known && status.state == EntryState::Ready).then_some(())
+            };
+            eventually("an entry that knows its peers", knows_peers)?;
         }
         Ok(())
     }
--- a/crates/mustard-tests/tests/poison.rs
+++ b/crates/mustard-tests/tests/poison.rs
@@ -5,7 +5,7 @@
 
 use mustard_tests::caller::expected_text;
 use mustard_tests::plan::MODEL;
-use mustard_tests::{Cluster, Plan};
+use mustard_tests::{Cluster, Plan, eventually};
 
 const KILLER: [u32; 2] = [1, 13];
 const REPLICAS: usize = 5;
@@ -65,3 +65,17 @@
         );
     }
 }
+
+#[test]
+fn killer_is_refused_by_entry_that_joins_later() {
+    let mut cluster = cluster();
+    assert_eq!(send_killer(&cluster).as_deref(), Some("not_run"));
+    let joined = cluster.add_entry().unwrap();
+    let answer = eventually("an answer of the new entry", || {
+        let draft = cluster.caller(joined).stream(MODEL, &KILLER, 5).ok()?;
+        let outcome = draft.outcome()?.to_owned();
+        (outcome != "unavailable").then_some(outcome)
+    });
+    assert_eq!(answer.unwrap(), "not_run");
+    assert_eq!(engines_dead(&mut cluster), 2);
+}
