Tell a request's story from log files: mustardctl explain

Reads JSON lines of any number of processes, skips what stands before an object, and prints the lines of one request in order of time, with those about its servers, and about store, configuration and lost lines at the processes that drove it.

--- a/crates/mustardctl/src/cli.rs
+++ b/crates/mustardctl/src/cli.rs
@@ -96,6 +96,12 @@
     /// Shows the events of all processes in one order.
     #[command(after_help = "Example:\n  mustardctl timeline --request 0af3… --output json")]
     Timeline(Timeline),
+    /// Tells a request's story from log files of several processes, in order of time.
+    #[command(
+        after_help = "Lines marked ~ are about servers and services that the request depended on.\n\n\
+                      Example:\n  mustardctl explain 1a36b863d199f293 gateway-*.log"
+    )]
+    Explain(Explain),
     /// Checks a settings file of a daemon, or a catalogue file, without sending anything.
     #[command(after_help = "Example:\n  mustardctl check-config /etc/mustardfield/entry.toml")]
     CheckConfig(CheckConfig),
@@ -104,6 +110,17 @@
     KeyHash(KeyHash),
 }
 
+/// Tells a request's story.
+#[derive(Debug, Args)]
+pub struct Explain {
+    /// The request's id, as the log lines have it.
+    #[arg(value_name = "ID")]
+    pub request: String,
+    /// Log files, JSON lines; `-` is the standard input.
+    #[arg(value_name = "FILE", required = true)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Shows or changes catalogue entries.
 #[derive(Debug, Subcommand)]
 pub enum Catalogue {
--- a/crates/mustardctl/src/commands/mod.rs
+++ b/crates/mustardctl/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod catalogue;
 mod change;
 mod check;
+mod explain;
 mod operate;
 mod status;
 mod timeline;
@@ -22,6 +23,7 @@
     match &cli.command {
         Command::KeyHash(args) => key_hash(args),
         Command::CheckConfig(args) => check::run(args),
+        Command::Explain(args) => explain::run(cli, args),
         other => {
             let client = Client::new(cli).await?;
             run_remote(cli, other, &client).await
@@ -38,7 +40,7 @@
         Command::Settle(args) => operate::settle(cli, args, client).await,
         Command::Quarantine(args) => operate::quarantine(cli, args, client).await,
         Command::Timeline(args) => timeline::run(cli, args, client).await,
-        Command::CheckConfig(_) | Command::KeyHash(_) => Ok(()),
+        Command::CheckConfig(_) | Command::Explain(_) | Command::KeyHash(_) => Ok(()),
     }
 }
 
--- a/crates/mustardctl/src/errors.rs
+++ b/crates/mustardctl/src/errors.rs
@@ -42,6 +42,11 @@
     /// An answer has another form.
     #[error("answer does not parse: {0}")]
     BadAnswer(#[from] serde_json::Error),
+    /// No log line is about the request.
+    #[error(
+        "no line is about request {0}; lines are dropped beyond the log's budget, see its `log:` lines"
+    )]
+    NotLogged(String),
     /// The output is closed.
     #[error("output failed: {0}")]
     Output(#[from] std::io::Error),
@@ -130,7 +135,7 @@
                 _ => EXIT_REFUSED,
             },
             CtlError::Partial(_) => EXIT_PARTIAL,
-            CtlError::BadAnswer(_) | CtlError::Output(_) => EXIT_FAILED,
+            CtlError::BadAnswer(_) | CtlError::NotLogged(_) | CtlError::Output(_) => EXIT_FAILED,
         }
     }
 }
--- a/crates/mustardctl/src/lib.rs
+++ b/crates/mustardctl/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod file;
 pub mod output;
 pub mod plan;
+pub mod story;
 
 pub use errors::{CtlError, Result};
