Ask a server again if this process was too late to read its report

Change: the watch notes how late its timer fires; a call whose limit ran out in such a span is made once more with a limit that covers the time lost.

--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -20,7 +20,7 @@
 use mustard_net::shutdown::Gate;
 use mustard_policy::allowance::{Allowance, Budget};
 use mustard_policy::quarantine::{Quarantine, Settings};
-use mustard_policy::stall::Pauses;
+use mustard_policy::stall::{Lateness, Pauses};
 
 use crate::fleet::Fleet;
 use crate::flights::Flights;
@@ -80,6 +80,8 @@
     pub listed: Cell<bool>,
     /// The streams in flight.
     pub flights: RefCell<Flights>,
+    /// How late this process is.
+    pub lateness: RefCell<Lateness>,
     /// The usual pauses of streams.
     pub pauses: RefCell<Pauses>,
     /// The retry budget of each service.
@@ -127,6 +129,7 @@
             fleet: RefCell::default(),
             listed: Cell::new(false),
             flights: RefCell::default(),
+            lateness: RefCell::default(),
             pauses: RefCell::default(),
             allowances: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(Settings {
--- a/crates/mustard-gateway/src/watch.rs
+++ b/crates/mustard-gateway/src/watch.rs
@@ -12,6 +12,7 @@
 use mustard_core::clock::Moment;
 use mustard_core::collections::{Map, Set};
 use mustard_core::deployment::{Part, Report};
+use mustard_net::CallError;
 use mustard_policy::pipeline::replace;
 use mustard_policy::stall::Progress;
 use mustard_policy::suspicion::Fault;
@@ -24,6 +25,9 @@
 use crate::keeper::{ask, engine_of, send};
 use crate::metric;
 
+/// The report of a server, or why there is none.
+type Result<T> = std::result::Result<T, CallError>;
+
 /// The pause between two looks at the streams in flight.
 const LOOK: Duration = Duration::from_millis(15);
 /// The time for a report while streams stand still; a live server answers within a few
@@ -44,7 +48,11 @@
 /// Watches for the life of the process.
 pub async fn run(app: Rc<App>) {
     loop {
+        let since = app.now();
         sleep(LOOK).await;
+        let now = app.now();
+        let late = now.since(since).saturating_sub(LOOK);
+        app.lateness.borrow_mut().note(now, late);
         let due = take_due(&app);
         if !due.is_empty() {
             let app = Rc::clone(&app);
@@ -120,13 +128,15 @@
     if known.is_some() {
         return known;
     }
-    match ask(app, addr, ASK_LIMIT).await {
+    let asked = app.now();
+    match ask_in_time(app, addr).await {
         Ok(report) => Some(report),
         Err(e) => {
             let news = app.fleet.borrow_mut().silent(app.now(), addr);
             if news && let Some(log) = app.journal.admit(Topic::Server) {
                 warn!(log, "watch: A server gives no sign of life."; "server" => %addr,
-                    "error" => %e);
+                    "error" => %e, "took_ms" => app.now().since(asked).as_millis() as u64,
+                    "late_ms" => app.lateness.borrow().since(asked).as_millis() as u64);
             }
             if news {
                 leave(app, addr);
@@ -136,6 +146,20 @@
     }
 }
 
+/// Asks a server; asks it again if this process was too late to read the answer.
+async fn ask_in_time(app: &App, addr: SocketAddr) -> Result<Rc<Report>> {
+    let asked = app.now();
+    let answer = ask(app, addr, ASK_LIMIT).await;
+    if !matches!(answer, Err(CallError::TimedOut(_))) {
+        return answer;
+    }
+    let lateness = *app.lateness.borrow();
+    match lateness.more_time(asked, app.now(), ASK_LIMIT) {
+        Some(limit) => ask(app, addr, limit).await,
+        None => answer,
+    }
+}
+
 /// Asks a server that is blamed for a failure, so that its state and not the blame decides.
 pub fn verify(app: &Rc<App>, addr: SocketAddr) {
     let app = Rc::clone(app);
--- a/crates/mustard-policy/src/stall.rs
+++ b/crates/mustard-policy/src/stall.rs
@@ -43,6 +43,46 @@
     }
 }
 
+/// How late the timers of this process fire, over the last moments.
+///
+/// A process that lacks processor time reads answers late, and would take servers for silent that
+/// have answered.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Lateness {
+    recent: [(Moment, Duration); RECENT_TIMERS],
+    next: usize,
+}
+
+/// The timers remembered; they must span the longest time for a report.
+const RECENT_TIMERS: usize = 8;
+/// The time lost in a call that shows nothing: timers count in whole milliseconds.
+const TOLERATED: Duration = Duration::from_millis(3);
+/// The time for another call, over the limit and the time lost in the first one: a process that
+/// was held up has answers to read before the one it waits for.
+const MORE_TIME: u32 = 2;
+
+impl Lateness {
+    /// Takes in that a timer fired now, this late.
+    pub fn note(&mut self, now: Moment, late: Duration) {
+        self.recent[self.next] = (now, late);
+        self.next = (self.next + 1) % RECENT_TIMERS;
+    }
+
+    /// Returns the time that was lost in the span since a moment, as far as remembered.
+    pub fn since(&self, moment: Moment) -> Duration {
+        let within = self.recent.iter().filter(|(at, _)| *at >= moment);
+        within.map(|(_, late)| *late).sum()
+    }
+
+    /// Returns the time for another call where the limit of one made at `moment` ran out while
+    /// this process was late; `None` where it was on time, so that the silence is the server's.
+    pub fn more_time(&self, moment: Moment, now: Moment, limit: Duration) -> Option<Duration> {
+        let overrun = now.since(moment).saturating_sub(limit);
+        let lost = self.since(moment).max(overrun);
+        (lost >= TOLERATED).then(|| (limit + lost) * MORE_TIME)
+    }
+}
+
 /// What is known of a stream's progress.
 #[derive(Clone, Copy, Debug)]
 pub struct Progress {
--- a/crates/mustard-policy/tests/watch.rs
+++ b/crates/mustard-policy/tests/watch.rs
@@ -4,7 +4,7 @@
 
 use mustard_core::clock::Moment;
 use mustard_policy::allowance::{Allowance, Budget};
-use mustard_policy::stall::{Pauses, Progress};
+use mustard_policy::stall::{Lateness, Pauses, Progress};
 use mustard_policy::suspicion::{Fault, Suspicion};
 
 fn at(ms: u64) -> Moment {
@@ -129,3 +129,27 @@
     assert!(!allowance.spend(at(9_000)));
     assert!(allowance.spend(at(10_100)));
 }
+
+/// Pattern: a gateway that comes back meets a herd, lacks processor time, and reads reports late.
+/// The servers aren't to blame.
+#[test]
+fn lateness_herd_after_restart() {
+    let limit = Duration::from_millis(25);
+    let mut lateness = Lateness::default();
+    for before in [960, 975, 990] {
+        lateness.note(at(before), Duration::from_millis(40));
+    }
+    let more = |l: &Lateness, now| l.more_time(at(1_000), at(now), limit);
+    assert_eq!(more(&lateness, 1_026), None, "late before the call only");
+    lateness.note(at(1_016), Duration::from_millis(1));
+    assert_eq!(more(&lateness, 1_026), None, "on time in the call");
+    assert!(
+        more(&lateness, 1_033).is_some(),
+        "the call's own timer was late"
+    );
+    lateness.note(at(1_033), Duration::from_millis(18));
+    let given = more(&lateness, 1_033).unwrap();
+    assert!(given >= limit + Duration::from_millis(18));
+    // A stream that stands still meanwhile still goes on within the 200 ms that callers allow.
+    assert!(given <= Duration::from_millis(100), "{given:?}");
+}
