--- a/crates/mustard-bench/src/main.rs
+++ b/crates/mustard-bench/src/main.rs
@@ -5,6 +5,7 @@
 mod compare;
 mod decide;
 mod load;
+mod place;
 mod slopes;
 
 use clap::{Parser, Subcommand};
@@ -23,6 +24,8 @@
     Decide(decide::Args),
     /// Compares the product's policy with plain baselines.
     Compare(compare::Args),
+    /// Compares the planner of layers with plain baselines over emulated days.
+    Place(place::Args),
     /// Offers load to running entry processes.
     Load(load::Args),
     /// Measures what control costs against the counts that will grow.
@@ -33,6 +36,7 @@
     match Cli::parse().command {
         Command::Decide(args) => decide::run(&args),
         Command::Compare(args) => compare::run(&args),
+        Command::Place(args) => place::run(&args),
         Command::Load(args) => load::run(&args),
         Command::Slopes(args) => slopes::run(&args),
     }
--- /dev/null
+++ b/crates/mustard-bench/src/place/day.rs
@@ -0,0 +1,281 @@
+//! One emulated day: servers die, come back empty, are added, and layers are loaded.
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use mustard_core::collections::Map;
+use mustard_policy::pipeline::{Demand, Holder, Route, choose};
+
+use super::Args;
+use super::deployment::{Deployment, index_of};
+use super::ways::Way;
+
+const DAY_MS: u64 = 60_000;
+const TICK_MS: u64 = 100;
+/// The pause between two looks at the plan.
+const PLAN_MS: u64 = 300;
+/// The time between a change and the first order that answers it: notice, lease and report.
+const NOTICE_MS: u64 = 1_000;
+/// Loads before the first request take a tenth of the time and count for nothing here.
+const FIRST_PLANS: usize = 8;
+/// The shortest and longest time until a dead server is back.
+const BACK_MS: std::ops::Range<u64> = 2_000..20_000;
+/// The share of deaths that take another server of the same failure domain along.
+const PAIR: f64 = 0.3;
+/// Requests with which the memory of the paths is filled, at most.
+const MOST_REQUESTS: usize = 2_000;
+/// The time of a hop within a failure domain, in milliseconds.
+const HOP_MS: f64 = 0.25;
+
+/// What one day gave.
+#[derive(Debug, Default)]
+pub(super) struct Outcome {
+    pub first_ms: f64,
+    pub token_ms: f64,
+    pub requests: f64,
+    pub served: f64,
+    pub crossings: f64,
+    pub loads: usize,
+}
+
+pub(super) struct Day {
+    rng: ChaCha8Rng,
+    deployment: Deployment,
+    way: Way,
+    streams: f64,
+    /// The mean time between two deaths, in milliseconds.
+    death_ms: f64,
+    changed_ms: u64,
+    loads: usize,
+    crossings: f64,
+}
+
+impl Day {
+    pub(super) fn new(seed: u64, deployment: Deployment, way: Way, args: &Args) -> Self {
+        Day {
+            rng: ChaCha8Rng::seed_from_u64(seed ^ 0x5eed),
+            deployment,
+            way,
+            streams: args.streams,
+            death_ms: args.deaths * 1e3,
+            changed_ms: 0,
+            loads: 0,
+            crossings: 0.0,
+        }
+    }
+
+    pub(super) fn run(mut self) -> Outcome {
+        for _ in 0..FIRST_PLANS {
+            for m in self.way.moves(&self.deployment, 0, usize::MAX) {
+                self.deployment.servers[m.index].held = Some(m.layers);
+            }
+        }
+        let mut outcome = self.at_rest();
+        let mut death = self.next_death(0);
+        let mut now = 0;
+        let mut served = 0.0;
+        while now < DAY_MS {
+            self.revive(now);
+            if now >= death {
+                self.kill(now);
+                death = self.next_death(now);
+            }
+            if now % PLAN_MS == 0 && now >= self.changed_ms + NOTICE_MS {
+                self.order(now);
+            }
+            served += self.served(now);
+            now += TICK_MS;
+        }
+        outcome.served = served / (DAY_MS / TICK_MS) as f64;
+        outcome.loads = self.loads;
+        outcome.crossings = self.crossings / (DAY_MS / TICK_MS) as f64;
+        outcome
+    }
+
+    fn next_death(&mut self, now: u64) -> u64 {
+        let share: f64 = self.rng.random();
+        now + (-self.death_ms * (1.0 - share).ln()) as u64
+    }
+
+    fn kill(&mut self, now: u64) {
+        let count = self.deployment.servers.len();
+        let first = self.rng.random_range(0..count);
+        let domain = self.deployment.servers[first].domain;
+        let pair = self.rng.random_bool(PAIR);
+        let second = self.rng.random_range(0..count);
+        let back = now + self.rng.random_range(BACK_MS);
+        for (server, hit) in [(first, true), (second, pair)] {
+            let server = &mut self.deployment.servers[server];
+            if hit && server.domain == domain && server.back_ms.is_none() {
+                server.back_ms = Some(back);
+                server.held = None;
+                server.ready_ms = 0;
+                self.changed_ms = now;
+            }
+        }
+    }
+
+    fn revive(&mut self, now: u64) {
+        for server in &mut self.deployment.servers {
+            if server.back_ms.is_some_and(|at| at <= now) {
+                server.back_ms = None;
+                self.changed_ms = now;
+            }
+        }
+    }
+
+    fn order(&mut self, now: u64) {
+        let engine = &self.deployment.engine;
+        let loading = self.deployment.servers.iter();
+        let loading = loading.filter(|s| s.ready_ms > now).count();
+        let most = (engine.parallel_loads as usize).saturating_sub(loading);
+        let load_ms = engine.load.as_millis() as f64 / f64::from(engine.layers);
+        for m in self.way.moves(&self.deployment, now, most) {
+            let server = &mut self.deployment.servers[m.index];
+            server.held = Some(m.layers);
+            server.ready_ms = now + (load_ms * f64::from(m.layers.count())) as u64;
+            self.loads += 1;
+        }
+    }
+
+    /// Returns the share of the streams that arrive now which have a path, and whose changes of
+    /// failure domain the pipes carry.
+    fn served(&mut self, now: u64) -> f64 {
+        if self.way == Way::Bound {
+            return f64::from(self.copies() >= 1.0);
+        }
+        let holders = self.deployment.holders(now);
+        let domains = self.deployment.domains;
+        let engine = self.deployment.engine.clone();
+        let mut crossings = 0.0;
+        let mut found = 0.0;
+        for domain in 0..domains {
+            let demand = demand(&engine, domain);
+            if let Some(route) = choose(&engine, &holders, &demand, &mut self.rng) {
+                found += 1.0;
+                crossings += f64::from(route.crossings);
+            }
+        }
+        self.crossings += crossings / f64::from(domains);
+        let per_domain = self.streams / f64::from(domains);
+        let bits = engine.usual_prompt * engine.activation_bytes * 8.0;
+        // Each ordered pair of domains has a pipe; paths are taken to spread over them.
+        let pipes = f64::from(domains * (domains - 1)).max(1.0);
+        let room = pipes * engine.pipe_mbps * 1e6 / bits;
+        let carried = (room / (crossings * per_domain).max(1e-9)).min(1.0);
+        carried * found / f64::from(domains)
+    }
+
+    /// Returns how often the layers fit in the memory of the live servers.
+    fn copies(&self) -> f64 {
+        let engine = &self.deployment.engine;
+        let servers = self.deployment.servers.iter().enumerate();
+        let live = servers.filter(|(_, s)| s.back_ms.is_none());
+        let layers = live.map(|(i, _)| engine.capacity(self.deployment.accelerator(i).memory_mb));
+        f64::from(layers.sum::<u32>()) / f64::from(engine.layers)
+    }
+
+    fn at_rest(&mut self) -> Outcome {
+        match self.way {
+            Way::Bound => self.bound(),
+            _ => self.predicted(),
+        }
+    }
+
+    /// Returns what no plan exceeds: the fastest accelerator for every layer, and all memory beside
+    /// one copy for requests.
+    fn bound(&self) -> Outcome {
+        let engine = &self.deployment.engine;
+        let count = self.deployment.servers.len();
+        let used = (0..count).map(|i| self.deployment.accelerator(i));
+        let pace = used.clone().map(|a| a.pace).fold(f64::INFINITY, f64::min);
+        let read = used.clone().map(|a| a.read_factor);
+        let read = read.fold(f64::INFINITY, f64::min);
+        let memory: f64 = used.map(|a| a.memory_mb).sum();
+        let token_ms = engine.step.base_ms * pace;
+        let room = memory - f64::from(engine.layers) * engine.layer_mb;
+        Outcome {
+            first_ms: engine.usual_prompt / engine.step.tokens_s * 1e3 * read + token_ms,
+            token_ms,
+            requests: room / request_mb(engine),
+            ..Outcome::default()
+        }
+    }
+
+    /// Returns what the paths over idle servers predict, as the mean over entry domains.
+    fn predicted(&mut self) -> Outcome {
+        let engine = self.deployment.engine.clone();
+        let holders = self.deployment.holders(0);
+        let mut outcome = Outcome {
+            requests: self.capacity(&holders),
+            ..Outcome::default()
+        };
+        let domains = self.deployment.domains;
+        for domain in 0..domains {
+            let demand = demand(&engine, domain);
+            let Some(route) = choose(&engine, &holders, &demand, &mut self.rng) else {
+                continue;
+            };
+            let (first, token) = self.times(&route);
+            outcome.first_ms += first / f64::from(domains);
+            outcome.token_ms += token / f64::from(domains);
+        }
+        outcome
+    }
+
+    fn times(&self, route: &Route) -> (f64, f64) {
+        let engine = &self.deployment.engine;
+        let bits = engine.usual_prompt * engine.activation_bytes * 8.0;
+        let mut first = f64::from(route.crossings) * bits / (engine.pipe_mbps * 1e3);
+        let mut token = 0.0;
+        for part in &route.parts {
+            let accelerator = self.deployment.accelerator(index_of(part.addr));
+            let share = f64::from(part.layers.count()) / f64::from(engine.layers);
+            let read = engine.usual_prompt / engine.step.tokens_s * 1e3;
+            first += share * read * accelerator.read_factor + HOP_MS;
+            token += share * engine.step.base_ms * accelerator.pace + HOP_MS;
+        }
+        (first + token, token)
+    }
+
+    /// Returns the requests that paths are found for until one meets a server without memory.
+    fn capacity(&mut self, holders: &[Holder]) -> f64 {
+        let engine = self.deployment.engine.clone();
+        let token_mb = engine.token_layer_mb() * (engine.usual_prompt + engine.usual_answer);
+        let mut holders = holders.to_vec();
+        let mut used: Map<usize, f64> = Map::default();
+        for count in 0..MOST_REQUESTS {
+            let domain = count as u32 % self.deployment.domains;
+            let demand = demand(&engine, domain);
+            let Some(route) = choose(&engine, &holders, &demand, &mut self.rng) else {
+                return count as f64;
+            };
+            for part in &route.parts {
+                let server = index_of(part.addr);
+                let mb = used.entry(server).or_default();
+                *mb += token_mb * f64::from(part.layers.count());
+                let share = *mb / self.deployment.room_mb(server).max(1.0);
+                if share > 1.0 {
+                    return count as f64;
+                }
+                if let Some(holder) = holders.iter_mut().find(|h| h.addr == part.addr) {
+                    holder.used = share;
+                }
+            }
+        }
+        MOST_REQUESTS as f64
+    }
+}
+
+fn demand(engine: &mustard_core::deployment::Engine, domain: u32) -> Demand {
+    Demand {
+        prompt: engine.usual_prompt,
+        answer: engine.usual_answer,
+        domain,
+    }
+}
+
+fn request_mb(engine: &mustard_core::deployment::Engine) -> f64 {
+    let tokens = engine.usual_prompt + engine.usual_answer;
+    engine.token_layer_mb() * tokens * f64::from(engine.layers)
+}
