Order lost layers while the store is away; name servers and view in the log; test the log

Change: a gateway goes on under the last number that it was granted; servers refuse it if they have seen a higher one, and it is given up then. The four gateways that would order first take a number each in a calm moment. Ruled out: handing one number to all (two would act under it). Tests: give_store_away (fails without), last_fence_*, and any schedule of polls never gives one number to two processes. 2.

--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -76,6 +76,8 @@
     pub config_text: RefCell<Rc<Vec<u8>>>,
     /// The servers.
     pub fleet: RefCell<Fleet>,
+    /// When the list of servers was last confirmed by the store.
+    pub heard: Cell<Moment>,
     /// Whether the list of servers has been read.
     pub listed: Cell<bool>,
     /// The streams in flight.
@@ -129,6 +131,7 @@
             fleet: RefCell::default(),
             listed: Cell::new(false),
             flights: RefCell::default(),
+            heard: Cell::default(),
             lateness: RefCell::default(),
             pauses: RefCell::default(),
             allowances: RefCell::default(),
@@ -153,6 +156,11 @@
         self.clock.now()
     }
 
+    /// Returns how long ago the store confirmed the list of servers, in milliseconds.
+    pub fn view_age(&self) -> u64 {
+        self.now().since(self.heard.get()).as_millis() as u64
+    }
+
     /// Returns the configuration in force.
     pub fn config(&self) -> Option<Rc<Config>> {
         self.config.borrow().clone()
--- a/crates/mustard-gateway/src/follow.rs
+++ b/crates/mustard-gateway/src/follow.rs
@@ -83,6 +83,9 @@
 
 fn regained(app: &App, followed: Followed) {
     metric::store("follow", "ok");
+    if followed == Followed::Servers {
+        app.heard.set(app.now());
+    }
     if !app.peers.borrow_mut().set_store(followed, true) {
         return;
     }
--- a/crates/mustard-gateway/src/forward/open.rs
+++ b/crates/mustard-gateway/src/forward/open.rs
@@ -7,7 +7,7 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-use mustard_core::deployment::Kind;
+use mustard_core::deployment::{Kind, Part};
 use mustard_policy::pipeline::{Demand, choose};
 use mustard_policy::quarantine::Strike;
 use mustard_policy::stall::Progress;
@@ -250,11 +250,19 @@
         let version = app.config().map_or(0, |c| c.version);
         info!(log, "request: Path chosen."; "request" => &job.ask.id,
             "service" => &job.service.name, "first" => %target.addr,
-            "parts" => target.path.len(), "crossings" => target.crossings, "after" => last_event, "config" => version,
+            "servers" => servers_of(&target.path), "crossings" => target.crossings,
+            "after" => last_event, "config" => version, "view_ms" => app.view_age(),
             "waited_ms" => app.now().since(job.arrived).as_millis() as u64);
     }
 }
 
+/// Lists the servers of a path after the first one, with the layers that each runs.
+fn servers_of(path: &[Part]) -> String {
+    let parts = path.iter().skip(1);
+    let parts = parts.map(|p| format!("{}/{}", p.addr, p.layers));
+    parts.collect::<Vec<_>>().join(",")
+}
+
 pub(super) fn note_miss(app: &App, job: &Job, first: SocketAddr, cause: &str) {
     if let Some(log) = app.journal.admit(Topic::Attempt) {
         info!(log, "request: An attempt failed."; "request" => &job.ask.id,
--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -45,18 +45,23 @@
 /// Serves a request of a plain service.
 pub(super) async fn run(app: &Rc<App>, job: Job) -> Response {
     let left = app.now().until(job.deadline);
-    match timeout(left, attempts(app, &job)).await {
+    let mut tried = Vec::new();
+    match timeout(left, attempts(app, &job, &mut tried)).await {
         Ok(response) => response,
         Err(_) => {
+            if let Some(&addr) = tried.last() {
+                app.fleet.borrow_mut().fail(app.now(), addr, Fault::Broken);
+                note_failed(app, &job, addr, "no answer in time", 0);
+            }
             metric::outcome("plain", "timeout");
             Refusal::new("timeout", 504).of(&job.ask).respond(app)
         }
     }
 }
 
-async fn attempts(app: &Rc<App>, job: &Job) -> Response {
+/// Sends a request to servers until one has answered; `tried` holds those that it was sent to.
+async fn attempts(app: &Rc<App>, job: &Job, tried: &mut Vec<SocketAddr>) -> Response {
     let repeatable = job.route.kind == Kind::Idempotent;
-    let mut tried: Vec<SocketAddr> = Vec::new();
     let mut unsent = 0;
     let mut last: Option<Result<Answer, Miss>> = None;
     let mut attempt = 0;
@@ -64,13 +69,13 @@
         if attempt > 0 && !spend(app, job) {
             break;
         }
-        let Some(first) = choose(app, job, &tried) else {
+        let Some(first) = choose(app, job, tried) else {
             break;
         };
         tried.push(first.addr);
         let may_hedge = repeatable && attempt + 1 < job.route.attempts;
         let (sent, used) = if may_hedge {
-            hedged(app, job, first, &mut tried).await
+            hedged(app, job, first, tried).await
         } else {
             (once(app, job, first).await, 1)
         };
@@ -169,10 +174,15 @@
         }
     };
     drop(fleet);
+    let status = sent.result.as_ref().map_or(0, |a| a.status);
+    note_failed(app, job, sent.addr, what, status);
+}
+
+fn note_failed(app: &App, job: &Job, server: SocketAddr, cause: &str, status: u16) {
     if let Some(log) = app.journal.admit(Topic::Attempt) {
-        info!(log, "request: An attempt failed."; "request" => &job.ask.id,
-            "server" => %sent.addr, "cause" => what,
-            "status" => sent.result.as_ref().map_or(0, |a| a.status));
+        info!(log, "request: An attempt failed."; "request" => &job.ask.id, "server" => %server,
+            "cause" => cause, "status" => status,
+            "took_ms" => app.now().since(job.arrived).as_millis() as u64);
     }
 }
 
--- a/crates/mustard-gateway/src/keeper.rs
+++ b/crates/mustard-gateway/src/keeper.rs
@@ -13,6 +13,7 @@
 
 use mustard_adapter::orders::{self, Outcome};
 use mustard_adapter::servers::decode_report;
+use mustard_core::clock::Moment;
 use mustard_core::deployment::{Config, Engine, Report, Service};
 use mustard_core::ids::{Fence, Layers};
 use mustard_net::CallError;
@@ -65,6 +66,7 @@
     let mut lease = Lease::new(app.store.clone(), options);
     let mut known = (0, app.now());
     let mut since = None;
+    let mut idle = None;
     loop {
         sleep(PAUSE).await;
         let gone = app.fleet.borrow_mut().expire(app.now());
@@ -91,9 +93,11 @@
             // While loads go on, others see servers that look empty and are not.
             if !app.fleet.borrow().is_loading(app.now()) {
                 release(&app, &mut lease).await;
+                take_number(&app, &mut lease, &mut idle).await;
             }
             continue;
         }
+        idle = None;
         let waited = app.now().since(*since.get_or_insert(app.now()));
         if waited < TURN * app.peers.borrow().rank().min(MAX_TURNS) as u32 {
             continue;
@@ -171,14 +175,39 @@
         }
         Err(e) => {
             metric::store("lease", "failed");
+            // Lost layers can't wait for the store. A server refuses the number if another
+            // gateway has ordered it under a higher one.
+            let last = lease.last_fence();
             if let Some(log) = app.journal.admit(Topic::Order) {
-                warn!(log, "keeper: The lease can't be taken."; "error" => %e);
+                warn!(log, "keeper: The lease can't be taken."; "error" => %e,
+                    "last_fence" => last.map(|f| f.0));
             }
-            None
+            last
         }
     }
 }
 
+/// Takes the lease once while nothing is to be ordered, so that this process has a number of its
+/// own should the store be away when layers are lost.
+///
+/// Only the gateways that would order first do so, the first one last: a server refuses numbers
+/// below the highest that it has seen.
+async fn take_number(
+    app: &App,
+    lease: &mut Lease<mustard_adapter::Store>,
+    idle: &mut Option<Moment>,
+) {
+    let rank = app.peers.borrow().rank();
+    if lease.last_fence().is_some() || rank >= MAX_TURNS || !app.node.fenced {
+        return;
+    }
+    let waited = app.now().since(*idle.get_or_insert(app.now()));
+    if waited >= TURN * (MAX_TURNS - rank) as u32 {
+        *idle = None;
+        hold(app, lease).await;
+    }
+}
+
 async fn release(app: &App, lease: &mut Lease<mustard_adapter::Store>) {
     if lease.held(app.now()).is_none() {
         return;
@@ -210,6 +239,7 @@
     }
     if fenced {
         release(app, lease).await;
+        lease.forget();
     }
 }
 
--- /dev/null
+++ b/crates/mustard-gateway/tests/gateway/logs.rs
@@ -0,0 +1,149 @@
+//! The log of a gateway: a line for each decision, and nothing that callers would keep to themselves.
+
+use std::fs::{self, File};
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use mustard_core::collections::{Map, Set};
+use mustard_fakes::site::{Health, KEY, SiteOptions, StoreMode};
+
+use super::world::{Caller, Gateway, PROMPT};
+use super::{KNOWN_WITHIN, begin, first_of, signal, start, wait_for_paths};
+
+/// What a session with one failure of each kind has to leave, one message for each decision.
+const EXPECTED: [&str; 20] = [
+    "gateway: Started.",
+    "store: The table is followed.",
+    "config: In force.",
+    "servers: Changed.",
+    "keeper: The lease is held.",
+    "keeper: A server was ordered to hold layers.",
+    "keeper: The lease is released.",
+    "request: Path chosen.",
+    "request: Served.",
+    "request: Answered without a server's answer.",
+    "request: An attempt failed.",
+    "request: A stream goes on elsewhere.",
+    "request: A stream was broken off.",
+    "watch: A server gives no sign of life.",
+    "watch: A stream was moved.",
+    "watch: A server answers again.",
+    "store: The table is out of reach.",
+    "gateway: Settings read again.",
+    "gateway: Draining.",
+    "gateway: Stopped.",
+];
+
+struct LogFile(PathBuf);
+
+impl LogFile {
+    fn new(name: &str) -> Self {
+        let file = format!("mustard-gateway-{name}-{}.log", std::process::id());
+        LogFile(std::env::temp_dir().join(file))
+    }
+
+    fn lines(&self) -> Vec<Map<String, Value>> {
+        let text = fs::read_to_string(&self.0).unwrap();
+        let parse =
+            |line: &str| serde_json::from_str(line).unwrap_or_else(|e| panic!("{e}: {line}"));
+        text.lines().map(parse).collect()
+    }
+}
+
+impl Drop for LogFile {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            let _ = fs::remove_file(&self.0);
+        }
+    }
+}
+
+/// Plays one failure of each kind; returns the ids of the requests.
+async fn play(log: &LogFile) -> Vec<&'static str> {
+    let options = SiteOptions::default();
+    let site = start(options.clone());
+    let caller = Caller::new().await;
+    let file = File::create(&log.0).unwrap();
+    let mut gateway = Gateway::logged(&site, &caller, file).await;
+    wait_for_paths(&options, &site, &gateway, &caller).await;
+    for (path, id) in [
+        ("/draft/x", "g-1"),
+        ("/book/x", "g-2"),
+        ("/nowhere/x", "g-3"),
+    ] {
+        caller.ask(&gateway, path, id).await.unwrap();
+    }
+    site.set_health(6, Health::LosesAnswers);
+    site.set_health(7, Health::LosesAnswers);
+    caller.ask(&gateway, "/book/x", "g-4").await.unwrap();
+
+    let moved = begin(&site, &gateway, "g-5").await;
+    let first = first_of(&site, "g-5");
+    let others = || (first / 3 * 3..first / 3 * 3 + 3).filter(|s| *s != first);
+    others().for_each(|s| site.set_health(s, Health::Silent));
+    moved.await.unwrap().unwrap();
+    others().for_each(|s| site.set_health(s, Health::Well));
+    tokio::time::sleep(KNOWN_WITHIN).await;
+
+    let resumed = begin(&site, &gateway, "g-6").await;
+    let first = first_of(&site, "g-6");
+    site.set_health(first, Health::Resets);
+    resumed.await.unwrap().unwrap();
+    site.set_health(first, Health::Well);
+    tokio::time::sleep(KNOWN_WITHIN).await;
+
+    site.set_store(StoreMode::Resets);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    site.set_store(StoreMode::Well);
+    signal(&gateway, "HUP");
+    let broken = begin(&site, &gateway, "g-7").await;
+    (0..6).for_each(|s| site.set_health(s, Health::Resets));
+    let _ = broken.await.unwrap();
+    signal(&gateway, "TERM");
+    gateway.wait_end().await;
+    vec!["g-1", "g-2", "g-3", "g-4", "g-5", "g-6", "g-7"]
+}
+
+#[ntex::test]
+async fn log_golden_session() {
+    let log = LogFile::new("golden");
+    let ids = play(&log).await;
+    let lines = log.lines();
+    let text = |line: &Map<String, Value>, field: &str| {
+        let value = line.get(field).and_then(Value::as_str);
+        value.map(ToOwned::to_owned)
+    };
+    let messages: Set<String> = lines.iter().filter_map(|l| text(l, "msg")).collect();
+    let missing: Vec<_> = EXPECTED
+        .iter()
+        .filter(|m| !messages.contains(**m))
+        .collect();
+    assert!(missing.is_empty(), "no line says {missing:?}");
+    for line in &lines {
+        for field in ["ts", "level", "process"] {
+            assert!(text(line, field).is_some(), "{field} is missing: {line:?}");
+        }
+    }
+    for id in ids {
+        let own = lines
+            .iter()
+            .filter(|l| text(l, "request").as_deref() == Some(id));
+        let ends = own.filter(|l| {
+            let message = text(l, "msg").unwrap();
+            [
+                "Served.",
+                "Answered without a server's answer.",
+                "broken off.",
+            ]
+            .iter()
+            .any(|end| message.ends_with(end))
+        });
+        assert_eq!(ends.count(), 1, "{id} has one line about its outcome");
+    }
+    let all = fs::read_to_string(&log.0).unwrap();
+    for secret in [KEY, "Bearer", PROMPT, "piece 1 of"] {
+        assert!(!all.contains(secret), "{secret} is in the log");
+    }
+}
--- a/crates/mustard-gateway/tests/gateway/main.rs
+++ b/crates/mustard-gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod logs;
 mod world;
 
 use std::net::Ipv4Addr;
@@ -27,10 +28,16 @@
 
 /// Starts a site and a gateway, and waits until it serves streams.
 async fn ready(options: SiteOptions) -> (Site, Gateway, Caller) {
-    let models: usize = options.servers.iter().sum();
-    let site = start(options);
+    let site = start(options.clone());
     let caller = Caller::new().await;
     let gateway = Gateway::ready(&site, &caller).await;
+    wait_for_paths(&options, &site, &gateway, &caller).await;
+    (site, gateway, caller)
+}
+
+/// Waits until a gateway serves streams.
+async fn wait_for_paths(options: &SiteOptions, site: &Site, gateway: &Gateway, caller: &Caller) {
+    let models: usize = options.servers.iter().sum();
     wait_until("a placement", || {
         (0..models).all(|i| site.held(i).is_some())
     })
@@ -38,13 +45,12 @@
     // The gateway knows of the layers once the rows reach it.
     let until = Instant::now() + KNOWN_WITHIN;
     while caller
-        .ask(&gateway, "/draft/x", WARM)
+        .ask(gateway, "/draft/x", WARM)
         .await
         .is_none_or(|a| a.status != 200)
     {
         assert!(Instant::now() < until, "no path is known after 2 s");
     }
-    (site, gateway, caller)
 }
 
 /// Starts a stream and waits until its servers are at work; returns the task that reads it.
@@ -315,6 +321,24 @@
     }
 }
 
+/// Layers that are lost while the store is away are loaded elsewhere before it is back, by the
+/// gateway that gave the last orders.
+#[ntex::test]
+async fn give_store_away() {
+    let (site, gateway, caller) = ready(SiteOptions::default()).await;
+    site.set_store(StoreMode::Resets);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    site.restart(0);
+    // Requests that meet the empty server tell of it, as the list can't.
+    let until = Instant::now() + Duration::from_secs(10);
+    while site.held(0).is_none() {
+        caller.ask(&gateway, "/draft/x", "empty").await;
+        assert!(Instant::now() < until, "the layers aren't loaded again");
+    }
+    let stream = caller.ask(&gateway, "/draft/x", "loaded").await.unwrap();
+    assert_eq!(stream.text, whole_stream("loaded", EVENTS));
+}
+
 /// A gateway that the store turns away learns the configuration from another gateway.
 #[ntex::test]
 async fn adopt_from_peer() {
--- a/crates/mustard-gateway/tests/gateway/world.rs
+++ b/crates/mustard-gateway/tests/gateway/world.rs
@@ -1,5 +1,6 @@
 //! A gateway process before a stand-in site, and a caller.
 
+use std::fs::File;
 use std::future::poll_fn;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -59,6 +60,11 @@
 impl Gateway {
     /// Starts a gateway on an address of its own.
     pub(crate) fn start(site: &Site, ip: Ipv4Addr, peer_port: u16, seeds: &[Ipv4Addr]) -> Self {
+        // Nobody reads this pipe, so each test also shows that logs hold nothing up.
+        Gateway::spawn(site, ip, peer_port, seeds, Stdio::piped())
+    }
+
+    fn spawn(site: &Site, ip: Ipv4Addr, peer_port: u16, seeds: &[Ipv4Addr], log: Stdio) -> Self {
         let ports = [free_port(), free_port(), peer_port];
         let text = site.settings(ip, ports, seeds).to_string();
         let name = format!(
@@ -71,8 +77,7 @@
         let child = Command::new(env!("CARGO_BIN_EXE_mustard-gateway"))
             .args(["--metrics-port", "0"])
             .env("MUSTARDFIELD_BOOT", &settings)
-            // Nobody reads this pipe, so each test also shows that logs hold nothing up.
-            .stdout(Stdio::piped())
+            .stdout(log)
             .spawn()
             .unwrap();
         Gateway {
@@ -91,6 +96,14 @@
         gateway
     }
 
+    /// Starts the only gateway of a site with its log in a file, and waits until it serves.
+    pub(crate) async fn logged(site: &Site, caller: &Caller, log: File) -> Self {
+        let ip = Ipv4Addr::LOCALHOST;
+        let gateway = Gateway::spawn(site, ip, free_port(), &[], Stdio::from(log));
+        gateway.wait_ready(caller).await;
+        gateway
+    }
+
     /// Waits until the gateway says that it is ready.
     pub(crate) async fn wait_ready(&self, caller: &Caller) {
         let until = Instant::now() + READY_LIMIT;
@@ -132,6 +145,9 @@
     pub(crate) whole: bool,
 }
 
+/// What the body of each request starts with.
+pub(crate) const PROMPT: &str = "prompt-of-a-caller";
+
 /// Sends requests.
 pub(crate) struct Caller {
     client: Client,
@@ -165,7 +181,7 @@
             method: Method::try_from(method).unwrap(),
             path: path.to_owned(),
             headers: list,
-            body: Bytes::from(format!("body of {path}")),
+            body: Bytes::from(format!("{PROMPT} of {path}")),
         };
         let answer = match pass_on(&self.client, passed).await {
             Ok(answer) => answer,
--- a/crates/mustard-platform/src/lease.rs
+++ b/crates/mustard-platform/src/lease.rs
@@ -66,6 +66,7 @@
     options: LeaseOptions,
     sighting: Option<Sighting>,
     held: Option<Held>,
+    last: Option<Fence>,
 }
 
 impl<T: Table> Lease<T> {
@@ -76,6 +77,7 @@
             options,
             sighting: None,
             held: None,
+            last: None,
         }
     }
 
@@ -84,6 +86,22 @@
         self.held.filter(|h| h.lasts(now))
     }
 
+    /// Returns the last fencing number that this process was granted, unless it has seen a
+    /// higher one.
+    ///
+    /// It is no lease: others may have been granted higher numbers meanwhile. It serves work that
+    /// cannot wait for the table's return, at services that refuse a number below the highest one
+    /// that they have seen.
+    pub fn last_fence(&self) -> Option<Fence> {
+        self.last
+    }
+
+    /// Takes in that a service has seen a higher number.
+    pub fn forget(&mut self) {
+        self.held = None;
+        self.last = None;
+    }
+
     /// Renews the lease, or takes it if it is free or its holder has let it lapse.
     ///
     /// # Errors
@@ -93,6 +111,9 @@
         let row = self.read().await?;
         let content = parse(&row)?;
         let now = clock.now();
+        if content.is_some_and(|c| self.last.is_some_and(|last| c.fence > last)) {
+            self.last = None;
+        }
         let Some(fence) = self.next_fence(&row, content, now) else {
             self.held = None;
             return Ok(None);
@@ -107,6 +128,7 @@
             Ok(true) => {
                 let until = now + self.options.term;
                 self.held = Some(Held { fence, until });
+                self.last = Some(fence);
             }
             Ok(false) => self.held = None,
             // The write may have taken effect. The next poll reads the row again, and a row
--- a/crates/mustard-platform/tests/lease.rs
+++ b/crates/mustard-platform/tests/lease.rs
@@ -117,6 +117,12 @@
             let holder = self.holder_of.entry(fence).or_insert(life);
             assert_eq!(*holder, life, "two processes had fence {fence}");
         }
+        let lasts = self.leases.iter().filter_map(|(_, l)| l.last_fence());
+        let mut lasts: Vec<Fence> = lasts.collect();
+        let count = lasts.len();
+        lasts.sort_unstable();
+        lasts.dedup();
+        assert_eq!(lasts.len(), count, "two processes go on under one number");
     }
 }
 
@@ -154,3 +160,31 @@
         );
     });
 }
+
+#[test]
+fn last_fence_outage_and_successor() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .build()
+        .unwrap();
+    runtime.block_on(async {
+        let mut world = World::new();
+        world.run(Step::Poll(0)).await;
+        world.run(Step::Release(0)).await;
+        world.run(Step::Outage(true)).await;
+        world.run(Step::Poll(0)).await;
+        let last = |world: &World, i: usize| world.leases[i].1.last_fence();
+        assert_eq!(
+            last(&world, 0),
+            Some(Fence(1)),
+            "kept while the table is away"
+        );
+        assert_eq!(last(&world, 1), None);
+        world.run(Step::Outage(false)).await;
+        world.run(Step::Poll(1)).await;
+        world.run(Step::Poll(0)).await;
+        assert_eq!(last(&world, 0), None, "a higher number was seen");
+        assert_eq!(last(&world, 1), Some(Fence(2)));
+        world.leases[1].1.forget();
+        assert_eq!(last(&world, 1), None);
+    });
+}
--- a/crates/mustardctl/src/story.rs
+++ b/crates/mustardctl/src/story.rs
@@ -15,7 +15,8 @@
 
 /// The fields that every line has; the others are shown beside the message.
 const COMMON: [&str; 4] = ["ts", "process", "level", "msg"];
-/// The fields whose values name servers, as one address or a list parted by commas.
+/// The fields whose values name servers, as one address or a list parted by commas, each with
+/// its layers or without.
 const SERVERS: [&str; 3] = ["server", "first", "servers"];
 /// Where lines about what all requests depend on come from.
 const DEPENDENCIES: [&str; 4] = ["store:", "config:", "log:", "gateway:"];
@@ -67,7 +68,8 @@
     fn servers(&self) -> impl Iterator<Item = &str> {
         let named = |name: &&str| self.fields.get(*name).and_then(Value::as_str);
         let lists = SERVERS.iter().filter_map(named);
-        lists.flat_map(|list| list.split(',').map(str::trim))
+        // The layers that a server runs stand after its address.
+        lists.flat_map(|list| list.split(',').filter_map(|s| s.split('/').next()))
     }
 }
 
--- a/crates/mustardctl/tests/explain.rs
+++ b/crates/mustardctl/tests/explain.rs
@@ -7,7 +7,7 @@
 const LOG: &str = r#"
   12.300 front-1 {"msg":"request: An attempt failed.","level":"INFO","ts":"2026-04-30T04:55:12.3Z","process":"front-1","server":"10.0.0.7:8000","cause":"lost","request":"aa"}
 {"msg":"watch: A server gives no sign of life.","level":"WARN","ts":"2026-04-30T04:55:12.25Z","process":"front-2","server":"10.0.0.7:8000"}
-{"msg":"request: Path chosen.","level":"INFO","ts":"2026-04-30T04:55:12.1971258Z","process":"front-1","servers":"10.0.0.7:8000,10.0.0.8:8000","request":"aa"}
+{"msg":"request: Path chosen.","level":"INFO","ts":"2026-04-30T04:55:12.1971258Z","process":"front-1","first":"10.0.0.8:8000","servers":"10.0.0.7:8000/20..40","request":"aa"}
 {"msg":"request: Path chosen.","level":"INFO","ts":"2026-04-30T04:55:12.2Z","process":"front-1","servers":"10.0.0.7:8000","request":"bb"}
 {"msg":"watch: A server gives no sign of life.","level":"WARN","ts":"2026-04-30T04:55:12.25Z","process":"front-2","server":"10.0.0.9:8000"}
 {"msg":"store: The table is out of reach.","level":"WARN","ts":"2026-04-30T04:55:11.5Z","process":"front-1","table":"Servers"}
