Add a fault soak over gateways; clear contents for good, and strike only for servers that ended

Judged by what callers saw and what the servers ran. Cause: three connections to servers that lived had been reset under the same content; and strikes that a success had cleared came back from other gateways with a new life, each to the other, without end. Ruled out: layers (all held), the stand-in's state. Change: a broken connection counts only if the server doesn't answer in its known life; strikes carry their age, clearances are told with their moment and win over older strikes (mustard-policy; entries send them too); clocks can name moments before their start. Tests: clear_strikes_told_again, strike_told_again_expires. 2.

--- a/crates/mustard-bench/src/compare/product.rs
+++ b/crates/mustard-bench/src/compare/product.rs
@@ -287,7 +287,7 @@
         self.tickets.remove(&flight.ticket);
         if whole {
             let content = Fingerprint(flight.arrival.content.into());
-            self.quarantine.clear(content);
+            self.quarantine.clear(Moment(now), content);
             let tokens = flight.arrival.tokens;
             self.admission.finish(flight.ticket, Moment(now), tokens);
         } else {
--- a/crates/mustard-bench/src/place/deployment.rs
+++ b/crates/mustard-bench/src/place/deployment.rs
@@ -95,7 +95,7 @@
 
     /// Returns the memory left for requests at a server, in megabytes.
     pub(super) fn room_mb(&self, server: usize) -> f64 {
-        let layers = self.servers[server].held.map_or(0, |h| h.count());
+        let layers = self.servers[server].held.map_or(0, Layers::count);
         self.accelerator(server).memory_mb - f64::from(layers) * self.engine.layer_mb
     }
 }
--- a/crates/mustard-core/src/clock.rs
+++ b/crates/mustard-core/src/clock.rs
@@ -66,6 +66,9 @@
     origin: Instant,
 }
 
+/// The moments before the start of a process that it can name, for what others tell it by age.
+const BEFORE_START: Duration = Duration::from_secs(3_600);
+
 impl Default for SystemClock {
     fn default() -> Self {
         SystemClock {
@@ -76,7 +79,7 @@
 
 impl Clock for SystemClock {
     fn now(&self) -> Moment {
-        Moment(self.origin.elapsed().as_micros() as u64)
+        Moment((BEFORE_START + self.origin.elapsed()).as_micros() as u64)
     }
 
     fn wall_ms(&self) -> u64 {
--- a/crates/mustard-entry/src/api/operate.rs
+++ b/crates/mustard-entry/src/api/operate.rs
@@ -214,7 +214,8 @@
             what: text.to_owned(),
         };
         let number = u128::from_str_radix(text, 16).map_err(|_| missing())?;
-        if !state.shared.suspects.clear(Fingerprint(number)) {
+        let now = state.shared.process.now();
+        if !state.shared.suspects.clear(now, Fingerprint(number)) {
             return Err(missing());
         }
         info!(state.shared.log, "admin: Quarantine ended."; "content" => text,
--- a/crates/mustard-entry/src/ports.rs
+++ b/crates/mustard-entry/src/ports.rs
@@ -82,7 +82,7 @@
         let shared = &self.worker.shared;
         let now = shared.process.now();
         if shared.suspects.standing(now, self.rights.fingerprint) == Standing::Suspect {
-            shared.suspects.clear(self.rights.fingerprint);
+            shared.suspects.clear(now, self.rights.fingerprint);
         }
         self.admitted.into_inner().finish(self.tokens);
     }
--- a/crates/mustard-entry/src/suspects.rs
+++ b/crates/mustard-entry/src/suspects.rs
@@ -15,10 +15,11 @@
 use mustard_core::fingerprint::Fingerprint;
 use mustard_core::ids::Incarnation;
 use mustard_platform::vms::Vm;
-use mustard_policy::quarantine::{Quarantine, Settings, Standing, Strike};
-use mustard_proto::limits::{Strike as Sent, Strikes};
+use mustard_policy::quarantine::{Clearance, Quarantine, Settings, Standing, Strike};
+use mustard_proto::limits::{Cleared, Strike as Sent, Strikes};
 
 use crate::app::Worker;
+use crate::servers::age_ms;
 
 /// Failures of one server within this time count as one death.
 const ONE_DEATH: Duration = Duration::from_secs(3);
@@ -148,8 +149,19 @@
     }
 
     /// Clears a content that ran to its end or that an operator set free.
-    pub fn clear(&self, fingerprint: Fingerprint) -> bool {
-        self.lock().quarantine.clear(fingerprint)
+    pub fn clear(&self, now: Moment, fingerprint: Fingerprint) -> bool {
+        self.lock().quarantine.clear(now, fingerprint)
+    }
+
+    /// Takes in contents that another process cleared.
+    pub fn take_cleared(&self, now: Moment, cleared: impl Iterator<Item = Clearance>) {
+        let mut state = self.lock();
+        cleared.for_each(|c| state.quarantine.take(now, c));
+    }
+
+    /// Returns the contents that were cleared lately.
+    pub fn cleared(&self, now: Moment) -> Vec<Clearance> {
+        self.lock().quarantine.clearances(now).collect()
     }
 
     /// Returns the quarantined contents with the VMs whose servers died under them.
@@ -192,7 +204,7 @@
     warn!(shared.log, "suspects: Server died with requests running.";
         "agent" => vm, "contents" => strikes.len());
     note_strikes(worker, &strikes);
-    let message = message_of(&strikes);
+    let message = message_of(shared.process.now(), &strikes, &[]);
     let tell = |peer: Vm| {
         let (client, message) = (worker.client.clone(), message.clone());
         let log = shared.log.clone();
@@ -209,13 +221,21 @@
 
 /// Returns the message of all strikes that count here.
 pub fn all_strikes(worker: &Worker) -> Strikes {
-    let shared = &worker.shared;
-    message_of(&shared.suspects.strikes(shared.process.now()))
+    let suspects = &worker.shared.suspects;
+    let now = worker.shared.process.now();
+    message_of(now, &suspects.strikes(now), &suspects.cleared(now))
 }
 
 /// Takes in the strikes of another entry process.
 pub fn take_strikes(worker: &Worker, message: Strikes) {
-    let strikes: Vec<_> = message.strikes.into_iter().map(strike_of).collect();
+    let now = worker.shared.process.now();
+    let cleared = message.cleared.into_iter().map(|c| Clearance {
+        fingerprint: c.fingerprint,
+        at: now - Duration::from_millis(c.age_ms),
+    });
+    worker.shared.suspects.take_cleared(now, cleared);
+    let strikes = message.strikes.into_iter().map(|s| strike_of(now, s));
+    let strikes: Vec<_> = strikes.collect();
     note_strikes(worker, &strikes);
 }
 
@@ -231,14 +251,20 @@
     }
 }
 
-fn message_of(strikes: &[Strike]) -> Strikes {
+fn message_of(now: Moment, strikes: &[Strike], cleared: &[Clearance]) -> Strikes {
+    let cleared = cleared.iter().map(|c| Cleared {
+        fingerprint: c.fingerprint,
+        age_ms: age_ms(now, c.at),
+    });
     Strikes {
-        strikes: strikes.iter().map(sent_of).collect(),
+        strikes: strikes.iter().map(|s| sent_of(now, s)).collect(),
+        cleared: cleared.collect(),
     }
 }
 
-fn sent_of(strike: &Strike) -> Sent {
+fn sent_of(now: Moment, strike: &Strike) -> Sent {
     Sent {
+        age_ms: age_ms(now, strike.at),
         fingerprint: strike.fingerprint,
         vm: strike.vm.clone(),
         shared: strike.shared,
@@ -246,8 +272,9 @@
 }
 
 /// Returns a strike of another process in the terms of the policy.
-fn strike_of(sent: Sent) -> Strike {
+fn strike_of(now: Moment, sent: Sent) -> Strike {
     Strike {
+        at: now - Duration::from_millis(sent.age_ms),
         fingerprint: sent.fingerprint,
         vm: sent.vm,
         shared: sent.shared,
--- a/crates/mustard-fakes/src/site/mod.rs
+++ b/crates/mustard-fakes/src/site/mod.rs
@@ -214,6 +214,12 @@
         self.lock().addrs.clone()
     }
 
+    /// Makes the site's other parts reach a server at another address, such as a proxy's.
+    pub fn announce(&self, server: usize, addr: SocketAddr) {
+        self.lock().addrs[server] = addr;
+        self.write_row(server);
+    }
+
     /// Returns the layers that a server holds.
     pub fn held(&self, server: usize) -> Option<(u32, u32)> {
         self.lock().servers[server].held
--- a/crates/mustard-gateway/src/forward/open.rs
+++ b/crates/mustard-gateway/src/forward/open.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use slog::{info, warn};
 use tokio::sync::Notify;
@@ -17,6 +18,7 @@
 use crate::fleet::{Load, Trust};
 use crate::flights::{Flight, FlightGuard};
 use crate::journal::Topic;
+use crate::keeper::ask;
 use crate::watch::verify;
 
 use super::attempt::{Head, Miss, Target, send};
@@ -25,6 +27,9 @@
 
 /// The share of the wanted time to the first event that a request waits for servers.
 const WAIT_SHARE: f64 = 0.5;
+/// The time for a sign of life after a connection broke; a live server answers within a few
+/// milliseconds.
+const LIFE_LIMIT: Duration = Duration::from_millis(100);
 /// Sends of one request that no server ran, at most.
 const MAX_UNRUN: u32 = 4;
 
@@ -229,19 +234,39 @@
     Some((target, demand))
 }
 
-/// Counts a strike against a content whose server broke off; the peers hear of it next round.
-pub(super) fn strike(app: &App, job: &Job, server: SocketAddr) {
+/// Counts a strike against a content whose server broke off, unless the server lives on; the peers
+/// hear of it next round.
+pub(super) fn strike(app: &Rc<App>, job: &Job, server: SocketAddr) {
     let strike = Strike {
         fingerprint: job.content,
         vm: server.to_string(),
         shared: 1,
+        at: app.now(),
     };
-    let now = app.now();
-    if app.quarantine.borrow_mut().strike(now, &strike)
-        && let Some(log) = app.journal.admit(Topic::Server)
-    {
-        warn!(log, "request: A content ends the servers that run it.";
-            "request" => &job.ask.id, "content" => %job.content);
+    let (app, request) = (Rc::clone(app), job.ask.id.clone());
+    ntex::rt::spawn(async move {
+        if lives_on(&app, server).await {
+            return;
+        }
+        if app.quarantine.borrow_mut().strike(app.now(), &strike)
+            && let Some(log) = app.journal.admit(Topic::Server)
+        {
+            warn!(log, "request: A content ends the servers that run it.";
+                "request" => request, "content" => %strike.fingerprint);
+        }
+    });
+}
+
+/// Tells whether a server whose connection broke answers in the life that is known of it.
+async fn lives_on(app: &App, server: SocketAddr) -> bool {
+    let born = {
+        let fleet = app.fleet.borrow();
+        let known = fleet.at(server).and_then(|key| fleet.get(key));
+        known.map(|s| s.entry.born)
+    };
+    match ask(app, server, LIFE_LIMIT).await {
+        Ok(report) => born == Some(report.born),
+        Err(_) => false,
     }
 }
 
--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -314,7 +314,10 @@
     }
 
     fn served(self) {
-        self.app.quarantine.borrow_mut().clear(self.job.content);
+        let now = self.app.now();
+        let mut quarantine = self.app.quarantine.borrow_mut();
+        quarantine.clear(now, self.job.content);
+        drop(quarantine);
         note_served(&self.app, &self.job, "stream", self.attempts.ran);
     }
 
--- a/crates/mustard-gateway/src/peers.rs
+++ b/crates/mustard-gateway/src/peers.rs
@@ -23,7 +23,7 @@
 use mustard_core::fingerprint::Fingerprint;
 use mustard_net::http::{Request, exchange};
 use mustard_platform::table::{Table, Txn};
-use mustard_policy::quarantine::Strike;
+use mustard_policy::quarantine::{Clearance, Strike};
 
 use crate::app::App;
 use crate::follow;
@@ -147,6 +147,14 @@
     content: Fingerprint,
     server: String,
     shared: u32,
+    age_ms: u64,
+}
+
+/// A content that ran to its end, in a message.
+#[derive(Debug, Serialize, Deserialize)]
+struct ClearedMessage {
+    content: Fingerprint,
+    age_ms: u64,
 }
 
 /// What a gateway tells another one.
@@ -156,6 +164,7 @@
     config: u64,
     peers: Vec<SocketAddr>,
     strikes: Vec<StrikeMessage>,
+    cleared: Vec<ClearedMessage>,
     /// The configuration, if the other one has an older version.
     text: Option<ByteBuf>,
 }
@@ -164,7 +173,11 @@
     let version = app.config().map_or(0, |c| c.version);
     let send = newer_than.is_some_and(|v| v < version);
     let text = send.then(|| ByteBuf::from(app.config_text.borrow().as_ref().clone()));
-    let strikes = app.quarantine.borrow().strikes(app.now());
+    let now = app.now();
+    let age_ms = |at| now.since(at).as_millis() as u64;
+    let quarantine = app.quarantine.borrow();
+    let strikes = quarantine.strikes(now);
+    let cleared = quarantine.clearances(now).take(STRIKES);
     let peers = app.peers.borrow();
     Hello {
         from: peers.own,
@@ -177,6 +190,13 @@
                 content: s.fingerprint,
                 server: s.vm,
                 shared: s.shared,
+                age_ms: age_ms(s.at),
+            })
+            .collect(),
+        cleared: cleared
+            .map(|c| ClearedMessage {
+                content: c.fingerprint,
+                age_ms: age_ms(c.at),
             })
             .collect(),
         text,
@@ -195,11 +215,19 @@
     if regained && let Some(log) = app.journal.admit(Topic::Dependency) {
         info!(log, "peers: A gateway answers."; "peer" => %hello.from);
     }
+    for cleared in hello.cleared {
+        let clearance = Clearance {
+            fingerprint: cleared.content,
+            at: now - Duration::from_millis(cleared.age_ms),
+        };
+        app.quarantine.borrow_mut().take(now, clearance);
+    }
     for strike in hello.strikes {
         let strike = Strike {
             fingerprint: strike.content,
             vm: strike.server,
             shared: strike.shared,
+            at: now - Duration::from_millis(strike.age_ms),
         };
         app.quarantine.borrow_mut().strike(now, &strike);
     }
--- a/crates/mustard-gateway/tests/gateway/main.rs
+++ b/crates/mustard-gateway/tests/gateway/main.rs
@@ -11,7 +11,7 @@
 
 use mustard_fakes::site::{CUSTOMER, Health, KEY, LAYERS, Site, SiteOptions, StoreMode};
 
-use world::{Caller, Gateway, free_port, wait_until, whole_stream};
+use world::{Caller, Gateway, port, wait_until, whole_stream};
 
 const EVENTS: u64 = 40;
 /// The time within which a gateway has to know of a server's leaving.
@@ -345,13 +345,13 @@
     let site = start(SiteOptions::default());
     let caller = Caller::new().await;
     let ips = [Ipv4Addr::LOCALHOST, Ipv4Addr::new(127, 0, 0, 2)];
-    let port = free_port();
-    let one = Gateway::start(&site, ips[0], port, &ips);
+    let peer_port = port();
+    let one = Gateway::start(&site, ips[0], peer_port, &ips);
     one.wait_ready(&caller).await;
     // The second one is told of a store that isn't there.
     let other = Site::start(SiteOptions::default()).unwrap();
     other.set_store(StoreMode::Busy);
-    let two = Gateway::start(&other, ips[1], port, &ips);
+    let two = Gateway::start(&other, ips[1], peer_port, &ips);
     let until = Instant::now() + Duration::from_secs(10);
     loop {
         let headers = [("attempt-id", "peer-1"), ("authorization", "Bearer wrong")];
@@ -375,8 +375,8 @@
     });
     let caller = Caller::new().await;
     let ips = [1, 2, 3].map(|n| Ipv4Addr::new(127, 0, 0, n));
-    let port = free_port();
-    let gateways = ips.map(|ip| Gateway::start(&site, ip, port, &ips));
+    let peer_port = port();
+    let gateways = ips.map(|ip| Gateway::start(&site, ip, peer_port, &ips));
     for gateway in &gateways {
         gateway.wait_ready(&caller).await;
     }
--- a/crates/mustard-gateway/tests/gateway/world.rs
+++ b/crates/mustard-gateway/tests/gateway/world.rs
@@ -2,10 +2,9 @@
 
 use std::fs::File;
 use std::future::poll_fn;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use ntex::client::Client;
@@ -15,6 +14,7 @@
 
 use mustard_fakes::site::{HOST, KEY, Site};
 use mustard_net::http::{Passed, new_client, pass_on};
+use mustard_tests::ports::free_port;
 
 /// The time within which a gateway becomes ready on a busy machine.
 const READY_LIMIT: Duration = Duration::from_secs(20);
@@ -36,25 +36,9 @@
     }
 }
 
-/// The ports below those that the system hands out by itself, so that no connection or listener
-/// of another test takes one between its choice and its use.
-const FIRST_PORT: u16 = 20_000;
-const PORTS: u16 = 12_000;
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
-
 /// Returns a port that is free on each of the addresses that the tests use.
-pub(crate) fn free_port() -> u16 {
-    // Test processes that run at the same time start at different ports.
-    let start = (std::process::id() % u32::from(PORTS / 100)) as u16 * 100;
-    for _ in 0..PORTS {
-        let step = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PORT + start.wrapping_add(step) % PORTS;
-        let free = |n: u8| TcpListener::bind((Ipv4Addr::new(127, 0, 0, n), port)).is_ok();
-        if (1..=3).all(free) {
-            return port;
-        }
-    }
-    panic!("no port is free");
+pub(crate) fn port() -> u16 {
+    free_port().unwrap()
 }
 
 impl Gateway {
@@ -65,7 +49,7 @@
     }
 
     fn spawn(site: &Site, ip: Ipv4Addr, peer_port: u16, seeds: &[Ipv4Addr], log: Stdio) -> Self {
-        let ports = [free_port(), free_port(), peer_port];
+        let ports = [port(), port(), peer_port];
         let text = site.settings(ip, ports, seeds).to_string();
         let name = format!(
             "mustard-gateway-{}-{ip}-{}.json",
@@ -91,7 +75,7 @@
     /// Starts the only gateway of a site and waits until it serves.
     pub(crate) async fn ready(site: &Site, caller: &Caller) -> Self {
         let ip = Ipv4Addr::LOCALHOST;
-        let gateway = Gateway::start(site, ip, free_port(), &[]);
+        let gateway = Gateway::start(site, ip, port(), &[]);
         gateway.wait_ready(caller).await;
         gateway
     }
@@ -99,7 +83,7 @@
     /// Starts the only gateway of a site with its log in a file, and waits until it serves.
     pub(crate) async fn logged(site: &Site, caller: &Caller, log: File) -> Self {
         let ip = Ipv4Addr::LOCALHOST;
-        let gateway = Gateway::spawn(site, ip, free_port(), &[], Stdio::from(log));
+        let gateway = Gateway::spawn(site, ip, port(), &[], Stdio::from(log));
         gateway.wait_ready(caller).await;
         gateway
     }
--- a/crates/mustard-policy/src/quarantine.rs
+++ b/crates/mustard-policy/src/quarantine.rs
@@ -4,7 +4,8 @@
 //! earlier death elsewhere, it alone is struck; otherwise all are, each with the weight
 //! `1 / shared`. A content is quarantined once distinct servers died under it and its weights
 //! exceed one, which a suspect that runs apart from other suspects reaches at its second death.
-//! A content that runs to its end is cleared.
+//! A content that runs to its end is cleared: strikes from before that end count no more, also
+//! those that come later from other processes.
 
 use std::time::Duration;
 
@@ -47,6 +48,17 @@
     pub vm: String,
     /// The number of contents that may have caused it.
     pub shared: u32,
+    /// When the server died.
+    pub at: Moment,
+}
+
+/// The moment up to which a content is known to be harmless.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Clearance {
+    /// The content.
+    pub fingerprint: Fingerprint,
+    /// When it had run to its end, or an operator set it free.
+    pub at: Moment,
 }
 
 /// How a content may run.
@@ -60,16 +72,25 @@
     Quarantined(Duration),
 }
 
+/// The death of one server under a content.
+#[derive(Clone, Debug)]
+struct Death {
+    vm: String,
+    shared: u32,
+    at: Moment,
+}
+
 #[derive(Clone, Debug)]
 struct Record {
-    struck: Vec<(String, u32)>,
+    deaths: Vec<Death>,
+    /// The end of the newest strike's life.
     until: Moment,
-    quarantined: bool,
 }
 
 impl Record {
-    fn weight(&self) -> f64 {
-        self.struck.iter().map(|(_, s)| 1.0 / f64::from(*s)).sum()
+    fn is_guilty(&self, deaths: usize) -> bool {
+        let weights = self.deaths.iter().map(|d| 1.0 / f64::from(d.shared));
+        self.deaths.len() >= deaths && weights.sum::<f64>() > MIN_WEIGHT
     }
 }
 
@@ -78,6 +99,7 @@
 pub struct Quarantine {
     settings: Settings,
     records: Map<Fingerprint, Record>,
+    cleared: Map<Fingerprint, Moment>,
 }
 
 impl Quarantine {
@@ -85,7 +107,7 @@
     pub fn new(settings: Settings) -> Self {
         Quarantine {
             settings,
-            records: Map::default(),
+            ..Quarantine::default()
         }
     }
 
@@ -93,7 +115,9 @@
     pub fn standing(&self, now: Moment, fingerprint: Fingerprint) -> Standing {
         match self.records.get(&fingerprint) {
             Some(r) if r.until <= now => Standing::Clear,
-            Some(r) if r.quarantined => Standing::Quarantined(now.until(r.until)),
+            Some(r) if r.is_guilty(self.settings.deaths) => {
+                Standing::Quarantined(now.until(r.until))
+            }
             Some(_) => Standing::Suspect,
             None => Standing::Clear,
         }
@@ -108,7 +132,7 @@
         running.dedup();
         let elsewhere = |f: &Fingerprint| {
             let record = self.records.get(f).filter(|r| r.until > now);
-            record.is_some_and(|r| r.struck.iter().any(|(v, _)| v != vm))
+            record.is_some_and(|r| r.deaths.iter().any(|d| d.vm != vm))
         };
         let suspects: Vec<Fingerprint> = running.iter().copied().filter(elsewhere).collect();
         let blamed = if suspects.is_empty() {
@@ -121,6 +145,7 @@
             fingerprint,
             vm: vm.to_owned(),
             shared,
+            at: now,
         };
         blamed.into_iter().map(strike).collect()
     }
@@ -129,65 +154,120 @@
     /// quarantined by it. The same strike may come any number of times and in any order.
     pub fn strike(&mut self, now: Moment, strike: &Strike) -> bool {
         self.expire(now);
-        let until = now + self.settings.life;
+        let until = strike.at + self.settings.life;
+        let cleared = self.cleared.get(&strike.fingerprint);
+        if until <= now || cleared.is_some_and(|at| *at >= strike.at) {
+            return false;
+        }
+        let deaths = self.settings.deaths;
         let record = self.records.entry(strike.fingerprint).or_insert(Record {
-            struck: Vec::new(),
+            deaths: Vec::new(),
             until,
-            quarantined: false,
         });
+        let was_guilty = record.is_guilty(deaths);
         let shared = strike.shared.max(1);
-        match record.struck.iter_mut().find(|(vm, _)| *vm == strike.vm) {
-            Some((_, known)) => *known = shared.min(*known),
-            None => {
-                record.struck.push((strike.vm.clone(), shared));
-                record.until = until;
+        match record.deaths.iter_mut().find(|d| d.vm == strike.vm) {
+            Some(known) => {
+                known.shared = shared.min(known.shared);
+                known.at = known.at.max(strike.at);
             }
+            None => record.deaths.push(Death {
+                vm: strike.vm.clone(),
+                shared,
+                at: strike.at,
+            }),
+        }
+        record.until = record.until.max(until);
+        !was_guilty && record.is_guilty(deaths)
+    }
+
+    /// Clears a content that ran to its end or that an operator set free; tells whether anything
+    /// was known against it.
+    pub fn clear(&mut self, now: Moment, fingerprint: Fingerprint) -> bool {
+        let known = self.records.contains_key(&fingerprint);
+        if known {
+            let at = now;
+            self.take(now, Clearance { fingerprint, at });
+        }
+        known
+    }
+
+    /// Takes in that a content was cleared, from here or from another process.
+    pub fn take(&mut self, now: Moment, clearance: Clearance) {
+        let Clearance { fingerprint, at } = clearance;
+        if at + self.settings.life <= now {
+            return;
+        }
+        self.expire(now);
+        let mark = self.cleared.entry(fingerprint).or_insert(at);
+        *mark = at.max(*mark);
+        let Some(record) = self.records.get_mut(&fingerprint) else {
+            return;
+        };
+        record.deaths.retain(|d| d.at > at);
+        if record.deaths.is_empty() {
+            self.records.remove(&fingerprint);
         }
-        let guilty = record.struck.len() >= self.settings.deaths && record.weight() > MIN_WEIGHT;
-        let changed = guilty && !record.quarantined;
-        record.quarantined |= guilty;
-        changed
     }
 
-    /// Clears a content that ran to its end or that an operator set free.
-    pub fn clear(&mut self, fingerprint: Fingerprint) -> bool {
-        self.records.remove(&fingerprint).is_some()
+    /// Returns the contents that were cleared, to be sent to other processes.
+    pub fn clearances(&self, now: Moment) -> impl Iterator<Item = Clearance> {
+        let life = self.settings.life;
+        let counts = self.cleared.iter().filter(move |(_, at)| **at + life > now);
+        counts.map(|(fingerprint, at)| Clearance {
+            fingerprint: *fingerprint,
+            at: *at,
+        })
     }
 
     /// Visits the quarantined contents with the VMs whose servers died under them.
     pub fn list(&self, now: Moment) -> impl Iterator<Item = (Fingerprint, Vec<&str>)> {
         self.records
             .iter()
-            .filter(move |(_, r)| r.quarantined && r.until > now)
-            .map(|(f, r)| (*f, r.struck.iter().map(|(vm, _)| vm.as_str()).collect()))
+            .filter(move |(_, r)| r.is_guilty(self.settings.deaths) && r.until > now)
+            .map(|(f, r)| (*f, r.deaths.iter().map(|d| d.vm.as_str()).collect()))
     }
 
     /// Returns the strikes that count, to be sent to a process that joins.
     pub fn strikes(&self, now: Moment) -> Vec<Strike> {
         let strikes = |(f, r): (&Fingerprint, &Record)| {
             let fingerprint = *f;
-            let strike = move |(vm, shared): &(String, u32)| Strike {
+            let strike = move |d: &Death| Strike {
                 fingerprint,
-                vm: vm.clone(),
-                shared: *shared,
+                vm: d.vm.clone(),
+                shared: d.shared,
+                at: d.at,
             };
-            r.struck.iter().map(strike).collect::<Vec<_>>()
+            r.deaths.iter().map(strike).collect::<Vec<_>>()
         };
         let counts = self.records.iter().filter(|(_, r)| r.until > now);
         counts.flat_map(strikes).collect()
     }
 
     fn expire(&mut self, now: Moment) {
-        if self.records.len() < self.settings.capacity {
-            return;
+        let life = self.settings.life;
+        if self.cleared.len() >= self.settings.capacity {
+            self.cleared.retain(|_, at| *at + life > now);
+            forget_oldest(&mut self.cleared, self.settings.capacity, |at| *at);
         }
-        self.records.retain(|_, r| r.until > now);
-        while self.records.len() >= self.settings.capacity {
-            let oldest = self.records.iter().min_by_key(|(f, r)| (r.until, **f));
-            let Some((&fingerprint, _)) = oldest else {
-                return;
-            };
-            self.records.remove(&fingerprint);
+        if self.records.len() >= self.settings.capacity {
+            self.records.retain(|_, r| r.until > now);
+            forget_oldest(&mut self.records, self.settings.capacity, |r| r.until);
         }
     }
 }
+
+/// Removes the oldest entries until one more has room.
+fn forget_oldest<T>(
+    entries: &mut Map<Fingerprint, T>,
+    capacity: usize,
+    age: impl Fn(&T) -> Moment,
+) {
+    while entries.len() >= capacity {
+        let oldest = entries.iter().min_by_key(|(f, entry)| (age(entry), **f));
+        let Some((&fingerprint, _)) = oldest else {
+            return;
+        };
+        entries.remove(&fingerprint);
+    }
+}
--- a/crates/mustard-policy/tests/quarantine.rs
+++ b/crates/mustard-policy/tests/quarantine.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::time::Duration;
+
 use bolero::check;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -70,7 +72,7 @@
     }
     assert!(is_quarantined(&q, KILLER));
     assert!(!is_quarantined(&q, neighbour));
-    assert!(q.clear(neighbour));
+    assert!(q.clear(NOW, neighbour));
     assert_eq!(q.standing(NOW, neighbour), Standing::Clear);
 }
 
@@ -87,6 +89,7 @@
                     fingerprint: Fingerprint(rng.random_range(0..4)),
                     vm: format!("vm-{}", rng.random_range(0..3)),
                     shared: rng.random_range(1..5),
+                    at: NOW,
                 })
                 .collect();
             let standings = |strikes: &[Strike]| {
@@ -123,6 +126,7 @@
                 fingerprint,
                 vm,
                 shared,
+                at: NOW,
             },
         );
     }
@@ -146,6 +150,7 @@
             fingerprint: content,
             vm: vm.to_owned(),
             shared: 1,
+            at: now,
         };
         quarantine.strike(now, &strike)
     };
@@ -154,3 +159,55 @@
     assert!(!strike("a"), "the same server counts once");
     assert!(strike("c"));
 }
+
+fn strike_at(vm: usize, at: Moment) -> Strike {
+    Strike {
+        fingerprint: KILLER,
+        vm: format!("vm-{vm}"),
+        shared: 1,
+        at,
+    }
+}
+
+/// Pattern: a popular content meets servers that die of other causes, and runs to its end between.
+/// What is cleared here stays cleared, whatever other processes still tell.
+#[test]
+fn clear_strikes_told_again() {
+    let mut here = Quarantine::default();
+    let mut there = Quarantine::default();
+    for vm in 0..2 {
+        there.strike(NOW, &strike_at(vm, NOW));
+    }
+    let told = there.strikes(NOW);
+    for s in &told {
+        here.strike(NOW, s);
+    }
+    assert!(is_quarantined(&here, KILLER));
+    let later = NOW + Duration::from_secs(1);
+    assert!(here.clear(later, KILLER));
+    for s in &told {
+        here.strike(later, s);
+    }
+    assert_eq!(here.standing(later, KILLER), Standing::Clear);
+    // The other process hears of it, and a strike after it counts again.
+    here.clearances(later).for_each(|c| there.take(later, c));
+    assert_eq!(there.standing(later, KILLER), Standing::Clear);
+    let death = later + Duration::from_secs(1);
+    there.strike(death, &strike_at(3, death));
+    assert_eq!(there.standing(death, KILLER), Standing::Suspect);
+}
+
+/// A strike lives as long as its age allows, however often it is told.
+#[test]
+fn strike_told_again_expires() {
+    let life = Settings::default().life;
+    let mut q = Quarantine::default();
+    let late = NOW + life - Duration::from_secs(1);
+    assert!(!q.strike(late, &strike_at(0, NOW)));
+    q.strike(late, &strike_at(1, NOW));
+    assert!(is_quarantined(&q, KILLER));
+    let after = NOW + life + Duration::from_secs(1);
+    q.strike(after, &strike_at(0, NOW));
+    assert_eq!(q.standing(after, KILLER), Standing::Clear);
+    assert_eq!(q.strikes(after).len(), 0);
+}
--- a/crates/mustard-policy/tests/separation.rs
+++ b/crates/mustard-policy/tests/separation.rs
@@ -203,7 +203,7 @@
                     let content = self.flows[i].content;
                     self.flows[i].server = None;
                     self.quarantines.iter_mut().for_each(|q| {
-                        q.clear(content);
+                        q.clear(NOW, content);
                     });
                 }
             }
--- a/crates/mustard-proto/src/limits.rs
+++ b/crates/mustard-proto/src/limits.rs
@@ -48,6 +48,17 @@
     pub vm: String,
     /// The number of different requests that ran there when it died.
     pub shared: u32,
+    /// How long ago it died, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// A content that was set free or ran to its end.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cleared {
+    /// The content of the request.
+    pub fingerprint: Fingerprint,
+    /// How long ago that was, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// Shares strikes between entry processes.
@@ -55,6 +66,8 @@
 pub struct Strikes {
     /// The strikes.
     pub strikes: Vec<Strike>,
+    /// The contents whose earlier strikes count no more.
+    pub cleared: Vec<Cleared>,
 }
 
 impl Message for Strikes {
--- a/crates/mustard-tests/src/bin/soak.rs
+++ b/crates/mustard-tests/src/bin/soak.rs
@@ -7,9 +7,11 @@
 
 use clap::Parser;
 
+use mustard_tests::site_soak::{self, SitePlan};
 use mustard_tests::soak::{self, SoakPlan};
 
-/// Random faults over two entries, twelve or more stages and three booking servers.
+/// Random faults over two entries, twelve or more stages and three booking servers; or over
+/// gateways before a stand-in of the users' platform.
 #[derive(Debug, Parser)]
 #[command(name = "mustard-soak", about, version)]
 struct Flags {
@@ -19,6 +21,15 @@
     /// The seed of loads and faults.
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    /// Runs gateways before a stand-in site, with proxies between them.
+    #[arg(long)]
+    site: bool,
+    /// Gateways of a run with `--site`, four at most.
+    #[arg(long, default_value_t = 3)]
+    gateways: usize,
+    /// Callers at each gateway of a run with `--site`.
+    #[arg(long, default_value_t = 4)]
+    callers: usize,
     /// Stages for each of the three ranges of layers.
     #[arg(long, default_value_t = 4)]
     replicas: usize,
@@ -29,6 +40,9 @@
 
 fn main() -> anyhow::Result<ExitCode> {
     let flags = Flags::parse();
+    if flags.site {
+        return site(&flags);
+    }
     let tally = soak::run(SoakPlan {
         seed: flags.seed,
         time: Duration::from_secs_f64(flags.minutes * 60.0),
@@ -42,3 +56,21 @@
         _ => ExitCode::FAILURE,
     })
 }
+
+fn site(flags: &Flags) -> anyhow::Result<ExitCode> {
+    let tally = site_soak::run(SitePlan {
+        seed: flags.seed,
+        time: Duration::from_secs_f64(flags.minutes * 60.0),
+        gateways: flags.gateways,
+        callers: flags.callers,
+    })?;
+    println!(
+        "site, seed {}, {} minutes of faults",
+        flags.seed, flags.minutes
+    );
+    print!("{tally}");
+    Ok(match tally.broken.is_empty() {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    })
+}
--- a/crates/mustard-tests/src/errors.rs
+++ b/crates/mustard-tests/src/errors.rs
@@ -13,6 +13,9 @@
     /// A program is not there; `cargo build --workspace --bins` builds it.
     #[error("{0} does not exist, build the programs first")]
     NoProgram(PathBuf),
+    /// No port is free.
+    #[error("no port is free")]
+    NoPort,
     /// A process ended before it listened.
     #[error("{name} ended before it listened, its log is {log}")]
     NotListening {
--- a/crates/mustard-tests/src/lib.rs
+++ b/crates/mustard-tests/src/lib.rs
@@ -14,7 +14,9 @@
 pub mod node;
 pub mod operator;
 pub mod plan;
+pub mod ports;
 pub mod recovery;
+pub mod site_soak;
 pub mod soak;
 pub mod wait;
 
