--- a/crates/mustard-entry/src/ports.rs
+++ b/crates/mustard-entry/src/ports.rs
@@ -22,7 +22,7 @@
 use crate::app::Worker;
 use crate::drive::{Chain, NoChain, Ports, Veto, Want};
 use crate::metric;
-use crate::suspects::{self, Exposure, Telling};
+use crate::suspects::{self, Broadcast, Exposure};
 
 const PROBE_LIMIT: Duration = Duration::from_millis(150);
 const CANCEL_LIMIT: Duration = Duration::from_secs(2);
@@ -51,7 +51,7 @@
     attempts: Cell<u32>,
     apart: RefCell<Option<OwnedSemaphorePermit>>,
     exposure: RefCell<Option<Exposure>>,
-    telling: RefCell<Telling>,
+    broadcast: RefCell<Broadcast>,
 }
 
 impl NetPorts {
@@ -73,7 +73,7 @@
             attempts: Cell::new(0),
             apart: RefCell::new(apart),
             exposure: RefCell::new(None),
-            telling: RefCell::default(),
+            broadcast: RefCell::default(),
         }
     }
 
@@ -231,7 +231,7 @@
         self.worker.shared.servers.failed(agent, error);
         let contents = contents_at_death(error);
         if !contents.is_empty() {
-            *self.telling.borrow_mut() = suspects::note_death(&self.worker, agent, contents);
+            *self.broadcast.borrow_mut() = suspects::note_death(&self.worker, agent, contents);
         }
     }
 
@@ -245,8 +245,8 @@
             _ => {}
         }
         // A caller that is refused here may come back through another process at once.
-        let telling = self.telling.take();
-        telling.end().await;
+        let broadcast = self.broadcast.take();
+        broadcast.end().await;
         self.run_apart().await?;
         let now = shared.process.now();
         let standing = shared.suspects.standing(now, self.rights.fingerprint);
--- a/crates/mustard-entry/src/suspects.rs
+++ b/crates/mustard-entry/src/suspects.rs
@@ -26,7 +26,7 @@
 const SHARE_LIMIT: Duration = Duration::from_secs(1);
 /// How long a draft waits for its strikes to reach the other processes before it goes on: some
 /// round trips between failure domains.
-const TELLING_LIMIT: Duration = Duration::from_millis(100);
+const BROADCAST_LIMIT: Duration = Duration::from_millis(100);
 
 /// What is known about harmful contents.
 pub struct Suspects {
@@ -179,9 +179,9 @@
 
 /// The strikes of a death on their way to the other entry processes.
 #[derive(Default)]
-pub struct Telling(Vec<JoinHandle<()>>);
+pub struct Broadcast(Vec<JoinHandle<()>>);
 
-impl Telling {
+impl Broadcast {
     /// Waits until every other process was told or did not answer in time.
     pub async fn end(self) {
         let all = async {
@@ -190,16 +190,16 @@
             }
         };
         // A process that did not answer is logged by the task that tells it.
-        let _ = timeout(TELLING_LIMIT, all).await;
+        let _ = timeout(BROADCAST_LIMIT, all).await;
     }
 }
 
 /// Takes in that a server died while it ran contents, and shares the strikes.
-pub fn note_death(worker: &Rc<Worker>, vm: &str, contents: &[Fingerprint]) -> Telling {
+pub fn note_death(worker: &Rc<Worker>, vm: &str, contents: &[Fingerprint]) -> Broadcast {
     let shared = &worker.shared;
     let strikes = shared.suspects.died(shared.process.now(), vm, contents);
     if strikes.is_empty() {
-        return Telling::default();
+        return Broadcast::default();
     }
     warn!(shared.log, "suspects: Server died with requests running.";
         "agent" => vm, "contents" => strikes.len());
@@ -216,7 +216,7 @@
             }
         })
     };
-    Telling(shared.servers.peers().into_iter().map(tell).collect())
+    Broadcast(shared.servers.peers().into_iter().map(tell).collect())
 }
 
 /// Returns the message of all strikes that count here.
