Let a suspect wait for servers that other suspects hold, instead of refusing it

Ruled out: the killing request (quarantined after two servers). Change: the choice says whether servers are only held, and the draft then waits as it does once something has run, 5 s at most.

--- a/crates/mustard-entry/src/drive/mod.rs
+++ b/crates/mustard-entry/src/drive/mod.rs
@@ -171,7 +171,9 @@
             let now = Instant::now();
             let since = *self.stalled.get_or_insert(now);
             let end = (since + CHAIN_PATIENCE).min(self.job.deadline);
-            if self.ran == Ran::No || now >= end {
+            // Servers that other suspects hold come free again.
+            let waits = self.ran != Ran::No || none.held;
+            if !waits || now >= end {
                 return Err(none);
             }
             sleep(self.pause).await;
--- a/crates/mustard-entry/src/drive/ports.rs
+++ b/crates/mustard-entry/src/drive/ports.rs
@@ -37,6 +37,8 @@
 pub struct NoChain {
     /// When to come back.
     pub retry: Duration,
+    /// Whether servers are only held by other requests that run apart, and come free again.
+    pub held: bool,
 }
 
 /// Why no further attempt may be made.
--- a/crates/mustard-entry/src/ports.rs
+++ b/crates/mustard-entry/src/ports.rs
@@ -104,10 +104,11 @@
         Ok(())
     }
 
-    fn chosen(&self, want: &Want) -> Option<Chain> {
+    fn chosen(&self, want: &Want) -> Result<Chain, NoChain> {
+        let none = |held| NoChain { retry: RETRY, held };
         let first = self.admitted.borrow_mut().chain();
-        if first.is_some() && self.apart.borrow().is_none() {
-            return first;
+        if let (Some(first), None) = (first, &*self.apart.borrow()) {
+            return Ok(first);
         }
         let shared = &self.worker.shared;
         let fleet = shared.servers.view();
@@ -119,7 +120,8 @@
             choose(&fleet, &query, now, &mut rand::rng()).ok()
         };
         if self.apart.borrow().is_none() {
-            return chain_of(&fleet, &plan(&avoid)?);
+            let chain = plan(&avoid).and_then(|p| chain_of(&fleet, &p));
+            return chain.ok_or(none(false));
         }
         let occupied = shared.suspects.occupied(now, self.rights.fingerprint);
         avoid.extend(occupied.iter().filter_map(|n| fleet.find(n)));
@@ -128,7 +130,9 @@
         // Servers that other suspects of this process hold come free again; those that failed
         // under this draft may not.
         let spare = || occupied.is_empty().then(|| plan(&avoid)).flatten();
-        chain_of(&fleet, &plan(&reserved).or_else(spare)?)
+        let found = plan(&reserved).or_else(spare);
+        let chain = found.and_then(|p| chain_of(&fleet, &p));
+        chain.ok_or(none(!occupied.is_empty()))
     }
 
     /// Returns the servers that other entry processes use for their suspects.
@@ -147,7 +151,7 @@
 
 impl Ports for NetPorts {
     fn choose(&self, want: &Want) -> Result<Chain, NoChain> {
-        let chain = self.chosen(want).ok_or(NoChain { retry: RETRY })?;
+        let chain = self.chosen(want)?;
         let suspects = &self.worker.shared.suspects;
         // The earlier attempt's count ends first.
         *self.exposure.borrow_mut() = None;
--- a/crates/mustard-entry/tests/drive.rs
+++ b/crates/mustard-entry/tests/drive.rs
@@ -182,6 +182,7 @@
             let free = (0..REPLICAS).find(|r| !want.avoid.contains(&name(stage, *r)));
             let replica = free.ok_or(NoChain {
                 retry: Duration::from_secs(1),
+                held: false,
             })?;
             chain.names.push(name(stage, replica));
             chain.hops.push(Hop {
