Add failing tests of a restored store, leaving servers and contents that end servers

The stand-in site restores its store from a copy of any age, raises Store-Era, answers 410 to revisions that it doesn't have, lets servers leave, turn requests away with Retry-After and end under poison contents.

- Leaving servers and servers that turned requests away get requests.

One play of poison_stream_last_server with six model servers didn't end within 60 s; the caller of the tests now has a time limit, so that a repetition shows.

--- a/crates/mustard-fakes/src/site/http.rs
+++ b/crates/mustard-fakes/src/site/http.rs
@@ -2,11 +2,13 @@
 
 use std::future::poll_fn;
 use std::net::TcpListener;
+use std::time::Instant;
 
+use ntex::http::header::{HeaderName, HeaderValue};
 use ntex::http::{HttpService, Request, Response, StatusCode};
 use ntex::util::Bytes;
 
-use super::{ServerFault, Site, model, plain, store};
+use super::{Arrival, ServerFault, Site, model, plain, store};
 
 /// A request whose body has been read.
 pub(super) struct Call {
@@ -45,6 +47,11 @@
         pairs.into_iter().find(|(n, _)| *n == name).map(|(_, v)| v)
     }
 
+    /// Tells whether the content ends the servers that run it.
+    pub(super) fn is_poison(&self) -> bool {
+        self.path.contains(super::POISON)
+    }
+
     /// Returns the connection that the request came in on.
     pub(super) fn connection(&self) -> Option<ntex::io::IoRef> {
         self.request.io().cloned()
@@ -109,14 +116,40 @@
     }
 }
 
-/// Answers a request to one of the servers, according to its fault.
+/// Answers a request to one of the servers; one that is leaving says so.
 async fn answer_for_server(site: &Site, index: usize, request: Request) -> Response {
     let call = Call::read_from(request).await;
+    let leaving = site.lock().servers[index].leaving;
+    let mut response = answer_by_fault(site, index, call).await;
+    if leaving {
+        let name = HeaderName::from_static("server-leaving");
+        let headers = response.headers_mut();
+        headers.insert(name, HeaderValue::from_static("1"));
+    }
+    response
+}
+
+/// Answers a request to one of the servers, according to its fault.
+async fn answer_by_fault(site: &Site, index: usize, call: Call) -> Response {
     let (fault, model) = {
-        let state = site.lock();
+        let mut state = site.lock();
+        if let Some(id) = call.header("attempt-id") {
+            let at = Instant::now();
+            state.ledger.arrivals.push(Arrival {
+                server: index,
+                id,
+                at,
+            });
+        }
         (state.servers[index].fault, state.servers[index].model)
     };
     match fault {
+        ServerFault::TurnsAway(wait) if call.header("attempt-id").is_some() => {
+            let mut out = Response::ServiceUnavailable();
+            out.header("not-executed", "1");
+            out.header("retry-after", format!("{:.2}", wait.as_secs_f64()));
+            out.finish()
+        }
         ServerFault::Silent => std::future::pending().await,
         ServerFault::ResetsConnections => {
             call.drop_connection();
--- a/crates/mustard-fakes/src/site/mod.rs
+++ b/crates/mustard-fakes/src/site/mod.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 use tokio::sync::Notify;
@@ -28,6 +28,9 @@
 /// The number of layers of the model.
 pub const LAYERS: u32 = 8;
 
+/// How long a server that a poison content ended stays away.
+const DOWN_TIME: Duration = Duration::from_millis(1_500);
+
 /// The size and the timing of a stand-in site.
 #[derive(Clone, Debug)]
 pub struct SiteOptions {
@@ -75,8 +78,23 @@
     LosesAnswers,
     /// Runs a request and answers with status 500 (plain service only).
     AnswersError,
+    /// Turns requests away with status 503 and this time in `Retry-After`.
+    TurnsAway(Duration),
+}
+
+/// Which servers a poison content ends; it is any content whose path contains [`POISON`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PoisonTarget {
+    /// The server that receives the request.
+    #[default]
+    First,
+    /// The last server of the path of a stream, after the stream has begun.
+    Last,
 }
 
+/// The part of a path that makes a content poison.
+pub const POISON: &str = "poison";
+
 /// A server of the site.
 #[derive(Clone, Debug)]
 pub(crate) struct Server {
@@ -97,6 +115,8 @@
     // Whether the store has a row of the server.
     pub(crate) listed: bool,
     pub(crate) draining: bool,
+    // Whether each answer says that the server is leaving.
+    pub(crate) leaving: bool,
 }
 
 /// The record of what the servers did.
@@ -112,6 +132,32 @@
     pub path_changes: u32,
     /// Orders that started a load: the server's index, the first layer and the excluded end.
     pub placements: Vec<(usize, u32, u32)>,
+    /// The requests that reached servers, run or turned away, in order.
+    pub arrivals: Vec<Arrival>,
+    /// The ends of servers caused by poison contents, in order.
+    pub ended: Vec<EndedServer>,
+}
+
+/// A request that reached a server; reports and orders aren't counted.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// The server's index.
+    pub server: usize,
+    /// The header `Attempt-Id`.
+    pub id: String,
+    /// When it arrived.
+    pub at: Instant,
+}
+
+/// The end of a server that ran a poison content.
+#[derive(Clone, Debug)]
+pub struct EndedServer {
+    /// The server's index.
+    pub server: usize,
+    /// The header `Attempt-Id` of the request.
+    pub id: String,
+    /// When it ended.
+    pub at: Instant,
 }
 
 /// A request that a server ran, as it was received.
@@ -138,6 +184,11 @@
     pub(crate) store: store::Store,
     // The current path of each running stream, by request id.
     pub(crate) paths: BTreeMap<String, Vec<model::ChainStage>>,
+    // The newest configuration of the operators.
+    pub(crate) config: Option<Vec<u8>>,
+    pub(crate) poison: PoisonTarget,
+    // How long a server that a poison content ended stays away.
+    pub(crate) down_time: Duration,
 }
 
 /// A running stand-in site; clones share it.
@@ -180,6 +231,7 @@
                 incarnation: 1,
                 listed: true,
                 draining: false,
+                leaving: false,
             });
         }
         let addrs = listeners.iter().map(TcpListener::local_addr);
@@ -194,6 +246,9 @@
                 ledger: Ledger::default(),
                 store: store::Store::default(),
                 paths: BTreeMap::new(),
+                config: None,
+                poison: PoisonTarget::default(),
+                down_time: DOWN_TIME,
             })),
         };
         for i in 0..listeners.len() {
@@ -248,10 +303,80 @@
             s.fence = 0;
             s.incarnation += 1;
             s.fault = ServerFault::None;
+            s.draining = false;
+            s.leaving = false;
         }
         self.write_row(server);
     }
 
+    /// Makes a server say in each answer that it is leaving; its row stays as it is.
+    pub fn set_leaving(&self, server: usize) {
+        self.lock().servers[server].leaving = true;
+    }
+
+    /// Sets which servers a poison content ends, and how long they stay away.
+    pub fn set_poison(&self, target: PoisonTarget, down_time: Duration) {
+        let mut state = self.lock();
+        state.poison = target;
+        state.down_time = down_time;
+    }
+
+    /// Restores the store from a copy that is `age` old: what was written since is gone, and its
+    /// revisions are given out again. Nobody has written anything again yet.
+    pub fn restore_store(&self, age: Duration) {
+        self.lock().store.restore(age);
+        self.changed.notify_waiters();
+    }
+
+    /// Writes the newest configuration and the rows of the servers again, as the operator and the
+    /// servers do after the store was restored.
+    pub fn write_rows_again(&self) {
+        let (config, count) = {
+            let state = self.lock();
+            (state.config.clone(), state.servers.len())
+        };
+        for server in 0..count {
+            if self.lock().servers[server].listed {
+                self.write_row(server);
+            }
+        }
+        if let Some(bytes) = config {
+            self.lock().store.put("op", "config", Some(bytes));
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the revision of the store's newest write.
+    pub fn store_revision(&self) -> u64 {
+        self.lock().store.revision()
+    }
+
+    /// Returns the keys of the rows in a table of the store.
+    pub fn row_keys(&self, table: &str) -> Vec<String> {
+        self.lock().store.keys(table)
+    }
+
+    /// Ends a server that ran a poison content; it starts again after a while.
+    pub(crate) fn end_server(&self, server: usize, id: &str) {
+        let (incarnation, down_time) = {
+            let mut state = self.lock();
+            state.servers[server].fault = ServerFault::ResetsConnections;
+            state.ledger.ended.push(EndedServer {
+                server,
+                id: id.to_owned(),
+                at: Instant::now(),
+            });
+            (state.servers[server].incarnation, state.down_time)
+        };
+        let site = self.clone();
+        ntex::rt::spawn(async move {
+            tokio::time::sleep(down_time).await;
+            if site.lock().servers[server].incarnation == incarnation {
+                site.restart(server);
+            }
+        });
+    }
+
     /// Marks a server as draining in its row.
     pub fn drain(&self, server: usize) {
         self.lock().servers[server].draining = true;
@@ -264,6 +389,12 @@
         self.write_row(server);
     }
 
+    /// Writes the row of a server whose row was deleted.
+    pub fn list_again(&self, server: usize) {
+        self.lock().servers[server].listed = true;
+        self.write_row(server);
+    }
+
     /// Writes arbitrary bytes as a server's row, as another writer could.
     pub fn write_raw_row(&self, key: &str, bytes: &[u8]) {
         self.lock().store.put("servers", key, Some(bytes.to_vec()));
@@ -280,7 +411,11 @@
     pub fn write_config(&self, version: u64, keys: &[&str]) {
         let config = self.build_config(version, keys);
         let bytes = config.to_string().into_bytes();
-        self.lock().store.put("op", "config", Some(bytes));
+        {
+            let mut state = self.lock();
+            state.config = Some(bytes.clone());
+            state.store.put("op", "config", Some(bytes));
+        }
         self.changed.notify_waiters();
     }
 
--- a/crates/mustard-fakes/src/site/model.rs
+++ b/crates/mustard-fakes/src/site/model.rs
@@ -14,7 +14,10 @@
 
 use super::http::{Call, json_response};
 use super::plain::{is_misdirected, misdirected_response, record_run};
-use super::{LAYERS, ServerFault, Site};
+use super::{LAYERS, PoisonTarget, ServerFault, Site};
+
+/// The time between the checks of a poison content for a path on which it has ended no server yet.
+const POISON_DELAY: std::time::Duration = std::time::Duration::from_millis(60);
 
 /// A hop of a stream's path: a server and the layers that it runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -223,6 +226,12 @@
         return out.finish();
     }
     let id = record_run(site, index, call);
+    let poison = call.is_poison().then(|| site.lock().poison);
+    if poison == Some(PoisonTarget::First) {
+        site.end_server(index, &id);
+        call.drop_connection();
+        return Response::Ok().finish();
+    }
     let after = call
         .header("last-event-id")
         .and_then(|v| v.parse().ok())
@@ -238,7 +247,13 @@
         connection: call.connection(),
     };
     let site = site.clone();
-    ntex::rt::spawn(async move { send_events(&site, index, &id, after, &sender).await });
+    ntex::rt::spawn(async move {
+        if poison.is_some() {
+            let (site, id) = (site.clone(), id.clone());
+            ntex::rt::spawn(async move { end_last_servers(&site, &id).await });
+        }
+        send_events(&site, index, &id, after, &sender).await;
+    });
     out.streaming(body)
 }
 
@@ -269,6 +284,28 @@
     }
 }
 
+/// Ends the last server of a stream's path, and that of each further path that the stream is moved
+/// to, until the stream has ended.
+async fn end_last_servers(site: &Site, id: &str) {
+    let mut ended = None;
+    loop {
+        sleep(POISON_DELAY).await;
+        let last = {
+            let state = site.lock();
+            let Some(path) = state.paths.get(id) else {
+                return;
+            };
+            let last = path.last().map(|stage| stage.addr);
+            let index = |addr| state.addrs.iter().position(|a| *a == addr);
+            last.and_then(index)
+        };
+        if let Some(server) = last.filter(|server| ended != Some(*server)) {
+            ended = Some(server);
+            site.end_server(server, id);
+        }
+    }
+}
+
 /// Sends the events of a stream that follow the event `after`.
 async fn send_events(site: &Site, index: usize, id: &str, after: u64, sender: &Sender<Chunk>) {
     let (event_interval, events, stall_timeout) = {
@@ -284,6 +321,7 @@
         if !wait_for_path(site, index, id, stall_timeout).await {
             // An error means that the client has disconnected already.
             let _ = sender.send(None).await;
+            site.lock().paths.remove(id);
             return;
         }
         let text = format!("id: {event}\ndata: piece {event} of {id}\n\n");
--- a/crates/mustard-fakes/src/site/plain.rs
+++ b/crates/mustard-fakes/src/site/plain.rs
@@ -48,8 +48,18 @@
     if is_misdirected(site, index, &call) {
         return misdirected_response();
     }
+    if call.path == "/health" {
+        let mut out = Response::Ok();
+        out.header("instance-id", site.lock().servers[index].id.clone());
+        return out.finish();
+    }
     let id = record_run(site, index, &call);
     sleep(CALL_TIME).await;
+    if call.is_poison() {
+        site.end_server(index, &id);
+        call.drop_connection();
+        return Response::Ok().finish();
+    }
     let fault = site.lock().servers[index].fault;
     match fault {
         ServerFault::LosesAnswers => {
--- a/crates/mustard-fakes/src/site/store.rs
+++ b/crates/mustard-fakes/src/site/store.rs
@@ -6,6 +6,7 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use ntex::http::Response;
+use ntex::http::header::{HeaderName, HeaderValue};
 use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use tokio::time::{Instant, timeout_at};
@@ -20,15 +21,67 @@
     revision: u64,
 }
 
+/// A write that the store has acknowledged.
+#[derive(Clone, Debug)]
+struct LoggedWrite {
+    at: Instant,
+    table: String,
+    key: String,
+    row: Row,
+}
+
 /// Rows by table and key.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Store {
     pub(crate) mode: StoreMode,
     rows: BTreeMap<(String, String), Row>,
     revision: u64,
+    /// Rises by one each time the store is restored from a copy.
+    era: u64,
+    /// All writes in order, from which a copy of any age is made.
+    writes: Vec<LoggedWrite>,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Store {
+            mode: StoreMode::default(),
+            rows: BTreeMap::new(),
+            revision: 0,
+            era: 1,
+            writes: Vec::new(),
+        }
+    }
 }
 
 impl Store {
+    /// Replaces the rows by those of a copy that is `age` old. Later writes are lost, and their
+    /// revisions are given out again.
+    pub(crate) fn restore(&mut self, age: Duration) {
+        let now = Instant::now();
+        let is_kept = |w: &LoggedWrite| now.duration_since(w.at) >= age;
+        self.writes.retain(is_kept);
+        self.rows.clear();
+        self.revision = self.writes.last().map_or(0, |w| w.row.revision);
+        for write in &self.writes {
+            let key = (write.table.clone(), write.key.clone());
+            self.rows.insert(key, write.row.clone());
+        }
+        self.era += 1;
+    }
+
+    /// Returns the revision of the newest write.
+    pub(crate) fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the keys of the rows in a table.
+    pub(crate) fn keys(&self, table: &str) -> Vec<String> {
+        let rows = self.rows.iter();
+        let rows = rows.filter(|((t, _), r)| t == table && r.value.is_some());
+        rows.map(|((_, key), _)| key.clone()).collect()
+    }
+
     /// Writes a row, or deletes it if there is no value.
     pub(crate) fn put(&mut self, table: &str, key: &str, value: Option<Vec<u8>>) {
         self.revision += 1;
@@ -36,6 +89,12 @@
             value,
             revision: self.revision,
         };
+        self.writes.push(LoggedWrite {
+            at: Instant::now(),
+            table: table.to_owned(),
+            key: key.to_owned(),
+            row: row.clone(),
+        });
         self.rows.insert((table.to_owned(), key.to_owned()), row);
     }
 
@@ -97,6 +156,14 @@
 }
 
 pub(super) async fn answer(site: &Site, call: Call) -> Response {
+    let mut response = answer_call(site, &call).await;
+    let era = HeaderValue::from(site.lock().store.era);
+    let headers = response.headers_mut();
+    headers.insert(HeaderName::from_static("store-era"), era);
+    response
+}
+
+async fn answer_call(site: &Site, call: &Call) -> Response {
     let mode = site.lock().store.mode;
     match mode {
         StoreMode::Busy => return json_response(503, &json!({})),
@@ -107,8 +174,8 @@
         _ => {}
     }
     match call.path.as_str() {
-        "/v1/rows-get" => read_rows(site, &call),
-        "/v1/rows-feed" => read_feed(site, &call).await,
+        "/v1/rows-get" => read_rows(site, call),
+        "/v1/rows-feed" => read_feed(site, call).await,
         "/v1/rows-tx" => {
             let body = serde_json::from_slice(&call.body).unwrap_or_default();
             let response = site.lock().store.commit(&body);
@@ -156,6 +223,9 @@
                     return json_response(503, &json!({}));
                 }
             }
+            if since > state.store.revision {
+                return json_response(410, &json!({}));
+            }
             let rows = state.store.list(table, |_, r| r.revision > since);
             if !rows.is_empty() || Instant::now() >= until {
                 return json_response(200, &state.store.rows_body(&rows));
--- a/crates/mustard-gateway/tests/gateway/harness.rs
+++ b/crates/mustard-gateway/tests/gateway/harness.rs
@@ -19,6 +19,8 @@
 /// The time limit for a gateway to become ready or exit, on a busy machine.
 const READY_LIMIT: Duration = Duration::from_secs(20);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Twice the time budget that callers send.
+const ANSWER_LIMIT: Duration = Duration::from_secs(14);
 
 /// A gateway process; dropping this kills the process.
 pub(crate) struct Gateway {
@@ -145,12 +147,26 @@
     }
 
     /// Sends a request with the given headers; returns `None` if no answer began to arrive.
+    ///
+    /// Panics if the answer isn't complete or broken off twice the time budget after the request.
     pub(crate) async fn send(
         &self,
         to: SocketAddr,
         method: &str,
         path: &str,
         headers: &[(&str, &str)],
+    ) -> Option<Answer> {
+        let answer = self.send_without_limit(to, method, path, headers);
+        let answer = tokio::time::timeout(ANSWER_LIMIT, answer).await;
+        answer.unwrap_or_else(|_| panic!("{method} {path} {headers:?}: the gateway leaves it open"))
+    }
+
+    async fn send_without_limit(
+        &self,
+        to: SocketAddr,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
     ) -> Option<Answer> {
         let mut list = vec![(
             HeaderName::from_static("host"),
@@ -196,6 +212,11 @@
 
     /// Sends a request with the customer's key.
     pub(crate) async fn request(&self, gateway: &Gateway, path: &str, id: &str) -> Option<Answer> {
+        self.request_at(gateway.caller_addr, path, id).await
+    }
+
+    /// Sends a request with the customer's key to the gateway at an address.
+    pub(crate) async fn request_at(&self, to: SocketAddr, path: &str, id: &str) -> Option<Answer> {
         let key = format!("Bearer {API_KEY}");
         let method = if path.starts_with("/status/") {
             "GET"
@@ -208,7 +229,7 @@
             ("time-budget-ms", "7000"),
             ("token-count", "100,80"),
         ];
-        self.send(gateway.caller_addr, method, path, &headers).await
+        self.send(to, method, path, &headers).await
     }
 }
 
--- a/crates/mustard-gateway/tests/gateway/main.rs
+++ b/crates/mustard-gateway/tests/gateway/main.rs
@@ -6,7 +6,10 @@
 #![allow(clippy::unwrap_used)]
 
 mod harness;
+mod leaving;
 mod logs;
+mod poison;
+mod restored;
 
 use std::net::Ipv4Addr;
 use std::process::Command;
