Give out fencing tokens once also if the table comes back from an older copy

A lease row that is lost takes the highest fencing token with it, and the next holder gets the same one: servers that compare tokens then carry out the orders of both holders. A row version seen before the restoration also counted as unchanged if it was given out again, and a write could take effect on another row's version.

Cause: numbers of different eras of the table were compared. Rows now carry the era in which they were read, transactions the era of the versions that they check, and the token's upper part is the era, so every token of a new era is higher than all before.

--- a/crates/mustard-core/src/ids.rs
+++ b/crates/mustard-core/src/ids.rs
@@ -80,6 +80,11 @@
     /// The version number of one catalogue entry.
     Revision
 }
+numeric_id! {
+    /// Counts how often the platform's store was restored from an older copy. Row versions are
+    /// comparable only within one era, since the restored store gives them out again.
+    Era
+}
 numeric_id! {
     /// A fencing token. It grows with every new holder of a lease; an order with a lower token than
     /// one seen before is refused.
@@ -90,6 +95,17 @@
     Incarnation
 }
 
+/// The number of fencing tokens that an era has before they reach those of the next era.
+const FENCES_PER_ERA: u64 = 1 << 20;
+
+impl Fence {
+    /// Returns the lowest token of an era. Tokens of earlier eras are lower, so that one is never
+    /// given out twice even if the row that held the highest was lost.
+    pub fn first_of(era: Era) -> Self {
+        Fence(era.0.saturating_mul(FENCES_PER_ERA))
+    }
+}
+
 impl Incarnation {
     /// Returns a new random incarnation, which fits in a signed 64 bit integer.
     pub fn random() -> Self {
--- a/crates/mustard-fakes/src/memory/mod.rs
+++ b/crates/mustard-fakes/src/memory/mod.rs
@@ -11,5 +11,5 @@
 
 pub use fault::{CallCounts, FaultInjector};
 pub use object::MemObjects;
-pub use table::MemTable;
+pub use table::{MemTable, TableCopy};
 pub use vms::MemVms;
--- a/crates/mustard-platform/src/lease.rs
+++ b/crates/mustard-platform/src/lease.rs
@@ -1,6 +1,7 @@
 //! A lease kept in a row of the table service, with a fencing token for each holder.
 //!
-//! The fencing token is a number that rises with each new holder. A receiver that has seen a higher
+//! The fencing token is a number that rises with each new holder, also if the table comes back from
+//! an older copy: its upper part is the table's era. A receiver that has seen a higher
 //! token refuses the orders of an earlier holder.
 //!
 //! Clocks of different processes are never compared. A holder counts its term from before it sent
@@ -13,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use mustard_core::clock::{Clock, Moment};
-use mustard_core::ids::{Fence, Incarnation};
+use mustard_core::ids::{Era, Fence, Incarnation};
 
 use crate::errors::{PlatformError, Result};
 use crate::table::{CommitOutcome, Row, Table, Txn};
@@ -59,6 +60,7 @@
 /// A version of the lease row and when this process first saw it.
 #[derive(Clone, Copy, Debug)]
 struct ObservedVersion {
+    era: Era,
     version: u64,
     since: Moment,
 }
@@ -106,6 +108,12 @@
         self.last_fence = None;
     }
 
+    /// Discards the lease, but not the last fencing token, after the table was restored: the row that
+    /// proves the lease may be lost.
+    pub fn discard_term(&mut self) {
+        self.held = None;
+    }
+
     /// Renews the lease, or acquires it if it is free or has expired; returns none if another
     /// process holds it or may hold it.
     ///
@@ -128,7 +136,7 @@
             fence,
             free: false,
         };
-        let written = self.write(row.version, next).await;
+        let written = self.write(&row, next).await;
         match written {
             Ok(true) => {
                 let until = now + self.options.term;
@@ -156,7 +164,7 @@
             return Ok(());
         }
         self.write(
-            row.version,
+            &row,
             LeaseRow {
                 free: true,
                 ..content
@@ -168,25 +176,30 @@
 
     /// Returns the fencing token to write, or none if another holder's lease may still be valid.
     fn next_fence(&mut self, row: &Row, content: Option<LeaseRow>, now: Moment) -> Option<Fence> {
+        let first = Fence::first_of(row.era);
         let Some(content) = content else {
-            return Some(Fence(1));
+            return Some(first.max(Fence(1)));
         };
         let is_holder = content.holder == self.options.holder;
-        if is_holder && !content.free {
+        // A row from before the table was restored may have had later holders, whose rows are lost.
+        if is_holder && !content.free && content.fence >= first {
             return Some(content.fence);
         }
-        let expired = self.has_expired(row.version, now);
-        (content.free || expired).then(|| content.fence.next())
+        let expired = is_holder || self.has_expired(row, now);
+        (content.free || expired).then(|| content.fence.next().max(first))
     }
 
     /// Tells whether this process has seen the row unchanged for a whole term; a new version
     /// starts a new term.
-    fn has_expired(&mut self, version: u64, now: Moment) -> bool {
+    fn has_expired(&mut self, row: &Row, now: Moment) -> bool {
         match self.observed {
-            Some(seen) if seen.version == version => now.since(seen.since) >= self.options.term,
+            Some(seen) if (seen.era, seen.version) == (row.era, row.version) => {
+                now.since(seen.since) >= self.options.term
+            }
             _ => {
                 self.observed = Some(ObservedVersion {
-                    version,
+                    era: row.era,
+                    version: row.version,
                     since: now,
                 });
                 false
@@ -199,10 +212,11 @@
         Ok(rows.into_iter().next().unwrap_or_default())
     }
 
-    async fn write(&self, version: u64, content: LeaseRow) -> Result<bool> {
+    async fn write(&self, row: &Row, content: LeaseRow) -> Result<bool> {
         let value = serde_json::to_string(&content).map_err(|e| bad_row(&e.to_string()))?;
         let txn = Txn::default()
-            .check(self.key(), version)
+            .in_era(row.era)
+            .check(self.key(), row.version)
             .put(self.key(), value);
         Ok(self.table.commit(txn).await? == CommitOutcome::Done)
     }
--- a/crates/mustard-platform/src/table.rs
+++ b/crates/mustard-platform/src/table.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use mustard_core::ids::Era;
+
 use crate::errors::Result;
 
 /// A row; version zero means that it does not exist.
@@ -11,8 +13,11 @@
     pub key: String,
     /// The value, JSON text by convention.
     pub value: String,
-    /// Rises with each write of this row.
+    /// Rises with each write of this row within one era of the table.
     pub version: u64,
+    /// The table's era when the row was read.
+    #[serde(default)]
+    pub era: Era,
 }
 
 /// A condition of a transaction: the row must have this version.
@@ -36,6 +41,9 @@
 /// Writes that take effect all together, and only if every check holds.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Txn {
+    /// The era in which the versions of `checks` were read.
+    #[serde(default)]
+    pub era: Option<Era>,
     /// The versions that the rows must have.
     pub checks: Vec<VersionCheck>,
     /// The rows to write or delete.
@@ -43,6 +51,14 @@
 }
 
 impl Txn {
+    /// Sets the era in which the checked versions were read. In another era the same version may
+    /// stand for another write of the row.
+    #[must_use]
+    pub fn in_era(mut self, era: Era) -> Self {
+        self.era = Some(era);
+        self
+    }
+
     /// Adds a check.
     #[must_use]
     pub fn check(mut self, key: impl Into<String>, version: u64) -> Self {
@@ -101,7 +117,8 @@
     /// # Errors
     ///
     /// After [`PlatformError::InDoubt`](crate::PlatformError::InDoubt) the writes may have taken
-    /// effect; the caller must read the rows again to know.
+    /// effect; the caller must read the rows again to know. So it is after a commit in another era
+    /// than that of the transaction.
     async fn commit(&self, txn: Txn) -> Result<CommitOutcome>;
 
     /// Reads rows by key; a row that doesn't exist is returned with version zero.
