Follow the store by era and revision, so that a restored store hides no change

Cause: revisions of the store were compared across its eras. A feed went on at the revision that the gateway had reached before the store was restored from an older copy. Once the store had given out that number again, its answer was 200 without the rows written below it, and no 410 told of the loss. The configuration stayed unseen until the next change. In the same way a configuration whose version was given out again was taken for the lost one, also between peers.

Fix: a revision has an era, read from Store-Era in each answer; in another era the whole table is read again. Configurations are compared by version, then era. Rows of a restored list don't bring back a server that had announced that it is leaving, nor, for three heartbeats, one whose row had been removed, unless its row is written again; servers whose rows are lost count as during an outage. The log names the era of each change.

--- a/crates/mustard-backend/src/http.rs
+++ b/crates/mustard-backend/src/http.rs
@@ -244,6 +244,7 @@
         status,
         content_type,
         body,
+        ..
     } = answer;
     ServiceAnswer {
         status,
--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -9,13 +9,14 @@
 use ntex::client::Client;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
 use mustard_adapter::{NodeSettings, Store};
 use mustard_core::clock::{Clock, Moment, SystemClock};
 use mustard_core::collections::Map;
 use mustard_core::deployment::Config;
-use mustard_core::ids::Incarnation;
+use mustard_core::ids::{Era, Incarnation};
 use mustard_net::http::{new_client, new_client_with_timeout};
 use mustard_net::shutdown::RequestGate;
 use mustard_policy::budget_share::{Budget, RetryBudgetShare};
@@ -55,6 +56,15 @@
     }
 }
 
+/// By what configurations are compared: the higher one is newer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ConfigStamp {
+    /// The version that the operators gave it.
+    pub version: u64,
+    /// The store's era in which it was read.
+    pub era: Era,
+}
+
 /// The state of a gateway; owned by the serving thread.
 pub struct App {
     /// The settings that the platform gives this VM.
@@ -75,6 +85,8 @@
     pub config: RefCell<Option<Rc<Config>>>,
     /// The configuration as the operators wrote it, to be sent to peers.
     pub config_text: RefCell<Rc<Vec<u8>>>,
+    /// The store's era in which the configuration was read.
+    pub config_era: Cell<Era>,
     /// The backend servers as this gateway sees them.
     pub fleet: RefCell<Fleet>,
     /// When the store last confirmed the list of servers.
@@ -103,7 +115,10 @@
     pub had_request: Cell<bool>,
     /// Whether the last attempt to follow the store failed.
     pub store_failed: Cell<bool>,
-    /// When the store last answered again after failed calls.
+    /// Wakes the tasks that own rows of the store, which may be lost once it was restored from an
+    /// older copy.
+    pub store_restored: Notify,
+    /// When the store last answered again after failed calls, or was restored.
     pub store_recovered: Cell<Option<Moment>>,
     /// The random number generator.
     pub rng: RefCell<ChaCha8Rng>,
@@ -129,6 +144,7 @@
             clock,
             config: RefCell::new(None),
             config_text: RefCell::default(),
+            config_era: Cell::default(),
             fleet: RefCell::default(),
             list_read: Cell::new(false),
             streams: RefCell::default(),
@@ -146,6 +162,7 @@
             changed: Notify::new(),
             had_request: Cell::new(false),
             store_failed: Cell::new(false),
+            store_restored: Notify::new(),
             store_recovered: Cell::new(None),
             rng: RefCell::new(ChaCha8Rng::from_os_rng()),
             node,
@@ -167,6 +184,14 @@
         self.config.borrow().clone()
     }
 
+    /// Returns by what the configuration in force is compared with others.
+    pub fn config_stamp(&self) -> ConfigStamp {
+        ConfigStamp {
+            version: self.config.borrow().as_ref().map_or(0, |c| c.version),
+            era: self.config_era.get(),
+        }
+    }
+
     /// Returns the number of gateways heard from lately, this one included.
     pub fn gateway_count(&self) -> usize {
         self.peers.borrow().alive_count() + 1
--- a/crates/mustard-gateway/src/fleet/mod.rs
+++ b/crates/mustard-gateway/src/fleet/mod.rs
@@ -21,6 +21,10 @@
 /// during an outage and shortly after it.
 const MISSING_ROW_GRACE: Duration = Duration::from_millis(2_200);
 
+/// How long a removed server process is remembered; it ends within seconds of its removal, and its
+/// row in an older copy of the list is some seconds old at most.
+const DEPARTED_TIME: Duration = Duration::from_secs(60);
+
 /// Which servers a path may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerFilter {
@@ -50,6 +54,17 @@
     ids: Map<String, ServerKey>,
     addrs: Map<SocketAddr, ServerKey>,
     domains: Vec<String>,
+    /// The processes that were removed lately, by their ids.
+    departed: Map<String, Departed>,
+}
+
+/// A server process that was removed from the list.
+#[derive(Clone, Copy, Debug)]
+struct Departed {
+    started_ms: u64,
+    /// Whether it had announced that it is leaving, after which it never becomes ready again.
+    has_announced: bool,
+    at: Moment,
 }
 
 impl Fleet {
@@ -83,18 +98,34 @@
     }
 
     /// Applies a row of the server list.
-    pub fn upsert(&mut self, now: Moment, entry: ServerEntry) -> RowChange {
+    ///
+    /// `unconfirmed_until` is set for a row of a restored list, which may be that of a server that
+    /// has left since the copy was made. A server that was removed and comes back by such a row isn't
+    /// used before then, unless its row is written again.
+    pub fn upsert(
+        &mut self,
+        now: Moment,
+        mut entry: ServerEntry,
+        unconfirmed_until: Option<Moment>,
+    ) -> RowChange {
         let domain = self.domain_index(&entry.domain);
         if let Some(server) = self
             .ids
             .get(&entry.id)
             .and_then(|k| self.servers.get_mut(*k))
         {
-            return server.update(now, entry);
+            return server.update(now, entry, unconfirmed_until.is_none());
+        }
+        let departed = self.departed.remove(&entry.id);
+        let departed = departed.filter(|d| d.started_ms == entry.started_ms);
+        if departed.is_some_and(|d| d.has_announced) {
+            entry.state = ServerState::Leaving;
         }
         let leaving = entry.state == ServerState::Leaving;
         let (id, addr) = (entry.id.clone(), entry.addr);
-        let key = self.servers.insert(Server::new(now, entry, domain));
+        let mut server = Server::new(now, entry, domain);
+        server.unconfirmed_until = unconfirmed_until.filter(|_| departed.is_some());
+        let key = self.servers.insert(server);
         self.ids.insert(id, key);
         // A new server can reuse the address of one that has ended.
         self.addrs.insert(addr, key);
@@ -116,7 +147,7 @@
             }
             return RowChange::Same;
         }
-        self.remove_key(key);
+        self.remove_key(now, key);
         RowChange::Left
     }
 
@@ -132,7 +163,7 @@
             .map(|(k, _)| k)
             .collect();
         for key in &expired {
-            self.remove_key(*key);
+            self.remove_key(now, *key);
         }
         expired.len()
     }
@@ -148,8 +179,15 @@
         removed
     }
 
-    fn remove_key(&mut self, key: ServerKey) {
+    fn remove_key(&mut self, now: Moment, key: ServerKey) {
         if let Some(server) = self.servers.remove(key) {
+            self.departed.retain(|_, d| now.since(d.at) < DEPARTED_TIME);
+            let departed = Departed {
+                started_ms: server.entry.started_ms,
+                has_announced: server.entry.state == ServerState::Leaving,
+                at: now,
+            };
+            self.departed.insert(server.entry.id.clone(), departed);
             self.ids.remove(&server.entry.id);
             if self.addrs.get(&server.entry.addr) == Some(&key) {
                 self.addrs.remove(&server.entry.addr);
--- a/crates/mustard-gateway/src/fleet/server.rs
+++ b/crates/mustard-gateway/src/fleet/server.rs
@@ -48,6 +48,8 @@
     pub backoff: ServerBackoff,
     /// When its row vanished, if that happened while the store was unstable.
     pub missing_since: Option<Moment>,
+    /// Until when it isn't used, as it was removed before the store was restored and may be gone.
+    pub unconfirmed_until: Option<Moment>,
     /// The order that it is carrying out.
     pub load_order: Option<LoadOrder>,
     /// Memory in use by this gateway's requests, in tokens times layers.
@@ -68,6 +70,7 @@
             domain,
             backoff: ServerBackoff::default(),
             missing_since: None,
+            unconfirmed_until: None,
             load_order: None,
             memory_used: 0.0,
             running: 0,
@@ -76,12 +79,15 @@
         }
     }
 
-    /// Applies a newer row.
-    pub fn update(&mut self, now: Moment, entry: ServerEntry) -> RowChange {
+    /// Applies a row; `is_current` unless the row may be older than the one before.
+    pub fn update(&mut self, now: Moment, entry: ServerEntry, is_current: bool) -> RowChange {
         let restarted = entry.started_ms != self.entry.started_ms;
         let leaves = entry.state == ServerState::Leaving && self.entry.state == ServerState::Ready;
         let held_changed = entry.held != self.entry.held;
         self.missing_since = None;
+        if is_current {
+            self.unconfirmed_until = None;
+        }
         if restarted {
             *self = Server {
                 memory_used: self.memory_used,
@@ -131,9 +137,15 @@
         self.is_ready()
             && self.silent_since.is_none()
             && self.missing_since.is_none()
+            && self.is_confirmed(now)
             && !self.backoff.is_backing_off(now)
     }
 
+    /// Tells whether the server is known not to have left before the store was restored.
+    pub fn is_confirmed(&self, now: Moment) -> bool {
+        self.unconfirmed_until.is_none_or(|until| now >= until)
+    }
+
     /// Tells whether the server hasn't announced that it is leaving.
     pub fn is_ready(&self) -> bool {
         self.entry.state == ServerState::Ready
@@ -149,6 +161,7 @@
         self.is_ready()
             && self.silent_since.is_none()
             && missing
+            && self.is_confirmed(now)
             && !self.backoff.is_backing_off(now)
     }
 
--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -226,7 +226,8 @@
             .filter(|(_, s)| s.entry.service == *service && !tried.contains(&s.entry.addr))
             .filter(|(_, s)| {
                 if fallback {
-                    s.is_last_resort(now) || (s.is_ready() && s.missing_since.is_none())
+                    s.is_last_resort(now)
+                        || (s.is_ready() && s.missing_since.is_none() && s.is_confirmed(now))
                 } else {
                     s.is_usable(now)
                 }
--- a/crates/mustard-gateway/src/peers.rs
+++ b/crates/mustard-gateway/src/peers.rs
@@ -27,7 +27,7 @@
 use mustard_platform::table::{Table, Txn};
 use mustard_policy::quarantine::{Clearance, Strike};
 
-use crate::app::App;
+use crate::app::{App, ConfigStamp};
 use crate::log_limit::Topic;
 use crate::store_watch;
 
@@ -174,8 +174,8 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct PeerMessage {
     from: SocketAddr,
-    /// The version of the sender's configuration.
-    config: u64,
+    /// The version and era of the sender's configuration.
+    config: ConfigStamp,
     peers: Vec<SocketAddr>,
     strikes: Vec<StrikeMessage>,
     cleared: Vec<ClearedMessage>,
@@ -184,9 +184,9 @@
 }
 
 /// Builds a message; it holds the configuration if that is newer than `newer_than`.
-fn build_message(app: &App, newer_than: Option<u64>) -> PeerMessage {
-    let version = app.config().map_or(0, |c| c.version);
-    let send = newer_than.is_some_and(|v| v < version);
+fn build_message(app: &App, newer_than: Option<ConfigStamp>) -> PeerMessage {
+    let stamp = app.config_stamp();
+    let send = newer_than.is_some_and(|known| known < stamp);
     let text = send.then(|| ByteBuf::from(app.config_text.borrow().as_ref().clone()));
     let now = app.now();
     let quarantine = app.quarantine.borrow();
@@ -195,7 +195,7 @@
     let peers = app.peers.borrow();
     PeerMessage {
         from: peers.own_addr,
-        config: version,
+        config: stamp,
         peers: peers.shared_addrs(),
         strikes: strikes
             .into_iter()
@@ -246,7 +246,7 @@
         app.quarantine.borrow_mut().record_strike(now, &strike);
     }
     if let Some(text) = message.text {
-        store_watch::adopt_config(app, text.into_vec(), "peer");
+        store_watch::adopt_config(app, text.into_vec(), message.config.era, "peer");
     }
 }
 
--- a/crates/mustard-gateway/src/store_watch.rs
+++ b/crates/mustard-gateway/src/store_watch.rs
@@ -6,10 +6,11 @@
 use slog::{info, warn};
 use tokio::time::sleep;
 
-use mustard_adapter::store::{CONFIG_KEY, Changes, Feed, FollowedTable};
+use mustard_adapter::store::{CONFIG_KEY, Changes, Feed, FollowedTable, Revision};
 use mustard_adapter::{config, servers};
+use mustard_core::ids::Era;
 
-use crate::app::App;
+use crate::app::{App, ConfigStamp};
 use crate::fleet::RowChange;
 use crate::log_limit::Topic;
 use crate::metric;
@@ -28,14 +29,25 @@
 /// are listed again within about two seconds.
 const OUTAGE_GRACE: Duration = Duration::from_millis(2_200);
 
+/// The store removes the row of a server that has missed this many heartbeats.
+const SILENT_HEARTBEATS: u32 = 3;
+
 /// Follows one table for the life of the process.
 pub async fn run(app: Rc<App>, followed: FollowedTable) {
+    let mut previous_era = None;
     loop {
         match app.store.read_table(followed).await {
             Ok(changes) => {
                 mark_reachable(&app, followed);
                 let revision = changes.revision;
-                apply_changes(&app, followed, changes, true);
+                let is_restored = previous_era.is_some_and(|era| era != revision.era);
+                previous_era = Some(revision.era);
+                let source = if is_restored {
+                    RowSource::RestoredTable
+                } else {
+                    RowSource::Table
+                };
+                apply_changes(&app, followed, changes, source);
                 follow_changes(&app, followed, revision).await;
             }
             Err(e) => {
@@ -46,15 +58,27 @@
     }
 }
 
+/// Where rows were read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RowSource {
+    /// In the feed of changes.
+    Feed,
+    /// In the whole table.
+    Table,
+    /// In the whole table, for the first time after the store was restored from an older copy. Rows
+    /// that were written since the copy was made may be missing or older than before.
+    RestoredTable,
+}
+
 /// Follows changes until the store no longer has the history since the last revision.
-async fn follow_changes(app: &Rc<App>, followed: FollowedTable, mut revision: u64) {
+async fn follow_changes(app: &Rc<App>, followed: FollowedTable, mut revision: Revision) {
     loop {
         match app.store.watch_changes(followed, revision, FEED_WAIT).await {
             Ok(Feed::Changes(changes)) => {
                 mark_reachable(app, followed);
-                revision = revision.max(changes.revision);
+                revision.number = revision.number.max(changes.revision.number);
                 let changed = !changes.rows.is_empty();
-                apply_changes(app, followed, changes, false);
+                apply_changes(app, followed, changes, RowSource::Feed);
                 if changed {
                     // Changes come in bursts, and every gateway makes each call.
                     sleep(if app.had_request.get() {
@@ -69,7 +93,18 @@
                 metric::count_store_call("feed", "forgotten");
                 if let Some(log) = app.log.logger_for(Topic::Dependency) {
                     warn!(log, "store: The change history has expired, the table is read again.";
-                        "table" => ?followed, "revision" => revision);
+                        "table" => ?followed, "revision" => revision.number);
+                }
+                return;
+            }
+            Ok(Feed::Restored(era)) => {
+                metric::count_store_call("feed", "restored");
+                app.store_recovered.set(Some(app.now()));
+                app.store_restored.notify_waiters();
+                if let Some(log) = app.log.logger_for(Topic::Dependency) {
+                    warn!(log, "store: It was restored from an older copy, the table is read again.";
+                        "table" => ?followed, "era" => era.0, "era_before" => revision.era.0,
+                        "revision" => revision.number);
                 }
                 return;
             }
@@ -110,25 +145,28 @@
     }
 }
 
-fn apply_changes(app: &Rc<App>, followed: FollowedTable, changes: Changes, is_snapshot: bool) {
+fn apply_changes(app: &Rc<App>, followed: FollowedTable, changes: Changes, source: RowSource) {
     match followed {
         FollowedTable::Operators => {
             for row in changes.rows {
                 if row.key == CONFIG_KEY
                     && let Some(text) = row.value
                 {
-                    adopt_config(app, text, "store");
+                    adopt_config(app, text, changes.revision.era, "store");
                 }
             }
         }
-        FollowedTable::Servers => apply_servers(app, changes, is_snapshot),
+        FollowedTable::Servers => apply_servers(app, changes, source),
     }
 }
 
-/// Puts a configuration in force if its version is higher than the current one.
+/// Puts a configuration in force if it is newer than the current one.
 ///
-/// `source` says in the log where it came from.
-pub fn adopt_config(app: &App, text: Vec<u8>, source: &'static str) {
+/// A higher version is newer, whatever its era: the operators write a version that the store lost
+/// again, so the older one in a restored store is only there for the moment. Of two configurations with
+/// the same version, the one of the later era is newer, since the store may have lost the other one
+/// before the version was given out again. `source` says in the log where it came from.
+pub fn adopt_config(app: &App, text: Vec<u8>, era: Era, source: &'static str) {
     let config = match config::decode(&text) {
         Ok(config) => config,
         Err(e) => {
@@ -139,13 +177,27 @@
             return;
         }
     };
-    let current = app.config().map_or(0, |c| c.version);
-    if config.version <= current {
+    let current = app.config_stamp();
+    let stamp = ConfigStamp {
+        version: config.version,
+        era,
+    };
+    if stamp <= current {
+        if stamp.version < current.version
+            && let Some(log) = app.log.logger_for(Topic::Config)
+        {
+            info!(log, "config: An older version is ignored."; "version" => stamp.version,
+                "in_force" => current.version, "era" => era.0, "source" => source);
+        }
+        return;
+    }
+    app.config_era.set(era);
+    if stamp.version == current.version && *app.config_text.borrow().as_ref() == text {
         return;
     }
     if let Some(log) = app.log.logger_for(Topic::Config) {
-        info!(log, "config: In force."; "version" => config.version, "before" => current,
-            "source" => source);
+        info!(log, "config: In force."; "version" => config.version,
+            "before" => current.version, "era" => era.0, "source" => source);
     }
     metric::set_config_version(config.version);
     *app.config.borrow_mut() = Some(Rc::new(config));
@@ -153,8 +205,11 @@
     app.changed.notify_waiters();
 }
 
-fn apply_servers(app: &App, changes: Changes, is_snapshot: bool) {
+fn apply_servers(app: &App, changes: Changes, source: RowSource) {
     let now = app.now();
+    let is_snapshot = source != RowSource::Feed;
+    let unconfirmed_until = (source == RowSource::RestoredTable)
+        .then(|| now + app.node.heartbeat_interval * SILENT_HEARTBEATS);
     let recovered = app.store_recovered.get();
     let store_unstable =
         app.store_failed.get() || recovered.is_some_and(|r| now.since(r) < OUTAGE_GRACE);
@@ -167,7 +222,7 @@
                     if is_snapshot {
                         listed.push(row.key.clone());
                     }
-                    app.fleet.borrow_mut().upsert(now, entry)
+                    app.fleet.borrow_mut().upsert(now, entry, unconfirmed_until)
                 }
                 Err(e) => {
                     if let Some(log) = app.log.logger_for(Topic::Server) {
@@ -182,7 +237,7 @@
             && let Some(log) = app.log.logger_for(Topic::Server)
         {
             info!(log, "servers: Changed."; "id" => &row.key, "turn" => ?change,
-                "revision" => changes.revision);
+                "revision" => changes.revision.number);
         }
     }
     if is_snapshot {
--- a/crates/mustard-net/src/http.rs
+++ b/crates/mustard-net/src/http.rs
@@ -8,7 +8,7 @@
 use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client as HttpClient, ClientResponse, Connector};
 use ntex::http::header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
-use ntex::http::{Method, StatusCode};
+use ntex::http::{HeaderMap, Method, StatusCode};
 use ntex::io::IoConfig;
 use ntex::time::{Millis, Seconds};
 use ntex::util::Bytes;
@@ -59,6 +59,8 @@
     pub status: u16,
     /// The media type of the body; empty if the answer has none.
     pub content_type: String,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
 }
@@ -195,6 +197,7 @@
         .and_then(|v| v.to_str().ok())
         .unwrap_or_default()
         .to_owned();
+    let headers = response.headers().clone();
     let body = response
         .body()
         .await
@@ -202,6 +205,7 @@
     Ok(Answer {
         status,
         content_type,
+        headers,
         body,
     })
 }
