Take what servers announce in their answers at their word

A leaving server got requests until its row said so, also while the store was away or after its row was written again as ready.

Cause: a server's state was taken from the list and from the kind of a failure only; what an answer itself says about its server wasn't read.

Fix: each answer is read for it before anything else is decided. Server-Leaving makes the process leave for good, whatever rows say later, until another process starts under its id. Retry-After on a 503 pauses requests, parts of paths, reports and orders to the server for that time; a caller whom only paused servers could serve is told when the first of them is back.

--- a/crates/mustard-gateway/src/active_streams.rs
+++ b/crates/mustard-gateway/src/active_streams.rs
@@ -45,11 +45,6 @@
     pub fn uses_server(&self, addr: SocketAddr) -> bool {
         self.parts.iter().any(|p| p.addr == addr)
     }
-
-    /// Tells whether the server at an address is the first of the path.
-    pub fn starts_at(&self, addr: SocketAddr) -> bool {
-        self.parts.first().is_some_and(|p| p.addr == addr)
-    }
 }
 
 /// Keeps a stream registered until this guard is dropped.
--- a/crates/mustard-gateway/src/fleet/mod.rs
+++ b/crates/mustard-gateway/src/fleet/mod.rs
@@ -215,6 +215,44 @@
         }
     }
 
+    /// Records that a server announced in an answer that it is leaving; tells whether this is new.
+    pub fn record_leaving(&mut self, addr: SocketAddr, id: &str) -> bool {
+        if let Some(departed) = self.departed.get_mut(id) {
+            departed.has_announced = true;
+        }
+        let server = self.ids.get(id).and_then(|k| self.servers.get_mut(*k));
+        let Some(server) = server.filter(|s| s.entry.addr == addr) else {
+            return false;
+        };
+        let is_new = server.is_ready();
+        server.entry.state = ServerState::Leaving;
+        is_new
+    }
+
+    /// Records that the server at an address wants nothing from this gateway for a time.
+    pub fn record_pause(&mut self, now: Moment, addr: SocketAddr, pause: Duration) {
+        let key = self.key_at(addr);
+        if let Some(server) = key.and_then(|k| self.servers.get_mut(k)) {
+            server.paused_until = server.paused_until.max(now + pause);
+        }
+    }
+
+    /// Tells whether the server at an address wants nothing from this gateway now.
+    pub fn is_paused(&self, now: Moment, addr: SocketAddr) -> bool {
+        let server = self.key_at(addr).and_then(|k| self.servers.get(k));
+        server.is_some_and(|s| s.is_paused(now))
+    }
+
+    /// Returns when the first of the servers of a service that want nothing now may be used again;
+    /// none if no server of the service is paused.
+    pub fn pause_end(&self, service: &str, now: Moment) -> Option<Moment> {
+        let paused = self
+            .iter()
+            .map(|(_, s)| s)
+            .filter(|s| s.entry.service == service && s.is_ready() && s.is_paused(now));
+        paused.map(|s| s.paused_until).min()
+    }
+
     /// Records that the server at an address didn't answer; tells whether this is new.
     pub fn record_silence(&mut self, now: Moment, addr: SocketAddr) -> bool {
         let key = self.key_at(addr);
@@ -232,9 +270,11 @@
         self.iter().any(|(_, s)| s.is_loading(now))
     }
 
-    /// Returns the addresses of the servers that didn't answer the last call.
-    pub fn silent_servers(&self) -> Vec<SocketAddr> {
-        let silent = self.iter().filter(|(_, s)| s.silent_since.is_some());
+    /// Returns the addresses of the servers that didn't answer the last call and may be called.
+    pub fn silent_servers(&self, now: Moment) -> Vec<SocketAddr> {
+        let silent = self
+            .iter()
+            .filter(|(_, s)| s.silent_since.is_some() && !s.is_paused(now));
         silent.map(|(_, s)| s.entry.addr).collect()
     }
 
--- a/crates/mustard-gateway/src/fleet/server.rs
+++ b/crates/mustard-gateway/src/fleet/server.rs
@@ -50,6 +50,8 @@
     pub missing_since: Option<Moment>,
     /// Until when it isn't used, as it was removed before the store was restored and may be gone.
     pub unconfirmed_until: Option<Moment>,
+    /// Until when it wants nothing from this gateway, as it said when it turned a request away.
+    pub paused_until: Moment,
     /// The order that it is carrying out.
     pub load_order: Option<LoadOrder>,
     /// Memory in use by this gateway's requests, in tokens times layers.
@@ -71,6 +73,7 @@
             backoff: ServerBackoff::default(),
             missing_since: None,
             unconfirmed_until: None,
+            paused_until: Moment::default(),
             load_order: None,
             memory_used: 0.0,
             running: 0,
@@ -138,9 +141,15 @@
             && self.silent_since.is_none()
             && self.missing_since.is_none()
             && self.is_confirmed(now)
+            && !self.is_paused(now)
             && !self.backoff.is_backing_off(now)
     }
 
+    /// Tells whether the server wants nothing from this gateway now.
+    pub fn is_paused(&self, now: Moment) -> bool {
+        now < self.paused_until
+    }
+
     /// Tells whether the server is known not to have left before the store was restored.
     pub fn is_confirmed(&self, now: Moment) -> bool {
         self.unconfirmed_until.is_none_or(|until| now >= until)
@@ -162,6 +171,7 @@
             && self.silent_since.is_none()
             && missing
             && self.is_confirmed(now)
+            && !self.is_paused(now)
             && !self.backoff.is_backing_off(now)
     }
 
@@ -226,7 +236,8 @@
                 .or(self.entry.held.map(|h| h.layers)),
             accepts_orders: order.is_none()
                 && self.silent_since.is_none()
-                && self.missing_since.is_none(),
+                && self.missing_since.is_none()
+                && !self.is_paused(now),
             is_staying: self.entry.state == ServerState::Ready && !lost,
         })
     }
--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -227,7 +227,10 @@
             .filter(|(_, s)| {
                 if fallback {
                     s.is_last_resort(now)
-                        || (s.is_ready() && s.missing_since.is_none() && s.is_confirmed(now))
+                        || (s.is_ready()
+                            && s.missing_since.is_none()
+                            && s.is_confirmed(now)
+                            && !s.is_paused(now))
                 } else {
                     s.is_usable(now)
                 }
@@ -280,9 +283,15 @@
         }
         Some(Err(SendError::NotSent | SendError::NotRun(..))) | None => {
             metric::count_request("plain", "refused");
-            GatewayResponse::not_run("servers full or out of reach", BUSY_RETRY_AFTER)
-                .for_request(&request.params)
-                .respond(app)
+            let now = app.now();
+            let pause_end = app.fleet.borrow().pause_end(&request.service.name, now);
+            let retry_after = pause_end.map_or(BUSY_RETRY_AFTER, |end| now.until(end));
+            GatewayResponse::not_run(
+                "servers full or out of reach",
+                retry_after.max(BUSY_RETRY_AFTER),
+            )
+            .for_request(&request.params)
+            .respond(app)
         }
     }
 }
--- a/crates/mustard-gateway/src/forward/send.rs
+++ b/crates/mustard-gateway/src/forward/send.rs
@@ -7,6 +7,7 @@
 use ntex::client::ClientResponse;
 use ntex::http::{HeaderMap, Payload};
 use ntex::util::{Bytes, BytesMut};
+use slog::info;
 
 use mustard_adapter::requests::{self, ForwardParams};
 use mustard_adapter::responses::{self, Verdict};
@@ -15,6 +16,8 @@
 use mustard_net::http::{ForwardedRequest, MAX_ANSWER_BYTES, forward_request};
 
 use crate::app::App;
+use crate::log_limit::Topic;
+use crate::metric;
 
 use super::AdmittedRequest;
 
@@ -85,9 +88,35 @@
             CallError::NotSent(_) => SendError::NotSent,
             _ => SendError::Lost,
         })?;
+    record_announcements(app, target, &response);
     check_response(&request.params.id, &response)
 }
 
+/// Records what a response says about its server, whoever asked for it: that it is leaving, or that
+/// it wants nothing more for a time.
+fn record_announcements(app: &App, target: &Target, response: &ClientResponse) {
+    let status = response.status().as_u16();
+    let headers = response.headers();
+    let now = app.now();
+    let mut fleet = app.fleet.borrow_mut();
+    // Status 421 may come from another server that has the address now.
+    let leaves = status != 421
+        && responses::announces_leaving(headers)
+        && fleet.record_leaving(target.addr, &target.identity);
+    if leaves && let Some(log) = app.log.logger_for(Topic::Server) {
+        info!(log, "servers: Leaving, as an answer says."; "id" => &target.identity,
+            "server" => %target.addr);
+    }
+    if let Some(pause) = responses::requested_pause(status, headers) {
+        fleet.record_pause(now, target.addr, pause);
+        metric::count_pause();
+        if let Some(log) = app.log.logger_for(Topic::Server) {
+            info!(log, "servers: Turned a request away for a time."; "server" => %target.addr,
+                "pause_ms" => pause.as_millis() as u64);
+        }
+    }
+}
+
 /// Returns the head of a response that belongs to the request and comes from a server that ran it.
 fn check_response(id: &str, response: &ClientResponse) -> Result<ResponseHead, SendError> {
     let status = response.status().as_u16();
--- a/crates/mustard-gateway/src/metric.rs
+++ b/crates/mustard-gateway/src/metric.rs
@@ -35,6 +35,11 @@
     counter!("mustard_store_calls_total", "call" => call, "result" => result).increment(1);
 }
 
+/// Counts a refusal by a server that wants nothing more for a time.
+pub fn count_pause() {
+    counter!("mustard_server_pauses_total").increment(1);
+}
+
 /// Counts an order to a server by its outcome.
 pub fn count_order(op: &'static str, outcome: &'static str) {
     counter!("mustard_orders_total", "op" => op, "outcome" => outcome).increment(1);
--- a/crates/mustard-gateway/src/placement.rs
+++ b/crates/mustard-gateway/src/placement.rs
@@ -13,6 +13,7 @@
 use tokio::time::sleep;
 
 use mustard_adapter::orders::{self, Outcome};
+use mustard_adapter::responses;
 use mustard_adapter::servers::decode_report;
 use mustard_core::clock::Moment;
 use mustard_core::deployment::{Config, Engine, ServerReport, Service};
@@ -357,12 +358,29 @@
     }
     let report = decode_report(&answer.body).map_err(|e| CallError::Lost(e.to_string()))?;
     let report = Rc::new(report);
+    if responses::announces_leaving(&answer.headers) {
+        record_leaving(app, to, report.started_ms);
+    }
     app.fleet
         .borrow_mut()
         .record_report(app.now(), to, Rc::clone(&report));
     Ok(report)
 }
 
+/// Records that a server's report says that it is leaving, unless another process has its address.
+fn record_leaving(app: &App, addr: SocketAddr, started_ms: u64) {
+    let mut fleet = app.fleet.borrow_mut();
+    let server = fleet.key_at(addr).and_then(|k| fleet.get(k));
+    let id = server
+        .filter(|s| s.entry.started_ms == started_ms)
+        .map(|s| s.entry.id.clone());
+    if id.is_some_and(|id| fleet.record_leaving(addr, &id))
+        && let Some(log) = app.log.logger_for(Topic::Server)
+    {
+        info!(log, "servers: Leaving, as a report says."; "server" => %addr);
+    }
+}
+
 /// Returns the engine of a service; `None` for a plain service, whose servers hold no layers.
 pub fn engine_of<'a>(config: &'a Config, service: &str) -> Option<&'a Engine> {
     config.service(service)?.engine.as_ref()
--- a/crates/mustard-gateway/src/stream_watch.rs
+++ b/crates/mustard-gateway/src/stream_watch.rs
@@ -97,7 +97,8 @@
     }
 }
 
-/// Collects a report from every server on the paths of the streams, recent ones included.
+/// Collects a report from every server on the paths of the streams, recent ones included. Servers
+/// that want nothing from this gateway now are left out.
 async fn collect_reports(app: &Rc<App>, stalled: &[ActiveStreamKey]) -> Reports {
     let mut addrs: Set<SocketAddr> = Set::default();
     for key in stalled {
@@ -105,7 +106,9 @@
             addrs.extend(stream.parts.iter().map(|p| p.addr));
         }
     }
-    let oldest = app.now() - MAX_REPORT_AGE;
+    let now = app.now();
+    let oldest = now - MAX_REPORT_AGE;
+    addrs.retain(|addr| !app.fleet.borrow().is_paused(now, *addr));
     let tasks: Vec<_> = addrs
         .into_iter()
         .map(|addr| {
@@ -166,7 +169,11 @@
 pub fn probe_faulty_server(app: &Rc<App>, addr: SocketAddr) {
     let app = Rc::clone(app);
     ntex::rt::spawn(async move {
-        let oldest = app.now() - MAX_REPORT_AGE;
+        let now = app.now();
+        if app.fleet.borrow().is_paused(now, addr) {
+            return;
+        }
+        let oldest = now - MAX_REPORT_AGE;
         if probe(&app, addr, oldest).await.is_some() {
             app.changed.notify_waiters();
         }
@@ -177,7 +184,7 @@
 pub async fn retry_silent_servers(app: Rc<App>) {
     loop {
         sleep(SILENT_RETRY_INTERVAL).await;
-        let silent = app.fleet.borrow().silent_servers();
+        let silent = app.fleet.borrow().silent_servers(app.now());
         for addr in silent {
             let app = Rc::clone(&app);
             ntex::rt::spawn(async move {
@@ -215,12 +222,14 @@
     if stream.progress.asked_at.is_none() || stream.moving {
         return Action::Keep;
     }
-    let Some(Some(report)) = reports.get(&first.addr) else {
+    let first_report = reports.get(&first.addr);
+    if first_report.is_some_and(Option::is_none) {
         return Action::Abandon("first server silent");
-    };
-    let reported_silent: Vec<SocketAddr> = report
-        .stalled
-        .iter()
+    }
+    let reported_silent: Vec<SocketAddr> = first_report
+        .into_iter()
+        .flatten()
+        .flat_map(|report| &report.stalled)
         .filter(|(id, _)| *id == stream.id)
         .map(|(_, addr)| *addr)
         .collect();
@@ -234,7 +243,8 @@
                 .borrow_mut()
                 .record_fault(now, addr, Fault::Broken);
         }
-        return if stream.progress.has_begun {
+        // Without a report the first server takes no orders either.
+        return if stream.progress.has_begun && first_report.is_some() {
             Action::Repath
         } else {
             Action::Abandon("part silent before the first event")
@@ -261,15 +271,22 @@
 }
 
 /// Moves every stream whose path uses a server that doesn't answer to another path. The
-/// attempt is abandoned instead if it has no event yet or if the server is the first of its path.
+/// attempt is abandoned instead if it has no event yet, or if its first server is that server or
+/// takes no orders now.
 fn move_streams_off(app: &Rc<App>, addr: SocketAddr) {
     let affected: Vec<(ActiveStreamKey, bool)> = {
+        let now = app.now();
+        let fleet = app.fleet.borrow();
         let streams = app.streams.borrow();
         let affected = streams
             .iter()
             .filter(|(_, s)| !s.moving && s.uses_server(addr));
         affected
-            .map(|(k, s)| (k, s.progress.has_begun && !s.starts_at(addr)))
+            .map(|(k, s)| {
+                let first = s.parts.first().map(|p| p.addr);
+                let takes_orders = first.is_some_and(|f| f != addr && !fleet.is_paused(now, f));
+                (k, s.progress.has_begun && takes_orders)
+            })
             .collect()
     };
     let paths = Rc::new(RefCell::new(NewPaths::default()));
