Count every end of a server against the content that it ran

Cause: an end was counted only where it had first been thought of, when the first server of a stream closed its connection. Plain requests counted none, later servers of a path none, a server that fell silent none, and one server that ended three times counted once, as it was known by its address. Streams were moved and retried without asking whether their content may still run.

Fix: one module counts the ends for all kinds of runs. A failed run names the server processes that it used, by id and start; it counts one strike once one of them shows that it has ended, by not answering after it closed the connection, by nothing listening at its address, or by another process in its place. Each send and each move asks for the quarantine first, and an attempt is moved at most three times. A plain request that is served clears its content, as a stream does.

--- a/crates/mustard-agent/src/worker.rs
+++ b/crates/mustard-agent/src/worker.rs
@@ -94,7 +94,7 @@
             Ok(_) => Liveness::Ended,
             // The system accepts connections for a listening process even while it is paused, so a
             // refused connection means that the process has ended.
-            Err(CallError::NotSent(_)) => Liveness::Ended,
+            Err(CallError::NotSent(_) | CallError::NoListener(_)) => Liveness::Ended,
             Err(_) => Liveness::Unknown,
         }
     }
--- a/crates/mustard-backend/src/http.rs
+++ b/crates/mustard-backend/src/http.rs
@@ -117,7 +117,9 @@
 
 fn classify_error(e: CallError) -> BackendError {
     match e {
-        CallError::NotSent(detail) => BackendError::Unreachable(detail),
+        CallError::NotSent(detail) | CallError::NoListener(detail) => {
+            BackendError::Unreachable(detail)
+        }
         CallError::Lost(detail) => BackendError::ConnectionBroken(detail),
         other => BackendError::NoAnswer(other.to_string()),
     }
--- a/crates/mustard-entry/src/ports.rs
+++ b/crates/mustard-entry/src/ports.rs
@@ -347,7 +347,7 @@
 
 fn failure_reason(error: &CallError) -> &'static str {
     match error {
-        CallError::NotSent(_) => "not_sent",
+        CallError::NotSent(_) | CallError::NoListener(_) => "not_sent",
         CallError::Lost(_) => "lost",
         CallError::TimedOut(_) => "timed_out",
         CallError::Status(_) | CallError::Proto(_) => "bad_answer",
--- a/crates/mustard-entry/src/servers/observation.rs
+++ b/crates/mustard-entry/src/servers/observation.rs
@@ -11,7 +11,7 @@
     incarnation: Incarnation,
 ) -> Option<Observation> {
     match error {
-        CallError::NotSent(_) => Some(Observation::Unreachable),
+        CallError::NotSent(_) | CallError::NoListener(_) => Some(Observation::Unreachable),
         CallError::Refused(refusal) => observation_from_refusal(refusal, incarnation),
         CallError::Proto(_) | CallError::Status(_) => Some(Observation::CallFailed),
         CallError::Lost(_) | CallError::TimedOut(_) => Some(Observation::CallFailed),
--- a/crates/mustard-entry/src/servers/watch.rs
+++ b/crates/mustard-entry/src/servers/watch.rs
@@ -106,7 +106,9 @@
     let name = &record.vm.name;
     match answer {
         Ok(info) => servers.record_state(name, &info, Some(started.elapsed())),
-        Err(CallError::NotSent(_)) => servers.record_observation(name, Observation::Unreachable),
+        Err(CallError::NotSent(_) | CallError::NoListener(_)) => {
+            servers.record_observation(name, Observation::Unreachable);
+        }
         Err(_) => servers.record_observation(name, Observation::HeartbeatMissed),
     }
 }
--- a/crates/mustard-gateway/src/active_streams.rs
+++ b/crates/mustard-gateway/src/active_streams.rs
@@ -8,11 +8,12 @@
 use mustard_core::arena::{Arena, Key};
 use mustard_core::clock::Moment;
 use mustard_core::deployment::PathPart;
+use mustard_core::fingerprint::Fingerprint;
 use mustard_policy::pipeline::RequestDemand;
 use mustard_policy::stall::Progress;
 
 use crate::app::App;
-use crate::fleet::LoadGuard;
+use crate::fleet::{LoadGuard, ServerProcess};
 
 /// The key of a stream in flight.
 pub type ActiveStreamKey = Key<ActiveStream>;
@@ -28,6 +29,12 @@
     pub service: String,
     /// The path: the servers in the order of layers.
     pub parts: Vec<PathPart>,
+    /// The server processes of the path.
+    pub processes: Vec<ServerProcess>,
+    /// The fingerprint of the request's content.
+    pub content: Fingerprint,
+    /// How often the attempt was moved to another path.
+    pub moves: u32,
     /// The tokens and the failure domain by which its path was chosen.
     pub demand: RequestDemand,
     /// When its last event arrived, and when its servers were last asked for reports since then.
@@ -63,6 +70,13 @@
         }
     }
 
+    /// Returns the server processes that the stream uses now.
+    pub fn processes(&self) -> Vec<ServerProcess> {
+        let streams = self.app.streams.borrow();
+        let stream = streams.get(self.key);
+        stream.map(|s| s.processes.clone()).unwrap_or_default()
+    }
+
     /// Records that events arrived.
     pub fn record_events(&self, now: Moment) {
         let mut streams = self.app.streams.borrow_mut();
--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -34,7 +34,7 @@
 /// The least number of gateways among which the retry budget is divided; a process that has just
 /// started knows only few of its peers.
 const MIN_GATEWAYS: usize = 4;
-/// The number of distinct servers that must have died while they ran a request content before
+/// The number of distinct server processes that must have died while they ran a request content before
 /// requests with this content are refused.
 const QUARANTINE_DEATHS: usize = 3;
 
@@ -103,6 +103,10 @@
     pub retry_budgets: RefCell<Map<String, RetryBudgetShare>>,
     /// The request contents that servers died running, and those that are refused for it.
     pub quarantine: RefCell<Quarantine>,
+    /// Wakes the exchange with peers when a strike was recorded here.
+    pub strike_news: Notify,
+    /// Wakes the task that keeps the own rows of the store when a content was quarantined here.
+    pub quarantined: Notify,
     /// The peers, which are the other gateways.
     pub peers: RefCell<Peers>,
     /// Counts the requests in flight and refuses new ones at a stop.
@@ -156,6 +160,8 @@
                 min_deaths: QUARANTINE_DEATHS,
                 ..Settings::default()
             })),
+            strike_news: Notify::new(),
+            quarantined: Notify::new(),
             peers: RefCell::new(peers),
             gate,
             stop,
--- a/crates/mustard-gateway/src/fleet/mod.rs
+++ b/crates/mustard-gateway/src/fleet/mod.rs
@@ -4,7 +4,7 @@
 mod server;
 
 pub use load::{LoadGuard, ServerLoad};
-pub use server::{Server, ServerKey};
+pub use server::{ProcessState, Server, ServerKey, ServerProcess};
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -215,6 +215,35 @@
         }
     }
 
+    /// Returns the processes of the servers on a path; addresses that no listed server has are left
+    /// out.
+    pub fn processes(&self, addrs: impl Iterator<Item = SocketAddr>) -> Vec<ServerProcess> {
+        let known = addrs.filter_map(|addr| self.servers.get(self.key_at(addr)?));
+        known.map(Server::process).collect()
+    }
+
+    /// Returns what is known of a process at or after `since`.
+    pub fn process_state(&self, process: &ServerProcess, since: Moment) -> ProcessState {
+        let server = self.ids.get(&process.id).and_then(|k| self.servers.get(*k));
+        if let Some(server) = server {
+            return server.process_state(process, since);
+        }
+        let departed = self.departed.get(&process.id);
+        if departed.is_some_and(|d| d.has_announced) {
+            ProcessState::Running
+        } else {
+            ProcessState::Ended
+        }
+    }
+
+    /// Records that nothing listens at the address of a server.
+    pub fn record_no_listener(&mut self, addr: SocketAddr) {
+        let key = self.key_at(addr);
+        if let Some(server) = key.and_then(|k| self.servers.get_mut(k)) {
+            server.has_no_listener = true;
+        }
+    }
+
     /// Records that a server announced in an answer that it is leaving; tells whether this is new.
     pub fn record_leaving(&mut self, addr: SocketAddr, id: &str) -> bool {
         if let Some(departed) = self.departed.get_mut(id) {
--- a/crates/mustard-gateway/src/fleet/server.rs
+++ b/crates/mustard-gateway/src/fleet/server.rs
@@ -1,5 +1,7 @@
 //! One backend server as this gateway knows it.
 
+use std::fmt;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -37,6 +39,34 @@
     pub until: Moment,
 }
 
+/// One process of a server, which ends when the server restarts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerProcess {
+    /// The address of the server.
+    pub addr: SocketAddr,
+    /// The id of the server.
+    pub id: String,
+    /// When the process started, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+}
+
+impl fmt::Display for ServerProcess {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.id, self.started_ms)
+    }
+}
+
+/// What is known of a server process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessState {
+    /// It answered after the moment in question, or left as announced.
+    Running,
+    /// It has ended without having announced it.
+    Ended,
+    /// It doesn't answer and may be cut off.
+    Unknown,
+}
+
 /// A server: its row in the server list, and what this gateway observed of it.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -60,6 +90,8 @@
     pub running: u32,
     /// When it stopped answering; `None` if it answered the last call.
     pub silent_since: Option<Moment>,
+    /// Whether nothing listened at its address at the last call.
+    pub has_no_listener: bool,
     /// Its last report, and when it arrived.
     pub last_report: Option<(Moment, Rc<ServerReport>)>,
 }
@@ -78,6 +110,7 @@
             memory_used: 0.0,
             running: 0,
             silent_since: None,
+            has_no_listener: false,
             last_report: None,
         }
     }
@@ -117,6 +150,29 @@
         }
     }
 
+    /// Returns the current process.
+    pub fn process(&self) -> ServerProcess {
+        ServerProcess {
+            addr: self.entry.addr,
+            id: self.entry.id.clone(),
+            started_ms: self.entry.started_ms,
+        }
+    }
+
+    /// Returns what is known of a process of this server at or after `since`.
+    pub fn process_state(&self, process: &ServerProcess, since: Moment) -> ProcessState {
+        let reported = self.last_report.as_ref();
+        let reported = reported.filter(|(at, _)| *at >= since);
+        let started_ms = reported.map_or(self.entry.started_ms, |(_, r)| r.started_ms);
+        if started_ms != process.started_ms || self.has_no_listener {
+            ProcessState::Ended
+        } else if reported.is_some() {
+            ProcessState::Running
+        } else {
+            ProcessState::Unknown
+        }
+    }
+
     /// Applies a report; ignores one from before the server's last restart.
     pub fn apply_report(&mut self, now: Moment, report: Rc<ServerReport>) {
         if report.started_ms != 0
@@ -125,6 +181,7 @@
         {
             return;
         }
+        self.has_no_listener = false;
         if self.silent_since.take().is_some() {
             self.backoff.clear();
         }
--- a/crates/mustard-gateway/src/forward/mod.rs
+++ b/crates/mustard-gateway/src/forward/mod.rs
@@ -28,11 +28,11 @@
 use mustard_core::fingerprint::Fingerprint;
 use mustard_net::shutdown::RequestGuard;
 use mustard_policy::pipeline::RequestDemand;
-use mustard_policy::quarantine::Standing;
 
 use crate::app::App;
 use crate::log_limit::Topic;
 use crate::metric;
+use crate::strikes::is_quarantined;
 
 /// Time limit for reading the body of a request that names no time budget.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -156,8 +156,7 @@
     let service = choose_service(app, &config, route);
     let service = service.ok_or_else(|| not_run("no service", STARTUP_RETRY_AFTER))?;
     let fingerprint = compute_fingerprint(&params, path, &body);
-    let standing = app.quarantine.borrow().standing(app.now(), fingerprint);
-    if let Standing::Quarantined(_) = standing {
+    if is_quarantined(app, fingerprint) {
         return Err(not_run("content ends servers", QUARANTINE_RETRY_AFTER));
     }
     let now = app.now();
--- a/crates/mustard-gateway/src/forward/open_stream.rs
+++ b/crates/mustard-gateway/src/forward/open_stream.rs
@@ -2,24 +2,22 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
-use slog::{info, warn};
+use slog::info;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use mustard_core::deployment::{PathPart, RouteKind};
 use mustard_policy::backoff::Fault;
 use mustard_policy::pipeline::{RequestDemand, choose_path};
-use mustard_policy::quarantine::Strike;
 use mustard_policy::stall::Progress;
 
 use crate::active_streams::{ActiveStream, ActiveStreamGuard};
 use crate::app::App;
-use crate::fleet::{LoadGuard, ServerFilter};
+use crate::fleet::{LoadGuard, ServerFilter, ServerProcess};
 use crate::log_limit::Topic;
-use crate::placement::fetch_report;
 use crate::stream_watch::probe_faulty_server;
+use crate::strikes::{self, FailedRun, Failure, is_quarantined};
 
 use super::events::EventParser;
 use super::send::{ResponseHead, SendError, Target, send_request};
@@ -27,9 +25,6 @@
 
 /// How long a request waits for a path, as a share of the route's target time to the first event.
 const PATH_WAIT_SHARE: f64 = 0.5;
-/// Time limit for the report of a server that closed a connection early; a live server responds
-/// within a few milliseconds.
-const LIVENESS_TIMEOUT: Duration = Duration::from_millis(100);
 /// A request is given up after this many sends that no server ran.
 const MAX_UNRUN_SENDS: u32 = 4;
 
@@ -53,6 +48,8 @@
     NotRun,
     /// The response was lost; a server may have run the request.
     Lost,
+    /// No server ran the request, and its content is quarantined.
+    Quarantined,
 }
 
 /// The attempts of one request.
@@ -77,6 +74,13 @@
 ) -> Result<ActiveAttempt, OpenError> {
     let repeatable = matches!(request.route.kind, RouteKind::Stream { resumable: true });
     loop {
+        if is_quarantined(app, request.fingerprint) {
+            return Err(if attempts.possible_runs > 0 {
+                OpenError::Lost
+            } else {
+                OpenError::Quarantined
+            });
+        }
         let Some((target, demand)) = wait_for_path(app, request, &attempts.avoid).await else {
             return Err(if attempts.possible_runs > 0 {
                 OpenError::Lost
@@ -99,6 +103,9 @@
             id: request.params.id.clone(),
             service: request.service.name.clone(),
             parts: target.path.clone(),
+            processes: target.processes.clone(),
+            content: request.fingerprint,
+            moves: 0,
             demand,
             progress: Progress::start(now),
             abandon: Rc::clone(&abandon),
@@ -135,8 +142,14 @@
             }
             Err(error) => {
                 drop(guard);
-                if error == SendError::Lost {
-                    record_strike(app, request, first_server);
+                match error {
+                    SendError::Lost => {
+                        record_failed_run(app, request, target.processes, Failure::ConnectionLost);
+                    }
+                    SendError::GivenUp => {
+                        record_failed_run(app, request, target.processes, Failure::Stalled);
+                    }
+                    SendError::NotSent | SendError::NotRun(..) => {}
                 }
                 attempts
                     .avoid
@@ -246,56 +259,31 @@
         }
     };
     let server = fleet.get(fleet.key_at(first_server)?)?;
+    let later = path.iter().skip(1).map(|p| p.addr);
     let target = Target {
         addr: first_server,
         identity: server.entry.id.clone(),
+        processes: fleet.processes(std::iter::once(first_server).chain(later)),
         path,
         crossings,
     };
     Some((target, demand))
 }
 
-/// Records a strike against the content of a request whose response the server didn't complete,
-/// unless the server is still running.
-///
-/// A strike says that a server died while it ran the content; a content with enough strikes is
-/// quarantined. Peers receive the strike with the next message.
-pub(super) fn record_strike(app: &Rc<App>, request: &AdmittedRequest, server: SocketAddr) {
-    let strike = Strike {
-        fingerprint: request.fingerprint,
-        vm: server.to_string(),
-        shared: 1,
-        at: app.now(),
-    };
-    let (app, request_id) = (Rc::clone(app), request.params.id.clone());
-    ntex::rt::spawn(async move {
-        if is_still_running(&app, server).await {
-            return;
-        }
-        if app
-            .quarantine
-            .borrow_mut()
-            .record_strike(app.now(), &strike)
-            && let Some(log) = app.log.logger_for(Topic::Server)
-        {
-            warn!(log, "request: Content was quarantined after servers died running it.";
-                "request" => request_id, "content" => %strike.fingerprint);
-        }
-    });
-}
-
-/// Returns whether a server that closed a connection early still runs as the same process, judged
-/// by the start time in its report.
-async fn is_still_running(app: &App, server: SocketAddr) -> bool {
-    let started_ms = {
-        let fleet = app.fleet.borrow();
-        let known = fleet.key_at(server).and_then(|key| fleet.get(key));
-        known.map(|s| s.entry.started_ms)
+/// Records a run that failed, so that its content gets a strike if a server ended under it.
+pub(super) fn record_failed_run(
+    app: &Rc<App>,
+    request: &AdmittedRequest,
+    processes: Vec<ServerProcess>,
+    failure: Failure,
+) {
+    let run = FailedRun {
+        content: request.fingerprint,
+        request: request.params.id.clone(),
+        processes,
+        failure,
     };
-    match fetch_report(app, server, LIVENESS_TIMEOUT).await {
-        Ok(report) => started_ms == Some(report.started_ms),
-        Err(_) => false,
-    }
+    strikes::record_run(app, run);
 }
 
 fn log_chosen_path(app: &App, request: &AdmittedRequest, target: &Target, last_event: Option<u64>) {
--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -15,10 +15,12 @@
 use mustard_policy::backoff::Fault;
 
 use crate::app::App;
-use crate::fleet::LoadGuard;
+use crate::fleet::{LoadGuard, ServerProcess};
 use crate::log_limit::Topic;
 use crate::metric;
+use crate::strikes::{Failure, is_quarantined};
 
+use super::open_stream::record_failed_run;
 use super::send::{SendError, Target, send_request};
 use super::{AdmittedRequest, GatewayResponse, record_served, spend_retry};
 
@@ -40,6 +42,7 @@
 /// The result of one send to one server.
 struct SendResult {
     addr: SocketAddr,
+    processes: Vec<ServerProcess>,
     result: Result<ServerResponse, SendError>,
 }
 
@@ -76,6 +79,9 @@
     let mut last_result: Option<Result<ServerResponse, SendError>> = None;
     let mut attempt = 0;
     while attempt < request.route.max_attempts {
+        if is_quarantined(app, request.fingerprint) {
+            break;
+        }
         if attempt > 0 && !spend_retry(app, request) {
             break;
         }
@@ -128,7 +134,9 @@
     if let Ok(sent) = timeout(wait, &mut primary).await {
         return (sent, 1);
     }
-    let Some(second) = choose_server(app, request, tried).filter(|_| spend_retry(app, request))
+    let may_run = !is_quarantined(app, request.fingerprint);
+    let Some(second) =
+        choose_server(app, request, tried).filter(|_| may_run && spend_retry(app, request))
     else {
         return (primary.await, 1);
     };
@@ -164,14 +172,16 @@
             body,
         })
     };
+    let result = response.await;
     SendResult {
         addr,
-        result: response.await,
+        result,
+        processes: target.processes,
     }
 }
 
-/// Records the result of a send at its server; logs a failure.
-fn record_result(app: &App, request: &AdmittedRequest, sent: &SendResult) {
+/// Records the result of a send at its server and for the request's content; logs a failure.
+fn record_result(app: &Rc<App>, request: &AdmittedRequest, sent: &SendResult) {
     let now = app.now();
     let mut fleet = app.fleet.borrow_mut();
     let cause = match &sent.result {
@@ -179,6 +189,8 @@
             if let Some(server) = fleet.key_at(sent.addr).and_then(|k| fleet.get_mut(k)) {
                 server.backoff.clear();
             }
+            let content = request.fingerprint;
+            app.quarantine.borrow_mut().clear(now, content);
             return;
         }
         Ok(_) => "error answer",
@@ -196,6 +208,10 @@
         }
     };
     drop(fleet);
+    if matches!(sent.result, Err(SendError::Lost)) {
+        let failure = Failure::PlainConnectionLost(request.service.health_path.clone());
+        record_failed_run(app, request, sent.processes.clone(), failure);
+    }
     let status = sent.result.as_ref().map_or(0, |r| r.status);
     log_failed_send(app, request, sent.addr, cause, status);
 }
@@ -250,6 +266,7 @@
     Some(Target {
         addr: server.entry.addr,
         identity: server.entry.id.clone(),
+        processes: vec![server.process()],
         path: Vec::new(),
         crossings: 0,
     })
--- a/crates/mustard-gateway/src/forward/send.rs
+++ b/crates/mustard-gateway/src/forward/send.rs
@@ -16,6 +16,7 @@
 use mustard_net::http::{ForwardedRequest, MAX_ANSWER_BYTES, forward_request};
 
 use crate::app::App;
+use crate::fleet::ServerProcess;
 use crate::log_limit::Topic;
 use crate::metric;
 
@@ -29,6 +30,8 @@
     /// The id of the server that is meant; another server that has the address now refuses the
     /// request.
     pub identity: String,
+    /// The server processes that the request uses, the first one first.
+    pub processes: Vec<ServerProcess>,
     /// The servers of the pipeline that the request crosses; empty for a plain service.
     pub path: Vec<PathPart>,
     /// How often the path crosses from one failure domain to another.
@@ -85,7 +88,7 @@
     let response = forward_request(&app.client, outgoing)
         .await
         .map_err(|e| match e {
-            CallError::NotSent(_) => SendError::NotSent,
+            CallError::NotSent(_) | CallError::NoListener(_) => SendError::NotSent,
             _ => SendError::Lost,
         })?;
     record_announcements(app, target, &response);
--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -19,16 +19,18 @@
 use mustard_core::deployment::RouteKind;
 
 use crate::app::App;
+use crate::fleet::ServerProcess;
 use crate::log_limit::Topic;
 use crate::metric;
+use crate::strikes::Failure;
 
 use super::events::EventParser;
 use super::open_stream::{
-    ActiveAttempt, Attempts, OpenError, log_failed_attempt, open_stream, record_faulty_server,
-    record_strike,
+    ActiveAttempt, Attempts, OpenError, log_failed_attempt, open_stream, record_failed_run,
+    record_faulty_server,
 };
 use super::send::{BodyChunk, SendError};
-use super::{AdmittedRequest, GatewayResponse, record_served};
+use super::{AdmittedRequest, GatewayResponse, QUARANTINE_RETRY_AFTER, record_served};
 
 /// The most chunks of events that are queued for a caller that reads slowly.
 const QUEUED_CHUNKS: usize = 32;
@@ -146,6 +148,9 @@
         OpenError::NotRun => {
             GatewayResponse::not_run("servers full or out of reach", FULL_RETRY_AFTER)
         }
+        OpenError::Quarantined => {
+            GatewayResponse::not_run("content ends servers", QUARANTINE_RETRY_AFTER)
+        }
         OpenError::Lost => GatewayResponse::new("no answer of the servers", 502),
     };
     response.for_request(&request.params).respond(app)
@@ -191,18 +196,24 @@
             () = &mut deadline => AttemptEnd::Deadline,
         };
         let first_server = attempt.first_server;
+        let processes = attempt.guard.processes();
         let next = match end {
             AttemptEnd::Complete => return session.finish_served(),
             AttemptEnd::CallerLeft => return metric::count_request("stream", "caller left"),
             AttemptEnd::Deadline => return session.abort("deadline").await,
-            AttemptEnd::Stalled if !session.can_resume() => continue,
-            AttemptEnd::Stalled => tokio::select! {
-                next = session.race_resume(attempt) => next,
-                () = caller.closed() => return metric::count_request("stream", "caller left"),
-                () = &mut deadline => return session.abort("deadline").await,
-            },
+            AttemptEnd::Stalled => {
+                record_failed_run(&session.app, &session.request, processes, Failure::Stalled);
+                if !session.can_resume() {
+                    continue;
+                }
+                tokio::select! {
+                    next = session.race_resume(attempt) => next,
+                    () = caller.closed() => return metric::count_request("stream", "caller left"),
+                    () = &mut deadline => return session.abort("deadline").await,
+                }
+            }
             AttemptEnd::Failed(cause) => {
-                session.record_failed_attempt(first_server, cause);
+                session.record_failed_attempt(first_server, processes, cause);
                 drop(attempt);
                 if !session.can_resume() {
                     return session.abort(cause).await;
@@ -333,8 +344,13 @@
         }
     }
 
-    fn record_failed_attempt(&mut self, first_server: SocketAddr, cause: &'static str) {
-        record_strike(&self.app, &self.request, first_server);
+    fn record_failed_attempt(
+        &mut self,
+        first_server: SocketAddr,
+        processes: Vec<ServerProcess>,
+        cause: &'static str,
+    ) {
+        record_failed_run(&self.app, &self.request, processes, Failure::ConnectionLost);
         self.attempts.avoid.extend(record_faulty_server(
             &self.app,
             first_server,
--- a/crates/mustard-gateway/src/lib.rs
+++ b/crates/mustard-gateway/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod serve;
 pub mod store_watch;
 pub mod stream_watch;
+pub mod strikes;
 
 pub use errors::{GatewayError, Result};
--- a/crates/mustard-gateway/src/placement.rs
+++ b/crates/mustard-gateway/src/placement.rs
@@ -71,8 +71,13 @@
     let mut last_count = (0, app.now());
     let mut planned_since = None;
     let mut idle_since = None;
+    let mut era = app.store.era();
     loop {
         sleep(PLAN_INTERVAL).await;
+        if app.store.era() != era {
+            era = app.store.era();
+            lease.discard_term();
+        }
         let expired = app.fleet.borrow_mut().expire_missing(app.now());
         if expired > 0 {
             app.changed.notify_waiters();
@@ -309,7 +314,7 @@
 ///
 /// # Errors
 ///
-/// After an error other than [`CallError::NotSent`] the server may still execute the order.
+/// After an error other than [`CallError::NotSent`] or [`CallError::NoListener`] the server may still execute the order.
 pub async fn send_order(
     app: &App,
     to: SocketAddr,
@@ -352,6 +357,9 @@
     };
     let result = exchange(&app.client, request).await;
     metric::count_probe(if result.is_ok() { "answered" } else { "silent" });
+    if matches!(result, Err(CallError::NoListener(_))) {
+        app.fleet.borrow_mut().record_no_listener(to);
+    }
     let answer = result?;
     if answer.status != 200 {
         return Err(CallError::Status(answer.status));
--- a/crates/mustard-gateway/src/stream_watch.rs
+++ b/crates/mustard-gateway/src/stream_watch.rs
@@ -24,6 +24,7 @@
 use crate::log_limit::Topic;
 use crate::metric;
 use crate::placement::{engine_of, fetch_report, send_order};
+use crate::strikes::{self, FailedRun, Failure};
 
 /// The result of a call to a server.
 type Result<T> = std::result::Result<T, CallError>;
@@ -38,6 +39,9 @@
 /// The most paths that are ordered to move one stream; another is tried only after a refusal that
 /// names the server at fault.
 const MAX_REPATHS: u32 = 3;
+/// How often one attempt is moved to another path; a content that ends servers is resumed less often
+/// than it could be moved.
+const MAX_MOVES: u32 = 3;
 /// The interval between two calls to a server that didn't answer.
 const SILENT_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 /// The longest pause of a stream; after it the attempt is abandoned even if no server is at fault.
@@ -305,7 +309,15 @@
 
 /// Orders the first server to continue a stream over a path that avoids the servers out of use.
 async fn repath_stream(app: Rc<App>, key: ActiveStreamKey, paths: Rc<RefCell<NewPaths>>) {
+    let Some(run) = begin_move(&app, key) else {
+        return;
+    };
+    let content = run.content;
+    strikes::record_run(&app, run);
     for _ in 0..MAX_REPATHS {
+        if strikes::is_quarantined(&app, content) {
+            return abandon(&app, key, "content ends servers");
+        }
         let Some((id, first_server, new_path)) = find_path(&app, key, &paths) else {
             return abandon(&app, key, "no other path");
         };
@@ -336,6 +348,26 @@
     abandon(&app, key, "first server didn't accept the new path");
 }
 
+/// Counts a move of a stream; returns the run that failed, or `None` if the stream has ended or was
+/// moved too often, in which case its attempt is abandoned.
+fn begin_move(app: &App, key: ActiveStreamKey) -> Option<FailedRun> {
+    let run = {
+        let mut streams = app.streams.borrow_mut();
+        let stream = streams.get_mut(key)?;
+        stream.moves += 1;
+        (stream.moves <= MAX_MOVES).then(|| FailedRun {
+            content: stream.content,
+            request: stream.id.clone(),
+            processes: stream.processes.clone(),
+            failure: Failure::Stalled,
+        })
+    };
+    if run.is_none() {
+        abandon(app, key, "moved too often");
+    }
+    run
+}
+
 /// Records the result of an order to move a stream; returns for how many milliseconds the stream
 /// has been silent, or `None` if it has ended.
 fn record_repath(
@@ -350,6 +382,8 @@
     stream.moving = false;
     if moved {
         stream.parts = new_path.to_vec();
+        let addrs = new_path.iter().map(|p| p.addr);
+        stream.processes = app.fleet.borrow().processes(addrs);
         stream.progress.record_ask(now);
     }
     Some(silent_ms(now, stream.progress.last_event))
--- /dev/null
+++ b/crates/mustard-gateway/src/strikes.rs
@@ -0,0 +1,166 @@
+//! Counts the ends of servers against the contents that they ran.
+//!
+//! A run is one send of a request, or one move of its stream to another path. A run that failed counts
+//! one strike if a server process that it used has ended since, whichever of them and however the end
+//! shows: by a closed connection, by nothing listening, or by another process at its place later on.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ntex::http::Method;
+use slog::{info, warn};
+use tokio::time::sleep;
+
+use mustard_adapter::responses;
+use mustard_core::clock::Moment;
+use mustard_core::fingerprint::Fingerprint;
+use mustard_net::CallError;
+use mustard_net::http::{Request, exchange};
+use mustard_policy::quarantine::{Standing, Strike};
+
+use crate::app::App;
+use crate::fleet::{ProcessState, ServerProcess};
+use crate::log_limit::Topic;
+use crate::metric;
+use crate::placement::fetch_report;
+
+/// Time limit for the report of a server that closed a connection early; a live server responds
+/// within a few milliseconds.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time limit for the health check of a plain server, which waits for a slot there.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a server that doesn't answer is watched for signs that it has ended; it is listed again
+/// or removed from the list within this time.
+const WATCH_TIME: Duration = Duration::from_secs(6);
+const WATCH_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How a run failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The first server of a path closed the connection before the end of the response.
+    ConnectionLost,
+    /// The server of a plain service did so; holds the path of its health check.
+    PlainConnectionLost(String),
+    /// The response stalled.
+    Stalled,
+}
+
+/// A run that failed.
+#[derive(Clone, Debug)]
+pub struct FailedRun {
+    /// The fingerprint of the request's content.
+    pub content: Fingerprint,
+    /// The id of the request.
+    pub request: String,
+    /// The processes that it used, in the order of the path.
+    pub processes: Vec<ServerProcess>,
+    /// How it failed.
+    pub failure: Failure,
+}
+
+/// Returns whether a content may not run, as too many servers ended under it.
+pub fn is_quarantined(app: &App, content: Fingerprint) -> bool {
+    let standing = app.quarantine.borrow().standing(app.now(), content);
+    matches!(standing, Standing::Quarantined(_))
+}
+
+/// Records a strike against the content of a failed run once one of its servers is known to have
+/// ended. Peers receive the strike with the next message.
+pub fn record_run(app: &Rc<App>, run: FailedRun) {
+    let app = Rc::clone(app);
+    ntex::rt::spawn(async move {
+        let failed_at = app.now();
+        let Some(ended) = find_ended(&app, &run, failed_at).await else {
+            return;
+        };
+        let strike = Strike {
+            fingerprint: run.content,
+            vm: ended.to_string(),
+            shared: 1,
+            at: failed_at,
+        };
+        let is_quarantined = app
+            .quarantine
+            .borrow_mut()
+            .record_strike(app.now(), &strike);
+        metric::count_strike("seen");
+        if let Some(log) = app.log.logger_for(Topic::Server) {
+            info!(log, "request: A server ended under a request."; "request" => &run.request,
+                "content" => %run.content, "server" => %ended.addr, "process" => %ended,
+                "after_ms" => app.now().ms_since(failed_at));
+        }
+        if is_quarantined {
+            if let Some(log) = app.log.logger_for(Topic::Server) {
+                warn!(log, "request: Content was quarantined after servers died running it.";
+                    "request" => &run.request, "content" => %run.content);
+            }
+            app.quarantined.notify_waiters();
+        }
+        app.strike_news.notify_one();
+    });
+}
+
+/// Returns the first process of a failed run that is found to have ended; `None` if all of them
+/// still run or none shows its end within [`WATCH_TIME`].
+async fn find_ended(app: &Rc<App>, run: &FailedRun, failed_at: Moment) -> Option<ServerProcess> {
+    let first = run.processes.first()?;
+    match &run.failure {
+        // A server that closes a connection and doesn't answer is taken for ended at once.
+        Failure::ConnectionLost if !still_reports(app, first).await => return Some(first.clone()),
+        Failure::PlainConnectionLost(path) => match check_health(app, first, path).await {
+            ProcessState::Running => return None,
+            ProcessState::Ended => return Some(first.clone()),
+            ProcessState::Unknown => {}
+        },
+        Failure::ConnectionLost | Failure::Stalled => {}
+    }
+    loop {
+        let states: Vec<_> = {
+            let fleet = app.fleet.borrow();
+            let state = |p: &ServerProcess| fleet.process_state(p, failed_at);
+            run.processes.iter().map(state).collect()
+        };
+        if let Some(i) = states.iter().position(|s| *s == ProcessState::Ended) {
+            return Some(run.processes[i].clone());
+        }
+        let all_run = states.iter().all(|s| *s == ProcessState::Running);
+        if all_run || app.now().since(failed_at) >= WATCH_TIME {
+            return None;
+        }
+        sleep(WATCH_INTERVAL).await;
+    }
+}
+
+async fn still_reports(app: &App, process: &ServerProcess) -> bool {
+    match fetch_report(app, process.addr, REPORT_TIMEOUT).await {
+        Ok(report) => report.started_ms == process.started_ms,
+        Err(_) => false,
+    }
+}
+
+/// Asks the server of a plain service for its health. It has ended if nothing listens or another
+/// server answers; whether it is healthy doesn't matter.
+async fn check_health(app: &App, process: &ServerProcess, path: &str) -> ProcessState {
+    if app.fleet.borrow().is_paused(app.now(), process.addr) {
+        return ProcessState::Unknown;
+    }
+    let request = Request {
+        to: process.addr,
+        method: Method::GET,
+        path,
+        content_type: "text/plain",
+        headers: &[],
+        body: Vec::new(),
+        timeout: HEALTH_TIMEOUT,
+    };
+    let result = exchange(&app.client, request).await;
+    metric::count_probe(if result.is_ok() { "answered" } else { "silent" });
+    match result {
+        Ok(answer) => match responses::server_id(&answer.headers) {
+            Some(id) if id != process.id => ProcessState::Ended,
+            _ => ProcessState::Running,
+        },
+        Err(CallError::NoListener(_)) => ProcessState::Ended,
+        Err(_) => ProcessState::Unknown,
+    }
+}
--- a/crates/mustard-net/src/errors.rs
+++ b/crates/mustard-net/src/errors.rs
@@ -13,6 +13,10 @@
     /// No connection was established, so nothing was sent.
     #[error("connection failed: {0}")]
     NotSent(String),
+    /// Nothing listens at the address, so nothing was sent; the process there has ended or not
+    /// started yet.
+    #[error("connection refused: {0}")]
+    NoListener(String),
     /// The message may have been sent, but no complete answer came back.
     #[error("no answer: {0}")]
     Lost(String),
@@ -34,7 +38,7 @@
     /// Returns whether the receiver may have acted on the message.
     pub fn execution(&self) -> Execution {
         match self {
-            CallError::NotSent(_) => Execution::No,
+            CallError::NotSent(_) | CallError::NoListener(_) => Execution::No,
             CallError::Refused(refusal) => refusal.execution(),
             CallError::Proto(ProtoError::Encode(_)) => Execution::No,
             _ => Execution::Maybe,
--- a/crates/mustard-net/src/http.rs
+++ b/crates/mustard-net/src/http.rs
@@ -114,8 +114,8 @@
 ///
 /// # Errors
 ///
-/// [`CallError::NotSent`] means that the receiver did not see the request; after any other error
-/// it may have acted.
+/// [`CallError::NotSent`] and [`CallError::NoListener`] mean that the receiver did not see the
+/// request; after any other error it may have acted.
 pub async fn exchange(client: &HttpClient, request: Request<'_>) -> Result<Answer> {
     let timeout = request.timeout;
     let round_trip = async {
@@ -212,6 +212,11 @@
 
 fn classify_error(e: &ClientError) -> CallError {
     match e {
+        ClientError::Connect(ConnectError::Disconnected(Some(io)))
+            if io.kind() == ErrorKind::ConnectionRefused =>
+        {
+            CallError::NoListener(e.to_string())
+        }
         // A connection that closes while the request is being sent is reported as disconnected
         // too, so only errors that occur while connecting mean "not sent".
         ClientError::Connect(ConnectError::Disconnected(Some(io)))
@@ -229,9 +234,6 @@
 fn is_connect_error(kind: ErrorKind) -> bool {
     matches!(
         kind,
-        ErrorKind::ConnectionRefused
-            | ErrorKind::AddrNotAvailable
-            | ErrorKind::HostUnreachable
-            | ErrorKind::NetworkUnreachable
+        ErrorKind::AddrNotAvailable | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable
     )
 }
