Tell all gateways of a quarantined content in time, and keep it in the store

Cause: what one gateway knew didn't reach the others. A message held 64 strikes in the order of a hash map, always the same ones, so those that mattered could stay behind; peers were called at random, also those that are gone; and processes that were killed together had told nobody.

Fix: a message holds the strikes of the contents with the most deaths. Peers that are alive are called each round and at once when a strike is recorded; some of the others are tried beside them, first those that another peer has heard from.

--- a/crates/mustard-gateway/src/lib.rs
+++ b/crates/mustard-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod forward;
 pub mod log_limit;
 pub mod metric;
+pub mod own_rows;
 pub mod peers;
 pub mod placement;
 pub mod serve;
--- /dev/null
+++ b/crates/mustard-gateway/src/own_rows.rs
@@ -0,0 +1,180 @@
+//! Keeps the gateways' own rows in the platform's store: the address of each gateway, by which the
+//! others find it, and the quarantined contents, so that they outlast all processes.
+//!
+//! Rows that were lost because the store was restored from an older copy are written again.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+use tokio::time::sleep;
+
+use mustard_core::clock::Clock;
+use mustard_core::collections::Set;
+use mustard_core::fingerprint::Fingerprint;
+use mustard_platform::Result;
+use mustard_platform::table::{Row, Table, Txn};
+use mustard_policy::quarantine::Strike;
+
+use crate::app::App;
+use crate::log_limit::Topic;
+use crate::metric;
+
+/// The prefix of the keys of the gateways' rows; each key ends with the gateway's address.
+const GATEWAY_PREFIX: &str = "gateway/";
+/// The prefix of the keys of the quarantined contents' rows; each key ends with the fingerprint.
+const QUARANTINE_PREFIX: &str = "quarantine/";
+/// The interval between two reads of the rows.
+const READ_INTERVAL: Duration = Duration::from_secs(15);
+/// The delay after a failed call.
+const RETRY_DELAY: Duration = Duration::from_secs(1);
+/// The most rows that one call reads.
+const PAGE_ROWS: usize = 400;
+/// The most rows that one transaction writes or removes.
+const MAX_WRITES: usize = 50;
+
+/// The content of a quarantined content's row, stored as JSON.
+#[derive(Debug, Serialize, Deserialize)]
+struct QuarantineRow {
+    strikes: Vec<StrikeRow>,
+}
+
+/// A strike in a row.
+#[derive(Debug, Serialize, Deserialize)]
+struct StrikeRow {
+    process: String,
+    shared: u32,
+    /// When the process ended, in milliseconds since the Unix epoch.
+    at_ms: u64,
+}
+
+/// Reads the rows at intervals and writes those that are missing, for the life of the process.
+pub async fn run(app: Rc<App>) {
+    loop {
+        let restored = app.store_restored.notified();
+        let quarantined = app.quarantined.notified();
+        let wait = match sync_rows(&app).await {
+            Ok(()) => READ_INTERVAL,
+            Err(e) => {
+                if let Some(log) = app.log.logger_for(Topic::Dependency) {
+                    warn!(log, "store: The gateways' own rows can't be read or written.";
+                        "error" => %e);
+                }
+                RETRY_DELAY
+            }
+        };
+        tokio::select! {
+            () = sleep(wait) => {}
+            () = restored => {}
+            () = quarantined => {}
+        }
+    }
+}
+
+async fn sync_rows(app: &App) -> Result<()> {
+    let rows = read_rows(app).await?;
+    let mut listed = Set::default();
+    let mut obsolete = Vec::new();
+    for row in &rows {
+        if let Some(addr) = row.key.strip_prefix(GATEWAY_PREFIX) {
+            if let Ok(addr) = addr.parse::<SocketAddr>() {
+                app.peers.borrow_mut().add(addr);
+            }
+        } else if let Some(content) = row.key.strip_prefix(QUARANTINE_PREFIX) {
+            match parse_fingerprint(content) {
+                Some(content) if adopt_quarantine(app, content, &row.value) => {
+                    listed.insert(content);
+                }
+                _ => obsolete.push(row.key.clone()),
+            }
+        }
+    }
+    let own_key = format!("{GATEWAY_PREFIX}{}", app.peers.borrow().own_addr());
+    let mut txn = Txn::default();
+    if !rows.iter().any(|r| r.key == own_key) {
+        txn = txn.put(own_key, app.node.name.clone());
+    }
+    for (key, value) in missing_quarantines(app, &listed) {
+        txn = txn.put(key, value);
+    }
+    for key in obsolete.into_iter().take(MAX_WRITES) {
+        txn = txn.delete(key);
+    }
+    if txn.writes.is_empty() {
+        return Ok(());
+    }
+    if let Some(log) = app.log.logger_for(Topic::Dependency) {
+        info!(log, "store: Own rows are written."; "rows" => txn.writes.len(),
+            "era" => app.store.era().0);
+    }
+    app.store.commit(txn).await.map(drop)
+}
+
+async fn read_rows(app: &App) -> Result<Vec<Row>> {
+    let mut rows: Vec<Row> = Vec::new();
+    loop {
+        let after = rows.last().map(|r| r.key.clone()).unwrap_or_default();
+        let page = app.store.scan("", &after, PAGE_ROWS).await?;
+        let more = page.more && !page.rows.is_empty();
+        rows.extend(page.rows);
+        if !more {
+            return Ok(rows);
+        }
+    }
+}
+
+/// Records the strikes of a row; returns whether the content is quarantined by them. It isn't if they
+/// have expired or the content was cleared since.
+fn adopt_quarantine(app: &App, content: Fingerprint, value: &str) -> bool {
+    let Ok(row) = serde_json::from_str::<QuarantineRow>(value) else {
+        return false;
+    };
+    let (now, wall_ms) = (app.now(), app.clock.wall_ms());
+    let mut quarantine = app.quarantine.borrow_mut();
+    for strike in row.strikes {
+        let age = Duration::from_millis(wall_ms.saturating_sub(strike.at_ms));
+        let strike = Strike {
+            fingerprint: content,
+            vm: strike.process,
+            shared: strike.shared,
+            at: now - age,
+        };
+        if quarantine.record_strike(now, &strike) {
+            metric::count_strike("row");
+        }
+    }
+    quarantine
+        .quarantined(now)
+        .any(|(known, _)| known == content)
+}
+
+/// Returns the rows of the quarantined contents that aren't in `listed`.
+fn missing_quarantines(app: &App, listed: &Set<Fingerprint>) -> Vec<(String, String)> {
+    let (now, wall_ms) = (app.now(), app.clock.wall_ms());
+    let quarantine = app.quarantine.borrow();
+    let missing: Vec<Fingerprint> = quarantine
+        .quarantined(now)
+        .map(|(content, _)| content)
+        .filter(|content| !listed.contains(content))
+        .take(MAX_WRITES)
+        .collect();
+    let encode = |content: Fingerprint| {
+        let strikes = quarantine.strikes_of(content).map(|s| StrikeRow {
+            process: s.vm,
+            shared: s.shared,
+            at_ms: wall_ms.saturating_sub(now.ms_since(s.at)),
+        });
+        let row = QuarantineRow {
+            strikes: strikes.collect(),
+        };
+        let value = serde_json::to_string(&row).ok()?;
+        Some((format!("{QUARANTINE_PREFIX}{content}"), value))
+    };
+    missing.into_iter().filter_map(encode).collect()
+}
+
+fn parse_fingerprint(text: &str) -> Option<Fingerprint> {
+    u128::from_str_radix(text, 16).ok().map(Fingerprint)
+}
--- a/crates/mustard-gateway/src/peers.rs
+++ b/crates/mustard-gateway/src/peers.rs
@@ -12,11 +12,12 @@
 
 use ntex::http::Method;
 use ntex::util::Bytes;
+use rand::Rng;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 use slog::{info, warn};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::sleep;
 
 use mustard_adapter::NodeSettings;
 use mustard_adapter::store::FollowedTable;
@@ -24,11 +25,11 @@
 use mustard_core::collections::Map;
 use mustard_core::fingerprint::Fingerprint;
 use mustard_net::http::{Request, exchange};
-use mustard_platform::table::{Table, Txn};
 use mustard_policy::quarantine::{Clearance, Strike};
 
 use crate::app::{App, ConfigStamp};
 use crate::log_limit::Topic;
+use crate::metric;
 use crate::store_watch;
 
 /// The URL path of the exchange of messages, on the port for peers.
@@ -36,8 +37,16 @@
 const MEDIA_TYPE: &str = "application/msgpack";
 /// The interval between rounds; with 340 gateways, a change reaches all of them in about 3 s.
 const ROUND_INTERVAL: Duration = Duration::from_millis(500);
-/// The number of peers called in each round.
+/// The number of live peers called in each round.
 const FANOUT: usize = 2;
+/// Each round also calls one of this many peers that aren't alive, as far as is known.
+const OTHERS_ROUNDS: usize = 8;
+/// The most of these in one round.
+const MAX_OTHERS: usize = 8;
+/// The most peers called at once when a strike was recorded.
+const NEWS_FANOUT: usize = 8;
+/// The least time between two such calls.
+const NEWS_INTERVAL: Duration = Duration::from_millis(100);
 /// The timeout of one call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long after its last message a peer counts as alive. Among 30 gateways, any two exchange
@@ -47,18 +56,20 @@
 const MAX_ADDRS: usize = 24;
 /// The most strikes, and the most clearances, in one message.
 const MAX_QUARANTINE_ITEMS: usize = 64;
-/// The prefix of the keys of the gateways' rows in the store; each key ends with the gateway's
-/// address.
-const ROW_PREFIX: &str = "gateway/";
-/// The interval between two reads of the gateways' rows.
-const ROW_READ_INTERVAL: Duration = Duration::from_secs(15);
-const MAX_ROWS: usize = 400;
 /// The largest message that is accepted.
 pub const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Peer {
     last_heard: Option<Moment>,
+    /// Whether another peer has said that it is alive, and no call was made since.
+    is_reported: bool,
+}
+
+impl Peer {
+    fn is_alive(&self, now: Moment) -> bool {
+        self.last_heard.is_some_and(|h| now.since(h) < ALIVE_TIME)
+    }
 }
 
 /// The peers, and which of the store's tables this gateway can reach.
@@ -93,10 +104,7 @@
 
     /// Returns the number of peers that are alive.
     pub fn alive_count(&self) -> usize {
-        let alive = |p: &&Peer| {
-            p.last_heard
-                .is_some_and(|h| self.updated_at.since(h) < ALIVE_TIME)
-        };
+        let alive = |p: &&Peer| p.is_alive(self.updated_at);
         self.known.values().filter(alive).count()
     }
 
@@ -107,14 +115,10 @@
 
     /// Returns the number of live peers whose addresses sort before this gateway's.
     pub fn rank(&self) -> usize {
-        let alive = |p: &Peer| {
-            p.last_heard
-                .is_some_and(|h| self.updated_at.since(h) < ALIVE_TIME)
-        };
         let before = self
             .known
             .iter()
-            .filter(|(a, p)| **a < self.own_addr && alive(p));
+            .filter(|(a, p)| **a < self.own_addr && p.is_alive(self.updated_at));
         before.count()
     }
 
@@ -126,7 +130,13 @@
         changed
     }
 
-    fn add(&mut self, addr: SocketAddr) {
+    /// Returns the address of this gateway, on the port for peers.
+    pub fn own_addr(&self) -> SocketAddr {
+        self.own_addr
+    }
+
+    /// Adds a peer, unless the address is this gateway's own.
+    pub fn add(&mut self, addr: SocketAddr) {
         if addr != self.own_addr {
             self.known.entry(addr).or_default();
         }
@@ -139,17 +149,65 @@
             return false;
         }
         let peer = self.known.entry(addr).or_default();
-        let newly_alive = peer.last_heard.is_none_or(|h| now.since(h) >= ALIVE_TIME);
+        let newly_alive = !peer.is_alive(now);
         peer.last_heard = Some(now);
         newly_alive
     }
 
-    fn shared_addrs(&self) -> Vec<SocketAddr> {
-        let mut list: Vec<SocketAddr> = self.known.keys().copied().collect();
+    /// Returns the addresses of the peers that are alive, at most [`MAX_ADDRS`].
+    fn shared_addrs(&self, now: Moment) -> Vec<SocketAddr> {
+        let alive = self.known.iter().filter(|(_, p)| p.is_alive(now));
+        let mut list: Vec<SocketAddr> = alive.map(|(addr, _)| *addr).collect();
         list.sort_unstable();
         list.truncate(MAX_ADDRS);
         list
     }
+
+    /// Records that another peer has said that a peer is alive.
+    fn record_reported(&mut self, now: Moment, addr: SocketAddr) {
+        self.add(addr);
+        if let Some(peer) = self.known.get_mut(&addr)
+            && !peer.is_alive(now)
+        {
+            peer.is_reported = true;
+        }
+    }
+
+    /// Chooses up to `alive` peers that are alive at random and, if `with_others`, those that were
+    /// reported alive and some of the rest.
+    fn choose(
+        &mut self,
+        now: Moment,
+        alive: usize,
+        with_others: bool,
+        rng: &mut impl Rng,
+    ) -> Vec<SocketAddr> {
+        self.updated_at = now;
+        let mut heard = Vec::new();
+        let mut reported = Vec::new();
+        let mut rest = Vec::new();
+        for (addr, peer) in &mut self.known {
+            if peer.is_alive(now) {
+                heard.push(*addr);
+            } else if std::mem::take(&mut peer.is_reported) {
+                reported.push(*addr);
+            } else {
+                rest.push(*addr);
+            }
+        }
+        let mut chosen: Vec<_> = heard.choose_multiple(rng, alive).copied().collect();
+        if with_others {
+            let others = (rest.len() / OTHERS_ROUNDS).clamp(1, MAX_OTHERS);
+            let others = if heard.is_empty() {
+                others.max(FANOUT)
+            } else {
+                others
+            };
+            chosen.extend(reported);
+            chosen.extend(rest.choose_multiple(rng, others));
+        }
+        chosen
+    }
 }
 
 /// A strike in a message.
@@ -176,6 +234,7 @@
     from: SocketAddr,
     /// The version and era of the sender's configuration.
     config: ConfigStamp,
+    /// The peers that the sender has heard from lately.
     peers: Vec<SocketAddr>,
     strikes: Vec<StrikeMessage>,
     cleared: Vec<ClearedMessage>,
@@ -190,16 +249,15 @@
     let text = send.then(|| ByteBuf::from(app.config_text.borrow().as_ref().clone()));
     let now = app.now();
     let quarantine = app.quarantine.borrow();
-    let strikes = quarantine.strikes(now);
-    let cleared = quarantine.clearances(now).take(MAX_QUARANTINE_ITEMS);
+    let strikes = quarantine.strikes_to_share(now, MAX_QUARANTINE_ITEMS);
+    let cleared = quarantine.clearances_to_share(now, MAX_QUARANTINE_ITEMS);
     let peers = app.peers.borrow();
     PeerMessage {
         from: peers.own_addr,
         config: stamp,
-        peers: peers.shared_addrs(),
+        peers: peers.shared_addrs(now),
         strikes: strikes
             .into_iter()
-            .take(MAX_QUARANTINE_ITEMS)
             .map(|s| StrikeMessage {
                 content: s.fingerprint,
                 server: s.vm,
@@ -208,6 +266,7 @@
             })
             .collect(),
         cleared: cleared
+            .into_iter()
             .map(|c| ClearedMessage {
                 content: c.fingerprint,
                 age_ms: now.ms_since(c.at),
@@ -222,7 +281,7 @@
     let newly_alive = {
         let mut peers = app.peers.borrow_mut();
         for addr in message.peers {
-            peers.add(addr);
+            peers.record_reported(now, addr);
         }
         peers.record_heard(now, message.from)
     };
@@ -243,7 +302,13 @@
             shared: strike.shared,
             at: now - Duration::from_millis(strike.age_ms),
         };
-        app.quarantine.borrow_mut().record_strike(now, &strike);
+        if app.quarantine.borrow_mut().record_strike(now, &strike) {
+            metric::count_strike("peer");
+            if let Some(log) = app.log.logger_for(Topic::Server) {
+                info!(log, "peers: A content is quarantined by a peer's strikes.";
+                    "content" => %strike.fingerprint, "peer" => %message.from);
+            }
+        }
     }
     if let Some(text) = message.text {
         store_watch::adopt_config(app, text.into_vec(), message.config.era, "peer");
@@ -258,24 +323,27 @@
     rmp_serde::to_vec(&build_message(app, Some(known))).ok()
 }
 
-/// Calls peers for the life of the process.
+/// Calls peers for the life of the process: in each round a few of those that are alive and some of
+/// the others, and up to [`NEWS_FANOUT`] of those that are alive at once when a strike was recorded
+/// here.
 pub async fn run(app: Rc<App>) {
     loop {
-        let chosen = {
-            let now = app.now();
-            let mut peers = app.peers.borrow_mut();
-            peers.updated_at = now;
-            let list: Vec<SocketAddr> = peers.known.keys().copied().collect();
-            let mut rng = app.rng.borrow_mut();
-            list.choose_multiple(&mut *rng, FANOUT)
-                .copied()
-                .collect::<Vec<_>>()
-        };
-        for addr in chosen {
-            let app = Rc::clone(&app);
-            ntex::rt::spawn(async move { call_peer(&app, addr).await });
+        call_peers(&app, FANOUT, true);
+        let news = tokio::time::timeout(ROUND_INTERVAL, app.strike_news.notified()).await;
+        if news.is_ok() {
+            call_peers(&app, NEWS_FANOUT, false);
+            sleep(NEWS_INTERVAL).await;
         }
-        sleep(ROUND_INTERVAL).await;
+    }
+}
+
+fn call_peers(app: &Rc<App>, alive: usize, with_others: bool) {
+    let now = app.now();
+    let rng = &mut *app.rng.borrow_mut();
+    let chosen = app.peers.borrow_mut().choose(now, alive, with_others, rng);
+    for addr in chosen {
+        let app = Rc::clone(app);
+        ntex::rt::spawn(async move { call_peer(&app, addr).await });
     }
 }
 
@@ -313,41 +381,6 @@
     }
 }
 
-/// Writes this gateway's address to the store once, and reads those of all gateways at intervals.
-pub async fn sync_peer_rows(app: Rc<App>) {
-    let key = format!("{ROW_PREFIX}{}", app.peers.borrow().own_addr);
-    let mut written = false;
-    loop {
-        let next = Instant::now() + ROW_READ_INTERVAL;
-        if !written {
-            let txn = Txn::default().put(key.clone(), app.node.name.clone());
-            written = app.store.commit(txn).await.is_ok();
-        }
-        match app.store.scan(ROW_PREFIX, "", MAX_ROWS).await {
-            Ok(scan) => {
-                let mut peers = app.peers.borrow_mut();
-                let addrs = scan
-                    .rows
-                    .iter()
-                    .filter_map(|r| r.key.strip_prefix(ROW_PREFIX)?.parse().ok());
-                for addr in addrs {
-                    peers.add(addr);
-                }
-            }
-            Err(e) => {
-                if let Some(log) = app.log.logger_for(Topic::Dependency) {
-                    warn!(log, "peers: The gateways' rows can't be read."; "error" => %e);
-                }
-            }
-        }
-        if written {
-            sleep_until(next).await;
-        } else {
-            sleep(Duration::from_secs(1)).await;
-        }
-    }
-}
-
 /// Returns the media type of messages between gateways.
 pub fn media_type() -> &'static str {
     MEDIA_TYPE
--- a/crates/mustard-gateway/src/serve.rs
+++ b/crates/mustard-gateway/src/serve.rs
@@ -21,7 +21,7 @@
 
 use crate::app::{App, StopFlag};
 use crate::errors::{GatewayError, Result};
-use crate::{forward, metric, peers, placement, store_watch, stream_watch};
+use crate::{forward, metric, own_rows, peers, placement, store_watch, stream_watch};
 
 /// How long new requests are still accepted after a stop signal. The load balancer checks readiness
 /// every second and removes a VM after two failed checks, so until then it may still send some.
@@ -200,7 +200,7 @@
     ntex::rt::spawn(stream_watch::run(Rc::clone(app)));
     ntex::rt::spawn(stream_watch::retry_silent_servers(Rc::clone(app)));
     ntex::rt::spawn(peers::run(Rc::clone(app)));
-    ntex::rt::spawn(peers::sync_peer_rows(Rc::clone(app)));
+    ntex::rt::spawn(own_rows::run(Rc::clone(app)));
     ntex::rt::spawn(set_gauges(Rc::clone(app)));
 }
 
--- a/crates/mustard-policy/src/quarantine.rs
+++ b/crates/mustard-policy/src/quarantine.rs
@@ -15,6 +15,7 @@
 //! A content that ran to its end is cleared: strikes for deaths before that end no longer count,
 //! even if they arrive later from other processes.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use mustard_core::clock::Moment;
@@ -244,20 +245,48 @@
             .map(|(f, r)| (*f, r.deaths.iter().map(|d| d.vm.as_str()).collect()))
     }
 
+    /// Returns the strikes that count against a content, whether they have expired or not.
+    pub fn strikes_of(&self, fingerprint: Fingerprint) -> impl Iterator<Item = Strike> {
+        let record = self.records.get(&fingerprint);
+        let deaths = record.into_iter().flat_map(|r| &r.deaths);
+        deaths.map(move |d| Strike {
+            fingerprint,
+            vm: d.vm.clone(),
+            shared: d.shared,
+            at: d.at,
+        })
+    }
+
+    /// Returns the strikes that matter most to other processes, at most `limit`: those of the contents
+    /// with the most deaths, and of these the ones with the newest.
+    pub fn strikes_to_share(&self, now: Moment, limit: usize) -> Vec<Strike> {
+        let valid = self.records.iter().filter(|(_, r)| r.until > now);
+        let mut ranked: Vec<_> = valid.collect();
+        let rank = |(_, r): &(&Fingerprint, &ContentRecord)| Reverse((r.deaths.len(), r.until));
+        // Each content has at least one strike, so no more than `limit` contents fit.
+        if ranked.len() > limit {
+            ranked.select_nth_unstable_by_key(limit, rank);
+            ranked.truncate(limit);
+        }
+        ranked.sort_unstable_by_key(rank);
+        let strikes = ranked.into_iter().flat_map(|(f, _)| self.strikes_of(*f));
+        strikes.take(limit).collect()
+    }
+
+    /// Returns the newest clearances, at most `limit`.
+    pub fn clearances_to_share(&self, now: Moment, limit: usize) -> Vec<Clearance> {
+        let mut newest: Vec<Clearance> = self.clearances(now).collect();
+        if newest.len() > limit {
+            newest.select_nth_unstable_by_key(limit, |c| Reverse(c.at));
+            newest.truncate(limit);
+        }
+        newest
+    }
+
     /// Returns the strikes that still count, to be sent to a process that joins.
     pub fn strikes(&self, now: Moment) -> Vec<Strike> {
-        let strikes = |(f, r): (&Fingerprint, &ContentRecord)| {
-            let fingerprint = *f;
-            let strike = move |d: &Death| Strike {
-                fingerprint,
-                vm: d.vm.clone(),
-                shared: d.shared,
-                at: d.at,
-            };
-            r.deaths.iter().map(strike).collect::<Vec<_>>()
-        };
         let valid = self.records.iter().filter(|(_, r)| r.until > now);
-        valid.flat_map(strikes).collect()
+        valid.flat_map(|(f, _)| self.strikes_of(*f)).collect()
     }
 
     /// Removes expired records, then the oldest, when the capacity is reached.
