Let the soak restore the store, make servers leave or pause, and send poison contents

Checked at the end: no request reaches a server process 2 s after it told the same gateway that it is leaving, at most two in a pause from half a second on, at most three of a poison content by gateways in touch 3 s after its third end, and a key of the newest configuration is served by each gateway.

--- a/crates/mustard-fakes/src/site/http.rs
+++ b/crates/mustard-fakes/src/site/http.rs
@@ -8,7 +8,7 @@
 use ntex::http::{HttpService, Request, Response, StatusCode};
 use ntex::util::Bytes;
 
-use super::{Arrival, ServerFault, Site, model, plain, store};
+use super::{Arrival, Notice, ServerFault, Site, model, plain, store};
 
 /// A request whose body has been read.
 pub(super) struct Call {
@@ -134,12 +134,21 @@
     let (fault, model) = {
         let mut state = site.lock();
         if let Some(id) = call.header("attempt-id") {
-            let at = Instant::now();
-            state.ledger.arrivals.push(Arrival {
+            let server = &state.servers[index];
+            let arrival = Arrival {
                 server: index,
+                incarnation: server.incarnation,
                 id,
-                at,
-            });
+                at: Instant::now(),
+                notice: match server.fault {
+                    ServerFault::TurnsAway(pause) => Notice::Pause(pause),
+                    ServerFault::None | ServerFault::AnswersError if server.leaving => {
+                        Notice::Leaving
+                    }
+                    _ => Notice::None,
+                },
+            };
+            state.ledger.arrivals.push(arrival);
         }
         (state.servers[index].fault, state.servers[index].model)
     };
--- a/crates/mustard-fakes/src/site/mod.rs
+++ b/crates/mustard-fakes/src/site/mod.rs
@@ -143,10 +143,25 @@
 pub struct Arrival {
     /// The server's index.
     pub server: usize,
+    /// Counts the starts of the server.
+    pub incarnation: u64,
     /// The header `Attempt-Id`.
     pub id: String,
     /// When it arrived.
     pub at: Instant,
+    /// What the server answers it with besides the result.
+    pub notice: Notice,
+}
+
+/// What a server says about itself in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Notice {
+    /// Nothing.
+    None,
+    /// That it is leaving.
+    Leaving,
+    /// That it wants no requests for this time.
+    Pause(Duration),
 }
 
 /// The end of a server that ran a poison content.
--- a/crates/mustard-tests/src/site_soak/calls.rs
+++ b/crates/mustard-tests/src/site_soak/calls.rs
@@ -3,7 +3,7 @@
 use std::io::Read;
 use std::net::SocketAddr;
 
-use mustard_fakes::site::{API_KEY, HOST};
+use mustard_fakes::site::{API_KEY, HOST, POISON};
 
 use crate::http::HttpRequest;
 
@@ -37,15 +37,29 @@
 impl RequestKind {
     /// Sends a request of this kind and reads its answer.
     pub(super) fn send(self, to: SocketAddr, id: &str) -> CallResult {
+        self.send_to_path(to, "x", id, API_KEY)
+    }
+
+    /// Sends a request of this kind under another API key.
+    pub(super) fn send_with_key(self, to: SocketAddr, id: &str, key: &str) -> CallResult {
+        self.send_to_path(to, "x", id, key)
+    }
+
+    /// Sends a request of this kind with a poison content.
+    pub(super) fn send_poison(self, to: SocketAddr, id: &str) {
+        // Whatever the answer is, only the servers that it reaches matter.
+        let _ = self.send_to_path(to, POISON, id, API_KEY);
+    }
+
+    fn send_to_path(self, to: SocketAddr, name: &str, id: &str, key: &str) -> CallResult {
         let request = match self {
-            RequestKind::Draft => {
-                HttpRequest::post(to, "/draft/x", "{}").header("token-count", "100,80")
-            }
-            RequestKind::Booking => HttpRequest::post(to, "/book/x", "{}"),
-            RequestKind::Status => HttpRequest::get(to, "/status/x"),
+            RequestKind::Draft => HttpRequest::post(to, format!("/draft/{name}"), "{}")
+                .header("token-count", "100,80"),
+            RequestKind::Booking => HttpRequest::post(to, format!("/book/{name}"), "{}"),
+            RequestKind::Status => HttpRequest::get(to, format!("/status/{name}")),
         };
         let request = request
-            .bearer(API_KEY)
+            .bearer(key)
             .header("host", HOST)
             .header("attempt-id", id);
         let Ok(mut response) = request.header("time-budget-ms", "7000").open_response() else {
--- a/crates/mustard-tests/src/site_soak/faults.rs
+++ b/crates/mustard-tests/src/site_soak/faults.rs
@@ -14,12 +14,19 @@
 use crate::errors::Result;
 
 use super::Testbed;
+use super::duties::Disturbed;
 use super::proxy::ProxyFault;
 
 /// The range of times between the starts of two faults.
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 50..900;
 /// The range of a fault's duration.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 100..2_500;
+/// The range of the age of a copy from which the store is restored.
+const COPY_AGE_MS: std::ops::Range<u64> = 200..6_000;
+/// For how long a server turns requests away.
+const PAUSE: Duration = Duration::from_millis(1_500);
+/// How long after its time a fault may still last; a process that is asked to stop has ended by then.
+const END_MARGIN: Duration = Duration::from_millis(500);
 const TICK: Duration = Duration::from_millis(10);
 
 /// A fault and its target: the index of a server or gateway.
@@ -35,6 +42,10 @@
     StopGateway(usize),
     ReloadGateway(usize),
     ChangeConfig,
+    /// The store is away and comes back from a copy of this age, in milliseconds.
+    RestoreStore(u64),
+    /// A server says that it is leaving, and another process takes its place in the end.
+    LeaveServer(usize),
 }
 
 impl Fault {
@@ -54,8 +65,9 @@
             ServerFault::ResetsConnections,
             ServerFault::LosesAnswers,
             ServerFault::AnswersError,
+            ServerFault::TurnsAway(PAUSE),
         ];
-        match rng.random_range(0..14) {
+        match rng.random_range(0..17) {
             0..3 => Fault::Proxy(server, proxy_fault(rng)),
             3 => Fault::StoreProxy(proxy_fault(rng)),
             4 => Fault::StoreMode(*modes.choose(rng).unwrap_or(&StoreMode::Busy)),
@@ -68,6 +80,8 @@
             9..11 => Fault::KillGateway(gateway),
             11 => Fault::StopGateway(gateway),
             12 => Fault::ReloadGateway(gateway),
+            13 => Fault::LeaveServer(server),
+            14 => Fault::RestoreStore(rng.random_range(COPY_AGE_MS)),
             _ => Fault::ChangeConfig,
         }
     }
@@ -86,6 +100,8 @@
             Fault::StopGateway(_) => "gateway stopped",
             Fault::ReloadGateway(_) => "settings read again",
             Fault::ChangeConfig => "configuration changed",
+            Fault::RestoreStore(_) => "store restored from a copy",
+            Fault::LeaveServer(_) => "server leaving",
         }
     }
 
@@ -102,10 +118,13 @@
             Fault::ReloadGateway(gateway) => testbed.gateways[gateway].reload()?,
             Fault::ChangeConfig => {
                 testbed.config_version += 1;
+                let key = newest_key(testbed.config_version);
                 testbed
                     .site
-                    .write_config(testbed.config_version, &[API_KEY, "another"]);
+                    .write_config(testbed.config_version, &[API_KEY, &key]);
             }
+            Fault::RestoreStore(_) => testbed.site.set_store_fault(StoreMode::ResetsConnections),
+            Fault::LeaveServer(server) => testbed.site.set_leaving(server),
         }
         Ok(())
     }
@@ -123,10 +142,35 @@
                 testbed.gateways[gateway].signal(Signal::CONT)?;
                 testbed.gateways[gateway].restart()?;
             }
+            Fault::RestoreStore(age_ms) => {
+                testbed.site.restore_store(Duration::from_millis(age_ms));
+                testbed.site.set_store_fault(StoreMode::Healthy);
+                testbed.site.write_rows_again();
+            }
+            Fault::LeaveServer(server) => testbed.site.restart(server),
             Fault::RestartServer(_) | Fault::ReloadGateway(_) | Fault::ChangeConfig => {}
         }
         Ok(())
     }
+
+    /// Returns what a fault disturbs, as far as an obligation of a gateway may depend on it.
+    fn disturbs(self) -> Option<Disturbed> {
+        match self {
+            Fault::Proxy(server, _) => Some(Disturbed::WayTo(server)),
+            Fault::StoreProxy(_) | Fault::StoreMode(_) | Fault::RestoreStore(_) => {
+                Some(Disturbed::Store)
+            }
+            Fault::FreezeGateway(gateway)
+            | Fault::KillGateway(gateway)
+            | Fault::StopGateway(gateway) => Some(Disturbed::Gateway(gateway)),
+            _ => None,
+        }
+    }
+}
+
+/// Returns the API key that a version of the configuration adds.
+pub(super) fn newest_key(version: u64) -> String {
+    format!("another-{version}")
 }
 
 /// Injects faults for a time, ends all of them, and returns the number of each by name.
@@ -152,6 +196,11 @@
             let fault_duration = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
             next = now + Duration::from_millis(rng.random_range(FAULT_INTERVAL_MS));
             fault.begin(testbed)?;
+            if let Some(what) = fault.disturbs() {
+                // Faults end at the next tick, or in the order of their ends.
+                let until = now + fault_duration + END_MARGIN;
+                testbed.record.add(what, now, until);
+            }
             *counts.entry(fault.name().to_owned()).or_insert(0) += 1;
             active.push((now + fault_duration, fault));
         }
--- a/crates/mustard-tests/src/site_soak/mod.rs
+++ b/crates/mustard-tests/src/site_soak/mod.rs
@@ -4,6 +4,7 @@
 //! Guarantees are checked by what callers receive and what the servers ran.
 
 mod calls;
+mod duties;
 mod faults;
 mod gateways;
 mod proxy;
@@ -19,13 +20,14 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use mustard_fakes::site::{API_KEY, Site, SiteOptions};
+use mustard_fakes::site::{API_KEY, PoisonTarget, Site, SiteOptions};
 
 use crate::errors::{Result, TestError};
 use crate::ports::free_port;
 use crate::wait::wait_for;
 
 use calls::{CallResult, RequestKind};
+use duties::Record;
 use gateways::Gateway;
 use proxy::Proxy;
 
@@ -36,6 +38,10 @@
 const STREAM_EVENTS: u64 = 40;
 /// The range of pauses between two requests of a caller.
 const REQUEST_INTERVAL_MS: std::ops::Range<u64> = 5..120;
+/// The range of pauses between two requests with poison contents.
+const POISON_INTERVAL_MS: std::ops::Range<u64> = 50..500;
+/// How long a server that a poison content has ended stays away.
+const POISON_DOWN_TIME: Duration = Duration::from_millis(800);
 /// The additional pause of a caller that got no response head.
 const NO_ANSWER_DELAY: Duration = Duration::from_millis(50);
 /// The time limit after the last fault for all requests to be served again.
@@ -78,6 +84,8 @@
     proxies: Vec<Proxy>,
     store_proxy: Proxy,
     config_version: u64,
+    /// What was disturbed, and when.
+    record: Record,
     dir: PathBuf,
 }
 
@@ -88,15 +96,26 @@
 /// Returns an error if the processes can't be started.
 pub fn run(plan: SitePlan) -> Result<Tally> {
     let mut testbed = Testbed::start(&plan)?;
-    let callers = CallerPool::start(&plan, &testbed);
+    let mut callers = CallerPool::start(&plan, &testbed);
     testbed.wait_all_served(&callers)?;
+    let target = if plan.seed.is_multiple_of(2) {
+        PoisonTarget::First
+    } else {
+        PoisonTarget::Last
+    };
+    testbed.site.set_poison(target, POISON_DOWN_TIME);
+    callers.start_poison(plan.seed, &testbed);
     let faults = faults::inject_faults(&mut testbed, plan.seed, plan.duration)?;
     thread::sleep(RECOVERY_TIME);
     callers.expect_success();
     thread::sleep(CHECK_TIME);
     let mut tally = callers.stop();
     tally.faults = faults;
-    tally.check_runs(&testbed.site.ledger());
+    let ledger = testbed.site.ledger();
+    tally.check_runs(&ledger);
+    let neglected = duties::find_neglected(&ledger, &testbed.record);
+    tally.violations.extend(neglected);
+    tally.violations.extend(testbed.find_old_configs());
     for gateway in &testbed.gateways {
         let exits = gateway.unexpected_exits.iter();
         tally
@@ -149,10 +168,31 @@
             proxies,
             store_proxy,
             config_version: 1,
+            record: Record::default(),
             dir,
         })
     }
 
+    /// Returns a description of each gateway at which the newest configuration isn't in force.
+    fn find_old_configs(&self) -> Vec<String> {
+        if self.config_version == 1 {
+            return Vec::new();
+        }
+        let key = faults::newest_key(self.config_version);
+        let mut found = Vec::new();
+        for (number, gateway) in self.gateways.iter().enumerate() {
+            let id = duties::request_id('k', number, 0);
+            let result = RequestKind::Status.send_with_key(gateway.caller_addr(), &id, &key);
+            if !matches!(result, CallResult::Answer { status: 200, .. }) {
+                let version = self.config_version;
+                found.push(format!(
+                    "gateway {number} doesn't serve a key of version {version}: {result:?}"
+                ));
+            }
+        }
+        found
+    }
+
     /// Waits until a request of each kind has been served.
     fn wait_all_served(&self, callers: &CallerPool) -> Result<()> {
         let kinds = [
@@ -191,6 +231,7 @@
         for (number, gateway) in testbed.gateways.iter().enumerate() {
             for i in 0..plan.callers {
                 let caller = Caller {
+                    gateway: number,
                     gateway_addr: gateway.caller_addr(),
                     tally: Arc::clone(&callers.tally),
                     stop: Arc::clone(&callers.stop),
@@ -206,6 +247,27 @@
         callers
     }
 
+    /// Sends poison contents to gateways chosen at random until the callers are stopped or the faults
+    /// are over.
+    fn start_poison(&mut self, seed: u64, testbed: &Testbed) {
+        let gateways: Vec<_> = testbed.gateways.iter().map(Gateway::caller_addr).collect();
+        let (stop, faults_over) = (Arc::clone(&self.stop), Arc::clone(&self.faults_over));
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        self.threads.push(thread::spawn(move || {
+            let is_over = || stop.load(Ordering::SeqCst) || faults_over.load(Ordering::SeqCst);
+            let mut number = 0;
+            while !is_over() {
+                let gateway = rng.random_range(0..gateways.len());
+                let poison = rng.random_range(0..duties::POISON_KINDS.len());
+                let id = duties::request_id(duties::POISON_KINDS[poison], gateway, number);
+                let kind = [RequestKind::Draft, RequestKind::Booking][poison];
+                kind.send_poison(gateways[gateway], &id);
+                number += 1;
+                thread::sleep(Duration::from_millis(rng.random_range(POISON_INTERVAL_MS)));
+            }
+        }));
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Tally> {
         self.tally.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -226,6 +288,7 @@
 }
 
 struct Caller {
+    gateway: usize,
     gateway_addr: SocketAddr,
     tally: Arc<Mutex<Tally>>,
     stop: Arc<AtomicBool>,
@@ -242,7 +305,8 @@
                 6..8 => RequestKind::Booking,
                 _ => RequestKind::Status,
             };
-            let id = format!("s{:06}", self.next_id.fetch_add(1, Ordering::Relaxed));
+            let number = self.next_id.fetch_add(1, Ordering::Relaxed);
+            let id = duties::request_id('s', self.gateway, number);
             let expects_success = self.faults_over.load(Ordering::SeqCst);
             let result = kind.send(self.gateway_addr, &id);
             let no_answer = result == CallResult::Nothing;
