Watch failed runs less often, and tell peers at once only of repeated strikes

While many servers fail, each stalled stream kept a task that looked at its servers ten times a second for six seconds, although the reports that the stall had asked for showed them alive, and each strike called up to eight peers. A single strike reaches the others with the next round.

--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -103,7 +103,7 @@
     pub retry_budgets: RefCell<Map<String, RetryBudgetShare>>,
     /// The request contents that servers died running, and those that are refused for it.
     pub quarantine: RefCell<Quarantine>,
-    /// Wakes the exchange with peers when a strike was recorded here.
+    /// Wakes the exchange with peers when an urgent strike was recorded here.
     pub strike_news: Notify,
     /// Wakes the task that keeps the own rows of the store when a content was quarantined here.
     pub quarantined: Notify,
--- a/crates/mustard-gateway/src/peers.rs
+++ b/crates/mustard-gateway/src/peers.rs
@@ -43,7 +43,7 @@
 const OTHERS_ROUNDS: usize = 8;
 /// The most of these in one round.
 const MAX_OTHERS: usize = 8;
-/// The most peers called at once when a strike was recorded.
+/// The most peers called at once with urgent strikes.
 const NEWS_FANOUT: usize = 8;
 /// The least time between two such calls.
 const NEWS_INTERVAL: Duration = Duration::from_millis(100);
@@ -324,8 +324,8 @@
 }
 
 /// Calls peers for the life of the process: in each round a few of those that are alive and some of
-/// the others, and up to [`NEWS_FANOUT`] of those that are alive at once when a strike was recorded
-/// here.
+/// the others, and up to [`NEWS_FANOUT`] of those that are alive at once when a strike recorded here is
+/// urgent.
 pub async fn run(app: Rc<App>) {
     loop {
         call_peers(&app, FANOUT, true);
--- a/crates/mustard-gateway/src/strikes.rs
+++ b/crates/mustard-gateway/src/strikes.rs
@@ -32,7 +32,12 @@
 /// How long a server that doesn't answer is watched for signs that it has ended; it is listed again
 /// or removed from the list within this time.
 const WATCH_TIME: Duration = Duration::from_secs(6);
-const WATCH_INTERVAL: Duration = Duration::from_millis(100);
+const WATCH_INTERVAL: Duration = Duration::from_millis(250);
+/// The age up to which a report shows that a server of a stalled stream still runs; it was asked for
+/// after the stream had stalled.
+const STALL_REPORT_AGE: Duration = Duration::from_millis(60);
+/// Peers are told at once of a content with this many strikes.
+const URGENT_STRIKES: usize = 2;
 
 /// How a run failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -96,7 +101,10 @@
             }
             app.quarantined.notify_waiters();
         }
-        app.strike_news.notify_one();
+        // Single strikes are frequent while servers fail, and the next round is early enough for them.
+        if app.quarantine.borrow().strikes_of(run.content).count() >= URGENT_STRIKES {
+            app.strike_news.notify_one();
+        }
     });
 }
 
@@ -114,10 +122,14 @@
         },
         Failure::ConnectionLost | Failure::Stalled => {}
     }
+    let since = match run.failure {
+        Failure::Stalled => failed_at - STALL_REPORT_AGE,
+        _ => failed_at,
+    };
     loop {
         let states: Vec<_> = {
             let fleet = app.fleet.borrow();
-            let state = |p: &ServerProcess| fleet.process_state(p, failed_at);
+            let state = |p: &ServerProcess| fleet.process_state(p, since);
             run.processes.iter().map(state).collect()
         };
         if let Some(i) = states.iter().position(|s| *s == ProcessState::Ended) {
