--- a/crates/mustard-gateway/src/stream_watch.rs
+++ b/crates/mustard-gateway/src/stream_watch.rs
@@ -39,9 +39,9 @@
 /// The most paths that are ordered to move one stream; another is tried only after a refusal that
 /// names the server at fault.
 const MAX_REPATHS: u32 = 3;
-/// How often one attempt is moved to another path; a content that ends servers is resumed less often
-/// than it could be moved.
-const MAX_MOVES: u32 = 3;
+/// How often one attempt is moved to another path, so that a content that ends servers stops doing so
+/// even before their ends show.
+const MAX_MOVES: u32 = 10;
 /// The interval between two calls to a server that didn't answer.
 const SILENT_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 /// The longest pause of a stream; after it the attempt is abandoned even if no server is at fault.
