--- a/crates/mustard-gateway/src/active_streams.rs
+++ b/crates/mustard-gateway/src/active_streams.rs
@@ -77,6 +77,12 @@
         stream.map(|s| s.processes.clone()).unwrap_or_default()
     }
 
+    /// Tells whether the attempt was moved to another path.
+    pub fn was_moved(&self) -> bool {
+        let streams = self.app.streams.borrow();
+        streams.get(self.key).is_some_and(|s| s.moves > 0)
+    }
+
     /// Records that events arrived.
     pub fn record_events(&self, now: Moment) {
         let mut streams = self.app.streams.borrow_mut();
--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -198,7 +198,10 @@
         let first_server = attempt.first_server;
         let processes = attempt.guard.processes();
         let next = match end {
-            AttemptEnd::Complete => return session.finish_served(),
+            AttemptEnd::Complete => {
+                let has_failed = session.attempts.possible_runs > 1 || attempt.guard.was_moved();
+                return session.finish_served(has_failed);
+            }
             AttemptEnd::CallerLeft => return metric::count_request("stream", "caller left"),
             AttemptEnd::Deadline => return session.abort("deadline").await,
             AttemptEnd::Stalled => {
@@ -235,7 +238,7 @@
                 attempt = same;
                 continue;
             }
-            Continuation::Ended => return session.finish_served(),
+            Continuation::Ended => return session.finish_served(true),
             Continuation::Failed => return session.abort("no server resumed the stream").await,
         };
         metric::count_moved_stream("resumed");
@@ -359,12 +362,15 @@
         log_failed_attempt(&self.app, &self.request, first_server, cause);
     }
 
-    /// Records that the stream was served, and clears the request's content: strikes for earlier
-    /// deaths of servers that ran the content no longer count.
-    fn finish_served(self) {
-        let now = self.app.now();
-        let fingerprint = self.request.fingerprint;
-        self.app.quarantine.borrow_mut().clear(now, fingerprint);
+    /// Records that the stream was served. Unless a run of it failed, this clears the request's
+    /// content: strikes for earlier deaths of servers that ran the content no longer count. A stream that
+    /// was moved may have ended the servers that it was moved off.
+    fn finish_served(self, has_failed_run: bool) {
+        if !has_failed_run {
+            let now = self.app.now();
+            let fingerprint = self.request.fingerprint;
+            self.app.quarantine.borrow_mut().clear(now, fingerprint);
+        }
         record_served(
             &self.app,
             &self.request,
