--- a/crates/mustard-fakes/src/site/mod.rs
+++ b/crates/mustard-fakes/src/site/mod.rs
@@ -324,7 +324,8 @@
         self.write_row(server);
     }
 
-    /// Makes a server say in each answer that it is leaving; its row stays as it is.
+    /// Makes a server say in each answer that it is leaving (`Server-Leaving: 1`); its row stays as it
+    /// is.
     pub fn set_leaving(&self, server: usize) {
         self.lock().servers[server].leaving = true;
     }
@@ -336,8 +337,9 @@
         state.down_time = down_time;
     }
 
-    /// Restores the store from a copy that is `age` old: what was written since is gone, and its
-    /// revisions are given out again. Nobody has written anything again yet.
+    /// Restores the store from a copy that is `age` old: what was written since is gone, its revisions
+    /// are given out again, and `Store-Era` rises in all its answers. Nobody has written anything
+    /// again yet.
     pub fn restore_store(&self, age: Duration) {
         self.lock().store.restore(age);
         self.changed.notify_waiters();
