--- a/crates/mustard-gateway/tests/gateway/poison.rs
+++ b/crates/mustard-gateway/tests/gateway/poison.rs
@@ -92,6 +92,13 @@
     check_one_gateway("/draft/poison", PoisonTarget::Last, options()).await;
 }
 
+/// Guards against a request that stays open while its content ends most of the few servers there are.
+#[ntex::test]
+async fn poison_stream_few_servers() {
+    let options = SiteOptions::default();
+    check_one_gateway("/draft/poison", PoisonTarget::Last, options).await;
+}
+
 /// Guards against a poison content in a request that may be repeated and isn't a stream.
 #[ntex::test]
 async fn poison_read() {
