Keep what peers report for the next round, and ask no paused server for a report

A round of urgent strikes dropped which peers others had reported as alive without calling them. A server that wants nothing now was asked for a report if its connection was lost. A report from before the server fell silent no longer counts as a sign of life.

--- a/crates/mustard-gateway/src/fleet/server.rs
+++ b/crates/mustard-gateway/src/fleet/server.rs
@@ -166,7 +166,7 @@
         let started_ms = reported.map_or(self.entry.started_ms, |(_, r)| r.started_ms);
         if started_ms != process.started_ms || self.has_no_listener {
             ProcessState::Ended
-        } else if reported.is_some() {
+        } else if reported.is_some() && self.silent_since.is_none() {
             ProcessState::Running
         } else {
             ProcessState::Unknown
--- a/crates/mustard-gateway/src/peers.rs
+++ b/crates/mustard-gateway/src/peers.rs
@@ -189,7 +189,7 @@
         for (addr, peer) in &mut self.known {
             if peer.is_alive(now) {
                 heard.push(*addr);
-            } else if std::mem::take(&mut peer.is_reported) {
+            } else if with_others && std::mem::take(&mut peer.is_reported) {
                 reported.push(*addr);
             } else {
                 rest.push(*addr);
@@ -337,6 +337,7 @@
     }
 }
 
+/// Calls the peers that [`Peers::choose`] returns.
 fn call_peers(app: &Rc<App>, alive: usize, with_others: bool) {
     let now = app.now();
     let rng = &mut *app.rng.borrow_mut();
--- a/crates/mustard-gateway/src/strikes.rs
+++ b/crates/mustard-gateway/src/strikes.rs
@@ -35,7 +35,7 @@
 const WATCH_INTERVAL: Duration = Duration::from_millis(250);
 /// The age up to which a report shows that a server of a stalled stream still runs; it was asked for
 /// after the stream had stalled.
-const STALL_REPORT_AGE: Duration = Duration::from_millis(60);
+const STALL_REPORT_AGE: Duration = Duration::from_millis(150);
 /// Peers are told at once of a content with this many strikes.
 const URGENT_STRIKES: usize = 2;
 
@@ -143,7 +143,11 @@
     }
 }
 
+/// Returns whether a process still runs by its report; true if it may not be asked now.
 async fn still_reports(app: &App, process: &ServerProcess) -> bool {
+    if app.fleet.borrow().is_paused(app.now(), process.addr) {
+        return true;
+    }
     match fetch_report(app, process.addr, REPORT_TIMEOUT).await {
         Ok(report) => report.started_ms == process.started_ms,
         Err(_) => false,
