Close the connection of an aborted stream within a tenth of a second

What callers saw: a request that stays open after its time is over, here for minutes.

Cause: the HTTP server doesn't always finish a close that the body asks for while it waits for that body, so neither a final chunk nor the end of the connection reached the caller.

Fix: 100 ms after asking for the close, the body ends the connection. Events that were already written have left by then.

Evidence: stream_past_deadline failed each time (no end 14 s after the request) and passes; a plain socket saw the end at 7.10 s for a time of 7 s.

--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -13,7 +13,7 @@
 use slog::{info, warn};
 use thiserror::Error;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Sleep, sleep, timeout};
 
 use mustard_adapter::responses;
 use mustard_core::deployment::RouteKind;
@@ -37,6 +37,9 @@
 /// Retry delay for callers if there is no path; a restarted server takes about this long to load
 /// its layers again.
 const PATH_RETRY_AFTER: Duration = Duration::from_millis(1_500);
+/// How long the events of an aborted stream that were already written may take to leave. The HTTP server
+/// doesn't always finish a close that it was asked for while it waits for the body.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Retry delay for callers if the servers are full or can't be reached.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(700);
 
@@ -51,7 +54,14 @@
     /// The caller's connection; `None` if the HTTP server gives no access to it.
     io: Option<IoRef>,
     /// Set once the body closes the connection because the stream was aborted.
-    closing: Option<OnDisconnect>,
+    closing: Option<Closing>,
+}
+
+/// A connection that is being closed.
+struct Closing {
+    disconnected: OnDisconnect,
+    /// When the connection is closed at once, whatever is still to be written.
+    limit: Pin<Box<Sleep>>,
 }
 
 impl EventBody {
@@ -64,12 +74,17 @@
         let Some(io) = &self.io else {
             return Poll::Ready(Some(Err(StreamAborted)));
         };
-        if self.closing.is_none() {
+        let closing = self.closing.get_or_insert_with(|| {
             io.close();
-        }
-        let closing = self.closing.get_or_insert_with(|| io.on_disconnect());
-        if Pin::new(closing).poll(cx).is_ready() {
+            Closing {
+                disconnected: io.on_disconnect(),
+                limit: Box::pin(sleep(CLOSE_TIMEOUT)),
+            }
+        });
+        if Pin::new(&mut closing.disconnected).poll(cx).is_ready() {
             cx.waker().wake_by_ref();
+        } else if closing.limit.as_mut().poll(cx).is_ready() {
+            io.terminate();
         }
         Poll::Pending
     }
--- a/crates/mustard-gateway/tests/gateway/main.rs
+++ b/crates/mustard-gateway/tests/gateway/main.rs
@@ -43,6 +43,20 @@
     (site, gateway, caller)
 }
 
+/// Starts a site and a gateway, and waits until it has a path for streams.
+async fn start_ready_without_stream(options: SiteOptions) -> (Site, Gateway, Caller) {
+    let site = start_site(options.clone());
+    let caller = Caller::new().await;
+    let gateway = Gateway::start_ready(&site, &caller).await;
+    let model_servers: usize = options.servers.iter().sum();
+    wait_until("a placement", || {
+        (0..model_servers).all(|i| site.loaded_layers(i).is_some())
+    })
+    .await;
+    tokio::time::sleep(PROPAGATION_LIMIT).await;
+    (site, gateway, caller)
+}
+
 /// Waits until a gateway serves streams.
 async fn wait_for_paths(options: &SiteOptions, site: &Site, gateway: &Gateway, caller: &Caller) {
     let model_servers: usize = options.servers.iter().sum();
@@ -223,6 +237,29 @@
     assert!(stream_text("dead-1", EVENT_COUNT).starts_with(&answer.text));
 }
 
+/// Guards against a request that stays open after the gateway has given it up: the caller's time is
+/// over while events still arrive.
+#[ntex::test]
+async fn stream_past_deadline() {
+    let options = SiteOptions {
+        event_interval: Duration::from_millis(190),
+        ..SiteOptions::default()
+    };
+    // 40 events take longer than the seven seconds that the caller waits.
+    let (site, gateway, _caller) = start_ready_without_stream(options).await;
+    for number in 0..3 {
+        let id = ["past-0", "past-1", "past-2"][number];
+        let asked = Instant::now();
+        let answer = start_stream(&site, &gateway, id).await.await.unwrap();
+        assert!(!answer.unwrap().complete);
+        assert!(
+            asked.elapsed() < Duration::from_millis(7_500),
+            "{:?}",
+            asked.elapsed()
+        );
+    }
+}
+
 /// When a caller disconnects, its run is cancelled soon after.
 #[ntex::test]
 async fn stream_caller_left() {
