--- a/crates/mustard-net/src/errors.rs
+++ b/crates/mustard-net/src/errors.rs
@@ -15,7 +15,7 @@
     NotSent(String),
     /// Nothing listens at the address, so nothing was sent; the process there has ended or not
     /// started yet.
-    #[error("connection refused: {0}")]
+    #[error("connection failed: {0}")]
     NoListener(String),
     /// The message may have been sent, but no complete answer came back.
     #[error("no answer: {0}")]
