Don't count ends of servers against a content that has just run well

Cause: the content of all callers there ran on each server that a poison content ended, and got a strike for each.

Fix: a request that ran to its end without a failed run proves its content for a minute. Strikes for ends in that time don't count, and the process that knows so clears them at the others. A content that ends each server that runs it never gets there.

--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -190,7 +190,7 @@
                 server.backoff.clear();
             }
             let content = request.fingerprint;
-            app.quarantine.borrow_mut().clear(now, content);
+            app.quarantine.borrow_mut().record_success(now, content);
             return;
         }
         Ok(_) => "error answer",
--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -384,7 +384,8 @@
         if !has_failed_run {
             let now = self.app.now();
             let fingerprint = self.request.fingerprint;
-            self.app.quarantine.borrow_mut().clear(now, fingerprint);
+            let mut quarantine = self.app.quarantine.borrow_mut();
+            quarantine.record_success(now, fingerprint);
         }
         record_served(
             &self.app,
--- a/crates/mustard-policy/src/quarantine.rs
+++ b/crates/mustard-policy/src/quarantine.rs
@@ -27,6 +27,9 @@
 /// The sum of weights that the strikes of a content must exceed.
 const WEIGHT_THRESHOLD: f64 = 1.0;
 
+/// How long after a content ran to its end without a failed run deaths don't count against it.
+const PROOF_TIME: Duration = Duration::from_secs(60);
+
 /// Settings of the quarantine.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -113,6 +116,8 @@
     settings: Settings,
     records: Map<Fingerprint, ContentRecord>,
     cleared: Map<Fingerprint, Moment>,
+    /// When each content last ran to its end without a failed run.
+    proven: Map<Fingerprint, Moment>,
 }
 
 impl Quarantine {
@@ -173,6 +178,16 @@
         if until <= now || cleared.is_some_and(|at| *at >= strike.at) {
             return false;
         }
+        let proven = self.proven.get(&strike.fingerprint);
+        if proven.is_some_and(|at| *at + PROOF_TIME > strike.at) {
+            // Also releases the content at the process that the strike came from.
+            let clearance = Clearance {
+                fingerprint: strike.fingerprint,
+                at: strike.at,
+            };
+            self.apply_clearance(now, clearance);
+            return false;
+        }
         let min_deaths = self.settings.min_deaths;
         let record = self
             .records
@@ -209,6 +224,17 @@
         known
     }
 
+    /// Records that a content ran to its end without a failed run. This clears it, and strikes for
+    /// deaths within [`PROOF_TIME`] don't count: servers that died meanwhile ran it beside others.
+    pub fn record_success(&mut self, now: Moment, fingerprint: Fingerprint) {
+        self.clear(now, fingerprint);
+        if self.proven.len() >= self.settings.capacity {
+            self.proven.retain(|_, at| *at + PROOF_TIME > now);
+            evict_oldest(&mut self.proven, self.settings.capacity, |at| *at);
+        }
+        self.proven.insert(fingerprint, now);
+    }
+
     /// Records a clearance, from this or another process.
     pub fn apply_clearance(&mut self, now: Moment, clearance: Clearance) {
         let Clearance { fingerprint, at } = clearance;
--- a/crates/mustard-policy/tests/quarantine.rs
+++ b/crates/mustard-policy/tests/quarantine.rs
@@ -214,3 +214,24 @@
     assert_eq!(q.standing(after, SUSPECT), Standing::Clear);
     assert_eq!(q.strikes(after).len(), 0);
 }
+
+/// Guards against the quarantine of a harmless content that many requests have: it runs on each server
+/// that a poison content ends, in one process that has seen it succeed and in one that hasn't.
+#[test]
+fn record_strike_proven_content() {
+    let mut proven = Quarantine::default();
+    let mut unaware = Quarantine::default();
+    proven.record_success(NOW, SUSPECT);
+    let later = |ms| NOW + Duration::from_millis(ms);
+    for vm in 0..5 {
+        let strike = strike_at(vm, later(100 * vm as u64));
+        assert!(!proven.record_strike(later(500), &strike));
+        unaware.record_strike(later(500), &strike);
+    }
+    assert!(is_quarantined(&unaware, SUSPECT));
+    for clearance in proven.clearances(later(600)) {
+        unaware.apply_clearance(later(600), clearance);
+    }
+    assert!(!is_quarantined(&unaware, SUSPECT));
+    assert!(!is_quarantined(&proven, SUSPECT));
+}
