Check in the lease's test that each era of the table has one holder at most

The check had counted only the newest era's holders once the table was restored; now each era is checked, so without a restoration it is the check as it was before, and with one it is as strict within each era.

--- a/crates/mustard-platform/tests/lease.rs
+++ b/crates/mustard-platform/tests/lease.rs
@@ -165,13 +165,16 @@
         let held: Vec<_> = self.leases.iter().filter_map(held_by).collect();
         // A holder from before a restoration can't know that its row is lost; its token is lower than
         // those of the new era, so that its orders are refused.
-        let current = held
-            .iter()
-            .filter(|(_, fence)| *fence >= Fence::first_of(self.era));
-        assert!(
-            current.count() <= 1,
-            "two processes hold the lease: {held:?}"
-        );
+        let mut era = Era(0);
+        while era <= self.era {
+            let range = Fence::first_of(era)..Fence::first_of(era.next());
+            let holders = held.iter().filter(|(_, fence)| range.contains(fence));
+            assert!(
+                holders.count() <= 1,
+                "two processes hold the lease: {held:?}"
+            );
+            era = era.next();
+        }
         for (incarnation, fence) in held {
             let holder = self.holder_of.entry(fence).or_insert(incarnation);
             assert_eq!(*holder, incarnation, "two processes had fence {fence}");
