Log the shared segments of a prompt, and how far a run had come when it failed

The logs of the incident couldn't tell its hypotheses apart: they named the digest of the whole request, but neither the parts that requests have in common nor whether a server had just begun to write. Now 'Path chosen' and 'A server ended under a request' name the segments, and the latter for how long the servers had been writing. A pause counts as writing up to 100 ms, so that a process that was suspended between two events doesn't take that time for writing. No decision depends on either yet.

--- a/crates/mustard-gateway/src/active_streams.rs
+++ b/crates/mustard-gateway/src/active_streams.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::sync::Notify;
 
@@ -33,6 +34,8 @@
     pub processes: Vec<ServerProcess>,
     /// The fingerprint of the request's content.
     pub content: Fingerprint,
+    /// The segments of its prompt that other prompts may share.
+    pub segments: Rc<[Fingerprint]>,
     /// How often the attempt was moved to another path.
     pub moves: u32,
     /// The tokens and the failure domain by which its path was chosen.
@@ -77,6 +80,14 @@
         stream.map(|s| s.processes.clone()).unwrap_or_default()
     }
 
+    /// Returns for how long the servers of the current path have been writing.
+    pub fn written(&self) -> Duration {
+        let streams = self.app.streams.borrow();
+        streams
+            .get(self.key)
+            .map_or(Duration::ZERO, |s| s.progress.written)
+    }
+
     /// Tells whether the attempt was moved to another path.
     pub fn was_moved(&self) -> bool {
         let streams = self.app.streams.borrow();
--- a/crates/mustard-gateway/src/forward/open_stream.rs
+++ b/crates/mustard-gateway/src/forward/open_stream.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use slog::info;
 use tokio::sync::Notify;
@@ -17,7 +18,7 @@
 use crate::fleet::{LoadGuard, ServerFilter, ServerProcess};
 use crate::log_limit::Topic;
 use crate::stream_watch::probe_faulty_server;
-use crate::strikes::{self, FailedRun, Failure, is_quarantined};
+use crate::strikes::{self, FailedRun, Failure, format_segments, is_quarantined};
 
 use super::events::EventParser;
 use super::send::{ResponseHead, SendError, Target, send_request};
@@ -105,6 +106,7 @@
             parts: target.path.clone(),
             processes: target.processes.clone(),
             content: request.fingerprint,
+            segments: Rc::clone(&request.params.segments),
             moves: 0,
             demand,
             progress: Progress::start(now),
@@ -142,14 +144,14 @@
             }
             Err(error) => {
                 drop(guard);
-                match error {
-                    SendError::Lost => {
-                        record_failed_run(app, request, target.processes, Failure::ConnectionLost);
-                    }
-                    SendError::GivenUp => {
-                        record_failed_run(app, request, target.processes, Failure::Stalled);
-                    }
-                    SendError::NotSent | SendError::NotRun(..) => {}
+                let failure = match error {
+                    SendError::Lost => Some(Failure::ConnectionLost),
+                    SendError::GivenUp => Some(Failure::Stalled),
+                    SendError::NotSent | SendError::NotRun(..) => None,
+                };
+                if let Some(failure) = failure {
+                    let written = Duration::ZERO;
+                    record_failed_run(app, request, target.processes, written, failure);
                 }
                 attempts
                     .avoid
@@ -275,10 +277,13 @@
     app: &Rc<App>,
     request: &AdmittedRequest,
     processes: Vec<ServerProcess>,
+    written: Duration,
     failure: Failure,
 ) {
     let run = FailedRun {
         content: request.fingerprint,
+        segments: Rc::clone(&request.params.segments),
+        written,
         request: request.params.id.clone(),
         processes,
         failure,
@@ -292,6 +297,7 @@
         info!(log, "request: Path chosen."; "request" => &request.params.id,
             "service" => &request.service.name, "first" => %target.addr,
             "servers" => format_servers(&target.path), "crossings" => target.crossings,
+            "segments" => format_segments(&request.params.segments),
             "after" => last_event, "config" => version, "view_ms" => app.list_age_ms(),
             "waited_ms" => app.now().ms_since(request.arrived));
     }
--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -210,7 +210,8 @@
     drop(fleet);
     if matches!(sent.result, Err(SendError::Lost)) {
         let failure = Failure::PlainConnectionLost(request.service.health_path.clone());
-        record_failed_run(app, request, sent.processes.clone(), failure);
+        let processes = sent.processes.clone();
+        record_failed_run(app, request, processes, Duration::ZERO, failure);
     }
     let status = sent.result.as_ref().map_or(0, |r| r.status);
     log_failed_send(app, request, sent.addr, cause, status);
--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -212,6 +212,7 @@
         };
         let first_server = attempt.first_server;
         let processes = attempt.guard.processes();
+        let written = attempt.guard.written();
         let next = match end {
             AttemptEnd::Complete => {
                 let has_failed = session.attempts.possible_runs > 1 || attempt.guard.was_moved();
@@ -220,7 +221,8 @@
             AttemptEnd::CallerLeft => return metric::count_request("stream", "caller left"),
             AttemptEnd::Deadline => return session.abort("deadline").await,
             AttemptEnd::Stalled => {
-                record_failed_run(&session.app, &session.request, processes, Failure::Stalled);
+                let failure = Failure::Stalled;
+                record_failed_run(&session.app, &session.request, processes, written, failure);
                 if !session.can_resume() {
                     continue;
                 }
@@ -231,7 +233,7 @@
                 }
             }
             AttemptEnd::Failed(cause) => {
-                session.record_failed_attempt(first_server, processes, cause);
+                session.record_failed_attempt(first_server, processes, written, cause);
                 drop(attempt);
                 if !session.can_resume() {
                     return session.abort(cause).await;
@@ -366,9 +368,11 @@
         &mut self,
         first_server: SocketAddr,
         processes: Vec<ServerProcess>,
+        written: Duration,
         cause: &'static str,
     ) {
-        record_failed_run(&self.app, &self.request, processes, Failure::ConnectionLost);
+        let failure = Failure::ConnectionLost;
+        record_failed_run(&self.app, &self.request, processes, written, failure);
         self.attempts.avoid.extend(record_faulty_server(
             &self.app,
             first_server,
--- a/crates/mustard-gateway/src/stream_watch.rs
+++ b/crates/mustard-gateway/src/stream_watch.rs
@@ -357,6 +357,8 @@
         stream.moves += 1;
         (stream.moves <= MAX_MOVES).then(|| FailedRun {
             content: stream.content,
+            segments: Rc::clone(&stream.segments),
+            written: stream.progress.written,
             request: stream.id.clone(),
             processes: stream.processes.clone(),
             failure: Failure::Stalled,
@@ -384,7 +386,7 @@
         stream.parts = new_path.to_vec();
         let addrs = new_path.iter().map(|p| p.addr);
         stream.processes = app.fleet.borrow().processes(addrs);
-        stream.progress.record_ask(now);
+        stream.progress.record_move(now);
     }
     Some(silent_ms(now, stream.progress.last_event))
 }
--- a/crates/mustard-gateway/src/strikes.rs
+++ b/crates/mustard-gateway/src/strikes.rs
@@ -55,6 +55,10 @@
 pub struct FailedRun {
     /// The fingerprint of the request's content.
     pub content: Fingerprint,
+    /// The segments of its prompt that other prompts may share.
+    pub segments: Rc<[Fingerprint]>,
+    /// For how long its servers had been writing.
+    pub written: Duration,
     /// The id of the request.
     pub request: String,
     /// The processes that it used, in the order of the path.
@@ -92,6 +96,8 @@
         if let Some(log) = app.log.logger_for(Topic::Server) {
             info!(log, "request: A server ended under a request."; "request" => &run.request,
                 "content" => %run.content, "server" => %ended.addr, "process" => %ended,
+                "segments" => format_segments(&run.segments),
+                "written_ms" => run.written.as_millis() as u64,
                 "after_ms" => app.now().ms_since(failed_at));
         }
         if is_quarantined {
@@ -108,6 +114,12 @@
     });
 }
 
+/// Formats the segments of a prompt for the log.
+pub fn format_segments(segments: &[Fingerprint]) -> String {
+    let texts: Vec<String> = segments.iter().map(Fingerprint::to_string).collect();
+    texts.join(",")
+}
+
 /// Returns the first process of a failed run that is found to have ended; `None` if all of them
 /// still run or none shows its end within [`WATCH_TIME`].
 async fn find_ended(app: &Rc<App>, run: &FailedRun, failed_at: Moment) -> Option<ServerProcess> {
--- a/crates/mustard-policy/src/stall.rs
+++ b/crates/mustard-policy/src/stall.rs
@@ -102,8 +102,14 @@
     pub asked_at: Option<Moment>,
     /// How often they were asked in this pause.
     pub ask_count: u32,
+    /// For how long the servers of the path have been writing, without the rest of longer pauses.
+    pub written: Duration,
 }
 
+/// The most of a pause that counts as writing: a process that was suspended between two events reads
+/// the second one late.
+const MAX_WRITING_PAUSE: Duration = Duration::from_millis(100);
+
 /// The backoff until the same servers are asked again. It doubles each time that they are asked,
 /// since reports that showed no cause seldom show one shortly after.
 const ASK_BACKOFF: Duration = Duration::from_millis(150);
@@ -141,14 +147,27 @@
             has_begun: false,
             asked_at: None,
             ask_count: 0,
+            written: Duration::ZERO,
         }
     }
 
     /// Records that events arrived.
     pub fn advance(&mut self, now: Moment) {
+        let pause = if self.has_begun {
+            now.since(self.last_event).min(MAX_WRITING_PAUSE)
+        } else {
+            Duration::ZERO
+        };
         *self = Progress {
             has_begun: true,
+            written: self.written + pause,
             ..Progress::start(now)
         };
     }
+
+    /// Records that the stream was moved to other servers, which have not written anything yet.
+    pub fn record_move(&mut self, now: Moment) {
+        self.written = Duration::ZERO;
+        self.record_ask(now);
+    }
 }
--- a/crates/mustard-policy/tests/watch.rs
+++ b/crates/mustard-policy/tests/watch.rs
@@ -163,3 +163,20 @@
     // A stream that is stalled meanwhile has to go on within the 200 ms that clients allow.
     assert!(extended <= Duration::from_millis(100), "{extended:?}");
 }
+
+#[test]
+fn written_suspended_process() {
+    let mut progress = Progress::start(at(0));
+    progress.advance(at(1_000));
+    assert_eq!(
+        progress.written,
+        Duration::ZERO,
+        "the prompt was processed first"
+    );
+    progress.advance(at(1_050));
+    progress.advance(at(5_000));
+    assert_eq!(progress.written, Duration::from_millis(150));
+    progress.record_move(at(5_010));
+    progress.advance(at(5_030));
+    assert_eq!(progress.written, Duration::from_millis(30));
+}
