--- a/crates/mustard-fakes/src/site/http.rs
+++ b/crates/mustard-fakes/src/site/http.rs
@@ -52,6 +52,15 @@
         self.path.contains(super::POISON)
     }
 
+    /// Returns the first poison segment of the prompt; the last segment is never poison.
+    pub(super) fn poison_segment(&self) -> Option<String> {
+        let list = self.header("prompt-prefix")?;
+        let (shared, _last) = list.rsplit_once(',')?;
+        let mut ids = shared.split(',').filter_map(|s| s.split(':').next());
+        ids.find(|id| id.starts_with(super::POISON_SEGMENT))
+            .map(str::to_owned)
+    }
+
     /// Returns the connection that the request came in on.
     pub(super) fn connection(&self) -> Option<ntex::io::IoRef> {
         self.request.io().cloned()
@@ -139,6 +148,7 @@
                 server: index,
                 incarnation: server.incarnation,
                 id,
+                poison_segment: call.poison_segment(),
                 at: Instant::now(),
                 notice: match server.fault {
                     ServerFault::TurnsAway(pause) => Notice::Pause(pause),
--- a/crates/mustard-fakes/src/site/mod.rs
+++ b/crates/mustard-fakes/src/site/mod.rs
@@ -95,6 +95,10 @@
 /// The part of a path that makes a content poison.
 pub const POISON: &str = "poison";
 
+/// What the ids of poison segments begin with. A prompt with one of them, unless it is the last one,
+/// ends each server that begins to write an answer.
+pub const POISON_SEGMENT: &str = "dead";
+
 /// A server of the site.
 #[derive(Clone, Debug)]
 pub(crate) struct Server {
@@ -147,6 +151,8 @@
     pub incarnation: u64,
     /// The header `Attempt-Id`.
     pub id: String,
+    /// The poison segment of its prompt, if there is one.
+    pub poison_segment: Option<String>,
     /// When it arrived.
     pub at: Instant,
     /// What the server answers it with besides the result.
@@ -171,6 +177,8 @@
     pub server: usize,
     /// The header `Attempt-Id` of the request.
     pub id: String,
+    /// The poison segment that ended it; `None` if the whole content did.
+    pub segment: Option<String>,
     /// When it ended.
     pub at: Instant,
 }
@@ -373,14 +381,16 @@
         self.lock().store.keys(table)
     }
 
-    /// Ends a server that ran a poison content; it starts again after a while.
-    pub(crate) fn end_server(&self, server: usize, id: &str) {
+    /// Ends a server that ran a poison content or a prompt with a poison segment; it starts again
+    /// after a while.
+    pub(crate) fn end_server(&self, server: usize, id: &str, segment: Option<String>) {
         let (incarnation, down_time) = {
             let mut state = self.lock();
             state.servers[server].fault = ServerFault::ResetsConnections;
             state.ledger.ended.push(EndedServer {
                 server,
                 id: id.to_owned(),
+                segment,
                 at: Instant::now(),
             });
             (state.servers[server].incarnation, state.down_time)
--- a/crates/mustard-fakes/src/site/model.rs
+++ b/crates/mustard-fakes/src/site/model.rs
@@ -19,6 +19,9 @@
 /// The time between the checks of a poison content for a path on which it has ended no server yet.
 const POISON_DELAY: std::time::Duration = std::time::Duration::from_millis(60);
 
+/// How long after the first event of an answer a poison segment ends the server.
+const SEGMENT_DELAY: std::time::Duration = std::time::Duration::from_millis(50);
+
 /// A hop of a stream's path: a server and the layers that it runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct ChainStage {
@@ -228,7 +231,7 @@
     let id = record_run(site, index, call);
     let poison = call.is_poison().then(|| site.lock().poison);
     if poison == Some(PoisonTarget::First) {
-        site.end_server(index, &id);
+        site.end_server(index, &id, None);
         call.drop_connection();
         return Response::Ok().finish();
     }
@@ -247,11 +250,16 @@
         connection: call.connection(),
     };
     let site = site.clone();
+    let poison_segment = call.poison_segment();
     ntex::rt::spawn(async move {
         if poison.is_some() {
             let (site, id) = (site.clone(), id.clone());
             ntex::rt::spawn(async move { end_last_servers(&site, &id).await });
         }
+        if let Some(segment) = poison_segment {
+            let (site, id) = (site.clone(), id.clone());
+            ntex::rt::spawn(async move { end_writing_server(&site, index, &id, segment).await });
+        }
         send_events(&site, index, &id, after, &sender).await;
     });
     out.streaming(body)
@@ -301,11 +309,21 @@
         };
         if let Some(server) = last.filter(|server| ended != Some(*server)) {
             ended = Some(server);
-            site.end_server(server, id);
+            site.end_server(server, id, None);
         }
     }
 }
 
+/// Ends the first server of a stream's path once it has begun to write.
+async fn end_writing_server(site: &Site, index: usize, id: &str, segment: String) {
+    let interval = site.lock().options.event_interval;
+    sleep(interval + SEGMENT_DELAY).await;
+    let still_runs = site.lock().paths.contains_key(id);
+    if still_runs {
+        site.end_server(index, id, Some(segment));
+    }
+}
+
 /// Sends the events of a stream that follow the event `after`.
 async fn send_events(site: &Site, index: usize, id: &str, after: u64, sender: &Sender<Chunk>) {
     let (event_interval, events, stall_timeout) = {
--- a/crates/mustard-fakes/src/site/plain.rs
+++ b/crates/mustard-fakes/src/site/plain.rs
@@ -56,7 +56,7 @@
     let id = record_run(site, index, &call);
     sleep(CALL_TIME).await;
     if call.is_poison() {
-        site.end_server(index, &id);
+        site.end_server(index, &id, None);
         call.drop_connection();
         return Response::Ok().finish();
     }
--- a/crates/mustard-gateway/tests/gateway/harness.rs
+++ b/crates/mustard-gateway/tests/gateway/harness.rs
@@ -233,6 +233,25 @@
     }
 }
 
+/// Sends a draft whose prompt consists of the listed segments to the gateway at an address.
+pub(crate) async fn draft_with_segments(
+    caller: &Caller,
+    to: SocketAddr,
+    id: &str,
+    segments: &str,
+) -> Option<Answer> {
+    let key = format!("Bearer {API_KEY}");
+    let headers = [
+        ("attempt-id", id),
+        ("authorization", key.as_str()),
+        ("time-budget-ms", "7000"),
+        ("token-count", "100,80"),
+        ("prompt-prefix", segments),
+    ];
+    let path = format!("/draft/{id}");
+    caller.send(to, "POST", &path, &headers).await
+}
+
 /// Waits until a condition holds; `what` names it in the failure message.
 pub(crate) async fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
     let until = Instant::now() + READY_LIMIT;
--- a/crates/mustard-gateway/tests/gateway/main.rs
+++ b/crates/mustard-gateway/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod logs;
 mod poison;
 mod restored;
+mod segments;
 
 use std::net::Ipv4Addr;
 use std::process::Command;
