Refuse prompts with a segment that ends servers, whatever else they hold

Cause: ends of servers were counted under the digest of the whole request. Requests that share only a segment have another digest each, so their ends never added up.

Ends now count for each shared segment of the requests that had just begun at the server. Blocked segments are told to peers at once and kept in the store.

--- a/crates/mustard-gateway/src/active_streams.rs
+++ b/crates/mustard-gateway/src/active_streams.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use tokio::sync::Notify;
 
@@ -11,10 +10,12 @@
 use mustard_core::deployment::PathPart;
 use mustard_core::fingerprint::Fingerprint;
 use mustard_policy::pipeline::RequestDemand;
+use mustard_policy::segments::PROOF_WRITTEN;
 use mustard_policy::stall::Progress;
 
 use crate::app::App;
 use crate::fleet::{LoadGuard, ServerProcess};
+use crate::strikes::{FailedRun, Failure, FinishedRun};
 
 /// The key of a stream in flight.
 pub type ActiveStreamKey = Key<ActiveStream>;
@@ -51,6 +52,25 @@
 }
 
 impl ActiveStream {
+    /// Returns the run that the stream's servers have failed.
+    ///
+    /// After a move it names no segments: the first server has been writing for longer than the others.
+    pub fn failed_run(&self, failure: Failure) -> FailedRun {
+        let segments = if self.moves == 0 {
+            Rc::clone(&self.segments)
+        } else {
+            Rc::default()
+        };
+        FailedRun {
+            content: self.content,
+            segments,
+            written: self.progress.written,
+            request: self.id.clone(),
+            processes: self.processes.clone(),
+            failure,
+        }
+    }
+
     /// Tells whether the server at an address is on the stream's path.
     pub fn uses_server(&self, addr: SocketAddr) -> bool {
         self.parts.iter().any(|p| p.addr == addr)
@@ -73,19 +93,22 @@
         }
     }
 
-    /// Returns the server processes that the stream uses now.
-    pub fn processes(&self) -> Vec<ServerProcess> {
+    /// Returns the attempt as a run that failed.
+    pub fn failed_run(&self, failure: Failure) -> Option<FailedRun> {
         let streams = self.app.streams.borrow();
-        let stream = streams.get(self.key);
-        stream.map(|s| s.processes.clone()).unwrap_or_default()
+        streams.get(self.key).map(|s| s.failed_run(failure))
     }
 
-    /// Returns for how long the servers of the current path have been writing.
-    pub fn written(&self) -> Duration {
+    /// Returns the attempt as a run that was answered whole.
+    pub fn finished_run(&self) -> Option<FinishedRun> {
         let streams = self.app.streams.borrow();
-        streams
-            .get(self.key)
-            .map_or(Duration::ZERO, |s| s.progress.written)
+        let stream = streams.get(self.key)?;
+        Some(FinishedRun {
+            segments: Rc::clone(&stream.segments),
+            content: stream.content,
+            written: stream.progress.written,
+            processes: stream.processes.clone(),
+        })
     }
 
     /// Tells whether the attempt was moved to another path.
@@ -94,7 +117,8 @@
         streams.get(self.key).is_some_and(|s| s.moves > 0)
     }
 
-    /// Records that events arrived.
+    /// Records that events arrived. Once its servers have written for long enough, the segments of the
+    /// prompt are acquitted.
     pub fn record_events(&self, now: Moment) {
         let mut streams = self.app.streams.borrow_mut();
         let Some(stream) = streams.get_mut(self.key) else {
@@ -104,7 +128,14 @@
             let pause = now.since(stream.progress.last_event);
             self.app.pauses.borrow_mut().observe(pause);
         }
+        let before = stream.progress.written;
         stream.progress.advance(now);
+        if before < PROOF_WRITTEN && stream.progress.written >= PROOF_WRITTEN {
+            let mut filter = self.app.segments.borrow_mut();
+            for segment in stream.segments.iter() {
+                filter.record_success(now, *segment);
+            }
+        }
     }
 }
 
--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -21,6 +21,7 @@
 use mustard_net::shutdown::RequestGate;
 use mustard_policy::budget_share::{Budget, RetryBudgetShare};
 use mustard_policy::quarantine::{Quarantine, Settings};
+use mustard_policy::segments::SegmentFilter;
 use mustard_policy::stall::{PauseEstimate, TimerLateness};
 
 use crate::active_streams::ActiveStreams;
@@ -103,9 +104,12 @@
     pub retry_budgets: RefCell<Map<String, RetryBudgetShare>>,
     /// The request contents that servers died running, and those that are refused for it.
     pub quarantine: RefCell<Quarantine>,
+    /// The segments of prompts that servers ended on, and those that are blocked for it.
+    pub segments: RefCell<SegmentFilter>,
     /// Wakes the exchange with peers when an urgent strike was recorded here.
     pub strike_news: Notify,
-    /// Wakes the task that keeps the own rows of the store when a content was quarantined here.
+    /// Wakes the task that keeps the own rows of the store when a content was quarantined or a segment
+    /// blocked here.
     pub quarantined: Notify,
     /// The peers, which are the other gateways.
     pub peers: RefCell<Peers>,
@@ -160,6 +164,7 @@
                 min_deaths: QUARANTINE_DEATHS,
                 ..Settings::default()
             })),
+            segments: RefCell::default(),
             strike_news: Notify::new(),
             quarantined: Notify::new(),
             peers: RefCell::new(peers),
--- a/crates/mustard-gateway/src/fleet/mod.rs
+++ b/crates/mustard-gateway/src/fleet/mod.rs
@@ -294,6 +294,12 @@
         newly_silent
     }
 
+    /// Tells whether the server at an address didn't answer the last call.
+    pub fn is_silent(&self, addr: SocketAddr) -> bool {
+        let server = self.key_at(addr).and_then(|k| self.servers.get(k));
+        server.is_some_and(|s| s.silent_since.is_some())
+    }
+
     /// Tells whether any server is loading layers.
     pub fn is_loading(&self, now: Moment) -> bool {
         self.iter().any(|(_, s)| s.is_loading(now))
--- a/crates/mustard-gateway/src/forward/mod.rs
+++ b/crates/mustard-gateway/src/forward/mod.rs
@@ -32,7 +32,7 @@
 use crate::app::App;
 use crate::log_limit::Topic;
 use crate::metric;
-use crate::strikes::is_quarantined;
+use crate::strikes::{QUARANTINE_RETRY_AFTER, is_quarantined};
 
 /// Time limit for reading the body of a request that names no time budget.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -45,8 +45,9 @@
 const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Retry delay for callers of a gateway that is stopping; short, as they retry at another one.
 const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
-/// Retry delay for callers whose request content is quarantined because servers died running it.
-const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(10);
+
+/// The reason of refusals because servers ended under the content or a segment of the prompt.
+const ENDS_SERVERS: &str = "content ends servers";
 
 /// A request that was read in full and admitted.
 pub struct AdmittedRequest {
@@ -157,7 +158,7 @@
     let service = service.ok_or_else(|| not_run("no service", STARTUP_RETRY_AFTER))?;
     let fingerprint = compute_fingerprint(&params, path, &body);
     if is_quarantined(app, fingerprint) {
-        return Err(not_run("content ends servers", QUARANTINE_RETRY_AFTER));
+        return Err(not_run(ENDS_SERVERS, QUARANTINE_RETRY_AFTER));
     }
     let now = app.now();
     app.with_retry_budget(&service.name, |b| b.record_request(now));
--- a/crates/mustard-gateway/src/forward/open_stream.rs
+++ b/crates/mustard-gateway/src/forward/open_stream.rs
@@ -15,10 +15,10 @@
 
 use crate::active_streams::{ActiveStream, ActiveStreamGuard};
 use crate::app::App;
-use crate::fleet::{LoadGuard, ServerFilter, ServerProcess};
+use crate::fleet::{LoadGuard, ServerFilter};
 use crate::log_limit::Topic;
 use crate::stream_watch::probe_faulty_server;
-use crate::strikes::{self, FailedRun, Failure, format_segments, is_quarantined};
+use crate::strikes::{self, Failure, format_segments};
 
 use super::events::EventParser;
 use super::send::{ResponseHead, SendError, Target, send_request};
@@ -49,8 +49,9 @@
     NotRun,
     /// The response was lost; a server may have run the request.
     Lost,
-    /// No server ran the request, and its content is quarantined.
-    Quarantined,
+    /// No server ran the request, and its content or a segment of its prompt ends servers; the caller
+    /// may try again after this time.
+    Quarantined(Duration),
 }
 
 /// The attempts of one request.
@@ -75,11 +76,11 @@
 ) -> Result<ActiveAttempt, OpenError> {
     let repeatable = matches!(request.route.kind, RouteKind::Stream { resumable: true });
     loop {
-        if is_quarantined(app, request.fingerprint) {
+        if let Some(retry_after) = strikes::refusal(app, request) {
             return Err(if attempts.possible_runs > 0 {
                 OpenError::Lost
             } else {
-                OpenError::Quarantined
+                OpenError::Quarantined(retry_after)
             });
         }
         let Some((target, demand)) = wait_for_path(app, request, &attempts.avoid).await else {
@@ -143,16 +144,15 @@
                 }
             }
             Err(error) => {
-                drop(guard);
                 let failure = match error {
                     SendError::Lost => Some(Failure::ConnectionLost),
                     SendError::GivenUp => Some(Failure::Stalled),
                     SendError::NotSent | SendError::NotRun(..) => None,
                 };
-                if let Some(failure) = failure {
-                    let written = Duration::ZERO;
-                    record_failed_run(app, request, target.processes, written, failure);
+                if let Some(run) = failure.and_then(|f| guard.failed_run(f)) {
+                    strikes::record_run(app, run);
                 }
+                drop(guard);
                 attempts
                     .avoid
                     .extend(record_faulty_server(app, first_server, error));
@@ -272,25 +272,6 @@
     Some((target, demand))
 }
 
-/// Records a run that failed, so that its content gets a strike if a server ended under it.
-pub(super) fn record_failed_run(
-    app: &Rc<App>,
-    request: &AdmittedRequest,
-    processes: Vec<ServerProcess>,
-    written: Duration,
-    failure: Failure,
-) {
-    let run = FailedRun {
-        content: request.fingerprint,
-        segments: Rc::clone(&request.params.segments),
-        written,
-        request: request.params.id.clone(),
-        processes,
-        failure,
-    };
-    strikes::record_run(app, run);
-}
-
 fn log_chosen_path(app: &App, request: &AdmittedRequest, target: &Target, last_event: Option<u64>) {
     if let Some(log) = app.log.logger_for(Topic::Chosen) {
         let version = app.config().map_or(0, |c| c.version);
--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -18,11 +18,10 @@
 use crate::fleet::{LoadGuard, ServerProcess};
 use crate::log_limit::Topic;
 use crate::metric;
-use crate::strikes::{Failure, is_quarantined};
+use crate::strikes::{self, FailedRun, Failure};
 
-use super::open_stream::record_failed_run;
 use super::send::{SendError, Target, send_request};
-use super::{AdmittedRequest, GatewayResponse, record_served, spend_retry};
+use super::{AdmittedRequest, ENDS_SERVERS, GatewayResponse, record_served, spend_retry};
 
 /// The share of the route's target response time after which an idempotent request is also sent to
 /// a second server.
@@ -79,7 +78,12 @@
     let mut last_result: Option<Result<ServerResponse, SendError>> = None;
     let mut attempt = 0;
     while attempt < request.route.max_attempts {
-        if is_quarantined(app, request.fingerprint) {
+        if let Some(retry_after) = strikes::refusal(app, request) {
+            if tried.is_empty() {
+                return GatewayResponse::not_run(ENDS_SERVERS, retry_after)
+                    .for_request(&request.params)
+                    .respond(app);
+            }
             break;
         }
         if attempt > 0 && !spend_retry(app, request) {
@@ -134,7 +138,7 @@
     if let Ok(sent) = timeout(wait, &mut primary).await {
         return (sent, 1);
     }
-    let may_run = !is_quarantined(app, request.fingerprint);
+    let may_run = strikes::refusal(app, request).is_none();
     let Some(second) =
         choose_server(app, request, tried).filter(|_| may_run && spend_retry(app, request))
     else {
@@ -210,8 +214,15 @@
     drop(fleet);
     if matches!(sent.result, Err(SendError::Lost)) {
         let failure = Failure::PlainConnectionLost(request.service.health_path.clone());
-        let processes = sent.processes.clone();
-        record_failed_run(app, request, processes, Duration::ZERO, failure);
+        let run = FailedRun {
+            content: request.fingerprint,
+            segments: Rc::clone(&request.params.segments),
+            written: Duration::ZERO,
+            request: request.params.id.clone(),
+            processes: sent.processes.clone(),
+            failure,
+        };
+        strikes::record_run(app, run);
     }
     let status = sent.result.as_ref().map_or(0, |r| r.status);
     log_failed_send(app, request, sent.addr, cause, status);
--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -1,7 +1,6 @@
 //! Forwards streams of events, and resumes them on other servers when an attempt ends early.
 
 use std::future::Future;
-use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -19,18 +18,16 @@
 use mustard_core::deployment::RouteKind;
 
 use crate::app::App;
-use crate::fleet::ServerProcess;
 use crate::log_limit::Topic;
 use crate::metric;
-use crate::strikes::Failure;
+use crate::strikes::{self, Failure};
 
 use super::events::EventParser;
 use super::open_stream::{
-    ActiveAttempt, Attempts, OpenError, log_failed_attempt, open_stream, record_failed_run,
-    record_faulty_server,
+    ActiveAttempt, Attempts, OpenError, log_failed_attempt, open_stream, record_faulty_server,
 };
 use super::send::{BodyChunk, SendError};
-use super::{AdmittedRequest, GatewayResponse, QUARANTINE_RETRY_AFTER, record_served};
+use super::{AdmittedRequest, ENDS_SERVERS, GatewayResponse, record_served};
 
 /// The most chunks of events that are queued for a caller that reads slowly.
 const QUEUED_CHUNKS: usize = 32;
@@ -163,9 +160,7 @@
         OpenError::NotRun => {
             GatewayResponse::not_run("servers full or out of reach", FULL_RETRY_AFTER)
         }
-        OpenError::Quarantined => {
-            GatewayResponse::not_run("content ends servers", QUARANTINE_RETRY_AFTER)
-        }
+        OpenError::Quarantined(retry_after) => GatewayResponse::not_run(ENDS_SERVERS, retry_after),
         OpenError::Lost => GatewayResponse::new("no answer of the servers", 502),
     };
     response.for_request(&request.params).respond(app)
@@ -210,19 +205,18 @@
             () = caller.closed() => AttemptEnd::CallerLeft,
             () = &mut deadline => AttemptEnd::Deadline,
         };
-        let first_server = attempt.first_server;
-        let processes = attempt.guard.processes();
-        let written = attempt.guard.written();
         let next = match end {
             AttemptEnd::Complete => {
                 let has_failed = session.attempts.possible_runs > 1 || attempt.guard.was_moved();
+                if let Some(run) = attempt.guard.finished_run() {
+                    strikes::record_finished(&session.app, run);
+                }
                 return session.finish_served(has_failed);
             }
             AttemptEnd::CallerLeft => return metric::count_request("stream", "caller left"),
             AttemptEnd::Deadline => return session.abort("deadline").await,
             AttemptEnd::Stalled => {
-                let failure = Failure::Stalled;
-                record_failed_run(&session.app, &session.request, processes, written, failure);
+                session.record_failed_run(&attempt, Failure::Stalled);
                 if !session.can_resume() {
                     continue;
                 }
@@ -233,7 +227,7 @@
                 }
             }
             AttemptEnd::Failed(cause) => {
-                session.record_failed_attempt(first_server, processes, written, cause);
+                session.record_failed_attempt(&attempt, cause);
                 drop(attempt);
                 if !session.can_resume() {
                     return session.abort(cause).await;
@@ -364,15 +358,15 @@
         }
     }
 
-    fn record_failed_attempt(
-        &mut self,
-        first_server: SocketAddr,
-        processes: Vec<ServerProcess>,
-        written: Duration,
-        cause: &'static str,
-    ) {
-        let failure = Failure::ConnectionLost;
-        record_failed_run(&self.app, &self.request, processes, written, failure);
+    fn record_failed_run(&self, attempt: &ActiveAttempt, failure: Failure) {
+        if let Some(run) = attempt.guard.failed_run(failure) {
+            strikes::record_run(&self.app, run);
+        }
+    }
+
+    fn record_failed_attempt(&mut self, attempt: &ActiveAttempt, cause: &'static str) {
+        let first_server = attempt.first_server;
+        self.record_failed_run(attempt, Failure::ConnectionLost);
         self.attempts.avoid.extend(record_faulty_server(
             &self.app,
             first_server,
--- a/crates/mustard-gateway/src/metric.rs
+++ b/crates/mustard-gateway/src/metric.rs
@@ -40,6 +40,11 @@
     counter!("mustard_strikes_total", "source" => source).increment(1);
 }
 
+/// Counts a strike against a segment of a prompt, by how this gateway learned of it.
+pub fn count_segment_strike(source: &'static str) {
+    counter!("mustard_segment_strikes_total", "source" => source).increment(1);
+}
+
 /// Counts a refusal by a server that wants nothing more for a time.
 pub fn count_pause() {
     counter!("mustard_server_pauses_total").increment(1);
--- a/crates/mustard-gateway/src/own_rows.rs
+++ b/crates/mustard-gateway/src/own_rows.rs
@@ -1,5 +1,6 @@
 //! Keeps the gateways' own rows in the platform's store: the address of each gateway, by which the
-//! others find it, and the quarantined contents, so that they outlast all processes.
+//! others find it, and the quarantined contents and blocked segments, so that they outlast all
+//! processes.
 //!
 //! Rows that were lost because the store was restored from an older copy are written again.
 
@@ -17,10 +18,12 @@
 use mustard_platform::Result;
 use mustard_platform::table::{Row, Table, Txn};
 use mustard_policy::quarantine::Strike;
+use mustard_policy::segments::SegmentStrike;
 
 use crate::app::App;
 use crate::log_limit::Topic;
 use crate::metric;
+use crate::strikes::is_blocked;
 
 /// The prefix of the keys of the gateways' rows; each key ends with the gateway's address.
 const GATEWAY_PREFIX: &str = "gateway/";
@@ -32,8 +35,11 @@
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 /// The most rows that one call reads.
 const PAGE_ROWS: usize = 400;
-/// The most rows that one transaction writes or removes.
-const MAX_WRITES: usize = 50;
+/// The most rows of a kind that one transaction writes or removes.
+const MAX_WRITES: usize = 30;
+
+/// The prefix of the keys of the blocked segments' rows; each key ends with the segment.
+const SEGMENT_PREFIX: &str = "segment/";
 
 /// The content of a quarantined content's row, stored as JSON.
 #[derive(Debug, Serialize, Deserialize)]
@@ -50,6 +56,22 @@
     at_ms: u64,
 }
 
+/// The content of a blocked segment's row, stored as JSON.
+#[derive(Debug, Serialize, Deserialize)]
+struct SegmentRow {
+    strikes: Vec<SegmentStrikeRow>,
+}
+
+/// A strike in a segment's row.
+#[derive(Debug, Serialize, Deserialize)]
+struct SegmentStrikeRow {
+    process: String,
+    content: Fingerprint,
+    is_trial: bool,
+    /// When the process ended, in milliseconds since the Unix epoch.
+    at_ms: u64,
+}
+
 /// Reads the rows at intervals and writes those that are missing, for the life of the process.
 pub async fn run(app: Rc<App>) {
     loop {
@@ -89,6 +111,15 @@
                 }
                 _ => obsolete.push(row.key.clone()),
             }
+        } else if let Some(segment) = row.key.strip_prefix(SEGMENT_PREFIX) {
+            match parse_fingerprint(segment) {
+                Some(segment) if adopt_segment(app, segment, &row.value) => {
+                    listed.insert(segment);
+                }
+                // It is written again with more strikes.
+                Some(segment) if is_blocked(app, &[segment]) => {}
+                _ => obsolete.push(row.key.clone()),
+            }
         }
     }
     let own_key = format!("{GATEWAY_PREFIX}{}", app.peers.borrow().own_addr());
@@ -96,7 +127,8 @@
     if !rows.iter().any(|r| r.key == own_key) {
         txn = txn.put(own_key, app.node.name.clone());
     }
-    for (key, value) in missing_quarantines(app, &listed) {
+    let quarantines = missing_quarantines(app, &listed).into_iter();
+    for (key, value) in quarantines.chain(missing_segments(app, &listed)) {
         txn = txn.put(key, value);
     }
     for key in obsolete.into_iter().take(MAX_WRITES) {
@@ -175,6 +207,52 @@
     missing.into_iter().filter_map(encode).collect()
 }
 
+/// Records the strikes of a segment's row; returns whether the row is to stay as it is: the segment is
+/// blocked, and the row holds the strikes against it.
+fn adopt_segment(app: &App, segment: Fingerprint, value: &str) -> bool {
+    let Ok(row) = serde_json::from_str::<SegmentRow>(value) else {
+        return false;
+    };
+    let (now, wall_ms) = (app.now(), app.clock.wall_ms());
+    let mut filter = app.segments.borrow_mut();
+    let row_strikes = row.strikes.len();
+    for strike in row.strikes {
+        let age = Duration::from_millis(wall_ms.saturating_sub(strike.at_ms));
+        let strike = SegmentStrike {
+            segment,
+            process: strike.process,
+            content: strike.content,
+            at: now - age,
+            is_trial: strike.is_trial,
+        };
+        if filter.record_strike(now, &strike) {
+            metric::count_segment_strike("row");
+        }
+    }
+    filter.is_blocked(now, &[segment]) && row_strikes >= filter.strikes_of(segment).count()
+}
+
+/// Returns the rows of the blocked segments that aren't in `listed`.
+fn missing_segments(app: &App, listed: &Set<Fingerprint>) -> Vec<(String, String)> {
+    let (now, wall_ms) = (app.now(), app.clock.wall_ms());
+    let filter = app.segments.borrow();
+    let missing = filter.blocked(now).filter(|s| !listed.contains(s));
+    let encode = |segment: Fingerprint| {
+        let strikes = filter.strikes_of(segment).map(|s| SegmentStrikeRow {
+            process: s.process,
+            content: s.content,
+            is_trial: s.is_trial,
+            at_ms: wall_ms.saturating_sub(now.ms_since(s.at)),
+        });
+        let row = SegmentRow {
+            strikes: strikes.collect(),
+        };
+        let value = serde_json::to_string(&row).ok()?;
+        Some((format!("{SEGMENT_PREFIX}{segment}"), value))
+    };
+    missing.take(MAX_WRITES).filter_map(encode).collect()
+}
+
 fn parse_fingerprint(text: &str) -> Option<Fingerprint> {
     u128::from_str_radix(text, 16).ok().map(Fingerprint)
 }
--- a/crates/mustard-gateway/src/peers.rs
+++ b/crates/mustard-gateway/src/peers.rs
@@ -26,6 +26,8 @@
 use mustard_core::fingerprint::Fingerprint;
 use mustard_net::http::{Request, exchange};
 use mustard_policy::quarantine::{Clearance, Strike};
+use mustard_policy::segments::SegmentStrike;
+use mustard_policy::subset;
 
 use crate::app::{App, ConfigStamp};
 use crate::log_limit::Topic;
@@ -56,6 +58,8 @@
 const MAX_ADDRS: usize = 24;
 /// The most strikes, and the most clearances, in one message.
 const MAX_QUARANTINE_ITEMS: usize = 64;
+/// The most strikes against segments, and the most clearances of segments, in one message.
+const MAX_SEGMENT_ITEMS: usize = 128;
 /// The largest message that is accepted.
 pub const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
 
@@ -122,6 +126,17 @@
         before.count()
     }
 
+    /// Returns the place of this gateway among the live ones in an order that depends on the item.
+    pub fn rank_for(&self, item: &str) -> usize {
+        let alive = self
+            .known
+            .iter()
+            .filter(|(_, p)| p.is_alive(self.updated_at));
+        let alive: Vec<String> = alive.map(|(addr, _)| addr.to_string()).collect();
+        let names: Vec<&str> = alive.iter().map(String::as_str).collect();
+        subset::rank_by_hash(item, &self.own_addr.to_string(), &names)
+    }
+
     /// Records whether a table of the store is reachable; tells whether that changed.
     pub fn set_table_reachable(&mut self, followed: FollowedTable, is_reachable: bool) -> bool {
         let slot = &mut self.tables_reachable[followed as usize];
@@ -220,8 +235,18 @@
     age_ms: u64,
 }
 
-/// A clearance in a message: a content ran to its end, so earlier strikes against it no longer
-/// count.
+/// A strike against a segment in a message.
+#[derive(Debug, Serialize, Deserialize)]
+struct SegmentStrikeMessage {
+    segment: Fingerprint,
+    server: String,
+    content: Fingerprint,
+    age_ms: u64,
+    is_trial: bool,
+}
+
+/// A clearance in a message: a content, or a request with a segment, ran well, so earlier strikes
+/// against it no longer count.
 #[derive(Debug, Serialize, Deserialize)]
 struct ClearedMessage {
     content: Fingerprint,
@@ -238,6 +263,8 @@
     peers: Vec<SocketAddr>,
     strikes: Vec<StrikeMessage>,
     cleared: Vec<ClearedMessage>,
+    segment_strikes: Vec<SegmentStrikeMessage>,
+    cleared_segments: Vec<ClearedMessage>,
     /// The configuration, if the receiver has an older version.
     text: Option<ByteBuf>,
 }
@@ -251,6 +278,13 @@
     let quarantine = app.quarantine.borrow();
     let strikes = quarantine.strikes_to_share(now, MAX_QUARANTINE_ITEMS);
     let cleared = quarantine.clearances_to_share(now, MAX_QUARANTINE_ITEMS);
+    let filter = app.segments.borrow();
+    let segment_strikes = filter.strikes_to_share(now, MAX_SEGMENT_ITEMS);
+    let cleared_segments = filter.clearances_to_share(now, MAX_SEGMENT_ITEMS);
+    let to_message = |c: Clearance| ClearedMessage {
+        content: c.fingerprint,
+        age_ms: now.ms_since(c.at),
+    };
     let peers = app.peers.borrow();
     PeerMessage {
         from: peers.own_addr,
@@ -265,13 +299,18 @@
                 age_ms: now.ms_since(s.at),
             })
             .collect(),
-        cleared: cleared
+        cleared: cleared.into_iter().map(to_message).collect(),
+        segment_strikes: segment_strikes
             .into_iter()
-            .map(|c| ClearedMessage {
-                content: c.fingerprint,
-                age_ms: now.ms_since(c.at),
+            .map(|s| SegmentStrikeMessage {
+                segment: s.segment,
+                server: s.process,
+                content: s.content,
+                age_ms: now.ms_since(s.at),
+                is_trial: s.is_trial,
             })
             .collect(),
+        cleared_segments: cleared_segments.into_iter().map(to_message).collect(),
         text,
     }
 }
@@ -310,11 +349,50 @@
             }
         }
     }
+    apply_segments(
+        app,
+        message.from,
+        message.segment_strikes,
+        message.cleared_segments,
+    );
     if let Some(text) = message.text {
         store_watch::adopt_config(app, text.into_vec(), message.config.era, "peer");
     }
 }
 
+fn apply_segments(
+    app: &App,
+    from: SocketAddr,
+    strikes: Vec<SegmentStrikeMessage>,
+    cleared: Vec<ClearedMessage>,
+) {
+    let now = app.now();
+    let mut filter = app.segments.borrow_mut();
+    for cleared in cleared {
+        let clearance = Clearance {
+            fingerprint: cleared.content,
+            at: now - Duration::from_millis(cleared.age_ms),
+        };
+        filter.apply_clearance(now, clearance);
+    }
+    for strike in strikes {
+        let strike = SegmentStrike {
+            segment: strike.segment,
+            process: strike.server,
+            content: strike.content,
+            at: now - Duration::from_millis(strike.age_ms),
+            is_trial: strike.is_trial,
+        };
+        if filter.record_strike(now, &strike) {
+            metric::count_segment_strike("peer");
+            if let Some(log) = app.log.logger_for(Topic::Server) {
+                info!(log, "peers: A segment is blocked by a peer's strikes.";
+                    "segment" => %strike.segment, "peer" => %from);
+            }
+        }
+    }
+}
+
 /// Applies a message and returns the answer; `None` if the message can't be decoded.
 pub fn handle_message(app: &App, body: &[u8]) -> Option<Vec<u8>> {
     let message: PeerMessage = rmp_serde::from_slice(body).ok()?;
--- a/crates/mustard-gateway/src/stream_watch.rs
+++ b/crates/mustard-gateway/src/stream_watch.rs
@@ -312,10 +312,10 @@
     let Some(run) = begin_move(&app, key) else {
         return;
     };
-    let content = run.content;
+    let (content, segments) = (run.content, Rc::clone(&run.segments));
     strikes::record_run(&app, run);
     for _ in 0..MAX_REPATHS {
-        if strikes::is_quarantined(&app, content) {
+        if strikes::is_quarantined(&app, content) || strikes::is_blocked(&app, &segments) {
             return abandon(&app, key, "content ends servers");
         }
         let Some((id, first_server, new_path)) = find_path(&app, key, &paths) else {
@@ -354,15 +354,9 @@
     let run = {
         let mut streams = app.streams.borrow_mut();
         let stream = streams.get_mut(key)?;
+        let run = stream.failed_run(Failure::Stalled);
         stream.moves += 1;
-        (stream.moves <= MAX_MOVES).then(|| FailedRun {
-            content: stream.content,
-            segments: Rc::clone(&stream.segments),
-            written: stream.progress.written,
-            request: stream.id.clone(),
-            processes: stream.processes.clone(),
-            failure: Failure::Stalled,
-        })
+        (stream.moves <= MAX_MOVES).then_some(run)
     };
     if run.is_none() {
         abandon(app, key, "moved too often");
--- a/crates/mustard-gateway/src/strikes.rs
+++ b/crates/mustard-gateway/src/strikes.rs
@@ -17,9 +17,11 @@
 use mustard_net::CallError;
 use mustard_net::http::{Request, exchange};
 use mustard_policy::quarantine::{Standing, Strike};
+use mustard_policy::segments::{Admission, PROOF_WRITTEN, SegmentStrike};
 
 use crate::app::App;
 use crate::fleet::{ProcessState, ServerProcess};
+use crate::forward::AdmittedRequest;
 use crate::log_limit::Topic;
 use crate::metric;
 use crate::placement::fetch_report;
@@ -36,8 +38,10 @@
 /// The age up to which a report shows that a server of a stalled stream still runs; it was asked for
 /// after the stream had stalled.
 const STALL_REPORT_AGE: Duration = Duration::from_millis(150);
-/// Peers are told at once of a content with this many strikes.
+/// Peers are told at once of a content or a segment with this many strikes.
 const URGENT_STRIKES: usize = 2;
+/// Retry delay for callers whose request content is quarantined because servers died running it.
+pub const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(10);
 
 /// How a run failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -67,14 +71,52 @@
     pub failure: Failure,
 }
 
+/// A run that was answered whole.
+#[derive(Clone, Debug)]
+pub struct FinishedRun {
+    /// The segments of its prompt that other prompts may share.
+    pub segments: Rc<[Fingerprint]>,
+    /// The fingerprint of the request's content.
+    pub content: Fingerprint,
+    /// For how long its servers had been writing.
+    pub written: Duration,
+    /// The processes that it used, in the order of the path.
+    pub processes: Vec<ServerProcess>,
+}
+
+/// Returns after which time the caller may try again if the request may not run now, as too many
+/// servers ended under its content or a segment of its prompt.
+pub fn refusal(app: &App, request: &AdmittedRequest) -> Option<Duration> {
+    if is_quarantined(app, request.fingerprint) {
+        return Some(QUARANTINE_RETRY_AFTER);
+    }
+    let segments = &request.params.segments;
+    if segments.is_empty() {
+        return None;
+    }
+    let (now, peers) = (app.now(), app.peers.borrow());
+    let rank = |segment: Fingerprint| peers.rank_for(&segment.to_string());
+    let mut filter = app.segments.borrow_mut();
+    match filter.admit(now, segments, peers.alive_count() + 1, rank) {
+        Admission::Allowed => None,
+        Admission::Blocked(retry_after) => Some(retry_after),
+    }
+}
+
+/// Returns whether any of the segments is blocked, as too many servers ended on it.
+pub fn is_blocked(app: &App, segments: &[Fingerprint]) -> bool {
+    app.segments.borrow().is_blocked(app.now(), segments)
+}
+
 /// Returns whether a content may not run, as too many servers ended under it.
 pub fn is_quarantined(app: &App, content: Fingerprint) -> bool {
     let standing = app.quarantine.borrow().standing(app.now(), content);
     matches!(standing, Standing::Quarantined(_))
 }
 
-/// Records a strike against the content of a failed run once one of its servers is known to have
-/// ended. Peers receive the strike with the next message.
+/// Records strikes for a failed run once one of its servers is known to have ended: against its
+/// content and, if the servers had just begun to write, against the segments of its prompt. Peers
+/// receive the strikes with the next message.
 pub fn record_run(app: &Rc<App>, run: FailedRun) {
     let app = Rc::clone(app);
     ntex::rt::spawn(async move {
@@ -82,17 +124,6 @@
         let Some(ended) = find_ended(&app, &run, failed_at).await else {
             return;
         };
-        let strike = Strike {
-            fingerprint: run.content,
-            vm: ended.to_string(),
-            shared: 1,
-            at: failed_at,
-        };
-        let is_quarantined = app
-            .quarantine
-            .borrow_mut()
-            .record_strike(app.now(), &strike);
-        metric::count_strike("seen");
         if let Some(log) = app.log.logger_for(Topic::Server) {
             info!(log, "request: A server ended under a request."; "request" => &run.request,
                 "content" => %run.content, "server" => %ended.addr, "process" => %ended,
@@ -100,18 +131,97 @@
                 "written_ms" => run.written.as_millis() as u64,
                 "after_ms" => app.now().ms_since(failed_at));
         }
-        if is_quarantined {
-            if let Some(log) = app.log.logger_for(Topic::Server) {
-                warn!(log, "request: Content was quarantined after servers died running it.";
-                    "request" => &run.request, "content" => %run.content);
-            }
+        strike_content(&app, run.content, &ended, failed_at);
+        if run.written < PROOF_WRITTEN {
+            strike_segments(&app, &run.segments, run.content, &ended, failed_at);
+        }
+    });
+}
+
+/// Records a run that was answered whole. If its servers wrote for a short time only, they may still
+/// end a moment later, which counts like a failed run.
+pub fn record_finished(app: &Rc<App>, run: FinishedRun) {
+    if run.segments.is_empty() || run.written >= PROOF_WRITTEN {
+        return;
+    }
+    let app = Rc::clone(app);
+    ntex::rt::spawn(async move {
+        let finished_at = app.now();
+        sleep(PROOF_WRITTEN - run.written).await;
+        let ended = {
+            let fleet = app.fleet.borrow();
+            let has_ended =
+                |p: &&ServerProcess| fleet.process_state(p, finished_at) == ProcessState::Ended;
+            run.processes.iter().find(has_ended).cloned()
+        };
+        if let Some(ended) = ended {
+            return strike_segments(&app, &run.segments, run.content, &ended, finished_at);
+        }
+        let first = run.processes.first();
+        if first.is_some_and(|p| app.fleet.borrow().is_silent(p.addr)) {
+            return;
+        }
+        let mut filter = app.segments.borrow_mut();
+        for segment in run.segments.iter() {
+            filter.record_success(finished_at, *segment);
+        }
+    });
+}
+
+fn strike_content(app: &App, content: Fingerprint, ended: &ServerProcess, at: Moment) {
+    let strike = Strike {
+        fingerprint: content,
+        vm: ended.to_string(),
+        shared: 1,
+        at,
+    };
+    let mut quarantine = app.quarantine.borrow_mut();
+    let is_quarantined = quarantine.record_strike(app.now(), &strike);
+    metric::count_strike("seen");
+    if is_quarantined {
+        if let Some(log) = app.log.logger_for(Topic::Server) {
+            warn!(log, "request: Content was quarantined after servers died running it.";
+                "content" => %content);
+        }
+        app.quarantined.notify_waiters();
+    }
+    // Single strikes are frequent while servers fail, and the next round is early enough for them.
+    if quarantine.strikes_of(content).count() >= URGENT_STRIKES {
+        app.strike_news.notify_one();
+    }
+}
+
+fn strike_segments(
+    app: &App,
+    segments: &[Fingerprint],
+    content: Fingerprint,
+    ended: &ServerProcess,
+    at: Moment,
+) {
+    let now = app.now();
+    let mut filter = app.segments.borrow_mut();
+    for segment in segments {
+        let strike = SegmentStrike {
+            segment: *segment,
+            process: ended.to_string(),
+            content,
+            at,
+            is_trial: false,
+        };
+        let known_ends = filter.end_count(*segment);
+        let newly_blocked = filter.record_strike(now, &strike);
+        metric::count_segment_strike("seen");
+        if newly_blocked && let Some(log) = app.log.logger_for(Topic::Server) {
+            warn!(log, "request: A segment was blocked after servers ended on it.";
+                "segment" => %segment, "ends" => filter.end_count(*segment));
+        }
+        if filter.end_count(*segment) > known_ends && filter.is_blocked(now, &[*segment]) {
             app.quarantined.notify_waiters();
         }
-        // Single strikes are frequent while servers fail, and the next round is early enough for them.
-        if app.quarantine.borrow().strikes_of(run.content).count() >= URGENT_STRIKES {
+        if filter.end_count(*segment) >= URGENT_STRIKES {
             app.strike_news.notify_one();
         }
-    });
+    }
 }
 
 /// Formats the segments of a prompt for the log.
--- a/crates/mustard-policy/src/lib.rs
+++ b/crates/mustard-policy/src/lib.rs
@@ -79,6 +79,8 @@
 pub mod quarantine;
 pub mod retry;
 pub mod route;
+
+pub mod segments;
 pub mod separation;
 pub mod slow;
 pub mod stall;
