Read answers that only the end of the connection delimits

Callers got 502, or a stream that was broken off, for each answer of a server that had neither a length nor chunks, although the server had run the request: the HTTP client reads such a body as empty, so it counted as lost. A booking could not even be asked for again.

Requests are forwarded by a client of our own now, over one connection each as before. It tells a reset from an end, and sends the rest of a long body while it reads an early answer. Reports, health checks and reads of the store are asked for once more by that client when they come without a length.

--- a/crates/mustard-fakes/src/site/mod.rs
+++ b/crates/mustard-fakes/src/site/mod.rs
@@ -7,6 +7,7 @@
 mod http;
 mod model;
 mod plain;
+mod raw;
 mod store;
 
 use std::collections::BTreeMap;
@@ -19,6 +20,8 @@
 
 use crate::errors::Result;
 
+pub use raw::Endless;
+
 /// The host name of every route.
 pub const HOST: &str = "site.example";
 /// The API key of the customer.
@@ -78,6 +81,14 @@
     LosesAnswers,
     /// Runs a request and answers with status 500 (plain service only).
     AnswersError,
+    /// Answers without a length or chunks; only the end of the connection ends an answer.
+    Unframed,
+    /// The same, but each stream is closed within an event.
+    UnframedCut,
+    /// Sends a stream with chunks, and ends it within an event as if it were whole.
+    EndsInEvent,
+    /// Answers without an end.
+    Endless(Endless),
     /// Turns requests away with status 503 and this time in `Retry-After`.
     TurnsAway(Duration),
 }
@@ -140,6 +151,8 @@
     pub arrivals: Vec<Arrival>,
     /// The ends of servers caused by poison contents, in order.
     pub ended: Vec<EndedServer>,
+    /// For each answer without an end how many bytes were sent and for how long, once it was over.
+    pub endless: Vec<(u64, Duration)>,
 }
 
 /// A request that reached a server; reports and orders aren't counted.
--- a/crates/mustard-fakes/src/site/model.rs
+++ b/crates/mustard-fakes/src/site/model.rs
@@ -14,11 +14,14 @@
 
 use super::http::{Call, json_response};
 use super::plain::{is_misdirected, misdirected_response, record_run};
-use super::{LAYERS, PoisonTarget, ServerFault, Site};
+use super::{LAYERS, PoisonTarget, ServerFault, Site, raw};
 
 /// The time between the checks of a poison content for a path on which it has ended no server yet.
 const POISON_DELAY: std::time::Duration = std::time::Duration::from_millis(60);
 
+/// The events of a stream before a server cuts it off within one.
+const CUT_EVENTS: u64 = 5;
+
 /// How long after the first event of an answer a poison segment ends the server.
 const SEGMENT_DELAY: std::time::Duration = std::time::Duration::from_millis(50);
 
@@ -42,7 +45,7 @@
     match (call.method.as_str(), call.path.as_str()) {
         ("GET", "/v1/report") => report_load(site, index),
         ("POST", "/v1/order") => handle_order(site, index, &call),
-        _ => start_stream(site, index, &call),
+        _ => start_stream(site, index, &call).await,
     }
 }
 
@@ -201,7 +204,7 @@
     }
 }
 
-fn start_stream(site: &Site, index: usize, call: &Call) -> Response {
+async fn start_stream(site: &Site, index: usize, call: &Call) -> Response {
     if is_misdirected(site, index, call) {
         return misdirected_response();
     }
@@ -249,8 +252,10 @@
         receiver,
         connection: call.connection(),
     };
+    let fault = site.lock().servers[index].fault;
     let site = site.clone();
     let poison_segment = call.poison_segment();
+    let stream_id = id.clone();
     ntex::rt::spawn(async move {
         if poison.is_some() {
             let (site, id) = (site.clone(), id.clone());
@@ -262,6 +267,10 @@
         }
         send_events(&site, index, &id, after, &sender).await;
     });
+    if matches!(fault, ServerFault::Unframed | ServerFault::UnframedCut) {
+        let response = raw::send_unframed(call, &stream_id, "text/event-stream", body.receiver);
+        return response.await;
+    }
     out.streaming(body)
 }
 
@@ -343,6 +352,16 @@
             return;
         }
         let text = format!("id: {event}\ndata: piece {event} of {id}\n\n");
+        let fault = site.lock().servers[index].fault;
+        if event == after + CUT_EVENTS && fault == ServerFault::UnframedCut {
+            let _ = sender.send(None).await;
+            break;
+        }
+        if event == after + CUT_EVENTS && fault == ServerFault::EndsInEvent {
+            let half = text[..text.len() / 2].to_owned();
+            let _ = sender.send(Some(Bytes::from(half))).await;
+            break;
+        }
         if sender.send(Some(Bytes::from(text))).await.is_err() {
             site.lock().ledger.cancelled += 1;
             break;
--- a/crates/mustard-fakes/src/site/plain.rs
+++ b/crates/mustard-fakes/src/site/plain.rs
@@ -5,10 +5,11 @@
 use ntex::http::Response;
 use ntex::util::Bytes;
 use serde_json::json;
+use tokio::sync::mpsc::channel;
 use tokio::time::sleep;
 
 use super::http::{Call, json_response};
-use super::{ReceivedRequest, ServerFault, Site};
+use super::{ReceivedRequest, ServerFault, Site, raw};
 
 /// The time that each call takes.
 const CALL_TIME: Duration = Duration::from_millis(5);
@@ -71,6 +72,13 @@
             out.header("attempt-id", id).header("response-seal", "seal");
             out.body(Bytes::from_static(b"failed"))
         }
+        ServerFault::Unframed | ServerFault::UnframedCut => {
+            let (sender, receiver) = channel(1);
+            // The receiver is alive.
+            let _ = sender.send(Some(Bytes::from(format!("done {id}")))).await;
+            drop(sender);
+            raw::send_unframed(&call, &id, "text/plain", receiver).await
+        }
         _ => {
             let mut out = Response::Ok();
             out.header("attempt-id", id.clone());
--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -17,7 +17,7 @@
 use mustard_core::collections::Map;
 use mustard_core::deployment::Config;
 use mustard_core::ids::{Era, Incarnation};
-use mustard_net::http::{new_client, new_client_with_timeout};
+use mustard_net::http::{MAX_ANSWER_BYTES, new_client, new_limited_client};
 use mustard_net::shutdown::RequestGate;
 use mustard_policy::budget_share::{Budget, RetryBudgetShare};
 use mustard_policy::quarantine::{Quarantine, Settings};
@@ -31,7 +31,9 @@
 
 /// Time limit for opening a connection: a hundred times the one-way delay between failure domains
 /// of the region.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// The largest report of a server, or answer to an order.
+const MAX_REPORT_BYTES: usize = 256 * 1024;
 /// The least number of gateways among which the retry budget is divided; a process that has just
 /// started knows only few of its peers.
 const MIN_GATEWAYS: usize = 4;
@@ -74,7 +76,7 @@
     pub incarnation: Incarnation,
     /// The clock; times the leases and log limits too.
     pub clock: SystemClock,
-    /// The HTTP client for backend servers.
+    /// The HTTP client for reports of backend servers and orders to them.
     pub client: Client,
     /// The HTTP client for peers.
     pub peer_client: Client,
@@ -145,8 +147,8 @@
         let peers = Peers::new(&node);
         Rc::new(App {
             incarnation: Incarnation::random(),
-            client: new_client_with_timeout(CONNECT_TIMEOUT).await,
-            peer_client: new_client_with_timeout(CONNECT_TIMEOUT).await,
+            client: new_limited_client(CONNECT_TIMEOUT, MAX_REPORT_BYTES).await,
+            peer_client: new_limited_client(CONNECT_TIMEOUT, MAX_ANSWER_BYTES).await,
             store,
             log: LimitedLog::new(log, clock.clone()),
             clock,
--- a/crates/mustard-gateway/src/forward/send.rs
+++ b/crates/mustard-gateway/src/forward/send.rs
@@ -1,21 +1,20 @@
 //! Sends a request to one server and reads the response.
 
-use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use ntex::client::ClientResponse;
-use ntex::http::{HeaderMap, Payload};
-use ntex::util::{Bytes, BytesMut};
+use ntex::http::HeaderMap;
+use ntex::util::Bytes;
 use slog::info;
 
 use mustard_adapter::requests::{self, ForwardParams};
 use mustard_adapter::responses::{self, Verdict};
 use mustard_core::deployment::PathPart;
 use mustard_net::CallError;
-use mustard_net::http::{ForwardedRequest, MAX_ANSWER_BYTES, forward_request};
+use mustard_net::forward::{ForwardedRequest, ForwardedResponse, ResponseBody, forward_request};
+use mustard_net::http::MAX_ANSWER_BYTES;
 
-use crate::app::App;
+use crate::app::{App, CONNECT_TIMEOUT};
 use crate::fleet::ServerProcess;
 use crate::log_limit::Topic;
 use crate::metric;
@@ -45,7 +44,7 @@
     /// The headers as received.
     pub headers: HeaderMap,
     /// The body, not yet read.
-    pub body: Payload,
+    pub body: ResponseBody,
 }
 
 /// Why a send brought no usable response from the server.
@@ -85,21 +84,21 @@
         headers: requests::forwarded_headers(&request.headers, &forward_params),
         body: request.body.clone(),
     };
-    let response = forward_request(&app.client, outgoing)
+    let response = forward_request(&outgoing, CONNECT_TIMEOUT)
         .await
         .map_err(|e| match e {
             CallError::NotSent(_) | CallError::NoListener(_) => SendError::NotSent,
             _ => SendError::Lost,
         })?;
     record_announcements(app, target, &response);
-    check_response(&request.params.id, &response)
+    check_response(&request.params.id, response)
 }
 
 /// Records what a response says about its server, whoever asked for it: that it is leaving, or that
 /// it wants nothing more for a time.
-fn record_announcements(app: &App, target: &Target, response: &ClientResponse) {
-    let status = response.status().as_u16();
-    let headers = response.headers();
+fn record_announcements(app: &App, target: &Target, response: &ForwardedResponse) {
+    let status = response.status;
+    let headers = &response.headers;
     let now = app.now();
     let mut fleet = app.fleet.borrow_mut();
     // Status 421 may come from another server that has the address now.
@@ -121,19 +120,22 @@
 }
 
 /// Returns the head of a response that belongs to the request and comes from a server that ran it.
-fn check_response(id: &str, response: &ClientResponse) -> Result<ResponseHead, SendError> {
-    let status = response.status().as_u16();
-    let headers = response.headers();
-    match responses::classify(id, status, headers) {
+fn check_response(id: &str, response: ForwardedResponse) -> Result<ResponseHead, SendError> {
+    let ForwardedResponse {
+        status,
+        headers,
+        body,
+    } = response;
+    match responses::classify(id, status, &headers) {
         Verdict::Foreign => Err(SendError::Lost),
         Verdict::NotRun => Err(SendError::NotRun(
             status,
-            responses::parse_faulty_server(headers),
+            responses::parse_faulty_server(&headers),
         )),
         Verdict::Genuine => Ok(ResponseHead {
             status,
-            headers: headers.clone(),
-            body: response.take_payload(),
+            headers,
+            body,
         }),
     }
 }
@@ -151,24 +153,16 @@
 impl ResponseHead {
     /// Reads the next chunk of the body.
     pub(super) async fn next_chunk(&mut self) -> BodyChunk {
-        match poll_fn(|cx| self.body.poll_recv(cx)).await {
-            Some(Ok(bytes)) => BodyChunk::Bytes(bytes),
-            None => BodyChunk::End,
-            Some(Err(_)) => BodyChunk::Failed,
+        match self.body.next_chunk().await {
+            Ok(Some(bytes)) => BodyChunk::Bytes(bytes),
+            Ok(None) => BodyChunk::End,
+            Err(_) => BodyChunk::Failed,
         }
     }
 
     /// Reads the rest of the body; one of more than [`MAX_ANSWER_BYTES`] bytes counts as lost.
     pub(super) async fn read_body(&mut self) -> Result<Bytes, SendError> {
-        let mut body = BytesMut::new();
-        loop {
-            match self.next_chunk().await {
-                BodyChunk::Bytes(bytes) if body.len() + bytes.len() <= MAX_ANSWER_BYTES => {
-                    body.extend_from_slice(&bytes);
-                }
-                BodyChunk::End => return Ok(body.freeze()),
-                BodyChunk::Bytes(_) | BodyChunk::Failed => return Err(SendError::Lost),
-            }
-        }
+        let body = self.body.read_all(MAX_ANSWER_BYTES).await;
+        body.map_err(|_| SendError::Lost)
     }
 }
--- /dev/null
+++ b/crates/mustard-gateway/tests/gateway/framing.rs
@@ -0,0 +1,70 @@
+//! Servers whose answers have no length or end within an event.
+
+use mustard_fakes::site::{ServerFault, Site, SiteOptions};
+use mustard_tests::site_soak::stream_text;
+
+use super::harness::{Caller, Gateway};
+use super::{EVENT_COUNT, start_ready};
+
+const MODEL_SERVERS: usize = 6;
+const PLAIN_SERVERS: std::ops::Range<usize> = 6..8;
+fn set_faults(site: &Site, servers: std::ops::Range<usize>, fault: ServerFault) {
+    servers.for_each(|s| site.set_fault(s, fault));
+}
+
+async fn expect_stream(caller: &Caller, gateway: &Gateway, id: &str) {
+    let answer = caller.request(gateway, "/draft/x", id).await.unwrap();
+    assert_eq!((answer.status, answer.complete), (200, true), "{id}");
+    assert_eq!(answer.text, stream_text(id, EVENT_COUNT));
+}
+
+/// Guards against taking a stream without a length for lost although it arrived whole.
+#[ntex::test]
+async fn unframed_stream() {
+    let (site, gateway, caller) = start_ready(SiteOptions::default()).await;
+    set_faults(&site, 0..MODEL_SERVERS, ServerFault::Unframed);
+    for n in 0..4 {
+        let id = format!("unframed-{n}");
+        expect_stream(&caller, &gateway, &id).await;
+        assert_eq!(site.ledger().runs[&id], 1);
+    }
+}
+
+/// Guards against the same for an answer that must not be asked for again.
+#[ntex::test]
+async fn unframed_booking() {
+    let (site, gateway, caller) = start_ready(SiteOptions::default()).await;
+    set_faults(&site, PLAIN_SERVERS, ServerFault::Unframed);
+    for (path, id) in [("/book/x", "book"), ("/status/x", "read")] {
+        let answer = caller.request(&gateway, path, id).await.unwrap();
+        assert_eq!((answer.status, answer.complete), (200, true));
+        assert_eq!(answer.text, format!("done {id}"));
+        assert_eq!(site.ledger().runs[id], 1);
+    }
+}
+
+/// A stream that ends within an event is resumed at another server, whether or not its end looks whole.
+#[ntex::test]
+async fn end_in_event() {
+    for fault in [ServerFault::UnframedCut, ServerFault::EndsInEvent] {
+        let (site, gateway, caller) = start_ready(SiteOptions::default()).await;
+        set_faults(&site, 0..1, fault);
+        for n in 0..12 {
+            expect_stream(&caller, &gateway, &format!("cut-{n}")).await;
+        }
+        let resumed = site.ledger().runs.values().any(|runs| *runs > 1);
+        assert!(resumed, "no stream ran at the server that cuts them off");
+    }
+}
+
+/// A stream that all servers end within an event must not look whole.
+#[ntex::test]
+async fn end_in_event_everywhere() {
+    for fault in [ServerFault::UnframedCut, ServerFault::EndsInEvent] {
+        let (site, gateway, caller) = start_ready(SiteOptions::default()).await;
+        set_faults(&site, 0..MODEL_SERVERS, fault);
+        let answer = caller.request(&gateway, "/draft/x", "cut").await.unwrap();
+        assert!(answer.status != 200 || !answer.complete, "{answer:?}");
+        assert!(stream_text("cut", EVENT_COUNT).starts_with(&answer.text) || answer.status != 200);
+    }
+}
--- a/crates/mustard-gateway/tests/gateway/main.rs
+++ b/crates/mustard-gateway/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod framing;
 mod harness;
 mod leaving;
 mod logs;
--- a/crates/mustard-net/src/http.rs
+++ b/crates/mustard-net/src/http.rs
@@ -7,13 +7,14 @@
 use ntex::SharedCfg;
 use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client as HttpClient, ClientResponse, Connector};
-use ntex::http::header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use ntex::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use ntex::http::{HeaderMap, Method, StatusCode};
 use ntex::io::IoConfig;
 use ntex::time::{Millis, Seconds};
 use ntex::util::Bytes;
 
 use crate::errors::{CallError, Result};
+use crate::forward;
 
 /// The largest answer body that a client reads, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
@@ -65,35 +66,20 @@
     pub body: Bytes,
 }
 
-/// A request of a remote client that [`forward_request`] forwards over a new connection.
-#[derive(Clone, Debug)]
-pub struct ForwardedRequest {
-    /// The receiver.
-    pub to: SocketAddr,
-    /// The method.
-    pub method: Method,
-    /// The path with its query.
-    pub path: String,
-    /// The headers.
-    pub headers: Vec<(HeaderName, HeaderValue)>,
-    /// The body.
-    pub body: Bytes,
-}
-
 /// Creates an HTTP client; it belongs to the calling thread.
 pub async fn new_client() -> HttpClient {
-    build_client(SharedCfg::default()).await
+    build_client(SharedCfg::default(), MAX_ANSWER_BYTES).await
 }
 
-/// Creates an HTTP client that gives up connecting after `connect`; it belongs to the calling
-/// thread.
-pub async fn new_client_with_timeout(connect: Duration) -> HttpClient {
+/// Creates an HTTP client that gives up connecting after `connect` and reads answers of at most
+/// `max_bytes`; it belongs to the calling thread.
+pub async fn new_limited_client(connect: Duration, max_bytes: usize) -> HttpClient {
     let millis = Millis(connect.as_millis() as u32);
     let io = IoConfig::new().set_connect_timeout(millis);
-    build_client(SharedCfg::new("client").add(io).into()).await
+    build_client(SharedCfg::new("client").add(io).into(), max_bytes).await
 }
 
-async fn build_client(shared: SharedCfg) -> HttpClient {
+async fn build_client(shared: SharedCfg, max_bytes: usize) -> HttpClient {
     let connector = Connector::new()
         .limit(MAX_CONNECTIONS)
         .keep_alive(CLIENT_KEEP_ALIVE)
@@ -103,7 +89,7 @@
         .disable_timeout()
         .disable_redirects()
         .no_default_headers()
-        .response_payload_limit(MAX_ANSWER_BYTES)
+        .response_payload_limit(max_bytes)
         .response_payload_timeout(Millis::ZERO)
         .build(shared)
         .await
@@ -112,15 +98,25 @@
 
 /// Sends a request and reads the complete answer.
 ///
+/// The HTTP client can't read an answer whose body only the end of the connection delimits. If nothing
+/// but its connection distinguishes a second request from the first one (`GET`), it is sent again.
+///
 /// # Errors
 ///
 /// [`CallError::NotSent`] and [`CallError::NoListener`] mean that the receiver did not see the
 /// request; after any other error it may have acted.
 pub async fn exchange(client: &HttpClient, request: Request<'_>) -> Result<Answer> {
     let timeout = request.timeout;
+    let again = (request.method == Method::GET).then(|| request.clone());
     let round_trip = async {
         let response = send(client, request).await?;
-        read_answer(response).await
+        if !has_body(&response) || is_framed(&response) {
+            return read_answer(response).await;
+        }
+        match again {
+            Some(request) => forward::exchange_unpooled(&request).await,
+            None => Err(CallError::Lost("an answer without a length".to_owned())),
+        }
     };
     match tokio::time::timeout(timeout, round_trip).await {
         Ok(answer) => answer,
@@ -147,36 +143,7 @@
         .map_err(|e| classify_error(&e))
 }
 
-/// Forwards a request over a new connection and returns the head of the answer; the body is still
-/// to be read. Dropping the future or the answer closes the connection.
-///
-/// # Errors
-///
-/// As for [`exchange`]. An answer whose body is delimited only by the end of the connection counts
-/// as lost, because the HTTP client reads its body as empty.
-pub async fn forward_request(
-    client: &HttpClient,
-    request: ForwardedRequest,
-) -> Result<ClientResponse> {
-    let url = format!("http://{}{}", request.to, request.path);
-    let mut builder = client
-        .request(request.method, url)
-        .address(request.to)
-        .no_decompress()
-        .force_close();
-    for (name, value) in request.headers {
-        builder = builder.header(name, value);
-    }
-    let answer = builder
-        .send_body(request.body)
-        .await
-        .map_err(|e| classify_error(&e))?;
-    if has_body(&answer) && !is_framed(&answer) {
-        return Err(CallError::Lost("an answer without a length".to_owned()));
-    }
-    Ok(answer)
-}
-
+/// Returns whether the status allows a body.
 fn has_body(answer: &ClientResponse) -> bool {
     !matches!(
         answer.status(),
@@ -231,7 +198,7 @@
 }
 
 /// Returns whether an error can only occur while connecting.
-fn is_connect_error(kind: ErrorKind) -> bool {
+pub(crate) fn is_connect_error(kind: ErrorKind) -> bool {
     matches!(
         kind,
         ErrorKind::AddrNotAvailable | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable
--- a/crates/mustard-net/src/lib.rs
+++ b/crates/mustard-net/src/lib.rs
@@ -2,9 +2,11 @@
 
 #![forbid(unsafe_code)]
 
+mod chunked;
 pub mod client;
 pub mod daemon;
 pub mod errors;
+pub mod forward;
 pub mod http;
 pub mod log;
 pub mod metric;
