End a try at a server that sends bytes without end

A server in trouble may send bytes that are no answer until the caller closes, in a head or in a body. The try went on until the request's deadline (7 s in the test), for a stream also when no event came of the bytes.

--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -96,6 +96,8 @@
     pub list_confirmed: Cell<Moment>,
     /// Whether the list of servers has been read in full once.
     pub list_read: Cell<bool>,
+    /// The bytes of the response bodies that are being read.
+    pub buffered_bytes: Cell<usize>,
     /// The streams in flight.
     pub streams: RefCell<ActiveStreams>,
     /// How late the timers of this process fire.
@@ -157,6 +159,7 @@
             config_era: Cell::default(),
             fleet: RefCell::default(),
             list_read: Cell::new(false),
+            buffered_bytes: Cell::default(),
             streams: RefCell::default(),
             list_confirmed: Cell::default(),
             lateness: RefCell::default(),
--- a/crates/mustard-gateway/src/forward/events.rs
+++ b/crates/mustard-gateway/src/forward/events.rs
@@ -1,9 +1,15 @@
 //! Splits a byte stream of server-sent events into complete events.
 
+use std::time::Duration;
+
 use ntex::util::{Bytes, BytesMut};
 
+use mustard_core::clock::Moment;
+
 /// The most bytes that are buffered while the rest of an event arrives.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
+/// How long an event may take to arrive.
+const MAX_EVENT_TIME: Duration = Duration::from_secs(2);
 const ID_FIELD: &[u8] = b"id:";
 
 /// A complete event with its bytes as received.
@@ -19,19 +25,25 @@
 #[derive(Debug, Default)]
 pub struct EventParser {
     buffer: BytesMut,
+    /// When the first byte of the event that is incomplete arrived.
+    begun: Option<Moment>,
 }
 
 impl EventParser {
-    /// Adds bytes. Returns true on failure: too many bytes are buffered, so an event is too large.
-    pub fn push(&mut self, bytes: &[u8]) -> bool {
+    /// Adds bytes that arrived now. Returns true on failure: an event is too large, or hasn't ended
+    /// within [`MAX_EVENT_TIME`].
+    pub fn push(&mut self, now: Moment, bytes: &[u8]) -> bool {
         self.buffer.extend_from_slice(bytes);
-        self.buffer.len() > MAX_EVENT_BYTES
+        let begun = *self.begun.get_or_insert(now);
+        let is_late = now.since(begun) > MAX_EVENT_TIME && first_event_len(&self.buffer).is_none();
+        is_late || self.buffer.len() > MAX_EVENT_BYTES
     }
 
     /// Removes and returns the next complete event.
     pub fn next_event(&mut self) -> Option<Event> {
         let end = first_event_len(&self.buffer)?;
         let bytes = self.buffer.split_to(end);
+        self.begun = None;
         Some(Event {
             id: parse_id(&bytes),
             bytes,
--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -169,7 +169,7 @@
     let _load = LoadGuard::begin(app, std::iter::once((addr, 1.0)));
     let response = async {
         let mut head = send_request(app, request, &target, None).await?;
-        let body = head.read_body().await?;
+        let body = head.read_body(app).await?;
         Ok(ServerResponse {
             status: head.status,
             headers: head.headers,
--- a/crates/mustard-gateway/src/forward/send.rs
+++ b/crates/mustard-gateway/src/forward/send.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use ntex::http::HeaderMap;
-use ntex::util::Bytes;
+use ntex::util::{Bytes, BytesMut};
 use slog::info;
+use tokio::time::timeout;
 
 use mustard_adapter::requests::{self, ForwardParams};
 use mustard_adapter::responses::{self, Verdict};
@@ -21,6 +23,39 @@
 
 use super::AdmittedRequest;
 
+/// The time within which a body ends whose head doesn't say how long it is; that of a stream isn't
+/// read at once.
+const BODY_TIMEOUT: Duration = Duration::from_secs(3);
+/// The most bytes of all bodies that are being read.
+const MAX_BUFFERED_BYTES: usize = 48 * 1024 * 1024;
+
+/// Counts the bytes of a body that is being read until it is dropped.
+struct BufferGuard<'a> {
+    app: &'a App,
+    bytes: usize,
+}
+
+impl<'a> BufferGuard<'a> {
+    fn new(app: &'a App) -> Self {
+        BufferGuard { app, bytes: 0 }
+    }
+
+    /// Counts further bytes; returns the number of those of all bodies.
+    fn add(&mut self, bytes: usize) -> usize {
+        self.bytes += bytes;
+        let total = self.app.buffered_bytes.get() + bytes;
+        self.app.buffered_bytes.set(total);
+        total
+    }
+}
+
+impl Drop for BufferGuard<'_> {
+    fn drop(&mut self) {
+        let total = self.app.buffered_bytes.get();
+        self.app.buffered_bytes.set(total - self.bytes);
+    }
+}
+
 /// A server that a request is sent to.
 #[derive(Clone, Debug)]
 pub(super) struct Target {
@@ -160,9 +195,34 @@
         }
     }
 
-    /// Reads the rest of the body; one of more than [`MAX_ANSWER_BYTES`] bytes counts as lost.
-    pub(super) async fn read_body(&mut self) -> Result<Bytes, SendError> {
-        let body = self.body.read_all(MAX_ANSWER_BYTES).await;
-        body.map_err(|_| SendError::Lost)
+    /// Reads the rest of the body. It counts as lost if it has more than [`MAX_ANSWER_BYTES`], if all
+    /// bodies that are being read have more than [`MAX_BUFFERED_BYTES`], or if its head doesn't say how
+    /// long it is and it doesn't end within [`BODY_TIMEOUT`].
+    pub(super) async fn read_body(&mut self, app: &Rc<App>) -> Result<Bytes, SendError> {
+        let limit = if self.body.has_length() {
+            Duration::MAX
+        } else {
+            BODY_TIMEOUT
+        };
+        let body = timeout(limit, self.read_buffered(app)).await;
+        body.unwrap_or(Err(SendError::Lost))
+    }
+
+    async fn read_buffered(&mut self, app: &Rc<App>) -> Result<Bytes, SendError> {
+        let mut body = BytesMut::new();
+        let mut buffered = BufferGuard::new(app);
+        loop {
+            match self.next_chunk().await {
+                BodyChunk::Bytes(bytes) => {
+                    body.extend_from_slice(&bytes);
+                    let total = buffered.add(bytes.len());
+                    if body.len() > MAX_ANSWER_BYTES || total > MAX_BUFFERED_BYTES {
+                        return Err(SendError::Lost);
+                    }
+                }
+                BodyChunk::End => return Ok(body.freeze()),
+                BodyChunk::Failed => return Err(SendError::Lost),
+            }
+        }
     }
 }
--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -130,7 +130,7 @@
     }
     if !status.is_success() {
         let mut attempt = attempt;
-        return match attempt.head.read_body().await {
+        return match attempt.head.read_body(app).await {
             Ok(body) => out.body(body),
             Err(_) => refuse(app, &request, OpenError::Lost),
         };
@@ -334,8 +334,8 @@
             };
             match attempt.head.next_chunk().await {
                 BodyChunk::Bytes(bytes) => {
-                    if attempt.parser.push(&bytes) {
-                        return AttemptEnd::Failed("event too large");
+                    if attempt.parser.push(self.app.now(), &bytes) {
+                        return AttemptEnd::Failed("event doesn't end");
                     }
                 }
                 BodyChunk::End if attempt.parser.is_empty() => return AttemptEnd::Complete,
--- a/crates/mustard-gateway/tests/events.rs
+++ b/crates/mustard-gateway/tests/events.rs
@@ -1,5 +1,6 @@
 //! Parsing a byte stream of server-sent events into complete events.
 
+use mustard_core::clock::Moment;
 use mustard_gateway::forward::EventParser;
 
 const STREAM: &[u8] =
@@ -13,7 +14,7 @@
         let mut seen = Vec::new();
         for chunk in STREAM.chunks(size) {
             // `push` returns true only if an event is too large.
-            assert!(!parser.push(chunk));
+            assert!(!parser.push(Moment::default(), chunk));
             while let Some(event) = parser.next_event() {
                 seen.push(event);
             }
@@ -29,7 +30,7 @@
 #[test]
 fn next_event_half_event() {
     let mut parser = EventParser::default();
-    parser.push(b"id: 1\ndata: a\n");
+    parser.push(Moment::default(), b"id: 1\ndata: a\n");
     assert_eq!(parser.next_event(), None);
     assert!(!parser.is_empty());
 }
@@ -37,6 +38,19 @@
 #[test]
 fn push_endless_event() {
     let mut parser = EventParser::default();
-    let too_large = (0..1_000).any(|_| parser.push(&[b'x'; 1_024]));
+    let too_large = (0..1_000).any(|_| parser.push(Moment::default(), &[b'x'; 1_024]));
     assert!(too_large);
 }
+
+/// Guards against an event that comes so slowly that it never ends.
+#[test]
+fn push_slow_event() {
+    let mut parser = EventParser::default();
+    let at = |ms: u64| Moment::from_millis(10_000 + ms);
+    assert!(!parser.push(at(0), b"id: 1\ndata: a"));
+    assert!(!parser.push(at(1_900), b"b"));
+    assert!(!parser.push(at(2_100), b"\n\nid: 2"), "the event has ended");
+    assert_eq!(parser.next_event().unwrap().id, Some(1));
+    assert!(!parser.push(at(4_000), b"\n"));
+    assert!(parser.push(at(6_100), b"data"));
+}
--- a/crates/mustard-gateway/tests/gateway/framing.rs
+++ b/crates/mustard-gateway/tests/gateway/framing.rs
@@ -1,13 +1,20 @@
-//! Servers whose answers have no length or end within an event.
+//! Servers whose answers have no length, end within an event, or have no end.
 
-use mustard_fakes::site::{ServerFault, Site, SiteOptions};
+use std::time::{Duration, Instant};
+
+use mustard_fakes::site::{Endless, ServerFault, Site, SiteOptions};
 use mustard_tests::site_soak::stream_text;
 
-use super::harness::{Caller, Gateway};
+use super::harness::{Caller, Gateway, wait_until};
 use super::{EVENT_COUNT, start_ready};
 
 const MODEL_SERVERS: usize = 6;
 const PLAIN_SERVERS: std::ops::Range<usize> = 6..8;
+/// The most bytes that a server gets rid of before the gateway closes the connection.
+const MAX_BYTES: u64 = 2 * 1_024 * 1_024;
+/// The time within which a try at a server that sends bytes without end is over.
+const MAX_TIME: Duration = Duration::from_secs(4);
+
 fn set_faults(site: &Site, servers: std::ops::Range<usize>, fault: ServerFault) {
     servers.for_each(|s| site.set_fault(s, fault));
 }
@@ -68,3 +75,68 @@
         assert!(stream_text("cut", EVENT_COUNT).starts_with(&answer.text) || answer.status != 200);
     }
 }
+
+/// Sends requests to servers whose answers have no end, and checks that each try ends soon, and that
+/// the gateway still serves with little memory afterwards.
+async fn check_endless(path: &str, servers: std::ops::Range<usize>) {
+    for what in [
+        Endless::Head,
+        Endless::Headers,
+        Endless::Body,
+        Endless::ChunkLine,
+    ] {
+        let (site, gateway, caller) = start_ready(SiteOptions::default()).await;
+        set_faults(&site, servers.clone(), ServerFault::Endless(what));
+        let begun = Instant::now();
+        let answer = caller.request(&gateway, path, "endless").await;
+        let text = format!("{what:?} {path}");
+        assert!(
+            answer.is_none_or(|a| a.status != 200 || !a.complete),
+            "{text}"
+        );
+        // Two attempts at most.
+        assert!(
+            begun.elapsed() < 2 * MAX_TIME,
+            "{text}: {:?}",
+            begun.elapsed()
+        );
+        wait_until("the end of the tries", || !site.ledger().endless.is_empty()).await;
+        for (bytes, time) in site.ledger().endless {
+            assert!(
+                bytes < MAX_BYTES && time < MAX_TIME,
+                "{text}: {bytes} bytes in {time:?}"
+            );
+        }
+        set_faults(&site, servers.clone(), ServerFault::None);
+        let served = async {
+            while caller
+                .request(&gateway, path, "later")
+                .await
+                .is_none_or(|a| a.status != 200)
+            {
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        };
+        tokio::time::timeout(Duration::from_secs(5), served)
+            .await
+            .unwrap();
+    }
+}
+
+/// Guards against a stream's try that goes on until the deadline while bytes without end arrive.
+#[ntex::test]
+async fn endless_stream() {
+    check_endless("/draft/x", 0..MODEL_SERVERS).await;
+}
+
+/// Guards against the same for a request that may run once only.
+#[ntex::test]
+async fn endless_booking() {
+    check_endless("/book/x", PLAIN_SERVERS).await;
+}
+
+/// Guards against the same for a request that may be repeated.
+#[ntex::test]
+async fn endless_read() {
+    check_endless("/status/x", PLAIN_SERVERS).await;
+}
