Tell apart prompts in the same body when ends of servers are counted

They counted as one content that was running at all ends, which acquits the segment. Ends are now counted under a digest of content and prompt.

The soak sends poison segments and lets servers answer without a length, within an event, or without an end. In the stand-in, an ended server stays away whatever other fault ends meanwhile, a restart ends its streams, and the proxies reset connections instead of closing them: before, such an end looked like that of a whole answer. An acquitted segment with strikes is logged.

--- a/crates/mustard-fakes/src/site/http.rs
+++ b/crates/mustard-fakes/src/site/http.rs
@@ -150,7 +150,7 @@
                 id,
                 poison_segment: call.poison_segment(),
                 at: Instant::now(),
-                notice: match server.fault {
+                notice: match server.current_fault() {
                     ServerFault::TurnsAway(pause) => Notice::Pause(pause),
                     ServerFault::None | ServerFault::AnswersError if server.leaving => {
                         Notice::Leaving
@@ -160,7 +160,10 @@
             };
             state.ledger.arrivals.push(arrival);
         }
-        (state.servers[index].fault, state.servers[index].model)
+        (
+            state.servers[index].current_fault(),
+            state.servers[index].model,
+        )
     };
     match fault {
         ServerFault::TurnsAway(wait) if call.header("attempt-id").is_some() => {
--- a/crates/mustard-fakes/src/site/mod.rs
+++ b/crates/mustard-fakes/src/site/mod.rs
@@ -117,6 +117,8 @@
     pub(crate) domain: usize,
     pub(crate) model: bool,
     pub(crate) fault: ServerFault,
+    // Whether it was ended and hasn't started again.
+    pub(crate) ended: bool,
     // The loaded layers: the first one and the excluded end.
     pub(crate) layers: Option<(u32, u32)>,
     // Whether layers are being loaded.
@@ -134,6 +136,17 @@
     pub(crate) leaving: bool,
 }
 
+impl Server {
+    /// Returns how the server fails now.
+    pub(crate) fn current_fault(&self) -> ServerFault {
+        if self.ended {
+            ServerFault::ResetsConnections
+        } else {
+            self.fault
+        }
+    }
+}
+
 /// The record of what the servers did.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
@@ -260,6 +273,7 @@
                 domain,
                 model,
                 fault: ServerFault::None,
+                ended: false,
                 layers: None,
                 busy: false,
                 orders: 0,
@@ -339,6 +353,7 @@
             s.fence = 0;
             s.incarnation += 1;
             s.fault = ServerFault::None;
+            s.ended = false;
             s.draining = false;
             s.leaving = false;
         }
@@ -399,7 +414,7 @@
     pub(crate) fn end_server(&self, server: usize, id: &str, segment: Option<String>) {
         let (incarnation, down_time) = {
             let mut state = self.lock();
-            state.servers[server].fault = ServerFault::ResetsConnections;
+            state.servers[server].ended = true;
             state.ledger.ended.push(EndedServer {
                 server,
                 id: id.to_owned(),
--- a/crates/mustard-fakes/src/site/model.rs
+++ b/crates/mustard-fakes/src/site/model.rs
@@ -181,7 +181,7 @@
             .map(|i| &servers[i])
             .ok_or(PathFault::ServerDown(hop.addr))?;
         if matches!(
-            server.fault,
+            server.current_fault(),
             ServerFault::Silent | ServerFault::ResetsConnections
         ) {
             return Err(PathFault::ServerDown(hop.addr));
@@ -252,7 +252,7 @@
         receiver,
         connection: call.connection(),
     };
-    let fault = site.lock().servers[index].fault;
+    let fault = site.lock().servers[index].current_fault();
     let site = site.clone();
     let poison_segment = call.poison_segment();
     let stream_id = id.clone();
@@ -335,9 +335,10 @@
 
 /// Sends the events of a stream that follow the event `after`.
 async fn send_events(site: &Site, index: usize, id: &str, after: u64, sender: &Sender<Chunk>) {
-    let (event_interval, events, stall_timeout) = {
+    let (incarnation, event_interval, events, stall_timeout) = {
         let state = site.lock();
         (
+            state.servers[index].incarnation,
             state.options.event_interval,
             state.options.events,
             state.options.stall_timeout,
@@ -345,14 +346,14 @@
     };
     for event in after + 1..=events {
         sleep(event_interval).await;
-        if !wait_for_path(site, index, id, stall_timeout).await {
+        if !wait_for_path(site, index, incarnation, id, stall_timeout).await {
             // An error means that the client has disconnected already.
             let _ = sender.send(None).await;
             site.lock().paths.remove(id);
             return;
         }
         let text = format!("id: {event}\ndata: piece {event} of {id}\n\n");
-        let fault = site.lock().servers[index].fault;
+        let fault = site.lock().servers[index].current_fault();
         if event == after + CUT_EVENTS && fault == ServerFault::UnframedCut {
             let _ = sender.send(None).await;
             break;
@@ -371,10 +372,11 @@
 }
 
 /// Waits until all servers of a stream's path can run it; returns false if the `stall_timeout` ran
-/// out or this server resets connections.
+/// out, or this server resets connections or has started again since.
 async fn wait_for_path(
     site: &Site,
     index: usize,
+    incarnation: u64,
     id: &str,
     stall_timeout: std::time::Duration,
 ) -> bool {
@@ -382,7 +384,10 @@
     loop {
         let path_ready = {
             let state = site.lock();
-            let fault = state.servers[index].fault;
+            if state.servers[index].incarnation != incarnation {
+                return false;
+            }
+            let fault = state.servers[index].current_fault();
             if fault == ServerFault::ResetsConnections {
                 return false;
             }
--- a/crates/mustard-fakes/src/site/plain.rs
+++ b/crates/mustard-fakes/src/site/plain.rs
@@ -61,7 +61,7 @@
         call.drop_connection();
         return Response::Ok().finish();
     }
-    let fault = site.lock().servers[index].fault;
+    let fault = site.lock().servers[index].current_fault();
     match fault {
         ServerFault::LosesAnswers => {
             call.drop_connection();
--- a/crates/mustard-gateway/src/active_streams.rs
+++ b/crates/mustard-gateway/src/active_streams.rs
@@ -15,7 +15,7 @@
 
 use crate::app::App;
 use crate::fleet::{LoadGuard, ServerProcess};
-use crate::strikes::{FailedRun, Failure, FinishedRun};
+use crate::strikes::{self, FailedRun, Failure, FinishedRun};
 
 /// The key of a stream in flight.
 pub type ActiveStreamKey = Key<ActiveStream>;
@@ -35,6 +35,8 @@
     pub processes: Vec<ServerProcess>,
     /// The fingerprint of the request's content.
     pub content: Fingerprint,
+    /// The digest of its content and its prompt.
+    pub variant: Fingerprint,
     /// The segments of its prompt that other prompts may share.
     pub segments: Rc<[Fingerprint]>,
     /// How often the attempt was moved to another path.
@@ -63,6 +65,7 @@
         };
         FailedRun {
             content: self.content,
+            variant: self.variant,
             segments,
             written: self.progress.written,
             request: self.id.clone(),
@@ -105,7 +108,7 @@
         let stream = streams.get(self.key)?;
         Some(FinishedRun {
             segments: Rc::clone(&stream.segments),
-            content: stream.content,
+            variant: stream.variant,
             written: stream.progress.written,
             processes: stream.processes.clone(),
         })
@@ -131,10 +134,7 @@
         let before = stream.progress.written;
         stream.progress.advance(now);
         if before < PROOF_WRITTEN && stream.progress.written >= PROOF_WRITTEN {
-            let mut filter = self.app.segments.borrow_mut();
-            for segment in stream.segments.iter() {
-                filter.record_success(now, *segment);
-            }
+            strikes::acquit_segments(&self.app, &stream.segments, now);
         }
     }
 }
--- a/crates/mustard-gateway/src/forward/mod.rs
+++ b/crates/mustard-gateway/src/forward/mod.rs
@@ -70,6 +70,8 @@
     pub customer: Option<String>,
     /// The digest of key, host, path and body, by which repeated content is recognized.
     pub fingerprint: Fingerprint,
+    /// The digest of content and prompt, which differs between prompts in the same body.
+    pub variant: Fingerprint,
     /// When the request arrived.
     pub arrived: Moment,
     /// When the caller stops waiting for the response.
@@ -175,6 +177,7 @@
         service: service.clone(),
         customer,
         fingerprint,
+        variant: Fingerprint::of(&[&fingerprint.0.to_le_bytes(), &params.prompt.0.to_le_bytes()]),
         arrived,
         deadline: arrived + left,
         guard,
--- a/crates/mustard-gateway/src/forward/open_stream.rs
+++ b/crates/mustard-gateway/src/forward/open_stream.rs
@@ -107,6 +107,7 @@
             parts: target.path.clone(),
             processes: target.processes.clone(),
             content: request.fingerprint,
+            variant: request.variant,
             segments: Rc::clone(&request.params.segments),
             moves: 0,
             demand,
--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -216,6 +216,7 @@
         let failure = Failure::PlainConnectionLost(request.service.health_path.clone());
         let run = FailedRun {
             content: request.fingerprint,
+            variant: request.variant,
             segments: Rc::clone(&request.params.segments),
             written: Duration::ZERO,
             request: request.params.id.clone(),
--- a/crates/mustard-gateway/src/strikes.rs
+++ b/crates/mustard-gateway/src/strikes.rs
@@ -59,6 +59,8 @@
 pub struct FailedRun {
     /// The fingerprint of the request's content.
     pub content: Fingerprint,
+    /// The digest of its content and its prompt.
+    pub variant: Fingerprint,
     /// The segments of its prompt that other prompts may share.
     pub segments: Rc<[Fingerprint]>,
     /// For how long its servers had been writing.
@@ -76,8 +78,8 @@
 pub struct FinishedRun {
     /// The segments of its prompt that other prompts may share.
     pub segments: Rc<[Fingerprint]>,
-    /// The fingerprint of the request's content.
-    pub content: Fingerprint,
+    /// The digest of the request's content and its prompt.
+    pub variant: Fingerprint,
     /// For how long its servers had been writing.
     pub written: Duration,
     /// The processes that it used, in the order of the path.
@@ -133,7 +135,7 @@
         }
         strike_content(&app, run.content, &ended, failed_at);
         if run.written < PROOF_WRITTEN {
-            strike_segments(&app, &run.segments, run.content, &ended, failed_at);
+            strike_segments(&app, &run.segments, run.variant, &ended, failed_at);
         }
     });
 }
@@ -155,19 +157,28 @@
             run.processes.iter().find(has_ended).cloned()
         };
         if let Some(ended) = ended {
-            return strike_segments(&app, &run.segments, run.content, &ended, finished_at);
+            return strike_segments(&app, &run.segments, run.variant, &ended, finished_at);
         }
         let first = run.processes.first();
         if first.is_some_and(|p| app.fleet.borrow().is_silent(p.addr)) {
             return;
         }
-        let mut filter = app.segments.borrow_mut();
-        for segment in run.segments.iter() {
-            filter.record_success(finished_at, *segment);
-        }
+        acquit_segments(&app, &run.segments, finished_at);
     });
 }
 
+/// Records that a run with these segments went well.
+pub fn acquit_segments(app: &App, segments: &[Fingerprint], at: Moment) {
+    let mut filter = app.segments.borrow_mut();
+    for segment in segments {
+        if filter.record_success(at, *segment)
+            && let Some(log) = app.log.logger_for(Topic::Server)
+        {
+            info!(log, "request: A segment with strikes was acquitted."; "segment" => %segment);
+        }
+    }
+}
+
 fn strike_content(app: &App, content: Fingerprint, ended: &ServerProcess, at: Moment) {
     let strike = Strike {
         fingerprint: content,
@@ -194,7 +205,7 @@
 fn strike_segments(
     app: &App,
     segments: &[Fingerprint],
-    content: Fingerprint,
+    variant: Fingerprint,
     ended: &ServerProcess,
     at: Moment,
 ) {
@@ -204,7 +215,7 @@
         let strike = SegmentStrike {
             segment: *segment,
             process: ended.to_string(),
-            content,
+            content: variant,
             at,
             is_trial: false,
         };
--- a/crates/mustard-gateway/tests/gateway/harness.rs
+++ b/crates/mustard-gateway/tests/gateway/harness.rs
@@ -225,11 +225,13 @@
     }
 }
 
-/// Sends a draft whose prompt consists of the listed segments to the gateway at an address.
+/// Sends a draft whose prompt consists of the listed segments to the gateway at an address; the path
+/// ends with `name`, and the body is that of the path.
 pub(crate) async fn draft_with_segments(
     caller: &Caller,
     to: SocketAddr,
     id: &str,
+    name: &str,
     segments: &str,
 ) -> Option<Answer> {
     let key = format!("Bearer {API_KEY}");
@@ -240,7 +242,7 @@
         ("token-count", "100,80"),
         ("prompt-prefix", segments),
     ];
-    let path = format!("/draft/{id}");
+    let path = format!("/draft/{name}");
     caller.send(to, "POST", &path, &headers).await
 }
 
--- a/crates/mustard-gateway/tests/gateway/segments.rs
+++ b/crates/mustard-gateway/tests/gateway/segments.rs
@@ -3,6 +3,7 @@
 //! caller, route and all other segments with them.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -43,6 +44,8 @@
     /// How long requests of both kinds are sent.
     time: Duration,
     poison: &'static [&'static str],
+    /// Whether all requests have the same path and body, so that they differ in their prompts only.
+    same_body: bool,
 }
 
 impl Default for Plan {
@@ -52,13 +55,15 @@
             lead: Duration::from_secs(3),
             time: Duration::from_secs(16),
             poison: &["dead01"],
+            same_body: false,
         }
     }
 }
 
-/// A sound request, and whether it was served whole.
+/// A sound request, its answer's status, and whether it was served whole.
 struct Sound {
     at: Instant,
+    status: Option<u16>,
     served: bool,
 }
 
@@ -131,7 +136,7 @@
             let bed = Rc::clone(self);
             tasks.push(tokio::task::spawn_local(async move {
                 while begun.elapsed() < plan.lead + plan.time {
-                    bed.spawn_sound(gateway);
+                    bed.spawn_sound(gateway, plan.same_body);
                     tokio::time::sleep(SOUND_INTERVAL).await;
                 }
             }));
@@ -144,7 +149,7 @@
                     if begun.elapsed() >= plan.lead + plan.time {
                         return;
                     }
-                    bed.spawn_poison(round % plan.gateways, segment);
+                    bed.spawn_poison(round % plan.gateways, segment, plan.same_body);
                     tokio::time::sleep(POISON_INTERVAL).await;
                 }
             }));
@@ -155,23 +160,27 @@
         tokio::time::sleep(Duration::from_secs(2)).await;
     }
 
-    fn spawn_sound(self: &Rc<Self>, gateway: usize) {
+    fn spawn_sound(self: &Rc<Self>, gateway: usize, same_body: bool) {
         let (bed, to, n) = (Rc::clone(self), self.addr(gateway), self.next_number());
         tokio::task::spawn_local(async move {
             let at = Instant::now();
             let segments = format!("{FIRST},bb{:02}:60,{n:x}:600", n % SUBJECTS);
             let id = format!("sound-{n}");
-            let answer = draft_with_segments(&bed.caller, to, &id, &segments).await;
+            let name = if same_body { "x" } else { &id };
+            let answer = draft_with_segments(&bed.caller, to, &id, name, &segments).await;
+            let status = answer.as_ref().map(|a| a.status);
             let served = answer.is_some_and(|a| a.status == 200 && a.complete);
-            bed.sound.borrow_mut().push(Sound { at, served });
+            bed.sound.borrow_mut().push(Sound { at, status, served });
         });
     }
 
-    fn spawn_poison(self: &Rc<Self>, gateway: usize, segment: &'static str) {
+    fn spawn_poison(self: &Rc<Self>, gateway: usize, segment: &'static str, same_body: bool) {
         let (bed, to, n) = (Rc::clone(self), self.addr(gateway), self.next_number());
         tokio::task::spawn_local(async move {
             let segments = format!("{FIRST},bb{:02}:60,{segment}:80,{n:x}:500", n % SUBJECTS);
-            draft_with_segments(&bed.caller, to, &format!("bad-{n}"), &segments).await;
+            let id = format!("bad-{n}");
+            let name = if same_body { "x" } else { &id };
+            draft_with_segments(&bed.caller, to, &id, name, &segments).await;
         });
     }
 
@@ -226,9 +235,12 @@
 
     fn assert_served(&self, from: Instant, to: Instant) {
         let share = self.served_share(from, to);
+        let sound = self.sound.borrow();
+        let failed = sound.iter().filter(|s| s.at >= from && !s.served);
+        let statuses: BTreeSet<Option<u16>> = failed.map(|s| s.status).collect();
         assert!(
             share >= 0.5,
-            "only {share:.2} of the sound requests are served"
+            "only {share:.2} of the sound requests are served: {statuses:?}"
         );
     }
 }
@@ -256,6 +268,17 @@
     check(Plan::default(), 0).await;
 }
 
+/// Guards against taking requests for the same because their bodies are: the ends count as those of
+/// one content, and the segment isn't suspected.
+#[ntex::test]
+async fn segment_same_body() {
+    let plan = Plan {
+        same_body: true,
+        ..Plan::default()
+    };
+    check(plan, 0).await;
+}
+
 /// Guards against the blame for one segment falling on another one at the same time.
 #[ntex::test]
 async fn segment_several_at_once() {
--- a/crates/mustard-policy/src/segments.rs
+++ b/crates/mustard-policy/src/segments.rs
@@ -81,7 +81,7 @@
     pub segment: Fingerprint,
     /// The server process.
     pub process: String,
-    /// The fingerprint of the request's whole content.
+    /// The digest of the whole request, its prompt included.
     pub content: Fingerprint,
     /// When the run failed.
     pub at: Moment,
@@ -255,12 +255,14 @@
     }
 
     /// Records that a run with a segment goes well: its server has been writing for
-    /// [`PROOF_WRITTEN`], or still runs after the answer.
-    pub fn record_success(&mut self, now: Moment, segment: Fingerprint) {
-        if self.records.contains_key(&segment) {
+    /// [`PROOF_WRITTEN`], or still runs after the answer. Returns whether any strike was known.
+    pub fn record_success(&mut self, now: Moment, segment: Fingerprint) -> bool {
+        let known = self.records.contains_key(&segment);
+        if known {
             self.disputed.insert(segment, now);
         }
         self.acquit(now, segment, now);
+        known
     }
 
     /// Records that a run with a segment went well at another process.
--- a/crates/mustard-tests/src/site_soak/calls.rs
+++ b/crates/mustard-tests/src/site_soak/calls.rs
@@ -7,6 +7,9 @@
 
 use crate::http::HttpRequest;
 
+/// The number of second segments that the prompts of drafts have in turn.
+const SUBJECTS: u64 = 5;
+
 /// The result of one request as its caller sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum CallResult {
@@ -37,24 +40,52 @@
 impl RequestKind {
     /// Sends a request of this kind and reads its answer.
     pub(super) fn send(self, to: SocketAddr, id: &str) -> CallResult {
-        self.send_to_path(to, "x", id, API_KEY)
+        self.send_with_segments(to, id, "")
+    }
+
+    /// Sends a request of this kind whose prompt has the usual segments and, unless it is empty, a
+    /// further one that other prompts share.
+    pub(super) fn send_with_segments(self, to: SocketAddr, id: &str, segment: &str) -> CallResult {
+        // The id ends with a number.
+        let number: u64 = id.rsplit('-').next().map_or(0, |n| n.parse().unwrap_or(0));
+        let further = if segment.is_empty() {
+            String::new()
+        } else {
+            format!("{segment}:30,")
+        };
+        let subject = number % SUBJECTS;
+        let segments = format!("aa01:40,bb{subject:02}:20,{further}{number:x}:10");
+        self.send_to_path(to, "x", id, API_KEY, Some(&segments))
     }
 
     /// Sends a request of this kind under another API key.
     pub(super) fn send_with_key(self, to: SocketAddr, id: &str, key: &str) -> CallResult {
-        self.send_to_path(to, "x", id, key)
+        self.send_to_path(to, "x", id, key, None)
     }
 
     /// Sends a request of this kind with a poison content.
     pub(super) fn send_poison(self, to: SocketAddr, id: &str) {
         // Whatever the answer is, only the servers that it reaches matter.
-        let _ = self.send_to_path(to, POISON, id, API_KEY);
+        let _ = self.send_to_path(to, POISON, id, API_KEY, None);
     }
 
-    fn send_to_path(self, to: SocketAddr, name: &str, id: &str, key: &str) -> CallResult {
+    fn send_to_path(
+        self,
+        to: SocketAddr,
+        name: &str,
+        id: &str,
+        key: &str,
+        segments: Option<&str>,
+    ) -> CallResult {
         let request = match self {
-            RequestKind::Draft => HttpRequest::post(to, format!("/draft/{name}"), "{}")
-                .header("token-count", "100,80"),
+            RequestKind::Draft => {
+                let draft = HttpRequest::post(to, format!("/draft/{name}"), "{}");
+                let draft = draft.header("token-count", "100,80");
+                match segments {
+                    Some(segments) => draft.header("prompt-prefix", segments),
+                    None => draft,
+                }
+            }
             RequestKind::Booking => HttpRequest::post(to, format!("/book/{name}"), "{}"),
             RequestKind::Status => HttpRequest::get(to, format!("/status/{name}")),
         };
--- a/crates/mustard-tests/src/site_soak/duties.rs
+++ b/crates/mustard-tests/src/site_soak/duties.rs
@@ -1,4 +1,5 @@
-//! Checks that gateways keep to what servers said of themselves and stop running poison contents.
+//! Checks that gateways keep to what servers said of themselves, and stop running poison contents and
+//! prompts with poison segments.
 //!
 //! Each duty excuses a gateway that was disturbed: killed, stopped or frozen, or cut off from what the
 //! duty depends on.
@@ -18,7 +19,9 @@
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// The ends of servers after which a content must be refused.
 const MAX_ENDS: usize = 3;
-/// The retries of such a content that may reach servers later on.
+/// The ends of servers after which requests with a segment are counted.
+const MAX_SEGMENT_ENDS: usize = 5;
+/// The retries of such a content, and the requests with such a segment, that may reach servers later on.
 const MAX_RETRIES: usize = 3;
 
 /// What a fault disturbs.
@@ -69,6 +72,7 @@
 pub(super) fn find_neglected(ledger: &Ledger, record: &Record) -> Vec<String> {
     let mut found = find_notices_ignored(ledger, record);
     found.extend(find_poison_runs(ledger, record));
+    found.extend(find_segment_runs(ledger, record));
     found
 }
 
@@ -140,5 +144,41 @@
     found
 }
 
+/// Finds poison segments with which gateways in touch let requests run although servers had ended
+/// under them often enough.
+fn find_segment_runs(ledger: &Ledger, record: &Record) -> Vec<String> {
+    let mut found = Vec::new();
+    for segment in POISON_SEGMENTS {
+        let has_segment = |s: &Option<String>| s.as_deref() == Some(segment);
+        let mut ends = ledger.ended.iter().filter(|e| has_segment(&e.segment));
+        let Some(last_allowed) = ends.nth(MAX_SEGMENT_ENDS - 1) else {
+            continue;
+        };
+        let is_late = |a: &&Arrival| {
+            has_segment(&a.poison_segment)
+                && a.at > last_allowed.at + CONTACT_TIME
+                && gateway_of(&a.id).is_some_and(|g| record.is_in_touch(g, a.at))
+        };
+        let late: Vec<_> = ledger.arrivals.iter().filter(is_late).collect();
+        if late.len() > MAX_RETRIES {
+            let describe = |a: &&Arrival| {
+                let after = a.at.duration_since(last_allowed.at);
+                format!("{} after {} ms", a.id, after.as_millis())
+            };
+            let list: Vec<String> = late.iter().map(describe).collect();
+            found.push(format!(
+                "requests with segment {segment} were sent to servers {} times more: {}",
+                late.len(),
+                list.join(", ")
+            ));
+        }
+    }
+    found
+}
+
 /// The first letters of the ids of requests with poison contents: streams and bookings.
 pub(super) const POISON_KINDS: [char; 2] = ['p', 'q'];
+/// The first letter of the ids of requests with poison segments.
+pub(super) const SEGMENT_KIND: char = 'g';
+/// The poison segments.
+pub(super) const POISON_SEGMENTS: [&str; 2] = ["dead0a", "dead0b"];
--- a/crates/mustard-tests/src/site_soak/faults.rs
+++ b/crates/mustard-tests/src/site_soak/faults.rs
@@ -9,7 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 
-use mustard_fakes::site::{API_KEY, ServerFault, StoreMode};
+use mustard_fakes::site::{API_KEY, Endless, ServerFault, StoreMode};
 
 use crate::errors::Result;
 
@@ -66,12 +66,18 @@
             ServerFault::LosesAnswers,
             ServerFault::AnswersError,
             ServerFault::TurnsAway(PAUSE),
+            ServerFault::Unframed,
+            ServerFault::UnframedCut,
+            ServerFault::EndsInEvent,
+            ServerFault::Endless(Endless::Head),
+            ServerFault::Endless(Endless::Body),
+            ServerFault::Endless(Endless::ChunkLine),
         ];
-        match rng.random_range(0..17) {
+        match rng.random_range(0..18) {
             0..3 => Fault::Proxy(server, proxy_fault(rng)),
             3 => Fault::StoreProxy(proxy_fault(rng)),
             4 => Fault::StoreMode(*modes.choose(rng).unwrap_or(&StoreMode::Busy)),
-            5..7 => Fault::Server(
+            5..7 | 17 => Fault::Server(
                 server,
                 *server_faults.choose(rng).unwrap_or(&ServerFault::Silent),
             ),
--- a/crates/mustard-tests/src/site_soak/mod.rs
+++ b/crates/mustard-tests/src/site_soak/mod.rs
@@ -40,6 +40,8 @@
 const REQUEST_INTERVAL_MS: std::ops::Range<u64> = 5..120;
 /// The range of pauses between two requests with poison contents.
 const POISON_INTERVAL_MS: std::ops::Range<u64> = 50..500;
+/// The share of these requests that have a poison segment in their prompts instead.
+const POISON_SEGMENT_SHARE: f64 = 0.5;
 /// How long a server that a poison content has ended stays away.
 const POISON_DOWN_TIME: Duration = Duration::from_millis(800);
 /// The additional pause of a caller that got no response head.
@@ -247,7 +249,7 @@
         callers
     }
 
-    /// Sends poison contents to gateways chosen at random until the callers are stopped or the faults
+    /// Sends poison contents and prompts with poison segments to gateways chosen at random until the callers are stopped or the faults
     /// are over.
     fn start_poison(&mut self, seed: u64, testbed: &Testbed) {
         let gateways: Vec<_> = testbed.gateways.iter().map(Gateway::caller_addr).collect();
@@ -259,9 +261,17 @@
             while !is_over() {
                 let gateway = rng.random_range(0..gateways.len());
                 let poison = rng.random_range(0..duties::POISON_KINDS.len());
-                let id = duties::request_id(duties::POISON_KINDS[poison], gateway, number);
-                let kind = [RequestKind::Draft, RequestKind::Booking][poison];
-                kind.send_poison(gateways[gateway], &id);
+                if rng.random_bool(POISON_SEGMENT_SHARE) {
+                    let id = duties::request_id(duties::SEGMENT_KIND, gateway, number);
+                    let segment = duties::POISON_SEGMENTS[poison];
+                    // Whatever the answer is, only the servers that it reaches matter.
+                    let to = gateways[gateway];
+                    let _ = RequestKind::Draft.send_with_segments(to, &id, segment);
+                } else {
+                    let id = duties::request_id(duties::POISON_KINDS[poison], gateway, number);
+                    let kind = [RequestKind::Draft, RequestKind::Booking][poison];
+                    kind.send_poison(gateways[gateway], &id);
+                }
                 number += 1;
                 thread::sleep(Duration::from_millis(rng.random_range(POISON_INTERVAL_MS)));
             }
--- a/crates/mustard-tests/src/site_soak/proxy.rs
+++ b/crates/mustard-tests/src/site_soak/proxy.rs
@@ -3,10 +3,12 @@
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::thread;
 use std::time::Duration;
 
+use socket2::SockRef;
+
 use crate::errors::Result;
 
 /// How long each delayed chunk waits.
@@ -23,7 +25,7 @@
     None = 0,
     /// Each chunk is delayed.
     Delay = 1,
-    /// Connections are closed at their next chunk.
+    /// Connections are reset at their next chunk.
     Reset = 2,
     /// Data to the server is held back.
     BlockToServer = 3,
@@ -107,22 +109,45 @@
         return;
     };
     let back_fault = Arc::clone(fault);
-    let back = thread::spawn(move || copy_bytes(from_server, client, false, &back_fault));
-    copy_bytes(from_client, server, true, fault);
+    let is_reset = Arc::new(AtomicBool::new(false));
+    let back_reset = Arc::clone(&is_reset);
+    let back =
+        thread::spawn(move || copy_bytes(from_server, client, false, &back_fault, &back_reset));
+    copy_bytes(from_client, server, true, fault, &is_reset);
     let _ = back.join();
 }
 
-fn copy_bytes(mut from: TcpStream, mut to: TcpStream, to_server: bool, fault: &AtomicU8) {
+/// Copies bytes until either side closes the connection, or the fault resets it. A reset must not look
+/// like an orderly end, which may be that of an answer.
+fn copy_bytes(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    to_server: bool,
+    fault: &AtomicU8,
+    is_reset: &AtomicBool,
+) {
     let mut buffer = [0; BUFFER_BYTES];
     loop {
         let count = from.read(&mut buffer).unwrap_or(0);
-        if !apply_fault(to_server, fault) || count == 0 || to.write_all(&buffer[..count]).is_err() {
+        if !apply_fault(to_server, fault) {
+            is_reset.store(true, Ordering::Relaxed);
+        }
+        let ends = is_reset.load(Ordering::Relaxed) || count == 0;
+        if ends || to.write_all(&buffer[..count]).is_err() {
             break;
         }
     }
     // The shutdown also ends the read of the other direction.
-    let _ = from.shutdown(Shutdown::Both);
-    let _ = to.shutdown(Shutdown::Both);
+    let how = if is_reset.load(Ordering::Relaxed) {
+        for stream in [&from, &to] {
+            let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+        }
+        Shutdown::Read
+    } else {
+        Shutdown::Both
+    };
+    let _ = from.shutdown(how);
+    let _ = to.shutdown(how);
 }
 
 /// Waits while the fault delays or blocks this direction; returns false if the connection is to be
