--- a/crates/mustard-gateway/src/peers.rs
+++ b/crates/mustard-gateway/src/peers.rs
@@ -27,7 +27,6 @@
 use mustard_net::http::{Request, exchange};
 use mustard_policy::quarantine::{Clearance, Strike};
 use mustard_policy::segments::SegmentStrike;
-use mustard_policy::subset;
 
 use crate::app::{App, ConfigStamp};
 use crate::log_limit::Topic;
@@ -126,17 +125,6 @@
         before.count()
     }
 
-    /// Returns the place of this gateway among the live ones in an order that depends on the item.
-    pub fn rank_for(&self, item: &str) -> usize {
-        let alive = self
-            .known
-            .iter()
-            .filter(|(_, p)| p.is_alive(self.updated_at));
-        let alive: Vec<String> = alive.map(|(addr, _)| addr.to_string()).collect();
-        let names: Vec<&str> = alive.iter().map(String::as_str).collect();
-        subset::rank_by_hash(item, &self.own_addr.to_string(), &names)
-    }
-
     /// Records whether a table of the store is reachable; tells whether that changed.
     pub fn set_table_reachable(&mut self, followed: FollowedTable, is_reachable: bool) -> bool {
         let slot = &mut self.tables_reachable[followed as usize];
--- a/crates/mustard-gateway/src/strikes.rs
+++ b/crates/mustard-gateway/src/strikes.rs
@@ -12,12 +12,12 @@
 use tokio::time::sleep;
 
 use mustard_adapter::responses;
-use mustard_core::clock::Moment;
+use mustard_core::clock::{Clock, Moment};
 use mustard_core::fingerprint::Fingerprint;
 use mustard_net::CallError;
 use mustard_net::http::{Request, exchange};
 use mustard_policy::quarantine::{Standing, Strike};
-use mustard_policy::segments::{Admission, PROOF_WRITTEN, SegmentStrike};
+use mustard_policy::segments::{Admission, PROOF_WRITTEN, SegmentStrike, TRIAL_TURN};
 
 use crate::app::App;
 use crate::fleet::{ProcessState, ServerProcess};
@@ -96,15 +96,21 @@
     if segments.is_empty() {
         return None;
     }
-    let (now, peers) = (app.now(), app.peers.borrow());
-    let rank = |segment: Fingerprint| peers.rank_for(&segment.to_string());
     let mut filter = app.segments.borrow_mut();
-    match filter.admit(now, segments, peers.alive_count() + 1, rank) {
+    match filter.admit(app.now(), segments, has_trial_turn(app)) {
         Admission::Allowed => None,
         Admission::Blocked(retry_after) => Some(retry_after),
     }
 }
 
+/// Returns whether this gateway has its turn to run trials: the live gateways have it one after the
+/// other, by the time of day.
+fn has_trial_turn(app: &App) -> bool {
+    let peers = app.peers.borrow();
+    let turn = u128::from(app.clock.wall_ms()) / TRIAL_TURN.as_millis();
+    turn % (peers.alive_count() as u128 + 1) == peers.rank() as u128
+}
+
 /// Returns whether any of the segments is blocked, as too many servers ended on it.
 pub fn is_blocked(app: &App, segments: &[Fingerprint]) -> bool {
     app.segments.borrow().is_blocked(app.now(), segments)
--- a/crates/mustard-policy/src/segments.rs
+++ b/crates/mustard-policy/src/segments.rs
@@ -40,8 +40,9 @@
     Duration::from_secs(30),
     Duration::from_secs(300),
 ];
-/// How long a process may use its turn to run a trial before the next process has its turn.
-const TRIAL_TURN: Duration = Duration::from_secs(2);
+/// How long a process has its turn to begin trials before the next process has its turn. All segments
+/// share these turns, as a prompt may have several blocked ones.
+pub const TRIAL_TURN: Duration = Duration::from_secs(2);
 /// How long after the start of a trial an end counts as its result.
 const TRIAL_TIME: Duration = Duration::from_secs(10);
 /// The most ends of a segment, and the most contents of an end, that are kept.
@@ -196,15 +197,8 @@
 
     /// Decides whether a request with these segments may run, which may be the trial of a blocked one.
     ///
-    /// Of `processes` processes one at a time has its turn to run the trial of a segment; `rank`
-    /// returns the place of this process in that order.
-    pub fn admit(
-        &mut self,
-        now: Moment,
-        segments: &[Fingerprint],
-        processes: usize,
-        rank: impl Fn(Fingerprint) -> usize,
-    ) -> Admission {
+    /// A trial begins only if this process `has_turn`.
+    pub fn admit(&mut self, now: Moment, segments: &[Fingerprint], has_turn: bool) -> Admission {
         let mut on_trial = Vec::new();
         for segment in segments {
             let Some(record) = self.blocked_record(now, *segment) else {
@@ -215,9 +209,7 @@
             };
             let lately = self.trials.get(segment);
             let is_running = lately.is_some_and(|t| now.since(*t) < TRIAL_TURN);
-            let turn = now.since(due).as_millis() / TRIAL_TURN.as_millis();
-            let is_turn = || turn as usize % processes.max(1) == rank(*segment);
-            if now < due || is_running || !is_turn() {
+            if now < due || is_running || !has_turn {
                 let wait = now.until(due) + TRIAL_TURN;
                 return Admission::Blocked(wait.min(RETRY_AFTER));
             }
--- a/crates/mustard-policy/tests/segments.rs
+++ b/crates/mustard-policy/tests/segments.rs
@@ -13,7 +13,7 @@
 use mustard_core::clock::Moment;
 use mustard_core::fingerprint::Fingerprint;
 use mustard_policy::quarantine::Clearance;
-use mustard_policy::segments::{Admission, SegmentFilter, SegmentStrike, Settings};
+use mustard_policy::segments::{Admission, SegmentFilter, SegmentStrike, Settings, TRIAL_TURN};
 
 const SEGMENT: Fingerprint = Fingerprint(7);
 
@@ -40,7 +40,7 @@
 }
 
 fn is_allowed(filter: &mut SegmentFilter, ms: u64) -> bool {
-    filter.admit(at(ms), &[SEGMENT], 1, |_| 0) == Admission::Allowed
+    filter.admit(at(ms), &[SEGMENT], true) == Admission::Allowed
 }
 
 #[test]
@@ -141,9 +141,29 @@
 #[test]
 fn admit_other_turn() {
     let mut filter = struck(&[(1, 1, 10), (2, 2, 20), (3, 3, 30)]);
-    let mut admit = |ms, rank| filter.admit(at(ms), &[SEGMENT], 3, |_| rank);
-    assert!(matches!(admit(1_600, 1), Admission::Blocked(_)));
-    assert_eq!(admit(3_600, 1), Admission::Allowed);
+    let mut admit = |ms, has_turn| filter.admit(at(ms), &[SEGMENT], has_turn);
+    assert!(matches!(admit(1_600, false), Admission::Blocked(_)));
+    assert_eq!(admit(3_600, true), Admission::Allowed);
+}
+
+/// Guards against trials that never come about because a prompt has several blocked segments.
+#[test]
+fn admit_several_segments() {
+    let mut filter = SegmentFilter::default();
+    let both = [SEGMENT, Fingerprint(8)];
+    for (i, segment) in both.into_iter().enumerate() {
+        for n in 0..6 {
+            let ms = 100 + 300 * i as u64;
+            let mut strike = strike(n, u128::from(n), ms);
+            strike.segment = segment;
+            filter.record_strike(at(ms), &strike);
+        }
+    }
+    assert!(matches!(
+        filter.admit(at(1_800), &both, true),
+        Admission::Blocked(_)
+    ));
+    assert_eq!(filter.admit(at(2_000), &both, true), Admission::Allowed);
 }
 
 /// Two blocked segments, of which only one has a trial due.
@@ -158,7 +178,7 @@
     }
     let both = [SEGMENT, other];
     assert!(matches!(
-        filter.admit(at(1_700), &both, 1, |_| 0),
+        filter.admit(at(1_700), &both, true),
         Admission::Blocked(_)
     ));
     assert!(
@@ -260,8 +280,9 @@
 impl World {
     fn send(&mut self, now: u64, gateway: usize, segments: Vec<Fingerprint>, rng: &mut ChaCha8Rng) {
         let poison = segments.iter().copied().find(|s| self.poison.contains(s));
-        let rank = |s: Fingerprint| (gateway + s.0 as usize) % GATEWAYS;
-        let admission = self.filters[gateway].admit(at(now), &segments, GATEWAYS, rank);
+        let turn = u128::from(now) / TRIAL_TURN.as_millis() % GATEWAYS as u128;
+        let has_turn = turn == gateway as u128;
+        let admission = self.filters[gateway].admit(at(now), &segments, has_turn);
         let up: Vec<usize> = (0..SERVERS).filter(|s| self.servers[*s].0 <= now).collect();
         let server = up.choose(rng).copied();
         let is_refused = admission != Admission::Allowed;
