Count only ends that show themselves against segments, and try again after 6 s

A server that doesn't answer is now watched until something shows its end before its segments get strikes; a whole content is struck at once as before. Trials follow 1.5, 6, 60 and 300 s after the last end.

--- a/crates/mustard-gateway/src/strikes.rs
+++ b/crates/mustard-gateway/src/strikes.rs
@@ -129,19 +129,32 @@
     let app = Rc::clone(app);
     ntex::rt::spawn(async move {
         let failed_at = app.now();
-        let Some(ended) = find_ended(&app, &run, failed_at).await else {
+        let Some(Ended {
+            process,
+            is_certain,
+        }) = find_ended(&app, &run, failed_at).await
+        else {
             return;
         };
         if let Some(log) = app.log.logger_for(Topic::Server) {
             info!(log, "request: A server ended under a request."; "request" => &run.request,
-                "content" => %run.content, "server" => %ended.addr, "process" => %ended,
-                "segments" => format_segments(&run.segments),
+                "content" => %run.content, "server" => %process.addr, "process" => %process,
+                "certain" => is_certain, "segments" => format_segments(&run.segments),
                 "written_ms" => run.written.as_millis() as u64,
                 "after_ms" => app.now().ms_since(failed_at));
         }
-        strike_content(&app, run.content, &ended, failed_at);
-        if run.written < PROOF_WRITTEN {
-            strike_segments(&app, &run.segments, run.variant, &ended, failed_at);
+        strike_content(&app, run.content, &process, failed_at);
+        if run.written >= PROOF_WRITTEN || run.segments.is_empty() {
+            return;
+        }
+        // A server that is only cut off is no evidence against what many requests share.
+        let process = if is_certain {
+            Some(process)
+        } else {
+            watch_ended(&app, &run, failed_at).await
+        };
+        if let Some(process) = process {
+            strike_segments(&app, &run.segments, run.variant, &process, failed_at);
         }
     });
 }
@@ -247,20 +260,49 @@
     texts.join(",")
 }
 
+/// A process that has ended.
+struct Ended {
+    process: ServerProcess,
+    /// Whether something shows its end; otherwise it closed a connection and doesn't answer.
+    is_certain: bool,
+}
+
 /// Returns the first process of a failed run that is found to have ended; `None` if all of them
 /// still run or none shows its end within [`WATCH_TIME`].
-async fn find_ended(app: &Rc<App>, run: &FailedRun, failed_at: Moment) -> Option<ServerProcess> {
+async fn find_ended(app: &Rc<App>, run: &FailedRun, failed_at: Moment) -> Option<Ended> {
     let first = run.processes.first()?;
-    match &run.failure {
+    let is_certain = match &run.failure {
         // A server that closes a connection and doesn't answer is taken for ended at once.
-        Failure::ConnectionLost if !still_reports(app, first).await => return Some(first.clone()),
+        Failure::ConnectionLost => match ask_report(app, first).await {
+            ProcessState::Running => None,
+            ProcessState::Ended => Some(true),
+            ProcessState::Unknown => Some(false),
+        },
         Failure::PlainConnectionLost(path) => match check_health(app, first, path).await {
             ProcessState::Running => return None,
-            ProcessState::Ended => return Some(first.clone()),
-            ProcessState::Unknown => {}
+            ProcessState::Ended => Some(true),
+            ProcessState::Unknown => None,
         },
-        Failure::ConnectionLost | Failure::Stalled => {}
+        Failure::Stalled => None,
+    };
+    if let Some(is_certain) = is_certain {
+        let process = first.clone();
+        return Some(Ended {
+            process,
+            is_certain,
+        });
     }
+    let process = watch_ended(app, run, failed_at).await?;
+    let is_certain = true;
+    Some(Ended {
+        process,
+        is_certain,
+    })
+}
+
+/// Watches the processes of a failed run, for [`WATCH_TIME`] at most, until one shows that it has
+/// ended.
+async fn watch_ended(app: &Rc<App>, run: &FailedRun, failed_at: Moment) -> Option<ServerProcess> {
     let since = match run.failure {
         Failure::Stalled => failed_at - STALL_REPORT_AGE,
         _ => failed_at,
@@ -282,14 +324,17 @@
     }
 }
 
-/// Returns whether a process still runs by its report; true if it may not be asked now.
-async fn still_reports(app: &App, process: &ServerProcess) -> bool {
+/// Asks a process for its report. It has ended if another process answers, or if the connection is
+/// refused or closed. One that doesn't answer in time is unknown, one that may not be asked now counts
+/// as running.
+async fn ask_report(app: &App, process: &ServerProcess) -> ProcessState {
     if app.fleet.borrow().is_paused(app.now(), process.addr) {
-        return true;
+        return ProcessState::Running;
     }
     match fetch_report(app, process.addr, REPORT_TIMEOUT).await {
-        Ok(report) => report.started_ms == process.started_ms,
-        Err(_) => false,
+        Ok(report) if report.started_ms == process.started_ms => ProcessState::Running,
+        Ok(_) | Err(CallError::NoListener(_) | CallError::Lost(_)) => ProcessState::Ended,
+        Err(_) => ProcessState::Unknown,
     }
 }
 
--- a/crates/mustard-policy/src/segments.rs
+++ b/crates/mustard-policy/src/segments.rs
@@ -35,9 +35,10 @@
 const FINAL_ENDS: usize = 5;
 /// The time from the last end to the next trial, by the number of trials that ended servers; no trial
 /// follows after more of them.
-const TRIAL_DELAYS: [Duration; 3] = [
+const TRIAL_DELAYS: [Duration; 4] = [
     Duration::from_millis(1_500),
-    Duration::from_secs(30),
+    Duration::from_secs(6),
+    Duration::from_secs(60),
     Duration::from_secs(300),
 ];
 /// How long a process has its turn to begin trials before the next process has its turn. All segments
