Test the limits that servers name: eight tests fail

The stand-in names a limit in each answer of a server (Server-Limit) and keeps which limit each request's answer named; a check over its ledger counts requests in 4 s from gateways that had been told half a second before. On this code servers got more than allowed with one and four gateways, streams, bookings and reads, limits below one a second, limits that change, and gateways that restart: requests go on at the old rate.

--- a/crates/mustard-fakes/src/site/http.rs
+++ b/crates/mustard-fakes/src/site/http.rs
@@ -128,13 +128,20 @@
 /// Answers a request to one of the servers; one that is leaving says so.
 async fn answer_for_server(site: &Site, index: usize, request: Request) -> Response {
     let call = Call::read_from(request).await;
-    let leaving = site.lock().servers[index].leaving;
+    let (leaving, limit) = {
+        let state = site.lock();
+        (state.servers[index].leaving, state.servers[index].limit)
+    };
     let mut response = answer_by_fault(site, index, call).await;
     if leaving {
         let name = HeaderName::from_static("server-leaving");
         let headers = response.headers_mut();
         headers.insert(name, HeaderValue::from_static("1"));
     }
+    if let Some(value) = limit.and_then(|l| HeaderValue::from_str(&format!("{l:.2}")).ok()) {
+        let name = HeaderName::from_static("server-limit");
+        response.headers_mut().insert(name, value);
+    }
     response
 }
 
@@ -150,6 +157,10 @@
                 id,
                 poison_segment: call.poison_segment(),
                 at: Instant::now(),
+                // A server that closes the connection names nothing.
+                limit: server
+                    .limit
+                    .filter(|_| server.current_fault() == ServerFault::None),
                 notice: match server.current_fault() {
                     ServerFault::TurnsAway(pause) => Notice::Pause(pause),
                     ServerFault::None | ServerFault::AnswersError if server.leaving => {
--- a/crates/mustard-fakes/src/site/mod.rs
+++ b/crates/mustard-fakes/src/site/mod.rs
@@ -5,6 +5,7 @@
 //! faults through [`Site`].
 
 mod http;
+mod limit;
 mod model;
 mod plain;
 mod raw;
@@ -20,6 +21,7 @@
 
 use crate::errors::Result;
 
+pub use limit::find_excess;
 pub use raw::Endless;
 
 /// The host name of every route.
@@ -134,6 +136,8 @@
     pub(crate) draining: bool,
     // Whether each answer says that the server is leaving.
     pub(crate) leaving: bool,
+    // The requests a second that each answer says the server takes from all clients together.
+    pub(crate) limit: Option<f64>,
 }
 
 impl Server {
@@ -181,6 +185,8 @@
     pub poison_segment: Option<String>,
     /// When it arrived.
     pub at: Instant,
+    /// The limit that the answer names, in requests a second.
+    pub limit: Option<f64>,
     /// What the server answers it with besides the result.
     pub notice: Notice,
 }
@@ -282,6 +288,7 @@
                 listed: true,
                 draining: false,
                 leaving: false,
+                limit: None,
             });
         }
         let addrs = listeners.iter().map(TcpListener::local_addr);
@@ -356,6 +363,7 @@
             s.ended = false;
             s.draining = false;
             s.leaving = false;
+            s.limit = None;
         }
         self.write_row(server);
     }
@@ -366,6 +374,12 @@
         self.lock().servers[server].leaving = true;
     }
 
+    /// Makes a server name a limit in each answer (`Server-Limit`), in requests a second from all
+    /// clients together, or no longer.
+    pub fn set_limit(&self, server: usize, limit: Option<f64>) {
+        self.lock().servers[server].limit = limit;
+    }
+
     /// Sets which servers a poison content ends, and how long they stay away.
     pub fn set_poison(&self, target: PoisonTarget, down_time: Duration) {
         let mut state = self.lock();
--- a/crates/mustard-gateway/tests/gateway/main.rs
+++ b/crates/mustard-gateway/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod framing;
 mod harness;
 mod leaving;
+mod limits;
 mod logs;
 mod poison;
 mod restored;
