Keep together to the limits that servers name

A server in need names in its answers how many requests a second it takes from all gateways together.

Each gateway now keeps its part of each limit: the limit divided by the gateways that are alive, or, below one request a second for each, the whole for as many of them as the limit has requests in a second, other ones for each server. Nothing is saved up beyond one request or a quarter of a second, and a part begins empty. All requests go through it, first sends, repeats, hedges and resumed streams, as the choice of a server counts them; a limited server stays in the middle of paths. Gateways tell each other the newest that a server said, so that new ones know of a limit and all know of its end. What no server takes in time is refused at once.

The soak lets servers name limits.

--- a/crates/mustard-bench/src/place/deployment.rs
+++ b/crates/mustard-bench/src/place/deployment.rs
@@ -88,6 +88,7 @@
                 layers: s.held?,
                 step_factor: accelerator.step_factor,
                 prompt_factor: accelerator.prompt_factor,
+                takes_requests: true,
                 memory_share: 0.0,
             })
         };
--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -74,6 +74,8 @@
     pub node: NodeSettings,
     /// Distinguishes this run of the process from earlier ones; the holder of its leases.
     pub incarnation: Incarnation,
+    /// When the process started.
+    pub started_at: Moment,
     /// The clock; times the leases and log limits too.
     pub clock: SystemClock,
     /// The HTTP client for reports of backend servers and orders to them.
@@ -153,6 +155,7 @@
             peer_client: new_limited_client(CONNECT_TIMEOUT, MAX_ANSWER_BYTES).await,
             store,
             log: LimitedLog::new(log, clock.clone()),
+            started_at: clock.now(),
             clock,
             config: RefCell::new(None),
             config_text: RefCell::default(),
--- a/crates/mustard-gateway/src/fleet/mod.rs
+++ b/crates/mustard-gateway/src/fleet/mod.rs
@@ -78,6 +78,44 @@
         self.servers.get_mut(key)
     }
 
+    /// Returns the server with an id, to be changed.
+    pub fn get_by_id_mut(&mut self, id: &str) -> Option<&mut Server> {
+        self.servers.get_mut(*self.ids.get(id)?)
+    }
+
+    /// Returns the ids of the servers that name a limit.
+    pub fn limited_ids(&self, now: Moment) -> Vec<String> {
+        let limited = |s: &Server| s.named_limit.is_some_and(|n| n.in_force(now).is_some());
+        let servers = self.iter().filter(|(_, s)| limited(s));
+        servers.map(|(_, s)| s.entry.id.clone()).collect()
+    }
+
+    /// Counts a request that is sent to a server against the limit that it names.
+    pub fn take_request(&mut self, now: Moment, key: ServerKey) {
+        let named = self.get_mut(key).and_then(|s| s.named_limit.as_mut());
+        if let Some(share) = named.and_then(|n| n.share.as_mut()) {
+            share.take(now);
+        }
+    }
+
+    /// Returns the shortest time until a server of a service takes a request again, as far as that
+    /// depends on the limits that servers name; `None` if that doesn't keep any of them from it.
+    pub fn limit_wait(&self, service: &str, now: Moment) -> Option<Duration> {
+        let waits = self.usable(service, now).filter_map(|s| s.limit_wait(now));
+        waits.filter(|w| !w.is_zero()).min()
+    }
+
+    /// Tells whether the limits that they name keep all usable servers of a service from a request now.
+    pub fn is_limited(&self, service: &str, now: Moment) -> bool {
+        let mut usable = self.usable(service, now).peekable();
+        usable.peek().is_some() && !usable.any(|s| s.takes_requests(now))
+    }
+
+    fn usable(&self, service: &str, now: Moment) -> impl Iterator<Item = &Server> {
+        let servers = self.iter().map(|(_, s)| s);
+        servers.filter(move |s| s.entry.service == service && s.is_usable(now))
+    }
+
     /// Returns the server that has an address.
     pub fn key_at(&self, addr: SocketAddr) -> Option<ServerKey> {
         self.addrs.get(&addr).copied()
--- a/crates/mustard-gateway/src/fleet/server.rs
+++ b/crates/mustard-gateway/src/fleet/server.rs
@@ -12,6 +12,8 @@
 use mustard_policy::backoff::ServerBackoff;
 use mustard_policy::pipeline::{LayerHolder, PlacementServer};
 
+use crate::limits::NamedLimit;
+
 use super::RowChange;
 
 /// The key of a server in the fleet.
@@ -82,6 +84,8 @@
     pub unconfirmed_until: Option<Moment>,
     /// Until when it wants nothing from this gateway, as it said when it turned a request away.
     pub paused_until: Moment,
+    /// What it said last of the requests that it takes, if it ever named a limit.
+    pub named_limit: Option<NamedLimit>,
     /// The order that it is carrying out.
     pub load_order: Option<LoadOrder>,
     /// Memory in use by this gateway's requests, in tokens times layers.
@@ -106,6 +110,7 @@
             missing_since: None,
             unconfirmed_until: None,
             paused_until: Moment::default(),
+            named_limit: None,
             load_order: None,
             memory_used: 0.0,
             running: 0,
@@ -202,6 +207,19 @@
             && !self.backoff.is_backing_off(now)
     }
 
+    /// Tells whether the server takes a request now, by the limit that it names.
+    pub fn takes_requests(&self, now: Moment) -> bool {
+        let named = self.named_limit.as_ref();
+        let share = named.and_then(|n| n.in_force(now));
+        share.is_none_or(|s| s.wait(now) == Some(Duration::ZERO))
+    }
+
+    /// Returns the time until the server takes a request, by the limit that it names; `None` without
+    /// one, or if this gateway has no part of it.
+    pub fn limit_wait(&self, now: Moment) -> Option<Duration> {
+        self.named_limit.as_ref()?.in_force(now)?.wait(now)
+    }
+
     /// Tells whether the server wants nothing from this gateway now.
     pub fn is_paused(&self, now: Moment) -> bool {
         now < self.paused_until
@@ -268,6 +286,7 @@
             step_factor: accelerator.step_factor * slow,
             prompt_factor: accelerator.prompt_factor * slow,
             memory_share: used_mb / room_mb,
+            takes_requests: self.takes_requests(now),
         })
     }
 
--- a/crates/mustard-gateway/src/forward/open_stream.rs
+++ b/crates/mustard-gateway/src/forward/open_stream.rs
@@ -26,6 +26,8 @@
 
 /// How long a request waits for a path, as a share of the route's target time to the first event.
 const PATH_WAIT_SHARE: f64 = 0.5;
+/// The least time between two searches for a path.
+const MIN_WAIT: Duration = Duration::from_millis(5);
 /// A request is given up after this many sends that no server ran.
 const MAX_UNRUN_SENDS: u32 = 4;
 
@@ -216,14 +218,26 @@
         if let Some(found) = find_path(app, request, avoid) {
             return Some(found);
         }
-        let left = app.now().until(until);
-        if left.is_zero() || timeout(left, changed).await.is_err() {
-            return find_path(app, request, avoid);
+        let now = app.now();
+        let left = now.until(until);
+        let (limit_wait, is_limited) = {
+            let fleet = app.fleet.borrow();
+            let service = &request.service.name;
+            (
+                fleet.limit_wait(service, now),
+                fleet.is_limited(service, now),
+            )
+        };
+        if left.is_zero() || (is_limited && limit_wait.is_none_or(|w| w > left)) {
+            return None;
         }
+        // Whether this ends by a change or by the time, the next search shows what there is.
+        let wait = limit_wait.map_or(left, |w| w.max(MIN_WAIT).min(left));
+        let _ = timeout(wait, changed).await;
     }
 }
 
-/// Returns the server to send to, with the path if the service has an engine; `None` if no usable
+/// Returns the server to send to, which counts the request, with the path if the service has an engine; `None` if no usable
 /// servers form one.
 fn find_path(
     app: &App,
@@ -257,11 +271,12 @@
             let usable = fleet
                 .iter()
                 .filter(|(_, s)| s.entry.service == request.service.name);
-            let usable = usable.filter(|(_, s)| s.is_usable(now));
+            let usable = usable.filter(|(_, s)| s.is_usable(now) && s.takes_requests(now));
             usable.min_by_key(|(_, s)| s.running)?.1.entry.addr
         }
     };
-    let server = fleet.get(fleet.key_at(first_server)?)?;
+    let key = fleet.key_at(first_server)?;
+    let server = fleet.get(key)?;
     let later = path.iter().skip(1).map(|p| p.addr);
     let target = Target {
         addr: first_server,
@@ -270,6 +285,8 @@
         path,
         crossings,
     };
+    drop(fleet);
+    app.fleet.borrow_mut().take_request(now, key);
     Some((target, demand))
 }
 
--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -243,7 +243,7 @@
     }
 }
 
-/// Chooses the server that runs the fewest requests of this gateway among those not tried,
+/// Chooses a server, which counts the request: the one that runs the fewest requests of this gateway among those not tried,
 /// preferring the gateway's own failure domain.
 fn choose_server(app: &App, request: &AdmittedRequest, tried: &[SocketAddr]) -> Option<Target> {
     let now = app.now();
@@ -253,6 +253,7 @@
         fleet
             .iter()
             .filter(|(_, s)| s.entry.service == *service && !tried.contains(&s.entry.addr))
+            .filter(|(_, s)| s.takes_requests(now))
             .filter(|(_, s)| {
                 if fallback {
                     s.is_last_resort(now)
@@ -273,16 +274,18 @@
                     k.index(),
                 )
             })
-            .map(|(_, s)| s)
     };
-    let server = least_loaded(false).or_else(|| least_loaded(true))?;
-    Some(Target {
+    let (key, server) = least_loaded(false).or_else(|| least_loaded(true))?;
+    let target = Target {
         addr: server.entry.addr,
         identity: server.entry.id.clone(),
         processes: vec![server.process()],
         path: Vec::new(),
         crossings: 0,
-    })
+    };
+    drop(fleet);
+    app.fleet.borrow_mut().take_request(now, key);
+    Some(target)
 }
 
 fn build_response(
--- a/crates/mustard-gateway/src/forward/send.rs
+++ b/crates/mustard-gateway/src/forward/send.rs
@@ -18,6 +18,7 @@
 
 use crate::app::{App, CONNECT_TIMEOUT};
 use crate::fleet::ServerProcess;
+use crate::limits;
 use crate::log_limit::Topic;
 use crate::metric;
 
@@ -129,11 +130,15 @@
     check_response(&request.params.id, response)
 }
 
-/// Records what a response says about its server, whoever asked for it: that it is leaving, or that
-/// it wants nothing more for a time.
+/// Records what a response says about its server, whoever asked for it: that it is leaving, that it
+/// wants nothing more for a time, or how much it takes.
 fn record_announcements(app: &App, target: &Target, response: &ForwardedResponse) {
     let status = response.status;
     let headers = &response.headers;
+    if status != 421 {
+        let limit = responses::request_limit(headers);
+        limits::record_answer(app, target.addr, &target.identity, limit);
+    }
     let now = app.now();
     let mut fleet = app.fleet.borrow_mut();
     // Status 421 may come from another server that has the address now.
--- a/crates/mustard-gateway/src/lib.rs
+++ b/crates/mustard-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod errors;
 pub mod fleet;
 pub mod forward;
+pub mod limits;
 pub mod log_limit;
 pub mod metric;
 pub mod own_rows;
--- a/crates/mustard-gateway/src/metric.rs
+++ b/crates/mustard-gateway/src/metric.rs
@@ -50,6 +50,11 @@
     counter!("mustard_server_pauses_total").increment(1);
 }
 
+/// Counts a limit that a server named, changed or no longer names.
+pub fn count_limit(change: &'static str) {
+    counter!("mustard_server_limits_total", "change" => change).increment(1);
+}
+
 /// Counts an order to a server by its outcome.
 pub fn count_order(op: &'static str, outcome: &'static str) {
     counter!("mustard_orders_total", "op" => op, "outcome" => outcome).increment(1);
--- a/crates/mustard-gateway/src/peers.rs
+++ b/crates/mustard-gateway/src/peers.rs
@@ -29,6 +29,7 @@
 use mustard_policy::segments::SegmentStrike;
 
 use crate::app::{App, ConfigStamp};
+use crate::limits::{self, LimitMessage};
 use crate::log_limit::Topic;
 use crate::metric;
 use crate::store_watch;
@@ -125,6 +126,16 @@
         before.count()
     }
 
+    /// Returns the addresses of the peers that are alive, or of all that are known.
+    pub fn others(&self, all: bool) -> impl Iterator<Item = SocketAddr> {
+        let now = self.updated_at;
+        let others = self
+            .known
+            .iter()
+            .filter(move |(_, p)| all || p.is_alive(now));
+        others.map(|(addr, _)| *addr)
+    }
+
     /// Records whether a table of the store is reachable; tells whether that changed.
     pub fn set_table_reachable(&mut self, followed: FollowedTable, is_reachable: bool) -> bool {
         let slot = &mut self.tables_reachable[followed as usize];
@@ -253,6 +264,7 @@
     cleared: Vec<ClearedMessage>,
     segment_strikes: Vec<SegmentStrikeMessage>,
     cleared_segments: Vec<ClearedMessage>,
+    limits: Vec<LimitMessage>,
     /// The configuration, if the receiver has an older version.
     text: Option<ByteBuf>,
 }
@@ -299,6 +311,7 @@
             })
             .collect(),
         cleared_segments: cleared_segments.into_iter().map(to_message).collect(),
+        limits: limits::messages(app),
         text,
     }
 }
@@ -343,6 +356,7 @@
         message.segment_strikes,
         message.cleared_segments,
     );
+    limits::apply_messages(app, message.limits);
     if let Some(text) = message.text {
         store_watch::adopt_config(app, text.into_vec(), message.config.era, "peer");
     }
@@ -395,6 +409,7 @@
 pub async fn run(app: Rc<App>) {
     loop {
         call_peers(&app, FANOUT, true);
+        limits::divide_again(&app);
         let news = tokio::time::timeout(ROUND_INTERVAL, app.strike_news.notified()).await;
         if news.is_ok() {
             call_peers(&app, NEWS_FANOUT, false);
--- a/crates/mustard-gateway/src/placement.rs
+++ b/crates/mustard-gateway/src/placement.rs
@@ -25,6 +25,7 @@
 
 use crate::app::App;
 use crate::fleet::ServerKey;
+use crate::limits;
 use crate::log_limit::Topic;
 use crate::metric;
 
@@ -366,6 +367,10 @@
     }
     let report = decode_report(&answer.body).map_err(|e| CallError::Lost(e.to_string()))?;
     let report = Rc::new(report);
+    // Only requests show the end of a limit, as a report need not name it.
+    if let Some(limit) = responses::request_limit(&answer.headers) {
+        record_limit(app, to, report.started_ms, limit);
+    }
     if responses::announces_leaving(&answer.headers) {
         record_leaving(app, to, report.started_ms);
     }
@@ -375,6 +380,19 @@
     Ok(report)
 }
 
+/// Records the limit that a server's report names, unless another process has its address.
+fn record_limit(app: &App, addr: SocketAddr, started_ms: u64, limit: f64) {
+    let id = {
+        let fleet = app.fleet.borrow();
+        let server = fleet.key_at(addr).and_then(|k| fleet.get(k));
+        let server = server.filter(|s| s.entry.started_ms == started_ms);
+        server.map(|s| s.entry.id.clone())
+    };
+    if let Some(id) = id {
+        limits::record_answer(app, addr, &id, Some(limit));
+    }
+}
+
 /// Records that a server's report says that it is leaving, unless another process has its address.
 fn record_leaving(app: &App, addr: SocketAddr, started_ms: u64) {
     let mut fleet = app.fleet.borrow_mut();
--- a/crates/mustard-policy/src/lib.rs
+++ b/crates/mustard-policy/src/lib.rs
@@ -77,6 +77,7 @@
 pub mod membership;
 pub mod pipeline;
 pub mod quarantine;
+pub mod rate_share;
 pub mod retry;
 pub mod route;
 
--- a/crates/mustard-policy/src/pipeline/path.rs
+++ b/crates/mustard-policy/src/pipeline/path.rs
@@ -46,6 +46,8 @@
     pub prompt_factor: f64,
     /// The share in use of its memory for requests; above one if more is booked than it has.
     pub memory_share: f64,
+    /// Whether it takes a request now, as the first server of a path.
+    pub takes_requests: bool,
 }
 
 /// What a request needs.
@@ -212,7 +214,8 @@
             }
             for (index, holder) in holders.iter().enumerate() {
                 let holds_next = holder.layers.first <= boundary && boundary < holder.layers.end;
-                if !holds_next || visited.contains(&index) {
+                let is_first = domain.is_none();
+                if !holds_next || (is_first && !holder.takes_requests) || visited.contains(&index) {
                     continue;
                 }
                 let entry_cost = cost + hop_cost(engine, demand, domain, holder.domain);
--- a/crates/mustard-policy/src/subset.rs
+++ b/crates/mustard-policy/src/subset.rs
@@ -71,6 +71,13 @@
     processes.iter().copied().max_by_key(ranked)
 }
 
+/// Returns the place of a process in the order by rendezvous hash for an item, counted from zero.
+pub fn rank_by_hash(item: &str, own_name: &str, others: &[&str]) -> usize {
+    let own_rank = (rank(item, own_name), own_name);
+    let before = others.iter().filter(|o| (rank(item, o), **o) > own_rank);
+    before.count()
+}
+
 /// Returns whether a process ranks among the first `count` for a server; `processes` are those of
 /// the server's failure domain.
 fn ranks_first(
--- a/crates/mustard-policy/tests/pipeline.rs
+++ b/crates/mustard-policy/tests/pipeline.rs
@@ -65,6 +65,7 @@
         layers: Layers::new(first, end),
         step_factor: 10.0,
         prompt_factor: 8.0,
+        takes_requests: true,
         memory_share: 0.0,
     }
 }
--- a/crates/mustard-tests/src/site_soak/duties.rs
+++ b/crates/mustard-tests/src/site_soak/duties.rs
@@ -1,5 +1,5 @@
-//! Checks that gateways keep to what servers said of themselves, and stop running poison contents and
-//! prompts with poison segments.
+//! Checks that gateways keep to what servers said of themselves, stop running poison contents and
+//! prompts with poison segments, and keep together to the limits that servers name.
 //!
 //! Each duty excuses a gateway that was disturbed: killed, stopped or frozen, or cut off from what the
 //! duty depends on.
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use mustard_fakes::site::{Arrival, Ledger, Notice};
+use mustard_fakes::site::{Arrival, Ledger, Notice, find_excess};
 
 /// How long after an answer that says so a leaving server may still receive requests.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
@@ -73,6 +73,8 @@
     let mut found = find_notices_ignored(ledger, record);
     found.extend(find_poison_runs(ledger, record));
     found.extend(find_segment_runs(ledger, record));
+    let in_touch = |a: &Arrival| gateway_of(&a.id).filter(|g| record.is_in_touch(*g, a.at));
+    found.extend(find_excess(&ledger.arrivals, in_touch));
     found
 }
 
--- a/crates/mustard-tests/src/site_soak/faults.rs
+++ b/crates/mustard-tests/src/site_soak/faults.rs
@@ -23,6 +23,9 @@
 const FAULT_DURATION_MS: std::ops::Range<u64> = 100..2_500;
 /// The range of the age of a copy from which the store is restored.
 const COPY_AGE_MS: std::ops::Range<u64> = 200..6_000;
+/// The range of limits, in tenths of a request a second, and the least time for which they are named.
+const LIMIT_TENTHS: std::ops::Range<u32> = 2..60;
+const LIMIT_TIME: Duration = Duration::from_secs(7);
 /// For how long a server turns requests away.
 const PAUSE: Duration = Duration::from_millis(1_500);
 /// How long after its time a fault may still last; a process that is asked to stop has ended by then.
@@ -44,6 +47,8 @@
     ChangeConfig,
     /// The store is away and comes back from a copy of this age, in milliseconds.
     RestoreStore(u64),
+    /// A server names a limit of so many tenths of a request a second.
+    LimitServer(usize, u32),
     /// A server says that it is leaving, and another process takes its place in the end.
     LeaveServer(usize),
 }
@@ -73,7 +78,7 @@
             ServerFault::Endless(Endless::Body),
             ServerFault::Endless(Endless::ChunkLine),
         ];
-        match rng.random_range(0..18) {
+        match rng.random_range(0..20) {
             0..3 => Fault::Proxy(server, proxy_fault(rng)),
             3 => Fault::StoreProxy(proxy_fault(rng)),
             4 => Fault::StoreMode(*modes.choose(rng).unwrap_or(&StoreMode::Busy)),
@@ -87,6 +92,7 @@
             11 => Fault::StopGateway(gateway),
             12 => Fault::ReloadGateway(gateway),
             13 => Fault::LeaveServer(server),
+            18..20 => Fault::LimitServer(server, rng.random_range(LIMIT_TENTHS)),
             14 => Fault::RestoreStore(rng.random_range(COPY_AGE_MS)),
             _ => Fault::ChangeConfig,
         }
@@ -108,6 +114,7 @@
             Fault::ChangeConfig => "configuration changed",
             Fault::RestoreStore(_) => "store restored from a copy",
             Fault::LeaveServer(_) => "server leaving",
+            Fault::LimitServer(..) => "server names a limit",
         }
     }
 
@@ -131,6 +138,10 @@
             }
             Fault::RestoreStore(_) => testbed.site.set_store_fault(StoreMode::ResetsConnections),
             Fault::LeaveServer(server) => testbed.site.set_leaving(server),
+            Fault::LimitServer(server, tenths) => {
+                let limit = f64::from(tenths) / 10.0;
+                testbed.site.set_limit(server, Some(limit));
+            }
         }
         Ok(())
     }
@@ -154,6 +165,7 @@
                 testbed.site.write_rows_again();
             }
             Fault::LeaveServer(server) => testbed.site.restart(server),
+            Fault::LimitServer(server, _) => testbed.site.set_limit(server, None),
             Fault::RestartServer(_) | Fault::ReloadGateway(_) | Fault::ChangeConfig => {}
         }
         Ok(())
@@ -199,7 +211,11 @@
         }
         if now >= next {
             let fault = Fault::draw(&mut rng, testbed);
-            let fault_duration = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+            let mut fault_duration = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+            if matches!(fault, Fault::LimitServer(..)) {
+                // It must be kept from a few seconds on.
+                fault_duration += LIMIT_TIME;
+            }
             next = now + Duration::from_millis(rng.random_range(FAULT_INTERVAL_MS));
             fault.begin(testbed)?;
             if let Some(what) = fault.disturbs() {
