Ask for blocked segments before each further move of a stream

A stream that had been moved once named no segments any more, so that its later moves didn't ask whether a segment of its prompt had been blocked meanwhile. The run now says that it was moved, and keeps its segments.

--- a/crates/mustard-fakes/src/site/http.rs
+++ b/crates/mustard-fakes/src/site/http.rs
@@ -54,7 +54,7 @@
 
     /// Returns the first poison segment of the prompt; the last segment is never poison.
     pub(super) fn poison_segment(&self) -> Option<String> {
-        let list = self.header("prompt-prefix")?;
+        let list = self.header(super::SEGMENTS_HEADER)?;
         let (shared, _last) = list.rsplit_once(',')?;
         let mut ids = shared.split(',').filter_map(|s| s.split(':').next());
         ids.find(|id| id.starts_with(super::POISON_SEGMENT))
--- a/crates/mustard-fakes/src/site/mod.rs
+++ b/crates/mustard-fakes/src/site/mod.rs
@@ -108,6 +108,8 @@
 /// The part of a path that makes a content poison.
 pub const POISON: &str = "poison";
 
+/// The header of a request that lists the segments of its prompt.
+pub const SEGMENTS_HEADER: &str = "prompt-prefix";
 /// What the ids of poison segments begin with. A prompt with one of them, unless it is the last one,
 /// ends each server that begins to write an answer.
 pub const POISON_SEGMENT: &str = "dead";
--- a/crates/mustard-gateway/src/active_streams.rs
+++ b/crates/mustard-gateway/src/active_streams.rs
@@ -55,19 +55,13 @@
 
 impl ActiveStream {
     /// Returns the run that the stream's servers have failed.
-    ///
-    /// After a move it names no segments: the first server has been writing for longer than the others.
     pub fn failed_run(&self, failure: Failure) -> FailedRun {
-        let segments = if self.moves == 0 {
-            Rc::clone(&self.segments)
-        } else {
-            Rc::default()
-        };
         FailedRun {
             content: self.content,
             variant: self.variant,
-            segments,
+            segments: Rc::clone(&self.segments),
             written: self.progress.written,
+            was_moved: self.moves > 0,
             request: self.id.clone(),
             processes: self.processes.clone(),
             failure,
--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -219,6 +219,7 @@
             variant: request.variant,
             segments: Rc::clone(&request.params.segments),
             written: Duration::ZERO,
+            was_moved: false,
             request: request.params.id.clone(),
             processes: sent.processes.clone(),
             failure,
--- a/crates/mustard-gateway/src/strikes.rs
+++ b/crates/mustard-gateway/src/strikes.rs
@@ -1,4 +1,5 @@
-//! Counts the ends of servers against the contents that they ran.
+//! Counts the ends of servers against the contents that they ran, and against the segments of prompts on
+//! which they had just begun to write.
 //!
 //! A run is one send of a request, or one move of its stream to another path. A run that failed counts
 //! one strike if a server process that it used has ended since, whichever of them and however the end
@@ -65,6 +66,8 @@
     pub segments: Rc<[Fingerprint]>,
     /// For how long its servers had been writing.
     pub written: Duration,
+    /// Whether it was moved to these servers; the first one had been writing before that.
+    pub was_moved: bool,
     /// The id of the request.
     pub request: String,
     /// The processes that it used, in the order of the path.
@@ -144,7 +147,8 @@
                 "after_ms" => app.now().ms_since(failed_at));
         }
         strike_content(&app, run.content, &process, failed_at);
-        if run.written >= PROOF_WRITTEN || run.segments.is_empty() {
+        let has_begun = run.was_moved || run.written >= PROOF_WRITTEN;
+        if has_begun || run.segments.is_empty() {
             return;
         }
         // A server that is only cut off is no evidence against what many requests share.
--- a/crates/mustard-gateway/tests/gateway/harness.rs
+++ b/crates/mustard-gateway/tests/gateway/harness.rs
@@ -10,7 +10,7 @@
 use ntex::http::header::{HeaderName, HeaderValue};
 use ntex::util::Bytes;
 
-use mustard_fakes::site::{API_KEY, HOST, Site};
+use mustard_fakes::site::{API_KEY, HOST, SEGMENTS_HEADER, Site};
 use mustard_net::forward::{ForwardedRequest, forward_request};
 use mustard_tests::ports::free_port;
 
@@ -240,7 +240,7 @@
         ("authorization", key.as_str()),
         ("time-budget-ms", "7000"),
         ("token-count", "100,80"),
-        ("prompt-prefix", segments),
+        (SEGMENTS_HEADER, segments),
     ];
     let path = format!("/draft/{name}");
     caller.send(to, "POST", &path, &headers).await
--- a/crates/mustard-tests/src/site_soak/calls.rs
+++ b/crates/mustard-tests/src/site_soak/calls.rs
@@ -3,7 +3,7 @@
 use std::io::Read;
 use std::net::SocketAddr;
 
-use mustard_fakes::site::{API_KEY, HOST, POISON};
+use mustard_fakes::site::{API_KEY, HOST, POISON, SEGMENTS_HEADER};
 
 use crate::http::HttpRequest;
 
@@ -82,7 +82,7 @@
                 let draft = HttpRequest::post(to, format!("/draft/{name}"), "{}");
                 let draft = draft.header("token-count", "100,80");
                 match segments {
-                    Some(segments) => draft.header("prompt-prefix", segments),
+                    Some(segments) => draft.header(SEGMENTS_HEADER, segments),
                     None => draft,
                 }
             }
