Try prompts with fewer blocked segments first

Servers ended from the first request on, so that the first segment of all prompts was blocked with the poison one. The trials of both came due together and ran as one request, which ended a server; that counted as a failed trial of the first segment, whose next one came after 6, 60 and 300 s.

--- a/crates/mustard-policy/src/segments.rs
+++ b/crates/mustard-policy/src/segments.rs
@@ -201,21 +201,30 @@
     /// A trial begins only if this process `has_turn`.
     pub fn admit(&mut self, now: Moment, segments: &[Fingerprint], has_turn: bool) -> Admission {
         let mut on_trial = Vec::new();
+        let mut due = Moment::default();
         for segment in segments {
             let Some(record) = self.blocked_record(now, *segment) else {
                 continue;
             };
-            let Some(due) = record.next_trial() else {
+            let Some(next) = record.next_trial() else {
                 return Admission::Blocked(RETRY_AFTER);
             };
-            let lately = self.trials.get(segment);
-            let is_running = lately.is_some_and(|t| now.since(*t) < TRIAL_TURN);
-            if now < due || is_running || !has_turn {
-                let wait = now.until(due) + TRIAL_TURN;
-                return Admission::Blocked(wait.min(RETRY_AFTER));
-            }
+            due = due.max(next);
             on_trial.push(*segment);
         }
+        if on_trial.is_empty() {
+            return Admission::Allowed;
+        }
+        // A prompt with fewer blocked segments tells more about each of them, so it comes first.
+        due = due + TRIAL_TURN * (on_trial.len() - 1) as u32;
+        let is_running = on_trial.iter().any(|segment| {
+            let begun = self.trials.get(segment);
+            begun.is_some_and(|t| now.since(*t) < TRIAL_TURN)
+        });
+        if now < due || is_running || !has_turn {
+            let wait = now.until(due) + TRIAL_TURN;
+            return Admission::Blocked(wait.min(RETRY_AFTER));
+        }
         for segment in on_trial {
             self.trials.insert(segment, now);
         }
