Send a small body together with its head

One difference was found in the new client: it wrote head and body apart, and without TCP_NODELAY the second small segment waits until the receiver has acknowledged the first, up to 40 ms with delayed acknowledgements.

A body of up to 16 KiB is now sent in one piece with the head, and TCP_NODELAY is set. forward_request_small_body failed before.

--- a/crates/mustard-net/src/forward.rs
+++ b/crates/mustard-net/src/forward.rs
@@ -27,6 +27,8 @@
 const MAX_HEADERS: usize = 128;
 /// The time from the first byte of a response to the end of its head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
+/// The largest body that is sent in one piece with the head.
+const MAX_JOINED_BODY: usize = 16 * 1024;
 /// The most bytes that one read takes off the connection.
 const READ_BYTES: usize = 16 * 1024;
 
@@ -97,9 +99,8 @@
 ) -> Result<ForwardedResponse> {
     let stream = connect(request.to, connect_timeout).await?;
     let mut connection = Connection {
+        unsent: encode(request),
         stream,
-        // The last one is sent first.
-        unsent: vec![request.body.clone(), encode_head(request)],
         buffer: BytesMut::new(),
     };
     let (status, headers, framing) = connection.read_head(&request.method).await?;
@@ -152,7 +153,11 @@
 
 async fn connect(to: SocketAddr, limit: Duration) -> Result<TcpStream> {
     match timeout(limit, TcpStream::connect(to)).await {
-        Ok(Ok(stream)) => Ok(stream),
+        Ok(Ok(stream)) => {
+            // Without it, the end of a long body would wait for an acknowledgement.
+            stream.set_nodelay(true).map_err(|e| lost(&e))?;
+            Ok(stream)
+        }
         Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => {
             Err(CallError::NoListener(e.to_string()))
         }
@@ -163,7 +168,19 @@
     }
 }
 
-fn encode_head(request: &ForwardedRequest) -> Bytes {
+/// Returns the bytes of a request, the last piece first. A small body is sent together with the head:
+/// a second small segment would wait until the receiver has acknowledged the first one.
+fn encode(request: &ForwardedRequest) -> Vec<Bytes> {
+    let mut head = encode_head(request);
+    if request.body.len() <= MAX_JOINED_BODY {
+        head.extend_from_slice(&request.body);
+        vec![Bytes::from(head)]
+    } else {
+        vec![request.body.clone(), Bytes::from(head)]
+    }
+}
+
+fn encode_head(request: &ForwardedRequest) -> Vec<u8> {
     let mut head = Vec::with_capacity(512);
     // Writing to a vector doesn't fail.
     let _ = write!(head, "{} {} HTTP/1.1\r\n", request.method, request.path);
@@ -179,7 +196,7 @@
         let _ = write!(head, "{CONTENT_LENGTH}: {}\r\n", request.body.len());
     }
     let _ = write!(head, "{CONNECTION}: close\r\n\r\n");
-    Bytes::from(head)
+    head
 }
 
 impl Connection {
--- a/crates/mustard-net/tests/unframed.rs
+++ b/crates/mustard-net/tests/unframed.rs
@@ -180,6 +180,29 @@
     assert!(matches!(body, Ok(Err(CallError::Lost(_)))), "{body:?}");
 }
 
+/// Guards against a small body that is held back until the head has been acknowledged.
+#[ntex::test]
+async fn forward_request_small_body() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut buffer = [0; 4096];
+        let count = stream.read(&mut buffer).unwrap();
+        stream.write_all(HEAD.as_bytes()).unwrap();
+        stream.write_all(b"content-length: 0\r\n\r\n").unwrap();
+        String::from_utf8(buffer[..count].to_vec()).unwrap()
+    });
+    let request = ForwardedRequest {
+        method: Method::POST,
+        body: Bytes::from_static(BODY.as_bytes()),
+        ..get(addr)
+    };
+    forward_request(&request, CONNECT_LIMIT).await.unwrap();
+    let received = server.join().unwrap();
+    assert!(received.ends_with(&format!("\r\n\r\n{BODY}")), "{received}");
+}
+
 /// A server may answer before it has read a long body, and read it later.
 #[ntex::test]
 async fn forward_request_early_answer() {
