--- a/crates/mustard-fakes/src/site/http.rs
+++ b/crates/mustard-fakes/src/site/http.rs
@@ -66,6 +66,11 @@
         self.request.io().cloned()
     }
 
+    /// Returns the client's end of the connection that the request came in on.
+    pub(super) fn peer_addr(&self) -> Option<std::net::SocketAddr> {
+        self.request.peer_addr()
+    }
+
     /// Closes the connection at once, without an answer.
     pub(super) fn drop_connection(&self) {
         if let Some(io) = self.request.io() {
--- a/crates/mustard-fakes/src/site/mod.rs
+++ b/crates/mustard-fakes/src/site/mod.rs
@@ -472,6 +472,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Makes all connections to the store go silent for good; new ones work.
+    pub fn silence_store_connections(&self) {
+        self.lock().store.silence_connections();
+    }
+
     /// Injects a fault into the store, or ends it.
     pub fn set_store_fault(&self, mode: StoreMode) {
         self.lock().store.mode = mode;
@@ -568,6 +573,12 @@
     HistoryLost,
     /// Carries out writes and closes the connection without an answer.
     LosesAnswers,
+    /// Never answers, also what it was asked before and after.
+    Silent,
+    /// Answers this much later.
+    Slow(Duration),
+    /// Names a revision that is a little newer than the rows of the same answer.
+    NamesLaterRevision,
 }
 
 fn row_json(server: &Server, addr: SocketAddr) -> Value {
--- a/crates/mustard-fakes/src/site/store.rs
+++ b/crates/mustard-fakes/src/site/store.rs
@@ -1,6 +1,7 @@
 //! The row store of a stand-in site, with its feeds of changes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use base64::Engine as _;
@@ -14,6 +15,10 @@
 use super::http::{Call, json_response};
 use super::{Site, StoreMode};
 
+/// The time between the reading of rows and the naming of the revision; see
+/// [`StoreMode::NamesLaterRevision`].
+const REVISION_DELAY: Duration = Duration::from_millis(150);
+
 /// A row; one without a value was deleted.
 #[derive(Clone, Debug)]
 struct Row {
@@ -40,6 +45,10 @@
     era: u64,
     /// All writes in order, from which a copy of any age is made.
     writes: Vec<LoggedWrite>,
+    /// The clients' ends of all connections that calls came in on.
+    connections: BTreeSet<SocketAddr>,
+    /// Those that have gone silent: calls on them are never answered.
+    silent: BTreeSet<SocketAddr>,
 }
 
 impl Default for Store {
@@ -50,6 +59,8 @@
             revision: 0,
             era: 1,
             writes: Vec::new(),
+            connections: BTreeSet::new(),
+            silent: BTreeSet::new(),
         }
     }
 }
@@ -70,6 +81,16 @@
         self.era += 1;
     }
 
+    /// Makes all connections go silent for good; new ones work.
+    pub(crate) fn silence_connections(&mut self) {
+        self.silent.append(&mut self.connections);
+    }
+
+    /// Tells whether the connection that a call came in on has gone silent.
+    fn is_silent(&self, call: &Call) -> bool {
+        call.peer_addr().is_some_and(|a| self.silent.contains(&a))
+    }
+
     /// Returns the revision of the newest write.
     pub(crate) fn revision(&self) -> u64 {
         self.revision
@@ -156,7 +177,20 @@
 }
 
 pub(super) async fn answer(site: &Site, call: Call) -> Response {
+    if let Some(addr) = call.peer_addr() {
+        let mut state = site.lock();
+        if !state.store.silent.contains(&addr) {
+            state.store.connections.insert(addr);
+        }
+    }
     let mut response = answer_call(site, &call).await;
+    let mode = site.lock().store.mode;
+    if let StoreMode::Slow(delay) = mode {
+        tokio::time::sleep(delay).await;
+    }
+    if site.lock().store.is_silent(&call) || mode == StoreMode::Silent {
+        std::future::pending::<()>().await;
+    }
     let era = HeaderValue::from(site.lock().store.era);
     let headers = response.headers_mut();
     headers.insert(HeaderName::from_static("store-era"), era);
@@ -165,6 +199,9 @@
 
 async fn answer_call(site: &Site, call: &Call) -> Response {
     let mode = site.lock().store.mode;
+    if mode == StoreMode::Silent {
+        std::future::pending::<()>().await;
+    }
     match mode {
         StoreMode::Busy => return json_response(503, &json!({})),
         StoreMode::ResetsConnections => {
@@ -174,7 +211,7 @@
         _ => {}
     }
     match call.path.as_str() {
-        "/v1/rows-get" => read_rows(site, call),
+        "/v1/rows-get" => read_rows(site, call).await,
         "/v1/rows-feed" => read_feed(site, call).await,
         "/v1/rows-tx" => {
             let body = serde_json::from_slice(&call.body).unwrap_or_default();
@@ -189,16 +226,23 @@
     }
 }
 
-fn read_rows(site: &Site, call: &Call) -> Response {
+async fn read_rows(site: &Site, call: &Call) -> Response {
     let from = percent_decode(call.query_param("from").unwrap_or_default());
     let to = call.query_param("to").map(percent_decode);
     let table = call.query_param("table").unwrap_or_default();
-    let state = site.lock();
-    let mut rows = state.store.list(table, |k, r| {
+    let mut rows = site.lock().store.list(table, |k, r| {
         r.value.is_some() && k >= from.as_str() && to.as_ref().is_none_or(|t| k < t.as_str())
     });
     rows.sort_by_key(|r| r["key"].to_string());
-    json_response(200, &state.store.rows_body(&rows))
+    wait_before_revision(site).await;
+    json_response(200, &site.lock().store.rows_body(&rows))
+}
+
+/// Waits between the reading of rows and the naming of the revision, if the store is set to that.
+async fn wait_before_revision(site: &Site) {
+    if site.lock().store.mode == StoreMode::NamesLaterRevision {
+        tokio::time::sleep(REVISION_DELAY).await;
+    }
 }
 
 async fn read_feed(site: &Site, call: &Call) -> Response {
@@ -214,10 +258,14 @@
     let until = Instant::now() + Duration::from_millis(number("wait_ms"));
     loop {
         let changed = site.changed.notified();
-        {
+        let found = {
             let state = site.lock();
             match state.store.mode {
-                StoreMode::Healthy | StoreMode::LosesAnswers => {}
+                StoreMode::Healthy
+                | StoreMode::LosesAnswers
+                | StoreMode::Silent
+                | StoreMode::Slow(_)
+                | StoreMode::NamesLaterRevision => {}
                 StoreMode::HistoryLost => return json_response(410, &json!({})),
                 StoreMode::Busy | StoreMode::ResetsConnections => {
                     return json_response(503, &json!({}));
@@ -227,9 +275,11 @@
                 return json_response(410, &json!({}));
             }
             let rows = state.store.list(table, |_, r| r.revision > since);
-            if !rows.is_empty() || Instant::now() >= until {
-                return json_response(200, &state.store.rows_body(&rows));
-            }
+            (!rows.is_empty() || Instant::now() >= until).then_some(rows)
+        };
+        if let Some(rows) = found {
+            wait_before_revision(site).await;
+            return json_response(200, &site.lock().store.rows_body(&rows));
         }
         // When the wait times out, the next round answers without rows.
         let _ = timeout_at(until, changed).await;
--- a/crates/mustard-gateway/tests/gateway/main.rs
+++ b/crates/mustard-gateway/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod leaving;
 mod limits;
 mod logs;
+mod old_config;
 mod poison;
 mod restored;
 mod segments;
