Notice silent connections to the store within 2 s, and distrust the others that were kept

Cause: a call for changes on a silent connection ended after 3,000 ms, and the next one, 250 ms later, could take another connection from the pool that had gone silent at the same moment, which cost 3,000 ms more. A VM counts as in touch 3,000 ms after the reset. If the connections of all gateways are silent, none can tell the others. Class: a reaction time that is longer than the bound that it serves, and a fault that one call finds and each later call has to find again.

Why it works: a call for changes takes 2,000 ms at most and is followed by one that doesn't wait. After a call that went unanswered the client opens a connection for each call until the pool's idle connections are gone. Entries and agents reach the platform through the same client: HttpService uses it too.

--- a/crates/mustard-gateway/src/store_watch.rs
+++ b/crates/mustard-gateway/src/store_watch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use slog::{info, warn};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 use mustard_adapter::store::{CONFIG_KEY, Changes, Feed, FollowedTable, Revision};
 use mustard_adapter::{config, servers};
@@ -15,15 +15,19 @@
 use crate::log_limit::Topic;
 use crate::metric;
 
-/// How long one call waits for changes. A dead connection is noticed after this time plus the
-/// client's margin; the sum must stay below the 3 s that the platform allows for reconnecting.
-const FEED_WAIT: Duration = Duration::from_millis(2_300);
+/// How long one call for changes may take. After this time a silent connection is noticed, so it is well
+/// below the 3 s after which the platform expects a gateway to be up to date again.
+const FEED_TIMEOUT: Duration = Duration::from_secs(2);
+/// How much of it is left for the answer to travel.
+const FEED_MARGIN: Duration = Duration::from_millis(700);
+/// After so many failed calls for changes the table is read again.
+const MAX_FEED_FAILURES: u32 = 3;
 /// The delay after changes, so that the next call returns several at once; far below the 2 s in
 /// which a change has to take effect.
 const BATCH_DELAY: Duration = Duration::from_millis(60);
 /// The delay after changes before the first request, while servers join.
 const STARTUP_BATCH_DELAY: Duration = Duration::from_millis(400);
-/// The delay after a failed call.
+/// The least time from a failed call to the next one, from start to start.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// How long after an outage of the store a missing row may be caused by the outage: live servers
 /// are listed again within about two seconds.
@@ -36,6 +40,7 @@
 pub async fn run(app: Rc<App>, followed: FollowedTable) {
     let mut previous_era = None;
     loop {
+        let begun = Instant::now();
         match app.store.read_table(followed).await {
             Ok(changes) => {
                 mark_reachable(&app, followed);
@@ -52,7 +57,7 @@
             }
             Err(e) => {
                 mark_unreachable(&app, followed, &e);
-                sleep(RETRY_DELAY).await;
+                sleep_until(begun + RETRY_DELAY).await;
             }
         }
     }
@@ -70,11 +75,48 @@
     RestoredTable,
 }
 
-/// Follows changes until the store no longer has the history since the last revision.
+/// How long the calls for changes wait.
+#[derive(Clone, Copy, Debug)]
+struct FeedPace {
+    wait: Duration,
+    failures: u32,
+}
+
+impl FeedPace {
+    fn new() -> Self {
+        FeedPace {
+            wait: FEED_TIMEOUT - FEED_MARGIN,
+            failures: 0,
+        }
+    }
+
+    /// Records an answer that took so long. One to a call that didn't wait shows how long answers travel.
+    fn record_answer(&mut self, took: Duration) {
+        self.failures = 0;
+        if self.wait.is_zero() {
+            self.wait = FEED_TIMEOUT.saturating_sub(FEED_MARGIN.max(took.mul_f64(1.5)));
+        }
+    }
+
+    /// Records a failed call; the next one doesn't wait, as changes may be there already.
+    fn record_failure(&mut self) {
+        self.failures += 1;
+        self.wait = Duration::ZERO;
+    }
+}
+
+/// Follows changes until the store no longer has the history since the last revision, or several calls
+/// have failed.
 async fn follow_changes(app: &Rc<App>, followed: FollowedTable, mut revision: Revision) {
-    loop {
-        match app.store.watch_changes(followed, revision, FEED_WAIT).await {
+    let mut pace = FeedPace::new();
+    while pace.failures < MAX_FEED_FAILURES {
+        let begun = Instant::now();
+        let feed = app
+            .store
+            .watch_changes(followed, revision, pace.wait, FEED_TIMEOUT);
+        match feed.await {
             Ok(Feed::Changes(changes)) => {
+                pace.record_answer(begun.elapsed());
                 mark_reachable(app, followed);
                 revision.number = revision.number.max(changes.revision.number);
                 let changed = !changes.rows.is_empty();
@@ -109,8 +151,9 @@
                 return;
             }
             Err(e) => {
+                pace.record_failure();
                 mark_unreachable(app, followed, &e);
-                sleep(RETRY_DELAY).await;
+                sleep_until(begun + RETRY_DELAY).await;
             }
         }
     }
--- a/crates/mustard-net/src/forward.rs
+++ b/crates/mustard-net/src/forward.rs
@@ -29,6 +29,9 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
 /// The largest body that is sent in one piece with the head.
 const MAX_JOINED_BODY: usize = 16 * 1024;
+/// How long [`exchange_unpooled`] waits for a connection; a lost first packet is sent again only after
+/// seconds, so that another connection is opened sooner.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The most bytes that one read takes off the connection.
 const READ_BYTES: usize = 16 * 1024;
 
@@ -139,7 +142,8 @@
         headers: own.chain(given).filter_map(|(n, v)| header(n, v)).collect(),
         body: Bytes::from(request.body.clone()),
     };
-    let mut response = forward_request(&outgoing, request.timeout).await?;
+    let connect_timeout = request.timeout.min(CONNECT_TIMEOUT);
+    let mut response = forward_request(&outgoing, connect_timeout).await?;
     let body = response.body.read_all(MAX_ANSWER_BYTES).await?;
     let content_type = response.headers.get(CONTENT_TYPE);
     let content_type = content_type.and_then(|v| v.to_str().ok());
--- a/crates/mustard-net/src/http.rs
+++ b/crates/mustard-net/src/http.rs
@@ -1,7 +1,9 @@
 //! HTTP requests with a time limit that does not depend on the HTTP client's coarse timers.
 
+use std::cell::Cell;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use ntex::SharedCfg;
@@ -12,6 +14,7 @@
 use ntex::io::IoConfig;
 use ntex::time::{Millis, Seconds};
 use ntex::util::Bytes;
+use tokio::time::Instant;
 
 use crate::errors::{CallError, Result};
 use crate::forward;
@@ -96,6 +99,48 @@
         .expect("an HTTP client without TLS is always built")
 }
 
+/// A client for calls to one service, over connections that are kept for further calls.
+///
+/// Connections may go silent without a sign, several at the same moment. After a call that went
+/// unanswered, each call has a connection of its own until all that were idle then are gone. Clones share
+/// this state.
+#[derive(Clone)]
+pub struct PooledClient {
+    client: Rc<HttpClient>,
+    unpooled_until: Rc<Cell<Option<Instant>>>,
+}
+
+impl PooledClient {
+    /// Creates a client that shares the connections of `client`.
+    pub fn new(client: Rc<HttpClient>) -> Self {
+        PooledClient {
+            client,
+            unpooled_until: Rc::default(),
+        }
+    }
+
+    /// Sends a request and reads the complete answer; see [`exchange`].
+    ///
+    /// # Errors
+    ///
+    /// As for [`exchange`].
+    pub async fn exchange(&self, request: Request<'_>) -> Result<Answer> {
+        let limit = request.timeout;
+        let until = self.unpooled_until.get();
+        let answer = if until.is_some_and(|until| Instant::now() < until) {
+            let answer = tokio::time::timeout(limit, forward::exchange_unpooled(&request)).await;
+            answer.unwrap_or(Err(CallError::TimedOut(limit.as_millis() as u64)))
+        } else {
+            exchange(&self.client, request).await
+        };
+        if matches!(answer, Err(CallError::TimedOut(_))) {
+            let idle_time = Duration::from(CLIENT_KEEP_ALIVE);
+            self.unpooled_until.set(Some(Instant::now() + idle_time));
+        }
+        answer
+    }
+}
+
 /// Sends a request and reads the complete answer.
 ///
 /// The HTTP client can't read an answer whose body only the end of the connection delimits. If nothing
--- a/crates/mustard-net/tests/exchange.rs
+++ b/crates/mustard-net/tests/exchange.rs
@@ -4,6 +4,9 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -12,7 +15,7 @@
 use ntex::http::Method;
 
 use mustard_net::CallError;
-use mustard_net::http::{Answer, Request, exchange, new_client};
+use mustard_net::http::{Answer, PooledClient, Request, exchange, new_client};
 
 const LONG_LIMIT: Duration = Duration::from_secs(20);
 
@@ -178,3 +181,55 @@
     let result = send_text(&client, addr, "0".to_owned(), LONG_LIMIT).await;
     assert!(matches!(result, Err(CallError::Lost(_))), "{result:?}");
 }
+
+/// Guards against one unanswered call for each kept connection: all of them have gone silent, and new ones
+/// work.
+#[ntex::test]
+async fn exchange_pooled_silent_connections() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let epoch = Arc::new(AtomicU32::new(0));
+    let current = Arc::clone(&epoch);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (epoch, opened) = (Arc::clone(&current), current.load(Ordering::SeqCst));
+            thread::spawn(move || {
+                let mut reader = BufReader::new(&stream);
+                while read_request(&mut reader).is_some() {
+                    if epoch.load(Ordering::SeqCst) != opened {
+                        continue;
+                    }
+                    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+                    if (&stream).write_all(answer.as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    let client = PooledClient::new(Rc::new(new_client().await));
+    let call = |client: PooledClient| async move {
+        let request = Request {
+            to: addr,
+            method: Method::GET,
+            path: "/",
+            content_type: "text/plain",
+            headers: &[],
+            body: Vec::new(),
+            timeout: Duration::from_millis(300),
+        };
+        client.exchange(request).await
+    };
+    let first: Vec<_> = (0..4)
+        .map(|_| ntex::rt::spawn(call(client.clone())))
+        .collect();
+    for answer in first {
+        assert_eq!(answer.await.unwrap().unwrap().status, 200);
+    }
+    epoch.fetch_add(1, Ordering::SeqCst);
+    let unanswered = call(client.clone()).await;
+    assert!(matches!(unanswered, Err(CallError::TimedOut(_))));
+    for _ in 0..6 {
+        assert_eq!(call(client.clone()).await.unwrap().status, 200);
+    }
+}
--- a/crates/mustard-platform/src/http.rs
+++ b/crates/mustard-platform/src/http.rs
@@ -10,7 +10,7 @@
 use serde::de::DeserializeOwned;
 
 use mustard_net::CallError;
-use mustard_net::http::{Answer, Request, exchange};
+use mustard_net::http::{Answer, PooledClient, Request};
 use mustard_net::traffic;
 use mustard_proto::Execution;
 
@@ -27,7 +27,7 @@
 /// A client of one of the platform's services over HTTP.
 #[derive(Clone)]
 pub struct HttpService {
-    client: Rc<HttpClient>,
+    client: PooledClient,
     addr: SocketAddr,
     timeout: Duration,
     name: &'static str,
@@ -44,7 +44,7 @@
         name: &'static str,
     ) -> Self {
         HttpService {
-            client,
+            client: PooledClient::new(client),
             addr,
             timeout,
             name,
@@ -68,7 +68,9 @@
             body,
             timeout: self.timeout,
         };
-        let answer = exchange(&self.client, request)
+        let answer = self
+            .client
+            .exchange(request)
             .await
             .map_err(|e| self.classify_error(&e))?;
         traffic::count_received(self.name, answer.body.len());
