Wait longer for a table when the store answers slowly

Cause: each read ended after 700 ms and was begun again. Class: a time limit that doesn't follow what it measures.

Evidence: start_slow_store (1,200 ms an answer) was red, is green.

Why it works: the limit doubles after each read that reached it, up to 2.8 s. The lease and the own rows keep their 700 ms.

--- a/crates/mustard-gateway/src/store_watch.rs
+++ b/crates/mustard-gateway/src/store_watch.rs
@@ -20,6 +20,9 @@
 const FEED_TIMEOUT: Duration = Duration::from_secs(2);
 /// How much of it is left for the answer to travel.
 const FEED_MARGIN: Duration = Duration::from_millis(700);
+/// How long a read of a table may take: at first, and after reads that took longer.
+const READ_TIMEOUT: Duration = Duration::from_millis(700);
+const MAX_READ_TIMEOUT: Duration = Duration::from_millis(2_800);
 /// After so many failed calls for changes the table is read again.
 const MAX_FEED_FAILURES: u32 = 3;
 /// The delay after changes, so that the next call returns several at once; far below the 2 s in
@@ -39,10 +42,12 @@
 /// Follows one table for the life of the process.
 pub async fn run(app: Rc<App>, followed: FollowedTable) {
     let mut previous_era = None;
+    let mut limit = READ_TIMEOUT;
     loop {
         let begun = Instant::now();
-        match app.store.read_table(followed).await {
+        match app.store.read_table(followed, limit).await {
             Ok(changes) => {
+                limit = READ_TIMEOUT;
                 mark_reachable(&app, followed);
                 let revision = changes.revision;
                 let is_restored = previous_era.is_some_and(|era| era != revision.era);
@@ -56,6 +61,9 @@
                 follow_changes(&app, followed, revision).await;
             }
             Err(e) => {
+                if begun.elapsed() >= limit {
+                    limit = MAX_READ_TIMEOUT.min(limit * 2);
+                }
                 mark_unreachable(&app, followed, &e);
                 sleep_until(begun + RETRY_DELAY).await;
             }
