Adopt what the operators write after the store was restored, also below a lost version

Cause: a configuration with a lower version than the one in force was never adopted, since a restored store shows old ones until the operators have written theirs again. Class: one order of versions for two histories.

Evidence: follow_lower_version_after_restoration was red (401 for good), is green. follow_lost_versions_written_again, follow_copy_has_older_config: no return to an older one meanwhile.

Why it works: what the feed shows in the new era was written in it, and what a process has followed for 15 s and never seen can't be in the copy. Such a configuration replaces any of an earlier era, a lower version after 0.7 s in which nothing newer came, so that lost versions may be written again in order. What may only come from the copy gives way to higher versions as before. Gateways tell each other which it is.

--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -1,9 +1,10 @@
 //! State shared by all tasks of a gateway process.
 
 use std::cell::{Cell, RefCell};
+use std::cmp::Ordering;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{self, AtomicBool};
 use std::time::Duration;
 
 use ntex::client::Client;
@@ -14,8 +15,9 @@
 
 use mustard_adapter::{NodeSettings, Store};
 use mustard_core::clock::{Clock, Moment, SystemClock};
-use mustard_core::collections::Map;
+use mustard_core::collections::{Map, Set};
 use mustard_core::deployment::Config;
+use mustard_core::fingerprint::Fingerprint;
 use mustard_core::ids::{Era, Incarnation};
 use mustard_net::http::{MAX_ANSWER_BYTES, new_client, new_limited_client};
 use mustard_net::shutdown::RequestGate;
@@ -50,22 +52,42 @@
 impl StopFlag {
     /// Records that a stop signal arrived.
     pub fn set(&self) {
-        self.stopping.store(true, Ordering::Release);
+        self.stopping.store(true, atomic::Ordering::Release);
     }
 
     /// Returns whether a stop signal has arrived.
     pub fn is_set(&self) -> bool {
-        self.stopping.load(Ordering::Acquire)
+        self.stopping.load(atomic::Ordering::Acquire)
     }
 }
 
-/// By what configurations are compared: the higher one is newer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+/// By what configurations are compared; see [`ConfigStamp::replaces`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigStamp {
     /// The version that the operators gave it.
     pub version: u64,
     /// The store's era in which it was read.
     pub era: Era,
+    /// Whether it is known to have been written in that era; otherwise it may have come with the copy
+    /// that the store was restored from.
+    pub is_written: bool,
+}
+
+impl ConfigStamp {
+    /// Returns whether a configuration takes the place of the current one.
+    ///
+    /// Versions rise, but in a new era the operators may go on below one that the store lost. What is only
+    /// in the copy gives way to a higher version of an earlier era, which is about to be written again.
+    pub fn replaces(self, current: ConfigStamp) -> bool {
+        match self.era.cmp(&current.era) {
+            Ordering::Greater => self.is_written || self.version >= current.version,
+            Ordering::Equal if self.version == current.version => {
+                self.is_written && !current.is_written
+            }
+            Ordering::Equal => self.version > current.version,
+            Ordering::Less => !current.is_written && self.version > current.version,
+        }
+    }
 }
 
 /// The state of a gateway; owned by the serving thread.
@@ -90,8 +112,12 @@
     pub config: RefCell<Option<Rc<Config>>>,
     /// The configuration as the operators wrote it, to be sent to peers.
     pub config_text: RefCell<Rc<Vec<u8>>>,
-    /// The store's era in which the configuration was read.
-    pub config_era: Cell<Era>,
+    /// The stamp of the configuration in force.
+    pub config_stamp: Cell<ConfigStamp>,
+    /// The texts of the configurations that this process has read.
+    pub seen_configs: RefCell<Set<Fingerprint>>,
+    /// Counts the configurations read from the store.
+    pub config_reads: Cell<u64>,
     /// The backend servers as this gateway sees them.
     pub fleet: RefCell<Fleet>,
     /// When the store last confirmed the list of servers.
@@ -159,7 +185,9 @@
             clock,
             config: RefCell::new(None),
             config_text: RefCell::default(),
-            config_era: Cell::default(),
+            config_stamp: Cell::default(),
+            seen_configs: RefCell::default(),
+            config_reads: Cell::default(),
             fleet: RefCell::default(),
             list_read: Cell::new(false),
             buffered_bytes: Cell::default(),
@@ -203,14 +231,6 @@
         self.config.borrow().clone()
     }
 
-    /// Returns by what the configuration in force is compared with others.
-    pub fn config_stamp(&self) -> ConfigStamp {
-        ConfigStamp {
-            version: self.config.borrow().as_ref().map_or(0, |c| c.version),
-            era: self.config_era.get(),
-        }
-    }
-
     /// Returns the number of gateways heard from lately, this one included.
     pub fn gateway_count(&self) -> usize {
         self.peers.borrow().alive_count() + 1
--- a/crates/mustard-gateway/src/peers.rs
+++ b/crates/mustard-gateway/src/peers.rs
@@ -256,7 +256,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct PeerMessage {
     from: SocketAddr,
-    /// The version and era of the sender's configuration.
+    /// The stamp of the sender's configuration.
     config: ConfigStamp,
     /// The peers that the sender has heard from lately.
     peers: Vec<SocketAddr>,
@@ -271,8 +271,8 @@
 
 /// Builds a message; it holds the configuration if that is newer than `newer_than`.
 fn build_message(app: &App, newer_than: Option<ConfigStamp>) -> PeerMessage {
-    let stamp = app.config_stamp();
-    let send = newer_than.is_some_and(|known| known < stamp);
+    let stamp = app.config_stamp.get();
+    let send = newer_than.is_some_and(|known| stamp.replaces(known));
     let text = send.then(|| ByteBuf::from(app.config_text.borrow().as_ref().clone()));
     let now = app.now();
     let quarantine = app.quarantine.borrow();
@@ -358,7 +358,7 @@
     );
     limits::apply_messages(app, message.limits);
     if let Some(text) = message.text {
-        store_watch::adopt_config(app, text.into_vec(), message.config.era, "peer");
+        store_watch::adopt_peer_config(app, text.into_vec(), message.config);
     }
 }
 
--- a/crates/mustard-gateway/src/store_watch.rs
+++ b/crates/mustard-gateway/src/store_watch.rs
@@ -8,6 +8,8 @@
 
 use mustard_adapter::store::{CONFIG_KEY, Changes, Feed, FollowedTable, Revision};
 use mustard_adapter::{config, servers};
+use mustard_core::deployment::Config;
+use mustard_core::fingerprint::Fingerprint;
 use mustard_core::ids::Era;
 
 use crate::app::{App, ConfigStamp};
@@ -36,6 +38,15 @@
 /// are listed again within about two seconds.
 const OUTAGE_GRACE: Duration = Duration::from_millis(2_200);
 
+/// How long a configuration stays the newest one in a restored store before it replaces one with a higher
+/// version.
+const REWRITE_TIME: Duration = Duration::from_millis(700);
+/// The age up to which a copy may be from which the store is restored. A process that has run for longer has
+/// seen each configuration in it.
+const MAX_COPY_AGE: Duration = Duration::from_secs(15);
+/// The most texts of configurations that are remembered.
+const MAX_SEEN_CONFIGS: usize = 4_096;
+
 /// The store removes the row of a server that has missed this many heartbeats.
 const SILENT_HEARTBEATS: u32 = 3;
 
@@ -203,7 +214,7 @@
                 if row.key == CONFIG_KEY
                     && let Some(text) = row.value
                 {
-                    adopt_config(app, text, changes.revision.era, "store");
+                    adopt_store_config(app, text, changes.revision.era, source);
                 }
             }
         }
@@ -211,44 +222,97 @@
     }
 }
 
-/// Puts a configuration in force if it is newer than the current one.
+/// Adopts a configuration that was read in the store.
 ///
-/// A higher version is newer, whatever its era: the operators write a version that the store lost
-/// again, so the older one in a restored store is only there for the moment. Of two configurations with
-/// the same version, the one of the later era is newer, since the store may have lost the other one
-/// before the version was given out again. `source` says in the log where it came from.
-pub fn adopt_config(app: &App, text: Vec<u8>, era: Era, source: &'static str) {
-    let config = match config::decode(&text) {
-        Ok(config) => config,
+/// If it is to replace one with a higher version, this happens after [`REWRITE_TIME`], as the operators may
+/// be writing several lost versions again, one after the other.
+fn adopt_store_config(app: &Rc<App>, text: Vec<u8>, era: Era, source: RowSource) {
+    let Some(config) = decode_config(app, &text, "store") else {
+        return;
+    };
+    let read = app.config_reads.get() + 1;
+    app.config_reads.set(read);
+    let is_new = record_seen(app, &text);
+    let is_written = match source {
+        RowSource::Feed => true,
+        RowSource::Table => false,
+        RowSource::RestoredTable => is_new && app.now().since(app.started_at) >= MAX_COPY_AGE,
+    };
+    let stamp = ConfigStamp {
+        version: config.version,
+        era,
+        is_written,
+    };
+    let current = app.config_stamp.get();
+    if stamp.version >= current.version || !stamp.replaces(current) {
+        return adopt_config(app, config, text, stamp, "store");
+    }
+    let app = Rc::clone(app);
+    ntex::rt::spawn(async move {
+        sleep(REWRITE_TIME).await;
+        if app.config_reads.get() == read {
+            adopt_config(&app, config, text, stamp, "store");
+        }
+    });
+}
+
+/// Adopts a configuration that a peer has in force.
+pub fn adopt_peer_config(app: &App, text: Vec<u8>, stamp: ConfigStamp) {
+    if let Some(config) = decode_config(app, &text, "peer") {
+        record_seen(app, &text);
+        adopt_config(app, config, text, stamp, "peer");
+    }
+}
+
+/// Records the text of a configuration; returns whether this process hadn't read it before.
+fn record_seen(app: &App, text: &[u8]) -> bool {
+    let mut seen = app.seen_configs.borrow_mut();
+    if seen.len() >= MAX_SEEN_CONFIGS {
+        seen.clear();
+    }
+    seen.insert(Fingerprint::of(&[text]))
+}
+
+fn decode_config(app: &App, text: &[u8], source: &'static str) -> Option<Config> {
+    match config::decode(text) {
+        Ok(config) => Some(config),
         Err(e) => {
             if let Some(log) = app.log.logger_for(Topic::Config) {
                 warn!(log, "config: A configuration can't be read."; "source" => source,
                     "error" => %e);
             }
-            return;
+            None
         }
-    };
-    let current = app.config_stamp();
-    let stamp = ConfigStamp {
-        version: config.version,
-        era,
-    };
-    if stamp <= current {
+    }
+}
+
+/// Puts a configuration in force if it replaces the current one. `source` says in the log where it came
+/// from.
+fn adopt_config(
+    app: &App,
+    config: Config,
+    text: Vec<u8>,
+    stamp: ConfigStamp,
+    source: &'static str,
+) {
+    let current = app.config_stamp.get();
+    if !stamp.replaces(current) {
         if stamp.version < current.version
             && let Some(log) = app.log.logger_for(Topic::Config)
         {
             info!(log, "config: An older version is ignored."; "version" => stamp.version,
-                "in_force" => current.version, "era" => era.0, "source" => source);
+                "in_force" => current.version, "era" => stamp.era.0, "source" => source);
         }
         return;
     }
-    app.config_era.set(era);
+    app.config_stamp.set(stamp);
     if stamp.version == current.version && *app.config_text.borrow().as_ref() == text {
         return;
     }
     if let Some(log) = app.log.logger_for(Topic::Config) {
         info!(log, "config: In force."; "version" => config.version,
-            "before" => current.version, "era" => era.0, "source" => source);
+            "before" => current.version, "era" => stamp.era.0, "written" => stamp.is_written,
+            "source" => source);
     }
     metric::set_config_version(config.version);
     *app.config.borrow_mut() = Some(Rc::new(config));
--- a/crates/mustard-gateway/tests/gateway/old_config.rs
+++ b/crates/mustard-gateway/tests/gateway/old_config.rs
@@ -150,3 +150,29 @@
     let until = Instant::now() + CONFIG_LIMIT;
     assert_in_force(&caller, &gateway, "again", until).await;
 }
+
+/// Guards against a return to an older configuration while the operators write the lost ones again, one
+/// after the other.
+#[ntex::test]
+async fn follow_lost_versions_written_again() {
+    let (site, gateway, caller) = start_ready(SiteOptions::default()).await;
+    change_and_settle(&site, &caller, &gateway, 3).await;
+    let copied = Instant::now();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    site.write_config(9, &[API_KEY, OTHER_KEY]);
+    assert_in_force(&caller, &gateway, OTHER_KEY, Instant::now() + CONFIG_LIMIT).await;
+    site.restore_store(copied.elapsed());
+    let until = Instant::now() + Duration::from_secs(3);
+    let mut rewritten = 0;
+    while Instant::now() < until {
+        if rewritten < 4 {
+            site.write_config(5 + rewritten, &[API_KEY]);
+            rewritten += 1;
+        } else if rewritten == 4 {
+            site.write_config(9, &[API_KEY, OTHER_KEY]);
+            rewritten += 1;
+        }
+        assert_eq!(book(&caller, &gateway, "kept", OTHER_KEY).await, 200);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
