--- a/crates/mustard-fakes/src/site/http.rs
+++ b/crates/mustard-fakes/src/site/http.rs
@@ -49,7 +49,23 @@
 
     /// Tells whether the content ends the servers that run it.
     pub(super) fn is_poison(&self) -> bool {
-        self.path.contains(super::POISON)
+        self.path.contains(super::POISON) || self.has_poison_prompt()
+    }
+
+    /// Tells whether the last segment of the prompt, which no other prompt has, is poison.
+    fn has_poison_prompt(&self) -> bool {
+        let list = self.header(super::SEGMENTS_HEADER).unwrap_or_default();
+        let last = list.rsplit(',').next();
+        last.is_some_and(|id| id.starts_with(super::POISON_SEGMENT))
+    }
+
+    /// Ends the request as that of a server that has just ended: by a closed connection, or never.
+    pub(super) async fn end_with_server(&self, site: &Site, server: usize) -> Response {
+        if site.lock().servers[server].ends_silently {
+            std::future::pending::<()>().await;
+        }
+        self.drop_connection();
+        Response::Ok().finish()
     }
 
     /// Returns the first poison segment of the prompt; the last segment is never poison.
--- a/crates/mustard-fakes/src/site/mod.rs
+++ b/crates/mustard-fakes/src/site/mod.rs
@@ -95,7 +95,8 @@
     TurnsAway(Duration),
 }
 
-/// Which servers a poison content ends; it is any content whose path contains [`POISON`].
+/// Which servers a poison content ends; it is any content whose path contains [`POISON`], or whose prompt
+/// has a last segment with an id that begins with [`POISON_SEGMENT`].
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum PoisonTarget {
     /// The server that receives the request.
@@ -123,6 +124,8 @@
     pub(crate) fault: ServerFault,
     // Whether it was ended and hasn't started again.
     pub(crate) ended: bool,
+    // Whether an ended server never answers instead of closing connections.
+    pub(crate) ends_silently: bool,
     // The loaded layers: the first one and the excluded end.
     pub(crate) layers: Option<(u32, u32)>,
     // Whether layers are being loaded.
@@ -145,7 +148,9 @@
 impl Server {
     /// Returns how the server fails now.
     pub(crate) fn current_fault(&self) -> ServerFault {
-        if self.ended {
+        if self.ended && self.ends_silently {
+            ServerFault::Silent
+        } else if self.ended {
             ServerFault::ResetsConnections
         } else {
             self.fault
@@ -282,6 +287,7 @@
                 model,
                 fault: ServerFault::None,
                 ended: false,
+                ends_silently: false,
                 layers: None,
                 busy: false,
                 orders: 0,
@@ -389,6 +395,13 @@
         state.down_time = down_time;
     }
 
+    /// Makes servers that a poison content ends go silent, as a machine without power does.
+    pub fn set_silent_ends(&self) {
+        for server in &mut self.lock().servers {
+            server.ends_silently = true;
+        }
+    }
+
     /// Restores the store from a copy that is `age` old: what was written since is gone, its revisions
     /// are given out again, and `Store-Era` rises in all its answers. Nobody has written anything
     /// again yet.
--- a/crates/mustard-fakes/src/site/model.rs
+++ b/crates/mustard-fakes/src/site/model.rs
@@ -235,8 +235,7 @@
     let poison = call.is_poison().then(|| site.lock().poison);
     if poison == Some(PoisonTarget::First) {
         site.end_server(index, &id, None);
-        call.drop_connection();
-        return Response::Ok().finish();
+        return call.end_with_server(site, index).await;
     }
     let after = call
         .header("last-event-id")
--- a/crates/mustard-fakes/src/site/plain.rs
+++ b/crates/mustard-fakes/src/site/plain.rs
@@ -58,8 +58,7 @@
     sleep(CALL_TIME).await;
     if call.is_poison() {
         site.end_server(index, &id, None);
-        call.drop_connection();
-        return Response::Ok().finish();
+        return call.end_with_server(site, index).await;
     }
     let fault = site.lock().servers[index].current_fault();
     match fault {
--- a/crates/mustard-gateway/tests/gateway/poison.rs
+++ b/crates/mustard-gateway/tests/gateway/poison.rs
@@ -4,9 +4,9 @@
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
-use mustard_fakes::site::{PoisonTarget, ServerFault, Site, SiteOptions};
+use mustard_fakes::site::{API_KEY, PoisonTarget, ServerFault, Site, SiteOptions};
 
-use super::harness::{Caller, Gateway, new_port, wait_until};
+use super::harness::{Caller, Gateway, draft_with_segments, new_port, wait_until};
 use super::{start_ready, start_site, wait_for_paths};
 
 /// The time after the third end within which all gateways must know of it.
@@ -48,14 +48,18 @@
 /// Checks that few requests with the poison content reached servers once the gateways had the time
 /// to learn of the third end.
 fn assert_refused(site: &Site, path: &str) {
+    assert_refused_after(site, path, CONTACT_TIME);
+}
+
+/// The same, with the time that the gateways have to learn of it.
+fn assert_refused_after(site: &Site, path: &str, time: Duration) {
     let mut ledger = site.ledger();
     ledger.ended.retain(|e| e.id.starts_with(path));
     let third = ledger.ended.get(2).map(|e| e.at);
     let third = third.expect("three servers ended");
-    let is_late =
-        |a: &&mustard_fakes::site::Arrival| a.id.starts_with(path) && a.at > third + CONTACT_TIME;
+    let is_late = |a: &&mustard_fakes::site::Arrival| a.id.starts_with(path) && a.at > third + time;
     let late = ledger.arrivals.iter().filter(is_late).count();
-    let ended_late = ledger.ended.iter().filter(|e| e.at > third + CONTACT_TIME);
+    let ended_late = ledger.ended.iter().filter(|e| e.at > third + time);
     // A stream that is moved reaches further servers without another arrival.
     let ended_late = ended_late.count();
     assert!(
@@ -244,3 +248,165 @@
     }
     assert_refused(&site, "/draft/poison");
 }
+
+/// The time budget of callers that wait until a silent end is noticed.
+const SHORT_BUDGET_MS: &str = "900";
+/// When a caller leaves that doesn't wait for the answer.
+const LEAVE_TIME: Duration = Duration::from_millis(300);
+
+/// Sends a poison content with a short budget, and leaves early if `leaves`; each server that it ends goes
+/// silent.
+async fn check_silent_ends(path: &str, leaves: bool) {
+    let options = SiteOptions {
+        plain_servers: 5,
+        ..options()
+    };
+    let (site, gateway, caller) = start_ready(options).await;
+    site.set_poison(PoisonTarget::First, Duration::from_millis(1_500));
+    site.set_silent_ends();
+    let key = format!("Bearer {API_KEY}");
+    let until = Instant::now() + Duration::from_secs(18);
+    let mut number = 0;
+    while Instant::now() < until {
+        let id = format!("{path}-{number}");
+        let headers = [
+            ("attempt-id", id.as_str()),
+            ("authorization", key.as_str()),
+            ("time-budget-ms", SHORT_BUDGET_MS),
+            ("token-count", "100,80"),
+        ];
+        let answer = caller.send(gateway.caller_addr, "POST", path, &headers);
+        let limit = if leaves {
+            LEAVE_TIME
+        } else {
+            Duration::from_secs(5)
+        };
+        // Whatever the answer is, only the servers that it reaches matter.
+        let _ = tokio::time::timeout(limit, answer).await;
+        number += 1;
+        tokio::time::sleep(Duration::from_millis(600)).await;
+    }
+    assert_refused_after(&site, path, SILENT_CONTACT_TIME);
+}
+
+/// The time after the third silent end: a server counts as ended once it is back or its row is removed.
+const SILENT_CONTACT_TIME: Duration = Duration::from_secs(6);
+
+/// Guards against ends that aren't counted since the servers go silent and the caller's time is over first.
+#[ntex::test]
+async fn poison_silent_booking() {
+    check_silent_ends("/book/poison", false).await;
+}
+
+/// Guards against ends that aren't counted since the caller leaves before they show.
+#[ntex::test]
+async fn poison_silent_booking_caller_leaves() {
+    check_silent_ends("/book/poison", true).await;
+}
+
+/// Guards against the same for a stream.
+#[ntex::test]
+async fn poison_silent_stream_caller_leaves() {
+    check_silent_ends("/draft/poison", true).await;
+}
+
+/// Guards against sound requests that clear a poison one with the same path and body: only the last
+/// segments of their prompts differ.
+#[ntex::test]
+async fn poison_prompt_in_shared_body() {
+    let (site, gateway, caller) = start_ready(options()).await;
+    site.set_poison(PoisonTarget::First, DOWN_TIME);
+    let until = Instant::now() + Duration::from_secs(10);
+    let mut refused = 0;
+    let mut number = 0;
+    while Instant::now() < until {
+        number += 1;
+        let (sound_id, poison_id) = (format!("sound-{number}"), format!("bad-{number}"));
+        let segments = format!("aa01:40,{number:x}:600");
+        let to = gateway.caller_addr;
+        let sound = draft_with_segments(&caller, to, &sound_id, "x", &segments);
+        let poison = draft_with_segments(&caller, to, &poison_id, "x", "aa01:40,dead99:600");
+        let (sound, _) = tokio::join!(sound, poison);
+        let served = sound.is_some_and(|a| a.status == 200 && a.complete);
+        refused += usize::from(!served && number > 8);
+    }
+    assert_refused(&site, "bad");
+    assert!(
+        refused <= number / 20,
+        "{refused} of {number} sound requests weren't served"
+    );
+}
+
+/// Guards against single ends at each of several gateways that aren't told to the others, as each of them
+/// has newer ones to tell.
+#[ntex::test]
+async fn poison_scattered_ends() {
+    let options = SiteOptions {
+        event_interval: Duration::from_millis(80),
+        plain_servers: 5,
+        ..options()
+    };
+    let site = start_site(options.clone());
+    let caller = Caller::new().await;
+    let ips = [1, 2, 3, 4, 5, 6].map(|n| Ipv4Addr::new(127, 0, 0, n));
+    let peer_port = new_port();
+    let gateways = ips.map(|ip| Gateway::start(&site, ip, peer_port, &ips));
+    for gateway in &gateways {
+        gateway.wait_ready(&caller).await;
+        wait_for_paths(&options, &site, gateway, &caller).await;
+    }
+    // A booking is sent to one server only.
+    let path = "/book/poison";
+    site.set_poison(PoisonTarget::First, DOWN_TIME);
+    for (number, gateway) in gateways.iter().take(3).enumerate() {
+        let id = format!("{path}-{number}");
+        caller.request(gateway, path, &id).await;
+        cut_off_streams(&options, &site, &caller, &gateways[..3], number).await;
+    }
+    assert_eq!(site.ledger().ended.len(), 3);
+    tokio::time::sleep(CONTACT_TIME).await;
+    send_poison(
+        &caller,
+        &gateways[3..].iter().collect::<Vec<_>>(),
+        path,
+        SEND_TIME,
+    )
+    .await;
+    assert_refused(&site, path);
+}
+
+/// The streams that are cut off at each gateway, more than a message has strikes.
+const CUT_OFF: usize = 80;
+
+/// Starts harmless streams at gateways and cuts them off.
+async fn cut_off_streams(
+    options: &SiteOptions,
+    site: &Site,
+    caller: &Caller,
+    gateways: &[Gateway],
+    round: usize,
+) {
+    let prefix = format!("cut-{round}-");
+    for gateway in gateways {
+        let to = gateway.caller_addr;
+        for i in 0..CUT_OFF {
+            let id = format!("{prefix}{to}-{i}");
+            tokio::task::spawn_local(async move {
+                let caller = Caller::new().await;
+                caller.request_at(to, &format!("/draft/{id}"), &id).await
+            });
+        }
+    }
+    wait_until("most streams", || {
+        let runs = site.ledger().runs;
+        let count = runs.keys().filter(|id| id.starts_with(&prefix)).count();
+        count >= gateways.len() * CUT_OFF * 9 / 10
+    })
+    .await;
+    (0..2 * MODEL_SERVERS).for_each(|s| site.set_fault(s, ServerFault::ResetsConnections));
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    (0..2 * MODEL_SERVERS).for_each(|s| site.set_fault(s, ServerFault::None));
+    for gateway in gateways {
+        wait_for_paths(options, site, gateway, caller).await;
+    }
+}
--- a/crates/mustard-policy/tests/quarantine.rs
+++ b/crates/mustard-policy/tests/quarantine.rs
@@ -235,3 +235,25 @@
     assert!(!is_quarantined(&unaware, SUSPECT));
     assert!(!is_quarantined(&proven, SUSPECT));
 }
+
+/// Guards against releasing a quarantined content as thousands of others come later: servers that go down
+/// and up cut off requests all the time.
+#[test]
+fn record_strike_flood_of_others() {
+    let mut q = Quarantine::default();
+    for vm in 0..3 {
+        q.record_strike(NOW, &strike_at(vm, NOW));
+    }
+    assert!(is_quarantined(&q, SUSPECT));
+    let later = NOW + Duration::from_secs(1);
+    for n in 0..2 * Settings::default().capacity {
+        let strike = Strike {
+            fingerprint: Fingerprint(1_000 + n as u128),
+            vm: "vm-other".to_owned(),
+            shared: 1,
+            at: later,
+        };
+        q.record_strike(later, &strike);
+    }
+    assert!(is_quarantined(&q, SUSPECT));
+}
