Evict contents with few deaths first, so that others can't release a quarantined one

Cause: 4,096 contents are kept and the oldest went first. A quarantined content gets no new strikes, so it is the oldest once servers that go down and up have cut off that many requests. Class: a bounded memory that keeps what is newest instead of what matters most.

Evidence: record_strike_flood_of_others was red, is green.

--- a/crates/mustard-policy/src/quarantine.rs
+++ b/crates/mustard-policy/src/quarantine.rs
@@ -36,7 +36,7 @@
     /// How long a content stays suspect or quarantined after its newest strike. A strike that is
     /// older than that when it arrives is ignored.
     pub ttl: Duration,
-    /// The most contents remembered; the oldest is evicted first.
+    /// The most contents remembered; the one with the fewest deaths is evicted first, and of these the oldest.
     pub capacity: usize,
     /// The number of distinct servers that must have died while they ran a content before it is
     /// quarantined.
@@ -230,7 +230,7 @@
         self.clear(now, fingerprint);
         if self.proven.len() >= self.settings.capacity {
             self.proven.retain(|_, at| *at + PROOF_TIME > now);
-            evict_oldest(&mut self.proven, self.settings.capacity, |at| *at);
+            evict_lowest(&mut self.proven, self.settings.capacity, |at| *at);
         }
         self.proven.insert(fingerprint, now);
     }
@@ -315,29 +315,31 @@
         valid.flat_map(|(f, _)| self.strikes_of(*f)).collect()
     }
 
-    /// Removes expired records, then the oldest, when the capacity is reached.
+    /// Removes expired records, then those that matter least, when the capacity is reached.
     fn make_room(&mut self, now: Moment) {
         let ttl = self.settings.ttl;
         if self.cleared.len() >= self.settings.capacity {
             self.cleared.retain(|_, at| *at + ttl > now);
-            evict_oldest(&mut self.cleared, self.settings.capacity, |at| *at);
+            evict_lowest(&mut self.cleared, self.settings.capacity, |at| *at);
         }
         if self.records.len() >= self.settings.capacity {
             self.records.retain(|_, r| r.until > now);
-            evict_oldest(&mut self.records, self.settings.capacity, |r| r.until);
+            // Those with few deaths go first, so that a flood of them can't release the others.
+            let rank = |r: &ContentRecord| (r.deaths.len(), r.until);
+            evict_lowest(&mut self.records, self.settings.capacity, rank);
         }
     }
 }
 
-/// Removes the oldest records until one more fits.
-fn evict_oldest<T>(
+/// Removes the entries of the lowest rank until one more fits.
+fn evict_lowest<T, R: Ord>(
     entries: &mut Map<Fingerprint, T>,
     capacity: usize,
-    time: impl Fn(&T) -> Moment,
+    rank: impl Fn(&T) -> R,
 ) {
     while entries.len() >= capacity {
-        let oldest = entries.iter().min_by_key(|(f, entry)| (time(entry), **f));
-        let Some((&fingerprint, _)) = oldest else {
+        let lowest = entries.iter().min_by_key(|(f, entry)| (rank(entry), **f));
+        let Some((&fingerprint, _)) = lowest else {
             return;
         };
         entries.remove(&fingerprint);
