Tell the ends of servers to the gateways that collect them

Cause: a message holds 64 strikes, those of the contents with the most ends first, then the newest. With many gateways a repeated request comes to another one each time, so each gateway has a single strike against it, among dozens of newer ones for each server that goes down. No gateway passed it on for long enough, and the ends never added up. Class: evidence that is spread over processes and has to win against noise at each of them before it is added up.

Why it works: a strike goes to the three gateways that collect those of its content, chosen alike by all by rendezvous hash, and a gateway that finds a content quarantined tells all others. Segments likewise.

--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -30,6 +30,7 @@
 use crate::fleet::Fleet;
 use crate::log_limit::LimitedLog;
 use crate::peers::Peers;
+use crate::strike_news::News;
 
 /// Time limit for opening a connection: a hundred times the one-way delay between failure domains
 /// of the region.
@@ -138,6 +139,10 @@
     pub quarantine: RefCell<Quarantine>,
     /// The segments of prompts that servers ended on, and those that are blocked for it.
     pub segments: RefCell<SegmentFilter>,
+    /// What other gateways are to be told at once of the ends of servers.
+    pub news: RefCell<News>,
+    /// Wakes the task that tells them.
+    pub has_news: Notify,
     /// Wakes the exchange with peers when an urgent strike was recorded here.
     pub strike_news: Notify,
     /// Wakes the task that keeps the own rows of the store when a content was quarantined or a segment
@@ -201,6 +206,8 @@
                 ..Settings::default()
             })),
             segments: RefCell::default(),
+            news: RefCell::default(),
+            has_news: Notify::new(),
             strike_news: Notify::new(),
             quarantined: Notify::new(),
             peers: RefCell::new(peers),
--- a/crates/mustard-gateway/src/lib.rs
+++ b/crates/mustard-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod serve;
 pub mod store_watch;
 pub mod stream_watch;
+pub mod strike_news;
 pub mod strikes;
 
 pub use errors::{GatewayError, Result};
--- a/crates/mustard-gateway/src/metric.rs
+++ b/crates/mustard-gateway/src/metric.rs
@@ -40,6 +40,11 @@
     counter!("mustard_strikes_total", "source" => source).increment(1);
 }
 
+/// Counts a message that told another gateway of ends at once, by its result.
+pub fn count_news(result: &'static str) {
+    counter!("mustard_strike_messages_total", "result" => result).increment(1);
+}
+
 /// Counts a strike against a segment of a prompt, by how this gateway learned of it.
 pub fn count_segment_strike(source: &'static str) {
     counter!("mustard_segment_strikes_total", "source" => source).increment(1);
--- a/crates/mustard-gateway/src/peers.rs
+++ b/crates/mustard-gateway/src/peers.rs
@@ -25,18 +25,18 @@
 use mustard_core::collections::Map;
 use mustard_core::fingerprint::Fingerprint;
 use mustard_net::http::{Request, exchange};
-use mustard_policy::quarantine::{Clearance, Strike};
-use mustard_policy::segments::SegmentStrike;
+use mustard_policy::quarantine::Clearance;
 
 use crate::app::{App, ConfigStamp};
 use crate::limits::{self, LimitMessage};
 use crate::log_limit::Topic;
-use crate::metric;
 use crate::store_watch;
+use crate::strike_news::{self, SegmentStrikeMessage, StrikeMessage};
 
 /// The URL path of the exchange of messages, on the port for peers.
 pub const PATH: &str = "/peer/exchange";
-const MEDIA_TYPE: &str = "application/msgpack";
+/// The media type of messages between gateways.
+pub const MEDIA_TYPE: &str = "application/msgpack";
 /// The interval between rounds; with 340 gateways, a change reaches all of them in about 3 s.
 const ROUND_INTERVAL: Duration = Duration::from_millis(500);
 /// The number of live peers called in each round.
@@ -50,7 +50,7 @@
 /// The least time between two such calls.
 const NEWS_INTERVAL: Duration = Duration::from_millis(100);
 /// The timeout of one call.
-const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long after its last message a peer counts as alive. Among 30 gateways, any two exchange
 /// messages every 4 s on average; that time grows in proportion to the number of gateways.
 const ALIVE_TIME: Duration = Duration::from_secs(20);
@@ -224,26 +224,6 @@
     }
 }
 
-/// A strike in a message.
-#[derive(Debug, Serialize, Deserialize)]
-struct StrikeMessage {
-    content: Fingerprint,
-    server: String,
-    /// The number of contents that got a strike for the same death.
-    shared: u32,
-    age_ms: u64,
-}
-
-/// A strike against a segment in a message.
-#[derive(Debug, Serialize, Deserialize)]
-struct SegmentStrikeMessage {
-    segment: Fingerprint,
-    server: String,
-    content: Fingerprint,
-    age_ms: u64,
-    is_trial: bool,
-}
-
 /// A clearance in a message: a content, or a request with a segment, ran well, so earlier strikes
 /// against it no longer count.
 #[derive(Debug, Serialize, Deserialize)]
@@ -292,23 +272,12 @@
         peers: peers.shared_addrs(now),
         strikes: strikes
             .into_iter()
-            .map(|s| StrikeMessage {
-                content: s.fingerprint,
-                server: s.vm,
-                shared: s.shared,
-                age_ms: now.ms_since(s.at),
-            })
+            .map(|s| StrikeMessage::encode(now, s))
             .collect(),
         cleared: cleared.into_iter().map(to_message).collect(),
         segment_strikes: segment_strikes
             .into_iter()
-            .map(|s| SegmentStrikeMessage {
-                segment: s.segment,
-                server: s.process,
-                content: s.content,
-                age_ms: now.ms_since(s.at),
-                is_trial: s.is_trial,
-            })
+            .map(|s| SegmentStrikeMessage::encode(now, s))
             .collect(),
         cleared_segments: cleared_segments.into_iter().map(to_message).collect(),
         limits: limits::messages(app),
@@ -336,19 +305,7 @@
         app.quarantine.borrow_mut().apply_clearance(now, clearance);
     }
     for strike in message.strikes {
-        let strike = Strike {
-            fingerprint: strike.content,
-            vm: strike.server,
-            shared: strike.shared,
-            at: now - Duration::from_millis(strike.age_ms),
-        };
-        if app.quarantine.borrow_mut().record_strike(now, &strike) {
-            metric::count_strike("peer");
-            if let Some(log) = app.log.logger_for(Topic::Server) {
-                info!(log, "peers: A content is quarantined by a peer's strikes.";
-                    "content" => %strike.fingerprint, "peer" => %message.from);
-            }
-        }
+        strike_news::record_strike(app, message.from, strike);
     }
     apply_segments(
         app,
@@ -369,29 +326,15 @@
     cleared: Vec<ClearedMessage>,
 ) {
     let now = app.now();
-    let mut filter = app.segments.borrow_mut();
     for cleared in cleared {
         let clearance = Clearance {
             fingerprint: cleared.content,
             at: now - Duration::from_millis(cleared.age_ms),
         };
-        filter.apply_clearance(now, clearance);
+        app.segments.borrow_mut().apply_clearance(now, clearance);
     }
     for strike in strikes {
-        let strike = SegmentStrike {
-            segment: strike.segment,
-            process: strike.server,
-            content: strike.content,
-            at: now - Duration::from_millis(strike.age_ms),
-            is_trial: strike.is_trial,
-        };
-        if filter.record_strike(now, &strike) {
-            metric::count_segment_strike("peer");
-            if let Some(log) = app.log.logger_for(Topic::Server) {
-                info!(log, "peers: A segment is blocked by a peer's strikes.";
-                    "segment" => %strike.segment, "peer" => %from);
-            }
-        }
+        strike_news::record_segment_strike(app, from, strike);
     }
 }
 
@@ -463,11 +406,6 @@
     }
 }
 
-/// Returns the media type of messages between gateways.
-pub fn media_type() -> &'static str {
-    MEDIA_TYPE
-}
-
 /// Returns an encoded message as a response body.
 pub fn message_body(bytes: Vec<u8>) -> Bytes {
     Bytes::from(bytes)
--- a/crates/mustard-gateway/src/serve.rs
+++ b/crates/mustard-gateway/src/serve.rs
@@ -21,7 +21,7 @@
 
 use crate::app::{App, StopFlag};
 use crate::errors::{GatewayError, Result};
-use crate::{forward, metric, own_rows, peers, placement, store_watch, stream_watch};
+use crate::{forward, metric, own_rows, peers, placement, store_watch, stream_watch, strike_news};
 
 /// How long new requests are still accepted after a stop signal. The load balancer checks readiness
 /// every second and removes a VM after two failed checks, so until then it may still send some.
@@ -200,6 +200,7 @@
     ntex::rt::spawn(stream_watch::run(Rc::clone(app)));
     ntex::rt::spawn(stream_watch::retry_silent_servers(Rc::clone(app)));
     ntex::rt::spawn(peers::run(Rc::clone(app)));
+    ntex::rt::spawn(strike_news::run(Rc::clone(app)));
     ntex::rt::spawn(own_rows::run(Rc::clone(app)));
     ntex::rt::spawn(set_gauges(Rc::clone(app)));
 }
@@ -228,7 +229,8 @@
 }
 
 async fn answer_peer(app: Rc<App>, mut request: Request) -> std::io::Result<Response> {
-    if request.method() != Method::POST || request.path() != peers::PATH {
+    let is_news = request.path() == strike_news::PATH;
+    if request.method() != Method::POST || !(is_news || request.path() == peers::PATH) {
         return Ok(Response::NotFound().finish());
     }
     let mut payload = request.take_payload();
@@ -239,9 +241,16 @@
             return Ok(Response::PayloadTooLarge().finish());
         }
     }
+    if is_news {
+        return Ok(if strike_news::handle_message(&app, &body) {
+            Response::Ok().finish()
+        } else {
+            Response::BadRequest().finish()
+        });
+    }
     Ok(match peers::handle_message(&app, &body) {
         Some(bytes) => Response::Ok()
-            .content_type(peers::media_type())
+            .content_type(peers::MEDIA_TYPE)
             .body(peers::message_body(bytes)),
         None => Response::BadRequest().finish(),
     })
--- /dev/null
+++ b/crates/mustard-gateway/src/strike_news.rs
@@ -0,0 +1,277 @@
+//! Tells other gateways at once of the ends of servers: of those that were seen here the gateways that
+//! collect them, and of contents and segments that may no longer run all that are alive.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ntex::http::Method;
+use serde::{Deserialize, Serialize};
+use slog::info;
+use tokio::time::sleep;
+
+use mustard_core::clock::Moment;
+use mustard_core::collections::Map;
+use mustard_core::fingerprint::Fingerprint;
+use mustard_net::http::{Request, exchange};
+use mustard_policy::quarantine::Strike;
+use mustard_policy::segments::SegmentStrike;
+use mustard_policy::strike_news::StrikeNews;
+
+use crate::app::App;
+use crate::log_limit::Topic;
+use crate::metric;
+use crate::peers::{CALL_TIMEOUT, MEDIA_TYPE};
+
+/// The URL path of these messages, on the port for peers.
+pub const PATH: &str = "/peer/strikes";
+/// How long strikes are collected before they are sent: the end of a server shows in many requests.
+const COLLECT_TIME: Duration = Duration::from_millis(100);
+
+/// A strike in a message.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct StrikeMessage {
+    content: Fingerprint,
+    server: String,
+    /// The number of contents that got a strike for the same death.
+    shared: u32,
+    age_ms: u64,
+}
+
+impl StrikeMessage {
+    /// Encodes a strike.
+    pub fn encode(now: Moment, strike: Strike) -> Self {
+        StrikeMessage {
+            content: strike.fingerprint,
+            server: strike.vm,
+            shared: strike.shared,
+            age_ms: now.ms_since(strike.at),
+        }
+    }
+
+    fn decode(self, now: Moment) -> Strike {
+        Strike {
+            fingerprint: self.content,
+            vm: self.server,
+            shared: self.shared,
+            at: now - Duration::from_millis(self.age_ms),
+        }
+    }
+}
+
+/// A strike against a segment in a message.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct SegmentStrikeMessage {
+    segment: Fingerprint,
+    server: String,
+    content: Fingerprint,
+    age_ms: u64,
+    is_trial: bool,
+}
+
+impl SegmentStrikeMessage {
+    /// Encodes a strike.
+    pub fn encode(now: Moment, strike: SegmentStrike) -> Self {
+        SegmentStrikeMessage {
+            segment: strike.segment,
+            server: strike.process,
+            content: strike.content,
+            age_ms: now.ms_since(strike.at),
+            is_trial: strike.is_trial,
+        }
+    }
+
+    fn decode(self, now: Moment) -> SegmentStrike {
+        SegmentStrike {
+            segment: self.segment,
+            process: self.server,
+            content: self.content,
+            at: now - Duration::from_millis(self.age_ms),
+            is_trial: self.is_trial,
+        }
+    }
+}
+
+/// What a gateway is told at once.
+#[derive(Debug, Serialize, Deserialize)]
+struct NewsMessage {
+    from: SocketAddr,
+    strikes: Vec<StrikeMessage>,
+    segment_strikes: Vec<SegmentStrikeMessage>,
+    /// Whether the contents and segments may no longer run, which all gateways are told.
+    is_settled: bool,
+}
+
+/// What is to be told.
+#[derive(Debug, Default)]
+pub struct News {
+    contents: StrikeNews<Strike>,
+    segments: StrikeNews<SegmentStrike>,
+}
+
+impl News {
+    /// Records a strike that was seen here, and whether its content became quarantined by it.
+    pub fn record_content(&mut self, strike: Strike, is_settled: bool) {
+        if is_settled {
+            self.contents.record_settled(strike.fingerprint);
+        }
+        self.contents.record_seen(strike.fingerprint, strike);
+    }
+
+    /// Records a strike against a segment that was seen here, and whether it became blocked by it.
+    pub fn record_segment(&mut self, strike: SegmentStrike, is_settled: bool) {
+        if is_settled {
+            self.segments.record_settled(strike.segment);
+        }
+        self.segments.record_seen(strike.segment, strike);
+    }
+
+    fn is_empty(&self) -> bool {
+        self.contents.is_empty() && self.segments.is_empty()
+    }
+}
+
+/// Records a strike that another gateway has told; returns whether its content became quarantined by it.
+pub fn record_strike(app: &App, from: SocketAddr, strike: StrikeMessage) -> bool {
+    let now = app.now();
+    let strike = strike.decode(now);
+    let is_settled = app.quarantine.borrow_mut().record_strike(now, &strike);
+    if is_settled {
+        metric::count_strike("peer");
+        if let Some(log) = app.log.logger_for(Topic::Server) {
+            info!(log, "peers: A content is quarantined by a peer's strikes.";
+                "content" => %strike.fingerprint, "peer" => %from);
+        }
+    }
+    is_settled
+}
+
+/// Records a strike against a segment that another gateway has told; returns whether the segment became
+/// blocked by it.
+pub fn record_segment_strike(app: &App, from: SocketAddr, strike: SegmentStrikeMessage) -> bool {
+    let now = app.now();
+    let strike = strike.decode(now);
+    let is_settled = app.segments.borrow_mut().record_strike(now, &strike);
+    if is_settled {
+        metric::count_segment_strike("peer");
+        if let Some(log) = app.log.logger_for(Topic::Server) {
+            info!(log, "peers: A segment is blocked by a peer's strikes.";
+                "segment" => %strike.segment, "peer" => %from);
+        }
+    }
+    is_settled
+}
+
+/// Applies what another gateway has told at once. What may no longer run by that is told to all, unless
+/// the other gateway has done so. Returns whether the message could be decoded.
+pub fn handle_message(app: &App, body: &[u8]) -> bool {
+    let Ok(message) = rmp_serde::from_slice::<NewsMessage>(body) else {
+        return false;
+    };
+    let mut has_settled = false;
+    for strike in message.strikes {
+        let content = strike.content;
+        if record_strike(app, message.from, strike) && !message.is_settled {
+            app.news.borrow_mut().contents.record_settled(content);
+            has_settled = true;
+        }
+    }
+    for strike in message.segment_strikes {
+        let segment = strike.segment;
+        if record_segment_strike(app, message.from, strike) && !message.is_settled {
+            app.news.borrow_mut().segments.record_settled(segment);
+            has_settled = true;
+        }
+    }
+    if has_settled {
+        app.quarantined.notify_waiters();
+        app.has_news.notify_one();
+    }
+    true
+}
+
+/// Tells other gateways for the life of the process.
+pub async fn run(app: Rc<App>) {
+    loop {
+        app.has_news.notified().await;
+        sleep(COLLECT_TIME).await;
+        if !app.news.borrow().is_empty() {
+            tell(&app);
+        }
+    }
+}
+
+fn tell(app: &Rc<App>) {
+    let now = app.now();
+    let (own_addr, peers) = {
+        let peers = app.peers.borrow();
+        let alive: Vec<SocketAddr> = peers.others(false).collect();
+        (peers.own_addr(), alive)
+    };
+    let new_message = |is_settled| NewsMessage {
+        from: own_addr,
+        strikes: Vec::new(),
+        segment_strikes: Vec::new(),
+        is_settled,
+    };
+    let names: Vec<String> = peers.iter().map(SocketAddr::to_string).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let own_name = own_addr.to_string();
+    let mut news = app.news.borrow_mut();
+    let mut told: Map<usize, NewsMessage> = Map::default();
+    for (peer, strikes) in news.contents.take_seen(&own_name, &names) {
+        let message = told.entry(peer).or_insert_with(|| new_message(false));
+        let strikes = strikes.into_iter();
+        message.strikes = strikes.map(|s| StrikeMessage::encode(now, s)).collect();
+    }
+    for (peer, strikes) in news.segments.take_seen(&own_name, &names) {
+        let message = told.entry(peer).or_insert_with(|| new_message(false));
+        let strikes = strikes.into_iter();
+        message.segment_strikes = strikes
+            .map(|s| SegmentStrikeMessage::encode(now, s))
+            .collect();
+    }
+    for (peer, message) in told {
+        send(app, peers[peer], &message);
+    }
+    let mut settled = new_message(true);
+    let quarantine = app.quarantine.borrow();
+    for content in news.contents.take_settled() {
+        let strikes = quarantine.strikes_of(content);
+        let strikes = strikes.map(|s| StrikeMessage::encode(now, s));
+        settled.strikes.extend(strikes);
+    }
+    let filter = app.segments.borrow();
+    for segment in news.segments.take_settled() {
+        let strikes = filter.strikes_of(segment);
+        let strikes = strikes.map(|s| SegmentStrikeMessage::encode(now, s));
+        settled.segment_strikes.extend(strikes);
+    }
+    if !settled.strikes.is_empty() || !settled.segment_strikes.is_empty() {
+        for peer in peers {
+            send(app, peer, &settled);
+        }
+    }
+}
+
+/// Sends a message without waiting for the answer. One that is lost is made up for by the exchange of all
+/// strikes.
+fn send(app: &Rc<App>, to: SocketAddr, message: &NewsMessage) {
+    let Ok(body) = rmp_serde::to_vec(message) else {
+        return;
+    };
+    let app = Rc::clone(app);
+    ntex::rt::spawn(async move {
+        let request = Request {
+            to,
+            method: Method::POST,
+            path: PATH,
+            content_type: MEDIA_TYPE,
+            headers: &[],
+            body,
+            timeout: CALL_TIMEOUT,
+        };
+        let result = exchange(&app.peer_client, request).await;
+        metric::count_news(if result.is_ok() { "told" } else { "lost" });
+    });
+}
--- a/crates/mustard-gateway/src/strikes.rs
+++ b/crates/mustard-gateway/src/strikes.rs
@@ -219,6 +219,8 @@
         }
         app.quarantined.notify_waiters();
     }
+    app.news.borrow_mut().record_content(strike, is_quarantined);
+    app.has_news.notify_one();
     // Single strikes are frequent while servers fail, and the next round is early enough for them.
     if quarantine.strikes_of(content).count() >= URGENT_STRIKES {
         app.strike_news.notify_one();
@@ -255,6 +257,8 @@
         if filter.end_count(*segment) >= URGENT_STRIKES {
             app.strike_news.notify_one();
         }
+        app.news.borrow_mut().record_segment(strike, newly_blocked);
+        app.has_news.notify_one();
     }
 }
 
--- a/crates/mustard-policy/src/lib.rs
+++ b/crates/mustard-policy/src/lib.rs
@@ -85,4 +85,5 @@
 pub mod separation;
 pub mod slow;
 pub mod stall;
+pub mod strike_news;
 pub mod subset;
