Count ends also for the prompt, so that sound prompts in the same body can't clear it

Cause: ends were kept under key, host, path and body. A sound prompt in the same body cleared them, and for a minute no end counted, at any gateway. Class: evidence of one request acquits another one, as its key is too coarse; the segments had the opposite fault.

Why it works: ends count for the content and for the prompt in it. Each is cleared only by its own kind, and either refuses the request, so a request that comes again with another prompt is still recognized.

--- a/crates/mustard-gateway/src/forward/mod.rs
+++ b/crates/mustard-gateway/src/forward/mod.rs
@@ -70,7 +70,8 @@
     pub customer: Option<String>,
     /// The digest of key, host, path and body, by which repeated content is recognized.
     pub fingerprint: Fingerprint,
-    /// The digest of content and prompt, which differs between prompts in the same body.
+    /// The digest of content and prompt, which differs between prompts in the same body; the content's own
+    /// without a prompt.
     pub variant: Fingerprint,
     /// When the request arrived.
     pub arrived: Moment,
@@ -159,7 +160,10 @@
     let service = choose_service(app, &config, route);
     let service = service.ok_or_else(|| not_run("no service", STARTUP_RETRY_AFTER))?;
     let fingerprint = compute_fingerprint(&params, path, &body);
-    if is_quarantined(app, fingerprint) {
+    let variant = params.prompt.map_or(fingerprint, |prompt| {
+        Fingerprint::of(&[&fingerprint.0.to_le_bytes(), &prompt.0.to_le_bytes()])
+    });
+    if is_quarantined(app, fingerprint, variant) {
         return Err(not_run(ENDS_SERVERS, QUARANTINE_RETRY_AFTER));
     }
     let now = app.now();
@@ -177,7 +181,7 @@
         service: service.clone(),
         customer,
         fingerprint,
-        variant: Fingerprint::of(&[&fingerprint.0.to_le_bytes(), &params.prompt.0.to_le_bytes()]),
+        variant,
         arrived,
         deadline: arrived + left,
         guard,
--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -193,8 +193,7 @@
             if let Some(server) = fleet.key_at(sent.addr).and_then(|k| fleet.get_mut(k)) {
                 server.backoff.clear();
             }
-            let content = request.fingerprint;
-            app.quarantine.borrow_mut().record_success(now, content);
+            strikes::record_success(app, request);
             return;
         }
         Ok(_) => "error answer",
--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -380,10 +380,7 @@
     /// was moved may have ended the servers that it was moved off.
     fn finish_served(self, has_failed_run: bool) {
         if !has_failed_run {
-            let now = self.app.now();
-            let fingerprint = self.request.fingerprint;
-            let mut quarantine = self.app.quarantine.borrow_mut();
-            quarantine.record_success(now, fingerprint);
+            strikes::record_success(&self.app, &self.request);
         }
         record_served(
             &self.app,
--- a/crates/mustard-gateway/src/strikes.rs
+++ b/crates/mustard-gateway/src/strikes.rs
@@ -92,7 +92,7 @@
 /// Returns after which time the caller may try again if the request may not run now, as too many
 /// servers ended under its content or a segment of its prompt.
 pub fn refusal(app: &App, request: &AdmittedRequest) -> Option<Duration> {
-    if is_quarantined(app, request.fingerprint) {
+    if is_quarantined(app, request.fingerprint, request.variant) {
         return Some(QUARANTINE_RETRY_AFTER);
     }
     let segments = &request.params.segments;
@@ -119,10 +119,23 @@
     app.segments.borrow().is_blocked(app.now(), segments)
 }
 
-/// Returns whether a content may not run, as too many servers ended under it.
-pub fn is_quarantined(app: &App, content: Fingerprint) -> bool {
-    let standing = app.quarantine.borrow().standing(app.now(), content);
-    matches!(standing, Standing::Quarantined(_))
+/// Returns whether a content or the prompt in it may not run, as too many servers ended under it.
+///
+/// Ends count for both: a sound prompt in the same body clears the content, but not the prompt.
+pub fn is_quarantined(app: &App, content: Fingerprint, variant: Fingerprint) -> bool {
+    let (now, quarantine) = (app.now(), app.quarantine.borrow());
+    let is_quarantined = |f| matches!(quarantine.standing(now, f), Standing::Quarantined(_));
+    is_quarantined(content) || is_quarantined(variant)
+}
+
+/// Records that a request was served without a failed run.
+pub fn record_success(app: &App, request: &AdmittedRequest) {
+    let now = app.now();
+    let mut quarantine = app.quarantine.borrow_mut();
+    quarantine.record_success(now, request.fingerprint);
+    if request.variant != request.fingerprint {
+        quarantine.record_success(now, request.variant);
+    }
 }
 
 /// Records strikes for a failed run once one of its servers is known to have ended: against its
@@ -147,6 +160,9 @@
                 "after_ms" => app.now().ms_since(failed_at));
         }
         strike_content(&app, run.content, &process, failed_at);
+        if run.variant != run.content {
+            strike_content(&app, run.variant, &process, failed_at);
+        }
         let has_begun = run.was_moved || run.written >= PROOF_WRITTEN;
         if has_begun || run.segments.is_empty() {
             return;
