Count ends of servers also if nobody waited for the answer any longer

Cause: a run was counted only once its result was known. A server that ends silently gives none: the caller leaves or its time is over first, or the other one of two sends is faster, and the task that would have counted is dropped. Class: a conclusion that depends on a task which others may end.

Why it works: guards whose drop records the run. A stream counts only if it had stalled. The process must show its end within 6 s, so callers that leave sound servers count nothing.

--- a/crates/mustard-gateway/src/active_streams.rs
+++ b/crates/mustard-gateway/src/active_streams.rs
@@ -1,5 +1,6 @@
 //! The registry of streams in flight, which [`crate::stream_watch`] scans for stalls.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -75,9 +76,13 @@
 }
 
 /// Keeps a stream registered until this guard is dropped.
+///
+/// An attempt whose result isn't known by then, as its caller left or its time was over, counts as failed
+/// if it had stalled.
 pub struct ActiveStreamGuard {
     app: Rc<App>,
     key: ActiveStreamKey,
+    is_concluded: Cell<bool>,
 }
 
 impl ActiveStreamGuard {
@@ -87,17 +92,25 @@
         ActiveStreamGuard {
             app: Rc::clone(app),
             key,
+            is_concluded: Cell::new(false),
         }
     }
 
-    /// Returns the attempt as a run that failed.
+    /// Records that the result of the attempt is known.
+    pub fn conclude(&self) {
+        self.is_concluded.set(true);
+    }
+
+    /// Returns the attempt as a run that failed; its result is known then.
     pub fn failed_run(&self, failure: Failure) -> Option<FailedRun> {
+        self.conclude();
         let streams = self.app.streams.borrow();
         streams.get(self.key).map(|s| s.failed_run(failure))
     }
 
-    /// Returns the attempt as a run that was answered whole.
+    /// Returns the attempt as a run that was answered whole; its result is known then.
     pub fn finished_run(&self) -> Option<FinishedRun> {
+        self.conclude();
         let streams = self.app.streams.borrow();
         let stream = streams.get(self.key)?;
         Some(FinishedRun {
@@ -136,6 +149,12 @@
 impl Drop for ActiveStreamGuard {
     fn drop(&mut self) {
         let stream = self.app.streams.borrow_mut().remove(self.key);
+        if let Some(stream) = stream.as_ref().filter(|_| !self.is_concluded.get()) {
+            let pause = self.app.now().since(stream.progress.last_event);
+            if !stream.progress.has_begun || pause > self.app.pauses.borrow().limit() {
+                strikes::record_run(&self.app, stream.failed_run(Failure::Abandoned));
+            }
+        }
         // Dropped only now that `streams` is no longer borrowed; this also uncounts its load.
         drop(stream);
     }
--- a/crates/mustard-gateway/src/forward/open_stream.rs
+++ b/crates/mustard-gateway/src/forward/open_stream.rs
@@ -127,6 +127,9 @@
         match result {
             Ok(head) => {
                 attempts.possible_runs += 1;
+                if head.status >= 300 {
+                    guard.conclude();
+                }
                 let failed = repeatable && head.status >= 500;
                 if failed {
                     log_failed_attempt(
@@ -150,7 +153,10 @@
                 let failure = match error {
                     SendError::Lost => Some(Failure::ConnectionLost),
                     SendError::GivenUp => Some(Failure::Stalled),
-                    SendError::NotSent | SendError::NotRun(..) => None,
+                    SendError::NotSent | SendError::NotRun(..) => {
+                        guard.conclude();
+                        None
+                    }
                 };
                 if let Some(run) = failure.and_then(|f| guard.failed_run(f)) {
                     strikes::record_run(app, run);
--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -164,8 +164,55 @@
     (sent, 2)
 }
 
+/// A send whose result isn't known yet. If that is still so when this is dropped, as the caller left, the
+/// time was over or another server was faster, it counts as a failed run if its
+/// server turns out to have ended.
+struct OpenRun {
+    app: Rc<App>,
+    run: Option<FailedRun>,
+}
+
+impl OpenRun {
+    fn new(app: &Rc<App>, request: &AdmittedRequest, processes: &[ServerProcess]) -> Self {
+        OpenRun {
+            app: Rc::clone(app),
+            run: Some(failed_run(request, processes, Failure::Abandoned)),
+        }
+    }
+
+    fn conclude(mut self) {
+        self.run = None;
+    }
+}
+
+impl Drop for OpenRun {
+    fn drop(&mut self) {
+        if let Some(run) = self.run.take() {
+            strikes::record_run(&self.app, run);
+        }
+    }
+}
+
+fn failed_run(
+    request: &AdmittedRequest,
+    processes: &[ServerProcess],
+    failure: Failure,
+) -> FailedRun {
+    FailedRun {
+        content: request.fingerprint,
+        variant: request.variant,
+        segments: Rc::clone(&request.params.segments),
+        written: Duration::ZERO,
+        was_moved: false,
+        request: request.params.id.clone(),
+        processes: processes.to_vec(),
+        failure,
+    }
+}
+
 async fn send_once(app: &Rc<App>, request: &AdmittedRequest, target: Target) -> SendResult {
     let addr = target.addr;
+    let open_run = OpenRun::new(app, request, &target.processes);
     let _load = LoadGuard::begin(app, std::iter::once((addr, 1.0)));
     let response = async {
         let mut head = send_request(app, request, &target, None).await?;
@@ -177,6 +224,7 @@
         })
     };
     let result = response.await;
+    open_run.conclude();
     SendResult {
         addr,
         result,
@@ -213,16 +261,7 @@
     drop(fleet);
     if matches!(sent.result, Err(SendError::Lost)) {
         let failure = Failure::PlainConnectionLost(request.service.health_path.clone());
-        let run = FailedRun {
-            content: request.fingerprint,
-            variant: request.variant,
-            segments: Rc::clone(&request.params.segments),
-            written: Duration::ZERO,
-            was_moved: false,
-            request: request.params.id.clone(),
-            processes: sent.processes.clone(),
-            failure,
-        };
+        let run = failed_run(request, &sent.processes, failure);
         strikes::record_run(app, run);
     }
     let status = sent.result.as_ref().map_or(0, |r| r.status);
--- a/crates/mustard-gateway/src/strikes.rs
+++ b/crates/mustard-gateway/src/strikes.rs
@@ -36,6 +36,7 @@
 /// or removed from the list within this time.
 const WATCH_TIME: Duration = Duration::from_secs(6);
 const WATCH_INTERVAL: Duration = Duration::from_millis(250);
+const ABANDONED_INTERVAL: Duration = Duration::from_secs(1);
 /// The age up to which a report shows that a server of a stalled stream still runs; it was asked for
 /// after the stream had stalled.
 const STALL_REPORT_AGE: Duration = Duration::from_millis(150);
@@ -53,6 +54,8 @@
     PlainConnectionLost(String),
     /// The response stalled.
     Stalled,
+    /// Nobody waited for the response any longer.
+    Abandoned,
 }
 
 /// A run that failed.
@@ -307,7 +310,7 @@
             ProcessState::Ended => Some(true),
             ProcessState::Unknown => None,
         },
-        Failure::Stalled => None,
+        Failure::Stalled | Failure::Abandoned => None,
     };
     if let Some(is_certain) = is_certain {
         let process = first.clone();
@@ -328,9 +331,14 @@
 /// ended.
 async fn watch_ended(app: &Rc<App>, run: &FailedRun, failed_at: Moment) -> Option<ServerProcess> {
     let since = match run.failure {
-        Failure::Stalled => failed_at - STALL_REPORT_AGE,
+        Failure::Stalled | Failure::Abandoned => failed_at - STALL_REPORT_AGE,
         _ => failed_at,
     };
+    // Many callers may leave at once.
+    let interval = match run.failure {
+        Failure::Abandoned => ABANDONED_INTERVAL,
+        _ => WATCH_INTERVAL,
+    };
     loop {
         let states: Vec<_> = {
             let fleet = app.fleet.borrow();
@@ -344,7 +352,7 @@
         if all_run || app.now().since(failed_at) >= WATCH_TIME {
             return None;
         }
-        sleep(WATCH_INTERVAL).await;
+        sleep(interval).await;
     }
 }
 
