Treat a content that other prompts share like a segment, which gets acquittals and trials

A quarantine of a content ends after ten minutes only, and nothing could clear it, as nothing ran. Class: a verdict without a way back for what many requests share.

Why it works: the quarantine counts ends of one request with its prompt only. What is left of the content is one more part that prompts share: one that goes well acquits it at all gateways, and it gets trials after 1.5 s, 6 s and later. Requests without a prompt are quarantined as before.

--- a/crates/mustard-gateway/src/active_streams.rs
+++ b/crates/mustard-gateway/src/active_streams.rs
@@ -34,10 +34,8 @@
     pub parts: Vec<PathPart>,
     /// The server processes of the path.
     pub processes: Vec<ServerProcess>,
-    /// The fingerprint of the request's content.
+    /// The digest of the request's content, its prompt included.
     pub content: Fingerprint,
-    /// The digest of its content and its prompt.
-    pub variant: Fingerprint,
     /// The segments of its prompt that other prompts may share.
     pub segments: Rc<[Fingerprint]>,
     /// How often the attempt was moved to another path.
@@ -59,7 +57,6 @@
     pub fn failed_run(&self, failure: Failure) -> FailedRun {
         FailedRun {
             content: self.content,
-            variant: self.variant,
             segments: Rc::clone(&self.segments),
             written: self.progress.written,
             was_moved: self.moves > 0,
@@ -115,7 +112,7 @@
         let stream = streams.get(self.key)?;
         Some(FinishedRun {
             segments: Rc::clone(&stream.segments),
-            variant: stream.variant,
+            content: stream.content,
             written: stream.progress.written,
             processes: stream.processes.clone(),
         })
--- a/crates/mustard-gateway/src/forward/mod.rs
+++ b/crates/mustard-gateway/src/forward/mod.rs
@@ -68,11 +68,11 @@
     /// The customer's name; `None` on a public route without a known key, or if the configuration
     /// names no customers.
     pub customer: Option<String>,
-    /// The digest of key, host, path and body, by which repeated content is recognized.
-    pub fingerprint: Fingerprint,
-    /// The digest of content and prompt, which differs between prompts in the same body; the content's own
-    /// without a prompt.
-    pub variant: Fingerprint,
+    /// The digest of key, host, path, body and prompt, by which a repeated request is recognized.
+    pub content: Fingerprint,
+    /// What other requests may share: all segments of the prompt but the last one, and the content without
+    /// its prompt. Empty without a prompt.
+    pub segments: Rc<[Fingerprint]>,
     /// When the request arrived.
     pub arrived: Moment,
     /// When the caller stops waiting for the response.
@@ -160,10 +160,18 @@
     let service = choose_service(app, &config, route);
     let service = service.ok_or_else(|| not_run("no service", STARTUP_RETRY_AFTER))?;
     let fingerprint = compute_fingerprint(&params, path, &body);
-    let variant = params.prompt.map_or(fingerprint, |prompt| {
-        Fingerprint::of(&[&fingerprint.0.to_le_bytes(), &prompt.0.to_le_bytes()])
-    });
-    if is_quarantined(app, fingerprint, variant) {
+    let (content, segments) = match params.prompt {
+        Some(prompt) => {
+            let content = [fingerprint.0.to_le_bytes(), prompt.0.to_le_bytes()];
+            let segments = params.segments.iter().copied().chain([fingerprint]);
+            (
+                Fingerprint::of(&[&content[0], &content[1]]),
+                segments.collect(),
+            )
+        }
+        None => (fingerprint, Rc::clone(&params.segments)),
+    };
+    if is_quarantined(app, content) {
         return Err(not_run(ENDS_SERVERS, QUARANTINE_RETRY_AFTER));
     }
     let now = app.now();
@@ -180,8 +188,8 @@
         body,
         service: service.clone(),
         customer,
-        fingerprint,
-        variant,
+        content,
+        segments,
         arrived,
         deadline: arrived + left,
         guard,
--- a/crates/mustard-gateway/src/forward/open_stream.rs
+++ b/crates/mustard-gateway/src/forward/open_stream.rs
@@ -108,9 +108,8 @@
             service: request.service.name.clone(),
             parts: target.path.clone(),
             processes: target.processes.clone(),
-            content: request.fingerprint,
-            variant: request.variant,
-            segments: Rc::clone(&request.params.segments),
+            content: request.content,
+            segments: Rc::clone(&request.segments),
             moves: 0,
             demand,
             progress: Progress::start(now),
@@ -302,7 +301,7 @@
         info!(log, "request: Path chosen."; "request" => &request.params.id,
             "service" => &request.service.name, "first" => %target.addr,
             "servers" => format_servers(&target.path), "crossings" => target.crossings,
-            "segments" => format_segments(&request.params.segments),
+            "segments" => format_segments(&request.segments),
             "after" => last_event, "config" => version, "view_ms" => app.list_age_ms(),
             "waited_ms" => app.now().ms_since(request.arrived));
     }
--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -199,9 +199,8 @@
     failure: Failure,
 ) -> FailedRun {
     FailedRun {
-        content: request.fingerprint,
-        variant: request.variant,
-        segments: Rc::clone(&request.params.segments),
+        content: request.content,
+        segments: Rc::clone(&request.segments),
         written: Duration::ZERO,
         was_moved: false,
         request: request.params.id.clone(),
@@ -241,7 +240,8 @@
             if let Some(server) = fleet.key_at(sent.addr).and_then(|k| fleet.get_mut(k)) {
                 server.backoff.clear();
             }
-            strikes::record_success(app, request);
+            let content = request.content;
+            app.quarantine.borrow_mut().record_success(now, content);
             return;
         }
         Ok(_) => "error answer",
--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -380,7 +380,10 @@
     /// was moved may have ended the servers that it was moved off.
     fn finish_served(self, has_failed_run: bool) {
         if !has_failed_run {
-            strikes::record_success(&self.app, &self.request);
+            let now = self.app.now();
+            let content = self.request.content;
+            let mut quarantine = self.app.quarantine.borrow_mut();
+            quarantine.record_success(now, content);
         }
         record_served(
             &self.app,
--- a/crates/mustard-gateway/src/stream_watch.rs
+++ b/crates/mustard-gateway/src/stream_watch.rs
@@ -312,11 +312,10 @@
     let Some(run) = begin_move(&app, key) else {
         return;
     };
-    let (content, variant) = (run.content, run.variant);
-    let segments = Rc::clone(&run.segments);
+    let (content, segments) = (run.content, Rc::clone(&run.segments));
     strikes::record_run(&app, run);
     for _ in 0..MAX_REPATHS {
-        if strikes::is_quarantined(&app, content, variant) || strikes::is_blocked(&app, &segments) {
+        if strikes::is_quarantined(&app, content) || strikes::is_blocked(&app, &segments) {
             return abandon(&app, key, "content ends servers");
         }
         let Some((id, first_server, new_path)) = find_path(&app, key, &paths) else {
--- a/crates/mustard-gateway/src/strikes.rs
+++ b/crates/mustard-gateway/src/strikes.rs
@@ -61,10 +61,8 @@
 /// A run that failed.
 #[derive(Clone, Debug)]
 pub struct FailedRun {
-    /// The fingerprint of the request's content.
+    /// The digest of the request's content, its prompt included.
     pub content: Fingerprint,
-    /// The digest of its content and its prompt.
-    pub variant: Fingerprint,
     /// The segments of its prompt that other prompts may share.
     pub segments: Rc<[Fingerprint]>,
     /// For how long its servers had been writing.
@@ -84,8 +82,8 @@
 pub struct FinishedRun {
     /// The segments of its prompt that other prompts may share.
     pub segments: Rc<[Fingerprint]>,
-    /// The digest of the request's content and its prompt.
-    pub variant: Fingerprint,
+    /// The digest of the request's content, its prompt included.
+    pub content: Fingerprint,
     /// For how long its servers had been writing.
     pub written: Duration,
     /// The processes that it used, in the order of the path.
@@ -95,10 +93,10 @@
 /// Returns after which time the caller may try again if the request may not run now, as too many
 /// servers ended under its content or a segment of its prompt.
 pub fn refusal(app: &App, request: &AdmittedRequest) -> Option<Duration> {
-    if is_quarantined(app, request.fingerprint, request.variant) {
+    if is_quarantined(app, request.content) {
         return Some(QUARANTINE_RETRY_AFTER);
     }
-    let segments = &request.params.segments;
+    let segments = &request.segments;
     if segments.is_empty() {
         return None;
     }
@@ -122,23 +120,10 @@
     app.segments.borrow().is_blocked(app.now(), segments)
 }
 
-/// Returns whether a content or the prompt in it may not run, as too many servers ended under it.
-///
-/// Ends count for both: a sound prompt in the same body clears the content, but not the prompt.
-pub fn is_quarantined(app: &App, content: Fingerprint, variant: Fingerprint) -> bool {
-    let (now, quarantine) = (app.now(), app.quarantine.borrow());
-    let is_quarantined = |f| matches!(quarantine.standing(now, f), Standing::Quarantined(_));
-    is_quarantined(content) || is_quarantined(variant)
-}
-
-/// Records that a request was served without a failed run.
-pub fn record_success(app: &App, request: &AdmittedRequest) {
-    let now = app.now();
-    let mut quarantine = app.quarantine.borrow_mut();
-    quarantine.record_success(now, request.fingerprint);
-    if request.variant != request.fingerprint {
-        quarantine.record_success(now, request.variant);
-    }
+/// Returns whether a content may not run, as too many servers ended under it.
+pub fn is_quarantined(app: &App, content: Fingerprint) -> bool {
+    let standing = app.quarantine.borrow().standing(app.now(), content);
+    matches!(standing, Standing::Quarantined(_))
 }
 
 /// Records strikes for a failed run once one of its servers is known to have ended: against its
@@ -163,9 +148,6 @@
                 "after_ms" => app.now().ms_since(failed_at));
         }
         strike_content(&app, run.content, &process, failed_at);
-        if run.variant != run.content {
-            strike_content(&app, run.variant, &process, failed_at);
-        }
         let has_begun = run.was_moved || run.written >= PROOF_WRITTEN;
         if has_begun || run.segments.is_empty() {
             return;
@@ -177,7 +159,7 @@
             watch_ended(&app, &run, failed_at).await
         };
         if let Some(process) = process {
-            strike_segments(&app, &run.segments, run.variant, &process, failed_at);
+            strike_segments(&app, &run.segments, run.content, &process, failed_at);
         }
     });
 }
@@ -199,7 +181,7 @@
             run.processes.iter().find(has_ended).cloned()
         };
         if let Some(ended) = ended {
-            return strike_segments(&app, &run.segments, run.variant, &ended, finished_at);
+            return strike_segments(&app, &run.segments, run.content, &ended, finished_at);
         }
         let first = run.processes.first();
         if first.is_some_and(|p| app.fleet.borrow().is_silent(p.addr)) {
@@ -249,7 +231,7 @@
 fn strike_segments(
     app: &App,
     segments: &[Fingerprint],
-    variant: Fingerprint,
+    content: Fingerprint,
     ended: &ServerProcess,
     at: Moment,
 ) {
@@ -259,7 +241,7 @@
         let strike = SegmentStrike {
             segment: *segment,
             process: ended.to_string(),
-            content: variant,
+            content,
             at,
             is_trial: false,
         };
--- a/crates/mustard-gateway/tests/gateway/segments.rs
+++ b/crates/mustard-gateway/tests/gateway/segments.rs
@@ -351,16 +351,32 @@
 /// Guards against refusing sound segments after many servers failed at once, twice.
 #[ntex::test]
 async fn segment_all_servers_fail() {
+    check_all_servers_fail(false).await;
+}
+
+/// Guards against refusing the whole service, as all requests have the same path and body and no server
+/// has answered one of them when the servers fail.
+#[ntex::test]
+async fn segment_same_body_all_servers_fail() {
+    check_all_servers_fail(true).await;
+}
+
+async fn check_all_servers_fail(same_body: bool) {
     let plan = Plan {
         poison: &[],
         lead: Duration::ZERO,
+        same_body,
         ..Plan::default()
     };
     let bed = Bed::start(plan.gateways, 0).await;
+    // The first gateways have seen a request answered.
+    bed.gateways.borrow_mut().clear();
+    let started = bed.start_gateways().await;
+    *bed.gateways.borrow_mut() = started;
     let failing = Rc::clone(&bed);
     tokio::task::spawn_local(async move {
         for _ in 0..2 {
-            tokio::time::sleep(Duration::from_millis(600)).await;
+            tokio::time::sleep(Duration::from_millis(400)).await;
             (0..2 * MODEL_SERVERS)
                 .for_each(|s| failing.site.set_fault(s, ServerFault::ResetsConnections));
             tokio::time::sleep(Duration::from_millis(300)).await;
