--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -15,7 +15,7 @@
 
 use mustard_adapter::{NodeSettings, Store};
 use mustard_core::clock::{Clock, Moment, SystemClock};
-use mustard_core::collections::{Map, Set};
+use mustard_core::collections::Map;
 use mustard_core::deployment::Config;
 use mustard_core::fingerprint::Fingerprint;
 use mustard_core::ids::{Era, Incarnation};
@@ -115,10 +115,8 @@
     pub config_text: RefCell<Rc<Vec<u8>>>,
     /// The stamp of the configuration in force.
     pub config_stamp: Cell<ConfigStamp>,
-    /// The texts of the configurations that this process has read.
-    pub seen_configs: RefCell<Set<Fingerprint>>,
-    /// Counts the configurations read from the store.
-    pub config_reads: Cell<u64>,
+    /// The digest of the configuration that was last read in the store.
+    pub last_config: Cell<Fingerprint>,
     /// The backend servers as this gateway sees them.
     pub fleet: RefCell<Fleet>,
     /// When the store last confirmed the list of servers.
@@ -191,8 +189,7 @@
             config: RefCell::new(None),
             config_text: RefCell::default(),
             config_stamp: Cell::default(),
-            seen_configs: RefCell::default(),
-            config_reads: Cell::default(),
+            last_config: Cell::new(Fingerprint(0)),
             fleet: RefCell::default(),
             list_read: Cell::new(false),
             buffered_bytes: Cell::default(),
--- a/crates/mustard-gateway/src/store_watch.rs
+++ b/crates/mustard-gateway/src/store_watch.rs
@@ -41,11 +41,6 @@
 /// How long a configuration stays the newest one in a restored store before it replaces one with a higher
 /// version.
 const REWRITE_TIME: Duration = Duration::from_millis(700);
-/// The age up to which a copy may be from which the store is restored. A process that has run for longer has
-/// seen each configuration in it.
-const MAX_COPY_AGE: Duration = Duration::from_secs(15);
-/// The most texts of configurations that are remembered.
-const MAX_SEEN_CONFIGS: usize = 4_096;
 
 /// The store removes the row of a server that has missed this many heartbeats.
 const SILENT_HEARTBEATS: u32 = 3;
@@ -230,18 +225,13 @@
     let Some(config) = decode_config(app, &text, "store") else {
         return;
     };
-    let read = app.config_reads.get() + 1;
-    app.config_reads.set(read);
-    let is_new = record_seen(app, &text);
-    let is_written = match source {
-        RowSource::Feed => true,
-        RowSource::Table => false,
-        RowSource::RestoredTable => is_new && app.now().since(app.started_at) >= MAX_COPY_AGE,
-    };
+    let digest = Fingerprint::of(&[&text]);
+    app.last_config.set(digest);
     let stamp = ConfigStamp {
         version: config.version,
         era,
-        is_written,
+        // What a table holds may have come with a copy, what the feed shows is written since.
+        is_written: source == RowSource::Feed,
     };
     let current = app.config_stamp.get();
     if stamp.version >= current.version || !stamp.replaces(current) {
@@ -250,7 +240,7 @@
     let app = Rc::clone(app);
     ntex::rt::spawn(async move {
         sleep(REWRITE_TIME).await;
-        if app.config_reads.get() == read {
+        if app.last_config.get() == digest {
             adopt_config(&app, config, text, stamp, "store");
         }
     });
@@ -259,20 +249,10 @@
 /// Adopts a configuration that a peer has in force.
 pub fn adopt_peer_config(app: &App, text: Vec<u8>, stamp: ConfigStamp) {
     if let Some(config) = decode_config(app, &text, "peer") {
-        record_seen(app, &text);
         adopt_config(app, config, text, stamp, "peer");
     }
 }
 
-/// Records the text of a configuration; returns whether this process hadn't read it before.
-fn record_seen(app: &App, text: &[u8]) -> bool {
-    let mut seen = app.seen_configs.borrow_mut();
-    if seen.len() >= MAX_SEEN_CONFIGS {
-        seen.clear();
-    }
-    seen.insert(Fingerprint::of(&[text]))
-}
-
 fn decode_config(app: &App, text: &[u8], source: &'static str) -> Option<Config> {
     match config::decode(text) {
         Ok(config) => Some(config),
