Let the time limit of calls for changes follow the bound of the settings

Cause: the limit was the same everywhere, but the grown deployments allow 4 s for being up to date again, the others 3 s.

--- a/crates/mustard-gateway/src/store_watch.rs
+++ b/crates/mustard-gateway/src/store_watch.rs
@@ -17,10 +17,12 @@
 use crate::log_limit::Topic;
 use crate::metric;
 
-/// How long one call for changes may take. After this time a silent connection is noticed, so it is well
-/// below the 3 s after which the platform expects a gateway to be up to date again.
-const FEED_TIMEOUT: Duration = Duration::from_secs(2);
-/// How much of it is left for the answer to travel.
+/// How much sooner than the platform expects a process to be up to date after a disturbance a silent
+/// connection is noticed. It is enough to connect again and read what is new.
+const RECONNECT_TIME: Duration = Duration::from_millis(900);
+/// The least time that one call for changes may take.
+const MIN_FEED_TIMEOUT: Duration = Duration::from_secs(1);
+/// How much of the time of a call for changes is left for the answer to travel.
 const FEED_MARGIN: Duration = Duration::from_millis(700);
 /// How long a read of a table may take: at first, and after reads that took longer.
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
@@ -92,14 +94,17 @@
 /// How long the calls for changes wait.
 #[derive(Clone, Copy, Debug)]
 struct FeedPace {
+    /// How long one call may take.
+    timeout: Duration,
     wait: Duration,
     failures: u32,
 }
 
 impl FeedPace {
-    fn new() -> Self {
+    fn new(timeout: Duration) -> Self {
         FeedPace {
-            wait: FEED_TIMEOUT - FEED_MARGIN,
+            timeout,
+            wait: timeout.saturating_sub(FEED_MARGIN),
             failures: 0,
         }
     }
@@ -108,7 +113,9 @@
     fn record_answer(&mut self, took: Duration) {
         self.failures = 0;
         if self.wait.is_zero() {
-            self.wait = FEED_TIMEOUT.saturating_sub(FEED_MARGIN.max(took.mul_f64(1.5)));
+            self.wait = self
+                .timeout
+                .saturating_sub(FEED_MARGIN.max(took.mul_f64(1.5)));
         }
     }
 
@@ -122,12 +129,13 @@
 /// Follows changes until the store no longer has the history since the last revision, or several calls
 /// have failed.
 async fn follow_changes(app: &Rc<App>, followed: FollowedTable, mut revision: Revision) {
-    let mut pace = FeedPace::new();
+    let limit = app.node.contact_time.saturating_sub(RECONNECT_TIME);
+    let mut pace = FeedPace::new(limit.max(MIN_FEED_TIMEOUT));
     while pace.failures < MAX_FEED_FAILURES {
         let begun = Instant::now();
         let feed = app
             .store
-            .watch_changes(followed, revision, pace.wait, FEED_TIMEOUT);
+            .watch_changes(followed, revision, pace.wait, pace.timeout);
         match feed.await {
             Ok(Feed::Changes(changes)) => {
                 pace.record_answer(begun.elapsed());
