--- a/crates/mustard-policy/tests/segments.rs
+++ b/crates/mustard-policy/tests/segments.rs
@@ -448,3 +448,9 @@
         later.len()
     );
 }
+
+/// Guards against refusing a whole service for good, as a segment of all prompts stays blocked.
+#[test]
+fn admit_simulated_all_refused() {
+    check_day(14_928_571_715_721_582_292);
+}
