Run trials with the prompts that have the fewest suspects, without waiting more than that

Cause: among prompts with blocked segments those with fewer blocked ones came first. A poison segment that had ended fewer than three servers isn't blocked, so its prompts counted like sound ones: two trials ran with them, failed, and put off the next one by a minute. Prompts of which each has several blocked parts waited 2 s for each, though none had fewer. Class: blame for what is known to be bad, none for what is not known to be good.

Why it works: a suspect is a segment that hasn't gone well within a minute, blocked or not. A prompt waits 2 s for each suspect that it has beyond the fewest that any prompt with a blocked segment had lately.

--- a/crates/mustard-policy/src/segments.rs
+++ b/crates/mustard-policy/src/segments.rs
@@ -44,6 +44,8 @@
 /// How long a process has its turn to begin trials before the next process has its turn. All segments
 /// share these turns, as a prompt may have several blocked ones.
 pub const TRIAL_TURN: Duration = Duration::from_secs(2);
+/// For how long a prompt with few suspects makes others wait.
+const FEWEST_TIME: Duration = Duration::from_secs(4);
 /// How long after the start of a trial an end counts as its result.
 const TRIAL_TIME: Duration = Duration::from_secs(10);
 /// The most ends of a segment, and the most contents of an end, that are kept.
@@ -178,6 +180,8 @@
     disputed: Map<Fingerprint, Moment>,
     /// When the last trial of each segment began here.
     trials: Map<Fingerprint, Moment>,
+    /// The fewest suspects of a prompt with a blocked segment that came here lately, and when.
+    fewest: Option<(Moment, usize)>,
 }
 
 impl SegmentFilter {
@@ -215,8 +219,10 @@
         if on_trial.is_empty() {
             return Admission::Allowed;
         }
-        // A prompt with fewer blocked segments tells more about each of them, so it comes first.
-        due = due + TRIAL_TURN * (on_trial.len() - 1) as u32;
+        // A prompt with fewer suspects tells more about each of them, so it comes first.
+        let suspects = self.count_suspects(now, segments);
+        let fewest = self.record_suspects(now, suspects);
+        due = due + TRIAL_TURN * (suspects - fewest) as u32;
         let is_running = on_trial.iter().any(|segment| {
             let begun = self.trials.get(segment);
             begun.is_some_and(|t| now.since(*t) < TRIAL_TURN)
@@ -231,6 +237,25 @@
         Admission::Allowed
     }
 
+    /// Returns the number of segments that haven't gone well lately, blocked or not.
+    fn count_suspects(&self, now: Moment, segments: &[Fingerprint]) -> usize {
+        let is_suspect = |s: &&Fingerprint| {
+            let proven = self.proven.get(s);
+            self.blocked_record(now, **s).is_some() || proven.is_none_or(|p| *p + PROOF_TIME <= now)
+        };
+        segments.iter().filter(is_suspect).count()
+    }
+
+    /// Records the suspects of a prompt with a blocked segment; returns the fewest of any such prompt lately,
+    /// or one if none came.
+    fn record_suspects(&mut self, now: Moment, suspects: usize) -> usize {
+        let known = self.fewest.filter(|(at, _)| now.since(*at) < FEWEST_TIME);
+        if known.is_none_or(|(_, fewest)| suspects <= fewest) {
+            self.fewest = Some((now, suspects));
+        }
+        known.map_or(1, |(_, fewest)| fewest.min(suspects))
+    }
+
     /// Records a strike, from this or another process; returns whether its segment became blocked by
     /// it. Strikes may arrive in any order and more than once.
     pub fn record_strike(&mut self, now: Moment, strike: &SegmentStrike) -> bool {
