Refuse by a configuration only while it is known to be the newest

Cause: a gateway refused by whatever configuration it had: one that the store had not confirmed for any time, or one that a peer had told at a start. Class: an answer by a configuration that isn't the newest that could have been asked for.

Evidence: refuse_unconfirmed_store_silent and refuse_unconfirmed_peer_at_start were red, are green. refuse_confirmed_by_peer was green and stays so: a gateway that the store refuses still gives proper refusals.

Why it works: each answer of the store, or a peer with the same configuration, says up to when there was no newer one. If that is longer ago than a call for changes may take, 401 and 404 become 503 with Retry-After: nothing has run, and the next answer tells. What the configuration allows goes on being served.

--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -44,6 +44,12 @@
 /// requests with this content are refused.
 const QUARANTINE_DEATHS: usize = 3;
 
+/// How much sooner than the platform expects a process to be up to date after a disturbance a silent
+/// connection is noticed. It is enough to connect again and read what is new.
+const RECONNECT_TIME: Duration = Duration::from_millis(900);
+/// The least time that one call for changes may take.
+const MIN_FEED_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Set by the main thread on a stop signal, read by the serving thread.
 #[derive(Debug, Default)]
 pub struct StopFlag {
@@ -115,6 +121,8 @@
     pub config_text: RefCell<Rc<Vec<u8>>>,
     /// The stamp of the configuration in force.
     pub config_stamp: Cell<ConfigStamp>,
+    /// When the store last had no newer configuration than the one in force, as it or a peer said.
+    pub config_confirmed: Cell<Option<Moment>>,
     /// The digest of the configuration that was last read in the store.
     pub last_config: Cell<Fingerprint>,
     /// The backend servers as this gateway sees them.
@@ -189,6 +197,7 @@
             config: RefCell::new(None),
             config_text: RefCell::default(),
             config_stamp: Cell::default(),
+            config_confirmed: Cell::default(),
             last_config: Cell::new(Fingerprint(0)),
             fleet: RefCell::default(),
             list_read: Cell::new(false),
@@ -235,6 +244,28 @@
         self.config.borrow().clone()
     }
 
+    /// Records that the store had no newer configuration at a moment.
+    pub fn confirm_config(&self, at: Moment) {
+        let known = self.config_confirmed.get();
+        self.config_confirmed
+            .set(known.map_or(Some(at), |k| Some(k.max(at))));
+    }
+
+    /// Returns whether the configuration in force is known to have been the newest lately, so that what it
+    /// doesn't allow may be refused for good.
+    pub fn is_config_confirmed(&self) -> bool {
+        let limit = self.feed_timeout();
+        let confirmed = self.config_confirmed.get();
+        confirmed.is_some_and(|at| self.now().since(at) <= limit)
+    }
+
+    /// Returns how long one call for changes of the store may take. It ends early enough for a silent
+    /// connection to be replaced before the platform expects the process to be up to date.
+    pub fn feed_timeout(&self) -> Duration {
+        let limit = self.node.contact_time.saturating_sub(RECONNECT_TIME);
+        limit.max(MIN_FEED_TIMEOUT)
+    }
+
     /// Returns the number of gateways heard from lately, this one included.
     pub fn gateway_count(&self) -> usize {
         self.peers.borrow().alive_count() + 1
--- a/crates/mustard-gateway/src/forward/mod.rs
+++ b/crates/mustard-gateway/src/forward/mod.rs
@@ -43,6 +43,8 @@
 const STARTUP_WAIT: Duration = Duration::from_millis(500);
 /// Retry delay for callers while the configuration, or the service of a route in it, is missing.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Retry delay for callers while the configuration isn't confirmed.
+const UNCONFIRMED_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Retry delay for callers of a gateway that is stopping; short, as they retry at another one.
 const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -154,9 +156,9 @@
     let config = config.ok_or_else(|| not_run("no configuration", STARTUP_RETRY_AFTER))?;
     let path = request.uri().path();
     let Some(route) = config.route(&params.host, path) else {
-        return Err(GatewayResponse::new("no route", 404).for_request(&params));
+        return Err(refuse_by_config(app, "no route", 404).for_request(&params));
     };
-    let customer = authorize(&config, route, &params)?;
+    let customer = authorize(app, &config, route, &params)?;
     let service = choose_service(app, &config, route);
     let service = service.ok_or_else(|| not_run("no service", STARTUP_RETRY_AFTER))?;
     let fingerprint = compute_fingerprint(&params, path, &body);
@@ -219,6 +221,7 @@
 /// Returns the customer's name; `None` if the route is public and the key unknown, or if the
 /// configuration names no customers.
 fn authorize(
+    app: &App,
     config: &Config,
     route: &Route,
     params: &RequestParams,
@@ -230,7 +233,17 @@
     match customer {
         Some(c) => Ok(Some(c.name.clone())),
         None if route.public => Ok(None),
-        None => Err(GatewayResponse::new("unknown key", 401).for_request(params)),
+        None => Err(refuse_by_config(app, "unknown key", 401).for_request(params)),
+    }
+}
+
+/// Returns the refusal of what the configuration in force doesn't allow. Unless it is confirmed, a newer one
+/// may allow it.
+fn refuse_by_config(app: &App, reason: &'static str, status: u16) -> GatewayResponse {
+    if app.is_config_confirmed() {
+        GatewayResponse::new(reason, status)
+    } else {
+        GatewayResponse::not_run("unconfirmed configuration", UNCONFIRMED_RETRY_AFTER)
     }
 }
 
--- a/crates/mustard-gateway/src/peers.rs
+++ b/crates/mustard-gateway/src/peers.rs
@@ -238,6 +238,8 @@
     from: SocketAddr,
     /// The stamp of the sender's configuration.
     config: ConfigStamp,
+    /// How long ago the store last had no newer one, as far as the sender knows, in milliseconds.
+    confirmed_ms: Option<u64>,
     /// The peers that the sender has heard from lately.
     peers: Vec<SocketAddr>,
     strikes: Vec<StrikeMessage>,
@@ -269,6 +271,7 @@
     PeerMessage {
         from: peers.own_addr,
         config: stamp,
+        confirmed_ms: app.config_confirmed.get().map(|at| now.ms_since(at)),
         peers: peers.shared_addrs(now),
         strikes: strikes
             .into_iter()
@@ -317,6 +320,11 @@
     if let Some(text) = message.text {
         store_watch::adopt_peer_config(app, text.into_vec(), message.config);
     }
+    let own = app.config_stamp.get();
+    let is_same = (own.version, own.era) == (message.config.version, message.config.era);
+    if let Some(age_ms) = message.confirmed_ms.filter(|_| is_same) {
+        app.confirm_config(now - Duration::from_millis(age_ms));
+    }
 }
 
 fn apply_segments(
--- a/crates/mustard-gateway/src/store_watch.rs
+++ b/crates/mustard-gateway/src/store_watch.rs
@@ -8,6 +8,7 @@
 
 use mustard_adapter::store::{CONFIG_KEY, Changes, Feed, FollowedTable, Revision};
 use mustard_adapter::{config, servers};
+use mustard_core::clock::Moment;
 use mustard_core::deployment::Config;
 use mustard_core::fingerprint::Fingerprint;
 use mustard_core::ids::Era;
@@ -17,13 +18,10 @@
 use crate::log_limit::Topic;
 use crate::metric;
 
-/// How much sooner than the platform expects a process to be up to date after a disturbance a silent
-/// connection is noticed. It is enough to connect again and read what is new.
-const RECONNECT_TIME: Duration = Duration::from_millis(900);
-/// The least time that one call for changes may take.
-const MIN_FEED_TIMEOUT: Duration = Duration::from_secs(1);
 /// How much of the time of a call for changes is left for the answer to travel.
 const FEED_MARGIN: Duration = Duration::from_millis(700);
+/// How old an answer with changes is taken to be.
+const TRAVEL_TIME: Duration = Duration::from_millis(200);
 /// How long a read of a table may take: at first, and after reads that took longer.
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
 const MAX_READ_TIMEOUT: Duration = Duration::from_millis(2_800);
@@ -52,11 +50,12 @@
     let mut previous_era = None;
     let mut limit = READ_TIMEOUT;
     loop {
-        let begun = Instant::now();
+        let (begun, asked) = (Instant::now(), app.now());
         match app.store.read_table(followed, limit).await {
             Ok(changes) => {
                 limit = READ_TIMEOUT;
                 mark_reachable(&app, followed);
+                confirm_config(&app, followed, asked);
                 let revision = changes.revision;
                 let is_restored = previous_era.is_some_and(|era| era != revision.era);
                 previous_era = Some(revision.era);
@@ -129,17 +128,24 @@
 /// Follows changes until the store no longer has the history since the last revision, or several calls
 /// have failed.
 async fn follow_changes(app: &Rc<App>, followed: FollowedTable, mut revision: Revision) {
-    let limit = app.node.contact_time.saturating_sub(RECONNECT_TIME);
-    let mut pace = FeedPace::new(limit.max(MIN_FEED_TIMEOUT));
+    let mut pace = FeedPace::new(app.feed_timeout());
     while pace.failures < MAX_FEED_FAILURES {
-        let begun = Instant::now();
+        let (begun, asked) = (Instant::now(), app.now());
+        let waited = pace.wait;
         let feed = app
             .store
-            .watch_changes(followed, revision, pace.wait, pace.timeout);
+            .watch_changes(followed, revision, waited, pace.timeout);
         match feed.await {
             Ok(Feed::Changes(changes)) => {
                 pace.record_answer(begun.elapsed());
                 mark_reachable(app, followed);
+                let answered = if changes.rows.is_empty() {
+                    // There was no change while the store waited.
+                    asked + waited
+                } else {
+                    asked.max(app.now() - TRAVEL_TIME)
+                };
+                confirm_config(app, followed, answered);
                 revision.number = revision.number.max(changes.revision.number);
                 let changed = !changes.rows.is_empty();
                 apply_changes(app, followed, changes, RowSource::Feed);
@@ -181,6 +187,12 @@
     }
 }
 
+fn confirm_config(app: &App, followed: FollowedTable, at: Moment) {
+    if followed == FollowedTable::Operators {
+        app.confirm_config(at);
+    }
+}
+
 fn mark_reachable(app: &App, followed: FollowedTable) {
     metric::count_store_call("follow", "ok");
     if followed == FollowedTable::Servers {
--- a/crates/mustard-gateway/tests/gateway/harness.rs
+++ b/crates/mustard-gateway/tests/gateway/harness.rs
@@ -50,9 +50,27 @@
         Gateway::spawn(site, ip, peer_port, seeds, Stdio::piped())
     }
 
+    /// Starts a gateway that can't reach the store.
+    pub(crate) fn start_without_store(
+        site: &Site,
+        ip: Ipv4Addr,
+        peer_port: u16,
+        seeds: &[Ipv4Addr],
+    ) -> Self {
+        let ports = [new_port(), new_port(), peer_port];
+        let mut settings = site.settings(ip, ports, seeds);
+        let nobody = SocketAddr::from((Ipv4Addr::LOCALHOST, new_port()));
+        settings["platform"]["address"] = nobody.to_string().into();
+        Gateway::spawn_with(&settings.to_string(), ip, ports, Stdio::piped())
+    }
+
     fn spawn(site: &Site, ip: Ipv4Addr, peer_port: u16, seeds: &[Ipv4Addr], log: Stdio) -> Self {
         let ports = [new_port(), new_port(), peer_port];
         let text = site.settings(ip, ports, seeds).to_string();
+        Gateway::spawn_with(&text, ip, ports, log)
+    }
+
+    fn spawn_with(text: &str, ip: Ipv4Addr, ports: [u16; 3], log: Stdio) -> Self {
         let name = format!(
             "mustard-gateway-{}-{ip}-{}.json",
             std::process::id(),
--- a/crates/mustard-gateway/tests/gateway/old_config.rs
+++ b/crates/mustard-gateway/tests/gateway/old_config.rs
@@ -176,3 +176,75 @@
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
 }
+
+/// Returns the statuses of bookings under a key until a time, other than those that say that the gateway
+/// can't know.
+async fn refusals(caller: &Caller, gateway: &Gateway, key: &str, until: Instant) -> Vec<u16> {
+    let mut refused = Vec::new();
+    while Instant::now() < until {
+        let status = book(caller, gateway, "unconfirmed", key).await;
+        if matches!(status, 401 | 403 | 404) {
+            refused.push(status);
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    refused
+}
+
+/// Guards against refusals by a configuration that the store hasn't confirmed for long: a newer one may
+/// allow the request.
+#[ntex::test]
+async fn refuse_unconfirmed_store_silent() {
+    let (site, gateway, caller) = start_ready(SiteOptions::default()).await;
+    change_and_settle(&site, &caller, &gateway, 3).await;
+    assert_eq!(book(&caller, &gateway, "confirmed", "unknown").await, 401);
+    site.set_store_fault(StoreMode::Silent);
+    site.write_config(5, &[API_KEY, OTHER_KEY]);
+    tokio::time::sleep(CONTACT_TIME).await;
+    let until = Instant::now() + Duration::from_secs(2);
+    assert_eq!(refusals(&caller, &gateway, OTHER_KEY, until).await, [0; 0]);
+    // What the old configuration allows goes on.
+    assert_eq!(book(&caller, &gateway, "allowed", API_KEY).await, 200);
+    site.silence_store_connections();
+    site.set_store_fault(StoreMode::Healthy);
+    let back = Instant::now();
+    assert_in_force(&caller, &gateway, OTHER_KEY, back + CONTACT_TIME).await;
+    assert_eq!(book(&caller, &gateway, "again", "unknown").await, 401);
+}
+
+/// Guards against refusals by what a peer told at a start, which the store hasn't confirmed to either.
+#[ntex::test]
+async fn refuse_unconfirmed_peer_at_start() {
+    let site = start_site(SiteOptions::default());
+    let caller = Caller::new().await;
+    let ips = [Ipv4Addr::LOCALHOST, Ipv4Addr::new(127, 0, 0, 2)];
+    let peer_port = new_port();
+    let one = Gateway::start(&site, ips[0], peer_port, &ips);
+    one.wait_ready(&caller).await;
+    site.set_store_fault(StoreMode::Silent);
+    site.write_config(5, &[API_KEY, OTHER_KEY]);
+    tokio::time::sleep(CONTACT_TIME).await;
+    let two = Gateway::start(&site, ips[1], peer_port, &ips);
+    let until = Instant::now() + Duration::from_secs(3);
+    assert_eq!(refusals(&caller, &two, OTHER_KEY, until).await, [0; 0]);
+    assert_eq!(refusals(&caller, &one, OTHER_KEY, until).await, [0; 0]);
+}
+
+/// Guards against confirming by the store alone: a gateway whose calls the store doesn't answer is told by
+/// a peer that its configuration is the newest.
+#[ntex::test]
+async fn refuse_confirmed_by_peer() {
+    let site = start_site(SiteOptions::default());
+    let caller = Caller::new().await;
+    let ips = [Ipv4Addr::LOCALHOST, Ipv4Addr::new(127, 0, 0, 2)];
+    let peer_port = new_port();
+    let one = Gateway::start(&site, ips[0], peer_port, &ips);
+    // Nothing listens at the store's address that this one knows.
+    let two = Gateway::start_without_store(&site, ips[1], peer_port, &ips);
+    one.wait_ready(&caller).await;
+    let until = Instant::now() + CONTACT_TIME;
+    while book(&caller, &two, "refused", "unknown").await != 401 {
+        assert!(Instant::now() < until, "a proper refusal isn't given");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
