--- a/crates/mustard-policy/tests/segments.rs
+++ b/crates/mustard-policy/tests/segments.rs
@@ -14,6 +14,7 @@
 use mustard_core::fingerprint::Fingerprint;
 use mustard_policy::quarantine::Clearance;
 use mustard_policy::segments::{Admission, SegmentFilter, SegmentStrike, Settings, TRIAL_TURN};
+use mustard_policy::strike_news::StrikeNews;
 
 const SEGMENT: Fingerprint = Fingerprint(7);
 
@@ -245,9 +246,11 @@
 
 const STEP_MS: u64 = 10;
 const SERVERS: usize = 12;
-const GATEWAYS: usize = 4;
+const FEW_GATEWAYS: usize = 4;
+const MANY_GATEWAYS: usize = 60;
 const DOWN_MS: u64 = 2_000;
 const GOSSIP_MS: u64 = 200;
+const NEWS_MS: u64 = 100;
 const CONTACT_MS: u64 = 3_000;
 
 /// A request that a server runs.
@@ -266,6 +269,10 @@
 #[derive(Default)]
 struct World {
     filters: Vec<SegmentFilter>,
+    news: Vec<StrikeNews<SegmentStrike>>,
+    names: Vec<String>,
+    /// By how much the time of day of each gateway is ahead.
+    clocks: Vec<u64>,
     runs: Vec<Run>,
     /// Until when each server is away, and how often it has started.
     servers: Vec<(u64, u64)>,
@@ -280,7 +287,8 @@
 impl World {
     fn send(&mut self, now: u64, gateway: usize, segments: Vec<Fingerprint>, rng: &mut ChaCha8Rng) {
         let poison = segments.iter().copied().find(|s| self.poison.contains(s));
-        let turn = u128::from(now) / TRIAL_TURN.as_millis() % GATEWAYS as u128;
+        let wall = u128::from(now + self.clocks[gateway]);
+        let turn = wall / TRIAL_TURN.as_millis() % self.filters.len() as u128;
         let has_turn = turn == gateway as u128;
         let admission = self.filters[gateway].admit(at(now), &segments, has_turn);
         let up: Vec<usize> = (0..SERVERS).filter(|s| self.servers[*s].0 <= now).collect();
@@ -349,15 +357,43 @@
                         at: at(now),
                         is_trial: false,
                     };
-                    self.filters[run.gateway].record_strike(at(now), &strike);
+                    if self.filters[run.gateway].record_strike(at(now), &strike) {
+                        self.news[run.gateway].record_settled(segment);
+                    }
+                    self.news[run.gateway].record_seen(segment, strike);
+                }
+            }
+        }
+    }
+
+    /// Tells the collectors of the ends that were seen, and all gateways of the segments that are blocked.
+    fn tell_news(&mut self, now: u64) {
+        for from in 0..self.filters.len() {
+            let peers: Vec<usize> = (0..self.filters.len()).filter(|g| *g != from).collect();
+            let names: Vec<&str> = peers.iter().map(|g| self.names[*g].as_str()).collect();
+            for (peer, strikes) in self.news[from].take_seen(&self.names[from], &names) {
+                let to = peers[peer];
+                for strike in strikes {
+                    if self.filters[to].record_strike(at(now), &strike) {
+                        self.news[to].record_settled(strike.segment);
+                    }
+                }
+            }
+            for segment in self.news[from].take_settled() {
+                let strikes: Vec<_> = self.filters[from].strikes_of(segment).collect();
+                for to in &peers {
+                    for strike in &strikes {
+                        self.filters[*to].record_strike(at(now), strike);
+                    }
                 }
             }
         }
     }
 
     fn gossip(&mut self, now: u64, rng: &mut ChaCha8Rng) {
-        for from in 0..GATEWAYS {
-            let to = (from + rng.random_range(1..GATEWAYS)) % GATEWAYS;
+        let gateways = self.filters.len();
+        for from in 0..gateways {
+            let to = (from + rng.random_range(1..gateways)) % gateways;
             let strikes = self.filters[from].strikes_to_share(at(now), 128);
             let cleared = self.filters[from].clearances_to_share(at(now), 128);
             for clearance in cleared {
@@ -378,26 +414,48 @@
     check!()
         .with_iterations(60)
         .with_type::<u64>()
-        .for_each(|seed| check_day(*seed));
+        .for_each(|seed| check_day(*seed, FEW_GATEWAYS, 0));
 }
 
 /// Guards against trials with several blocked segments, whose end counts against the harmless ones: the
 /// first segment of all prompts had no further trial for a minute.
 #[test]
 fn admit_simulated_joint_trials() {
-    check_day(11_191_065_909_290_447_350);
+    check_day(11_191_065_909_290_447_350, FEW_GATEWAYS, 0);
 }
 
-fn check_day(seed: u64) {
+/// Guards against the same with many gateways, each of which sees few ends and has its turn seldom.
+#[test]
+fn admit_simulated_days_many_gateways() {
+    (0..12).for_each(|seed| check_day(seed, MANY_GATEWAYS, 0));
+}
+
+/// Guards against trials by many gateways at once, whose times of day differ.
+#[test]
+fn admit_simulated_days_clocks_differ() {
+    (0..12).for_each(|seed| check_day(seed, FEW_GATEWAYS, 8_000));
+    (0..12).for_each(|seed| check_day(seed, MANY_GATEWAYS, 8_000));
+}
+
+/// Simulates a day; the times of day of the gateways differ by up to `skew` milliseconds.
+fn check_day(seed: u64, gateways: usize, skew: u64) {
     let rng = &mut ChaCha8Rng::seed_from_u64(seed);
     let mut world = World {
-        filters: vec![SegmentFilter::default(); GATEWAYS],
+        filters: vec![SegmentFilter::default(); gateways],
+        news: vec![StrikeNews::default(); gateways],
+        names: (0..gateways).map(|g| format!("gateway-{g}")).collect(),
+        clocks: vec![0; gateways],
         servers: vec![(0, 0); SERVERS],
         poison: (0..rng.random_range(1..4))
             .map(|n| Fingerprint(900 + n))
             .collect(),
         ..World::default()
     };
+    if skew > 0 {
+        // Drawn apart, so that the days are those without a difference.
+        let clocks = &mut ChaCha8Rng::seed_from_u64(seed + 1);
+        world.clocks.fill_with(|| clocks.random_range(0..skew));
+    }
     let begin = [0, 3_000, 8_000][rng.random_range(0..3)];
     let poison_pause = rng.random_range(100..900);
     let mass_failure = rng.random_bool(0.5).then(|| rng.random_range(500..20_000));
@@ -406,12 +464,12 @@
     for now in (0..40_000).step_by(STEP_MS as usize) {
         let subject = Fingerprint(100 + rng.random_range(0..subjects));
         if rng.random_bool(0.15) {
-            let gateway = rng.random_range(0..GATEWAYS);
+            let gateway = rng.random_range(0..gateways);
             world.send(now, gateway, vec![Fingerprint(1), subject], rng);
         }
         for segment in &poison {
             if now >= begin && rng.random_bool(STEP_MS as f64 / poison_pause as f64) {
-                let gateway = rng.random_range(0..GATEWAYS);
+                let gateway = rng.random_range(0..gateways);
                 world.send(now, gateway, vec![Fingerprint(1), subject, *segment], rng);
             }
         }
@@ -419,6 +477,9 @@
             world.fail(now, &(0..SERVERS / 2).collect());
         }
         world.step(now);
+        if now % NEWS_MS == 0 {
+            world.tell_news(now);
+        }
         if now % GOSSIP_MS == 0 {
             world.gossip(now, rng);
         }
@@ -452,5 +513,5 @@
 /// Guards against refusing a whole service for good, as a segment of all prompts stays blocked.
 #[test]
 fn admit_simulated_all_refused() {
-    check_day(14_928_571_715_721_582_292);
+    check_day(14_928_571_715_721_582_292, FEW_GATEWAYS, 0);
 }
