--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -164,9 +164,8 @@
     (sent, 2)
 }
 
-/// A send whose result isn't known yet. If that is still so when this is dropped, as the caller left, the
-/// time was over or another server was faster, it counts as a failed run if its
-/// server turns out to have ended.
+/// A send whose result isn't known yet. If it is dropped before that, as the caller left, the time was over
+/// or another server was faster, it counts as a failed run once its server turns out to have ended.
 struct OpenRun {
     app: Rc<App>,
     run: Option<FailedRun>,
--- a/crates/mustard-gateway/src/strike_news.rs
+++ b/crates/mustard-gateway/src/strike_news.rs
@@ -1,5 +1,5 @@
-//! Tells other gateways at once of the ends of servers: of those that were seen here the gateways that
-//! collect them, and of contents and segments that may no longer run all that are alive.
+//! Tells other gateways of the ends of servers without waiting for the next exchange: the collectors of a
+//! content or segment of each end under it, and all gateways of those that may no longer run.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/mustard-gateway/src/strikes.rs
+++ b/crates/mustard-gateway/src/strikes.rs
@@ -316,7 +316,7 @@
         Failure::Stalled | Failure::Abandoned => failed_at - STALL_REPORT_AGE,
         _ => failed_at,
     };
-    // Many callers may leave at once.
+    // Many callers may leave at once, so that many runs are watched.
     let interval = match run.failure {
         Failure::Abandoned => ABANDONED_INTERVAL,
         _ => WATCH_INTERVAL,
