Plan without servers that never get rid of their layers

Two failure domains lacked layers 16..28 for 40 s, and all requests crossed one server of the third one, whose memory was full (343 requests).

Each plan took them for empty servers that would hold the missing layers, so that no other server was ordered to. Expired orders also counted as loads in progress. Ruled out: an order that gives layers up at once (mode abort, a trial): accepted, and the server stays busy.

Change: a server whose reports show it waiting for requests for 3 s doesn't count for the plan. Loading servers are asked for a report each 0.9 s.

--- a/crates/mustard-gateway/src/fleet/server.rs
+++ b/crates/mustard-gateway/src/fleet/server.rs
@@ -10,7 +10,7 @@
 use mustard_core::deployment::{Engine, HeldLayers, ServerEntry, ServerReport, ServerState};
 use mustard_core::ids::Layers;
 use mustard_policy::backoff::ServerBackoff;
-use mustard_policy::pipeline::{LayerHolder, PlacementServer};
+use mustard_policy::pipeline::{LayerHolder, PlacementServer, UnloadWatch};
 
 use crate::limits::NamedLimit;
 
@@ -88,6 +88,8 @@
     pub named_limit: Option<NamedLimit>,
     /// The order that it is carrying out.
     pub load_order: Option<LoadOrder>,
+    /// Whether it gets rid of the layers that it gives up.
+    pub unload: UnloadWatch,
     /// Memory in use by this gateway's requests, in tokens times layers.
     pub memory_used: f64,
     /// The number of this gateway's requests that it runs.
@@ -112,6 +114,7 @@
             paused_until: Moment::default(),
             named_limit: None,
             load_order: None,
+            unload: UnloadWatch::default(),
             memory_used: 0.0,
             running: 0,
             silent_since: None,
@@ -143,6 +146,9 @@
         if state == ServerState::Leaving {
             self.entry.state = ServerState::Leaving;
         }
+        if self.entry.held.is_some() {
+            self.unload.observe(now, false);
+        }
         let loaded = self.load_order.is_some_and(|l| self.holds(l.layers));
         if loaded {
             self.load_order = None;
@@ -191,6 +197,8 @@
             self.backoff.clear();
         }
         self.entry.held = report.held;
+        let waits = report.busy && report.held.is_none() && report.memory_used > 0.0;
+        self.unload.observe(now, waits);
         if self.load_order.is_some_and(|l| self.holds(l.layers)) {
             self.load_order = None;
         }
@@ -298,7 +306,8 @@
         now: Moment,
     ) -> Option<PlacementServer> {
         let accelerator = engine.accelerator(self.entry.accelerator.as_deref()?)?;
-        let order = self.load_order.filter(|l| now < l.until);
+        let is_stuck = self.unload.is_stuck(now);
+        let order = self.load_order.filter(|l| now < l.until && !is_stuck);
         let lost = self
             .silent_since
             .is_some_and(|s| now.since(s) >= SILENCE_GRACE);
@@ -311,10 +320,11 @@
                 .map(|l| l.layers)
                 .or(self.entry.held.map(|h| h.layers)),
             accepts_orders: order.is_none()
+                && !is_stuck
                 && self.silent_since.is_none()
                 && self.missing_since.is_none()
                 && !self.is_paused(now),
-            is_staying: self.entry.state == ServerState::Ready && !lost,
+            is_staying: self.entry.state == ServerState::Ready && !lost && !is_stuck,
         })
     }
 
@@ -327,6 +337,12 @@
         });
     }
 
+    /// Tells whether the server is carrying out an order and no report says since `oldest` how far it is.
+    pub fn is_load_unreported(&self, now: Moment, oldest: Moment) -> bool {
+        let reported = self.last_report.as_ref();
+        self.is_loading(now) && reported.is_none_or(|(at, _)| *at < oldest)
+    }
+
     /// Tells whether the server is carrying out an order.
     pub fn is_loading(&self, now: Moment) -> bool {
         self.load_order.is_some_and(|l| now < l.until)
--- a/crates/mustard-gateway/src/placement.rs
+++ b/crates/mustard-gateway/src/placement.rs
@@ -44,6 +44,8 @@
 const MAX_RANK: usize = 4;
 /// The timeout of a call that fetches a report or sends an order.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+/// The age of a loading server's report at which a new one is fetched.
+const LOAD_CHECK_INTERVAL: Duration = Duration::from_millis(900);
 /// Concurrent requests assumed for each server, since the load isn't known.
 const REQUESTS_PER_SERVER: f64 = 6.0;
 /// The most orders sent at once before the first request arrives, when loading slows no request
@@ -97,6 +99,7 @@
         if count == 0 || app.now().since(last_count.1) < settle_time || !app.is_ready() {
             continue;
         }
+        check_loads(&app);
         let planned = plan_orders(&app);
         if planned.is_empty() {
             planned_since = None;
@@ -120,6 +123,27 @@
     }
 }
 
+/// Fetches reports of the servers that carry out orders of this gateway, so that one that never
+/// finishes shows.
+fn check_loads(app: &Rc<App>) {
+    let now = app.now();
+    let oldest = now - LOAD_CHECK_INTERVAL;
+    let addrs: Vec<SocketAddr> = {
+        let fleet = app.fleet.borrow();
+        let unreported = fleet
+            .iter()
+            .filter(|(_, s)| s.is_load_unreported(now, oldest) && !s.is_paused(now));
+        unreported.map(|(_, s)| s.entry.addr).collect()
+    };
+    for addr in addrs {
+        let app = Rc::clone(app);
+        ntex::rt::spawn(async move {
+            // A server that doesn't answer shows elsewhere.
+            let _ = fetch_report(&app, addr, CALL_TIMEOUT).await;
+        });
+    }
+}
+
 fn plan_orders(app: &App) -> Vec<PlannedOrder> {
     let Some(config) = app.config() else {
         return Vec::new();
@@ -143,7 +167,7 @@
     let requests = REQUESTS_PER_SERVER * servers.len() as f64;
     let loading = candidates
         .iter()
-        .filter(|(k, _)| fleet.get(*k).is_some_and(|s| s.load_order.is_some()));
+        .filter(|(k, _)| fleet.get(*k).is_some_and(|s| s.is_loading(now)));
     let max_orders = if app.had_request.get() {
         (engine.parallel_loads as usize).saturating_sub(loading.count())
     } else {
@@ -278,6 +302,7 @@
         if let Some(log) = app.log.logger_for(Topic::Order) {
             info!(log, "placement: A server's state differs from the plan.";
                 "server" => %order.addr, "busy" => report.busy,
+                "memory_used" => report.memory_used,
                 "held" => held.map(|h| h.to_string()));
         }
         return None;
--- a/crates/mustard-policy/src/pipeline/mod.rs
+++ b/crates/mustard-policy/src/pipeline/mod.rs
@@ -6,8 +6,10 @@
 
 mod path;
 mod placement;
+mod unload;
 
 pub use path::{LayerHolder, Path, RequestDemand, choose_path, replan_path};
 pub use placement::{
     LayerAssignment, PlacementServer, PlacementSettings, layers_memory_share, plan_placement,
 };
+pub use unload::UnloadWatch;
