Take a server for silent only if another one answers a later call

Cause, from the log: of 431 "A server doesn't answer" in 10 s nearly all were wrong. They came from the gateways with 0.09 cores and 20 Mbit/s (up to 65 each; those with 0.5 cores had two, the true ones), and 281 of them while timers were on time. Configurations arrived then, and a report that takes longer than 25 ms on a busy link counted as a server's silence. Each verdict moved all streams of the server, whose prompts were read again elsewhere. The old rule looked at late timers only.

Change: after 25 ms the server is asked again over a connection of its own, and another server is asked as a control. What arrives at a process arrives in order: if the control is answered and the server isn't, it is silent; if neither is answered within 150 ms, nothing is known and nothing is moved. A kept connection that the server had closed, or that went silent, no longer counts as the server's silence either, nor does a connection that isn't made within 100 ms before the server was asked.

--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -24,6 +24,7 @@
 use mustard_policy::budget_share::{Budget, RetryBudgetShare};
 use mustard_policy::quarantine::{Quarantine, Settings};
 use mustard_policy::segments::SegmentFilter;
+use mustard_policy::silence::AnswerLog;
 use mustard_policy::stall::{PauseEstimate, TimerLateness};
 
 use crate::active_streams::ActiveStreams;
@@ -137,6 +138,8 @@
     pub streams: RefCell<ActiveStreams>,
     /// How late the timers of this process fire.
     pub lateness: RefCell<TimerLateness>,
+    /// Which calls for reports were answered, which tells silent servers from a busy link.
+    pub answers: RefCell<AnswerLog>,
     /// The running mean of the pauses between events of streams.
     pub pauses: RefCell<PauseEstimate>,
     /// The retry budget of each service, by its name.
@@ -205,6 +208,7 @@
             streams: RefCell::default(),
             list_confirmed: Cell::default(),
             lateness: RefCell::default(),
+            answers: RefCell::default(),
             pauses: RefCell::default(),
             retry_budgets: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(Settings {
--- a/crates/mustard-gateway/src/forward/open_stream.rs
+++ b/crates/mustard-gateway/src/forward/open_stream.rs
@@ -17,7 +17,7 @@
 use crate::app::App;
 use crate::fleet::{LoadGuard, ServerFilter};
 use crate::log_limit::Topic;
-use crate::stream_watch::probe_faulty_server;
+use crate::server_probe::probe_faulty_server;
 use crate::strikes::{self, Failure, format_segments};
 
 use super::events::EventParser;
@@ -193,10 +193,7 @@
 ) -> Option<SocketAddr> {
     let now = app.now();
     let (addr, fault) = match error {
-        SendError::NotSent => {
-            app.fleet.borrow_mut().record_silence(now, first_server);
-            return Some(first_server);
-        }
+        SendError::NotSent => (first_server, Some(Fault::Full)),
         SendError::NotRun(421, named) => {
             (named.unwrap_or(first_server), Some(Fault::LayersMissing))
         }
--- a/crates/mustard-gateway/src/placement.rs
+++ b/crates/mustard-gateway/src/placement.rs
@@ -19,6 +19,7 @@
 use mustard_core::deployment::{Config, Engine, ServerReport, Service};
 use mustard_core::ids::{Fence, Layers};
 use mustard_net::CallError;
+use mustard_net::forward::exchange_unpooled;
 use mustard_net::http::{Request, exchange};
 use mustard_platform::lease::{Lease, LeaseOptions};
 use mustard_policy::pipeline::{PlacementSettings, layers_memory_share, plan_placement};
@@ -139,7 +140,7 @@
         let app = Rc::clone(app);
         ntex::rt::spawn(async move {
             // A server that doesn't answer shows elsewhere.
-            let _ = fetch_report(&app, addr, CALL_TIMEOUT).await;
+            let _ = fetch_report(&app, addr, CallKind::Pooled, CALL_TIMEOUT).await;
         });
     }
 }
@@ -279,7 +280,7 @@
 }
 
 async fn order_layers(app: &App, fence: Option<Fence>, order: PlannedOrder) -> Option<Outcome> {
-    let report = match fetch_report(app, order.addr, CALL_TIMEOUT).await {
+    let report = match fetch_report(app, order.addr, CallKind::Pooled, CALL_TIMEOUT).await {
         Ok(report) => report,
         Err(e) => {
             app.fleet.borrow_mut().record_silence(app.now(), order.addr);
@@ -362,6 +363,15 @@
     ))
 }
 
+/// Which connection a call for a report uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallKind {
+    /// One that is kept for further calls.
+    Pooled,
+    /// One of its own.
+    Unpooled,
+}
+
 /// Fetches a server's report and records it in the fleet.
 ///
 /// # Errors
@@ -370,6 +380,7 @@
 pub async fn fetch_report(
     app: &App,
     to: SocketAddr,
+    kind: CallKind,
     timeout: Duration,
 ) -> std::result::Result<Rc<ServerReport>, CallError> {
     let request = Request {
@@ -381,8 +392,15 @@
         body: Vec::new(),
         timeout,
     };
-    let result = exchange(&app.client, request).await;
+    let sent = app.now();
+    let result = match kind {
+        CallKind::Pooled => exchange(&app.client, request).await,
+        CallKind::Unpooled => exchange_unpooled(&request).await,
+    };
     metric::count_probe(if result.is_ok() { "answered" } else { "silent" });
+    if result.is_ok() {
+        app.answers.borrow_mut().record_answer(sent);
+    }
     if matches!(result, Err(CallError::NoListener(_))) {
         app.fleet.borrow_mut().record_no_listener(to);
     }
--- a/crates/mustard-gateway/src/serve.rs
+++ b/crates/mustard-gateway/src/serve.rs
@@ -21,7 +21,10 @@
 
 use crate::app::{App, StopFlag};
 use crate::errors::{GatewayError, Result};
-use crate::{forward, metric, own_rows, peers, placement, store_watch, stream_watch, strike_news};
+use crate::{
+    forward, metric, own_rows, peers, placement, server_probe, store_watch, stream_watch,
+    strike_news,
+};
 
 /// How long new requests are still accepted after a stop signal. The load balancer checks readiness
 /// every second and removes a VM after two failed checks, so until then it may still send some.
@@ -198,7 +201,7 @@
     ntex::rt::spawn(store_watch::run(Rc::clone(app), FollowedTable::Servers));
     ntex::rt::spawn(placement::run(Rc::clone(app)));
     ntex::rt::spawn(stream_watch::run(Rc::clone(app)));
-    ntex::rt::spawn(stream_watch::retry_silent_servers(Rc::clone(app)));
+    ntex::rt::spawn(server_probe::retry_silent_servers(Rc::clone(app)));
     ntex::rt::spawn(peers::run(Rc::clone(app)));
     ntex::rt::spawn(strike_news::run(Rc::clone(app)));
     ntex::rt::spawn(own_rows::run(Rc::clone(app)));
--- a/crates/mustard-gateway/src/stream_watch.rs
+++ b/crates/mustard-gateway/src/stream_watch.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use slog::{info, warn};
+use slog::info;
 use tokio::time::sleep;
 
 use mustard_adapter::orders::{self, Outcome};
@@ -23,31 +23,23 @@
 use crate::forward::memory_per_server;
 use crate::log_limit::Topic;
 use crate::metric;
-use crate::placement::{engine_of, fetch_report, send_order};
+use crate::placement::{engine_of, send_order};
+use crate::server_probe::{Probed, oldest_report, probe, probe_faulty_server};
 use crate::strikes::{self, FailedRun, Failure};
 
-/// The result of a call to a server.
-type Result<T> = std::result::Result<T, CallError>;
-
 /// The interval between two scans of the streams in flight.
 const SCAN_INTERVAL: Duration = Duration::from_millis(15);
-/// The timeout for a report while streams are stalled; a live server answers within a few
-/// milliseconds.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(25);
-/// The greatest age at which a report is used instead of asking for a new one.
-const MAX_REPORT_AGE: Duration = Duration::from_millis(40);
 /// The most paths that are ordered to move one stream; another is tried only after a refusal that
 /// names the server at fault.
 const MAX_REPATHS: u32 = 3;
 /// How often one attempt is moved to another path, so that a content that ends servers stops doing so
 /// even before their ends show.
 const MAX_MOVES: u32 = 10;
-/// The interval between two calls to a server that didn't answer.
-const SILENT_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 /// The longest pause of a stream; after it the attempt is abandoned even if no server is at fault.
 const MAX_PAUSE: Duration = Duration::from_millis(900);
 
-/// The reports of the servers of stalled streams; `None` for a server that didn't answer.
+/// The reports of the servers of stalled streams; `None` for a server that doesn't answer while others
+/// do.
 type Reports = Map<SocketAddr, Option<Rc<ServerReport>>>;
 
 /// Scans the streams in flight for the life of the process.
@@ -111,7 +103,7 @@
         }
     }
     let now = app.now();
-    let oldest = now - MAX_REPORT_AGE;
+    let oldest = oldest_report(now);
     addrs.retain(|addr| !app.fleet.borrow().is_paused(now, *addr));
     let tasks: Vec<_> = addrs
         .into_iter()
@@ -125,84 +117,15 @@
         .collect();
     let mut reports = Reports::default();
     for (addr, task) in tasks {
-        reports.insert(addr, task.await.ok().flatten());
+        match task.await {
+            Ok(Probed::Report(report)) => reports.insert(addr, Some(report)),
+            Ok(Probed::Silent) => reports.insert(addr, None),
+            Ok(Probed::Unknown) | Err(_) => continue,
+        };
     }
     reports
 }
 
-/// Returns the report that a server sent at or after `since`, or else asks it for one; `None` if it
-/// doesn't answer.
-async fn probe(app: &Rc<App>, addr: SocketAddr, since: Moment) -> Option<Rc<ServerReport>> {
-    let known = app.fleet.borrow().fresh_report(addr, since);
-    if known.is_some() {
-        return known;
-    }
-    let asked = app.now();
-    match fetch_report_with_retry(app, addr).await {
-        Ok(report) => Some(report),
-        Err(e) => {
-            let newly_silent = app.fleet.borrow_mut().record_silence(app.now(), addr);
-            if newly_silent && let Some(log) = app.log.logger_for(Topic::Server) {
-                warn!(log, "watch: A server doesn't answer."; "server" => %addr,
-                    "error" => %e, "took_ms" => app.now().ms_since(asked),
-                    "late_ms" => app.lateness.borrow().since(asked).as_millis() as u64);
-            }
-            if newly_silent {
-                move_streams_off(app, addr);
-            }
-            None
-        }
-    }
-}
-
-/// Fetches a server's report; tries again if the timeout may be due to this process running late.
-async fn fetch_report_with_retry(app: &App, addr: SocketAddr) -> Result<Rc<ServerReport>> {
-    let asked = app.now();
-    let answer = fetch_report(app, addr, REPORT_TIMEOUT).await;
-    if !matches!(answer, Err(CallError::TimedOut(_))) {
-        return answer;
-    }
-    let lateness = *app.lateness.borrow();
-    match lateness.retry_timeout(asked, app.now(), REPORT_TIMEOUT) {
-        Some(limit) => fetch_report(app, addr, limit).await,
-        None => answer,
-    }
-}
-
-/// Asks a server that is probably at fault for a report, so that its actual state decides.
-pub fn probe_faulty_server(app: &Rc<App>, addr: SocketAddr) {
-    let app = Rc::clone(app);
-    ntex::rt::spawn(async move {
-        let now = app.now();
-        if app.fleet.borrow().is_paused(now, addr) {
-            return;
-        }
-        let oldest = now - MAX_REPORT_AGE;
-        if probe(&app, addr, oldest).await.is_some() {
-            app.changed.notify_waiters();
-        }
-    });
-}
-
-/// Retries servers that don't answer, and returns them to use once they do.
-pub async fn retry_silent_servers(app: Rc<App>) {
-    loop {
-        sleep(SILENT_RETRY_INTERVAL).await;
-        let silent = app.fleet.borrow().silent_servers(app.now());
-        for addr in silent {
-            let app = Rc::clone(&app);
-            ntex::rt::spawn(async move {
-                if fetch_report(&app, addr, REPORT_TIMEOUT).await.is_ok() {
-                    app.changed.notify_waiters();
-                    if let Some(log) = app.log.logger_for(Topic::Server) {
-                        info!(log, "watch: A server answers again."; "server" => %addr);
-                    }
-                }
-            });
-        }
-    }
-}
-
 /// What to do about a stalled stream.
 enum Action {
     /// The attempt is kept: it has events again, or no server is known to be at fault.
@@ -277,7 +200,7 @@
 /// Moves every stream whose path uses a server that doesn't answer to another path. The
 /// attempt is abandoned instead if it has no event yet, or if its first server is that server or
 /// takes no orders now.
-fn move_streams_off(app: &Rc<App>, addr: SocketAddr) {
+pub(crate) fn move_streams_off(app: &Rc<App>, addr: SocketAddr) {
     let affected: Vec<(ActiveStreamKey, bool)> = {
         let now = app.now();
         let fleet = app.fleet.borrow();
--- a/crates/mustard-gateway/src/strikes.rs
+++ b/crates/mustard-gateway/src/strikes.rs
@@ -25,7 +25,7 @@
 use crate::forward::AdmittedRequest;
 use crate::log_limit::Topic;
 use crate::metric;
-use crate::placement::fetch_report;
+use crate::placement::{CallKind, fetch_report};
 
 /// Time limit for the report of a server that closed a connection early; a live server responds
 /// within a few milliseconds.
@@ -345,7 +345,7 @@
     if app.fleet.borrow().is_paused(app.now(), process.addr) {
         return ProcessState::Running;
     }
-    match fetch_report(app, process.addr, REPORT_TIMEOUT).await {
+    match fetch_report(app, process.addr, CallKind::Pooled, REPORT_TIMEOUT).await {
         Ok(report) if report.started_ms == process.started_ms => ProcessState::Running,
         Ok(_) | Err(CallError::NoListener(_) | CallError::Lost(_)) => ProcessState::Ended,
         Err(_) => ProcessState::Unknown,
--- a/crates/mustard-policy/src/lib.rs
+++ b/crates/mustard-policy/src/lib.rs
@@ -83,6 +83,7 @@
 
 pub mod segments;
 pub mod separation;
+pub mod silence;
 pub mod slow;
 pub mod stall;
 pub mod strike_news;
--- a/crates/mustard-policy/src/stall.rs
+++ b/crates/mustard-policy/src/stall.rs
@@ -45,26 +45,16 @@
     }
 }
 
-/// A record of how late this process's most recent timers fired.
-///
-/// A process that lacks processor time reads answers late. A call may then time out although the
-/// server has answered; the recorded lateness tells such a timeout from that of a silent server.
+/// A record of how late this process's most recent timers fired, which shows in the log whether it
+/// lacked processor time.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct TimerLateness {
     recent: [(Moment, Duration); RECENT_TIMERS],
     next: usize,
 }
 
-/// The number of timers recorded. The gateway records one every 15 ms, so that these cover 120 ms,
-/// more than the 25 ms within which a server must answer the first call for a report.
+/// The number of timers recorded. The gateway records one every 15 ms, so that these cover 120 ms.
 const RECENT_TIMERS: usize = 8;
-/// The least total lateness during a call for which the call is repeated. Timers have a resolution
-/// of one millisecond, so a smaller lateness doesn't show that the process was late.
-const MIN_LATENESS: Duration = Duration::from_millis(3);
-/// The timeout of a repeated call is the sum of the first call's timeout and the lateness, times
-/// this factor: a process that was late has other answers to read before the one that it waits for.
-const RETRY_TIMEOUT_FACTOR: u32 = 2;
-
 impl TimerLateness {
     /// Records that a timer fired now, and by how much it was late.
     pub fn record(&mut self, now: Moment, late: Duration) {
@@ -77,17 +67,6 @@
         let timers = self.recent.iter().filter(|(at, _)| *at >= moment);
         timers.map(|(_, late)| *late).sum()
     }
-
-    /// Returns the timeout for the repetition of a call that was made at `sent` and has timed out
-    /// after `timeout`; `None` if this process was not late during the call, so that it was the
-    /// server that did not answer.
-    ///
-    /// The calling code has to check that the call timed out.
-    pub fn retry_timeout(&self, sent: Moment, now: Moment, timeout: Duration) -> Option<Duration> {
-        let overrun = now.since(sent).saturating_sub(timeout);
-        let late = self.since(sent).max(overrun);
-        (late >= MIN_LATENESS).then(|| (timeout + late) * RETRY_TIMEOUT_FACTOR)
-    }
 }
 
 /// The progress of a stream, and the checks of its servers.
--- a/crates/mustard-policy/tests/watch.rs
+++ b/crates/mustard-policy/tests/watch.rs
@@ -132,36 +132,14 @@
     assert!(share.try_spend(at(10_100)));
 }
 
-/// A restarted gateway gets many requests at once, lacks processor time, and reads reports late. It
-/// must not conclude that the servers don't answer.
+/// The log shows how late a process was, so that its timeouts can be explained.
 #[test]
-fn retry_timeout_late_process() {
-    let limit = Duration::from_millis(25);
+fn since_late_timers() {
     let mut lateness = TimerLateness::default();
-    for before in [960, 975, 990] {
-        lateness.record(at(before), Duration::from_millis(40));
-    }
-    let retry_timeout = |l: &TimerLateness, now| l.retry_timeout(at(1_000), at(now), limit);
-    assert_eq!(
-        retry_timeout(&lateness, 1_026),
-        None,
-        "timers were late only before the call"
-    );
+    lateness.record(at(990), Duration::from_millis(40));
     lateness.record(at(1_016), Duration::from_millis(1));
-    assert_eq!(
-        retry_timeout(&lateness, 1_026),
-        None,
-        "timers were on time during the call"
-    );
-    assert!(
-        retry_timeout(&lateness, 1_033).is_some(),
-        "the call's own timer was late"
-    );
     lateness.record(at(1_033), Duration::from_millis(18));
-    let extended = retry_timeout(&lateness, 1_033).unwrap();
-    assert!(extended >= limit + Duration::from_millis(18));
-    // A stream that is stalled meanwhile has to go on within the 200 ms that clients allow.
-    assert!(extended <= Duration::from_millis(100), "{extended:?}");
+    assert_eq!(lateness.since(at(1_000)), Duration::from_millis(19));
 }
 
 #[test]
