Limit what crosses between failure domains to what the bandwidth carries

Cause: a prompt of 760 tokens takes 48 ms of the 2,080 Mbit/s between two domains, so that they carry 17 a second. The log shows 120 to 250 crossings a second. Each waits for all before it; after 0.9 s without an event a stream is abandoned and sent across again, which lengthens the queue. Ruled out: processor time of servers (2 ms a prompt and part) and of gateways (0.02 of 0.09).

Change: each gateway has an even part of the crossings that the bandwidth carries, halves it when its crossing requests begin late, and raises it again with time. A moved stream whose new path would exceed it is resumed by another server within one domain instead; a request that finds no other path waits or is refused as "no path". Where connections are wide (7,900 Mbit/s before 62 requests a second) nothing is limited.

--- a/crates/mustard-gateway/src/active_streams.rs
+++ b/crates/mustard-gateway/src/active_streams.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::sync::Notify;
 
@@ -42,6 +43,10 @@
     pub moves: u32,
     /// The tokens and the failure domain by which its path was chosen.
     pub demand: RequestDemand,
+    /// How often the path that it was sent over crosses from one failure domain to another.
+    pub crossings: u32,
+    /// The time within which its first event is wanted.
+    pub target_latency: Duration,
     /// When its last event arrived, and when its servers were last asked for reports since then.
     pub progress: Progress,
     /// Tells its task to abandon the attempt and continue at another server.
@@ -131,9 +136,12 @@
         let Some(stream) = streams.get_mut(self.key) else {
             return;
         };
+        let pause = now.since(stream.progress.last_event);
         if stream.progress.has_begun {
-            let pause = now.since(stream.progress.last_event);
             self.app.pauses.borrow_mut().observe(pause);
+        } else if stream.crossings > 0 {
+            let in_time = pause <= stream.target_latency;
+            self.app.crossings.borrow_mut().record_start(now, in_time);
         }
         let before = stream.progress.written;
         stream.progress.advance(now);
@@ -147,7 +155,11 @@
     fn drop(&mut self) {
         let stream = self.app.streams.borrow_mut().remove(self.key);
         if let Some(stream) = stream.as_ref().filter(|_| !self.is_concluded.get()) {
-            let pause = self.app.now().since(stream.progress.last_event);
+            let now = self.app.now();
+            let pause = now.since(stream.progress.last_event);
+            if !stream.progress.has_begun && stream.crossings > 0 {
+                self.app.crossings.borrow_mut().record_start(now, false);
+            }
             if !stream.progress.has_begun || pause > self.app.pauses.borrow().limit() {
                 strikes::record_run(&self.app, stream.failed_run(Failure::Abandoned));
             }
--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -16,12 +16,13 @@
 use mustard_adapter::{NodeSettings, Store};
 use mustard_core::clock::{Clock, Moment, SystemClock};
 use mustard_core::collections::Map;
-use mustard_core::deployment::Config;
+use mustard_core::deployment::{Config, Engine};
 use mustard_core::fingerprint::Fingerprint;
 use mustard_core::ids::{Era, Incarnation};
 use mustard_net::http::{MAX_ANSWER_BYTES, new_client, new_limited_client};
 use mustard_net::shutdown::RequestGate;
 use mustard_policy::budget_share::{Budget, RetryBudgetShare};
+use mustard_policy::pipeline::{CrossingBudget, crossing_capacity};
 use mustard_policy::quarantine::{Quarantine, Settings};
 use mustard_policy::segments::SegmentFilter;
 use mustard_policy::silence::AnswerLog;
@@ -30,6 +31,7 @@
 use crate::active_streams::ActiveStreams;
 use crate::fleet::Fleet;
 use crate::log_limit::LimitedLog;
+use crate::metric;
 use crate::peers::Peers;
 use crate::strike_news::News;
 
@@ -140,6 +142,8 @@
     pub lateness: RefCell<TimerLateness>,
     /// Which calls for reports were answered, which tells silent servers from a busy link.
     pub answers: RefCell<AnswerLog>,
+    /// What this process may still send across failure domains.
+    pub crossings: RefCell<CrossingBudget>,
     /// The running mean of the pauses between events of streams.
     pub pauses: RefCell<PauseEstimate>,
     /// The retry budget of each service, by its name.
@@ -209,6 +213,7 @@
             list_confirmed: Cell::default(),
             lateness: RefCell::default(),
             answers: RefCell::default(),
+            crossings: RefCell::default(),
             pauses: RefCell::default(),
             retry_budgets: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(Settings {
@@ -275,6 +280,22 @@
         self.peers.borrow().alive_count() + 1
     }
 
+    /// Takes the crossings of a path between failure domains out of this process's part of what the
+    /// bandwidth between them carries; tells whether they were there.
+    pub fn take_crossings(&self, engine: &Engine, crossings: u32) -> bool {
+        if crossings == 0 {
+            return true;
+        }
+        let domains = self.fleet.borrow().domain_count();
+        let rate = crossing_capacity(engine, domains) / self.gateway_count() as f64;
+        let is_allowed = self
+            .crossings
+            .borrow_mut()
+            .take(self.now(), rate, crossings);
+        metric::count_crossing(if is_allowed { "used" } else { "refused" });
+        is_allowed
+    }
+
     /// Calls a function with the retry budget of a service, created at first use.
     pub fn with_retry_budget<T>(
         &self,
--- a/crates/mustard-gateway/src/fleet/mod.rs
+++ b/crates/mustard-gateway/src/fleet/mod.rs
@@ -135,6 +135,11 @@
         (self.domains.len() - 1) as u32
     }
 
+    /// Returns the number of failure domains that servers or this gateway are in.
+    pub fn domain_count(&self) -> usize {
+        self.domains.len()
+    }
+
     /// Applies a row of the server list.
     ///
     /// `unconfirmed_until` is set for a row of a restored list, which may be that of a server that
--- a/crates/mustard-gateway/src/forward/open_stream.rs
+++ b/crates/mustard-gateway/src/forward/open_stream.rs
@@ -28,6 +28,8 @@
 const PATH_WAIT_SHARE: f64 = 0.5;
 /// The least time between two searches for a path.
 const MIN_WAIT: Duration = Duration::from_millis(5);
+/// The longest time between two searches for a path.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(80);
 /// A request is given up after this many sends that no server ran.
 const MAX_UNRUN_SENDS: u32 = 4;
 
@@ -112,6 +114,8 @@
             segments: Rc::clone(&request.segments),
             moves: 0,
             demand,
+            crossings: target.crossings,
+            target_latency: request.route.target_latency,
             progress: Progress::start(now),
             abandon: Rc::clone(&abandon),
             moving: false,
@@ -233,8 +237,10 @@
         if left.is_zero() || (is_limited && limit_wait.is_none_or(|w| w > left)) {
             return None;
         }
-        // Whether this ends by a change or by the time, the next search shows what there is.
-        let wait = limit_wait.map_or(left, |w| w.max(MIN_WAIT).min(left));
+        // Whether this ends by a change or by the time, the next search shows what there is. Backoffs
+        // end and budgets grow without a change.
+        let wait = limit_wait.map_or(SEARCH_INTERVAL, |w| w.max(MIN_WAIT));
+        let wait = wait.min(left);
         let _ = timeout(wait, changed).await;
     }
 }
@@ -288,6 +294,11 @@
         crossings,
     };
     drop(fleet);
+    if let Some(engine) = &request.service.engine
+        && !app.take_crossings(engine, crossings)
+    {
+        return None;
+    }
     app.fleet.borrow_mut().take_request(now, key);
     Some((target, demand))
 }
--- a/crates/mustard-gateway/src/metric.rs
+++ b/crates/mustard-gateway/src/metric.rs
@@ -70,6 +70,11 @@
     counter!("mustard_probes_total", "result" => result).increment(1);
 }
 
+/// Counts a path that crosses between failure domains, by whether the budget allows it.
+pub fn count_crossing(result: &'static str) {
+    counter!("mustard_crossing_paths_total", "result" => result).increment(1);
+}
+
 /// Sets the version of the configuration that is in force.
 pub fn set_config_version(version: u64) {
     gauge!("mustard_config_version").set(version as f64);
--- a/crates/mustard-gateway/src/stream_watch.rs
+++ b/crates/mustard-gateway/src/stream_watch.rs
@@ -11,10 +11,9 @@
 use mustard_adapter::orders::{self, Outcome};
 use mustard_core::clock::Moment;
 use mustard_core::collections::{Map, Set};
-use mustard_core::deployment::{PathPart, ServerReport};
-use mustard_net::CallError;
+use mustard_core::deployment::{Engine, PathPart, ServerReport};
 use mustard_policy::backoff::Fault;
-use mustard_policy::pipeline::replan_path;
+use mustard_policy::pipeline::{Path, replan_path};
 use mustard_policy::stall::Progress;
 
 use crate::active_streams::{ActiveStream, ActiveStreamKey};
@@ -228,7 +227,7 @@
 
 /// The new path for each old one. Streams on the same old path get the same new one, since a
 /// search takes longer than sending an order.
-type NewPaths = Map<Vec<PathPart>, Vec<PathPart>>;
+type NewPaths = Map<Vec<PathPart>, Rc<Path>>;
 
 /// Orders the first server to continue a stream over a path that avoids the servers out of use.
 async fn repath_stream(app: Rc<App>, key: ActiveStreamKey, paths: Rc<RefCell<NewPaths>>) {
@@ -333,24 +332,29 @@
     let mut streams = app.streams.borrow_mut();
     let stream = streams.get_mut(key)?;
     let first = *stream.parts.first()?;
+    let config = app.config()?;
+    let engine = engine_of(&config, &stream.service)?;
     let known = paths.borrow().get(&stream.parts).cloned();
     let new_path = match known {
         Some(new_path) => new_path,
         None => {
-            let new_path = search_path(app, stream, first)?;
+            let new_path = Rc::new(search_path(app, stream, first, engine)?);
             paths
                 .borrow_mut()
-                .insert(stream.parts.clone(), new_path.clone());
+                .insert(stream.parts.clone(), Rc::clone(&new_path));
             new_path
         }
     };
+    // All parts of the new path read the prompt again. Another server may begin anew within one
+    // failure domain instead.
+    if !app.take_crossings(engine, new_path.crossings) {
+        return None;
+    }
     stream.moving = true;
-    Some((stream.id.clone(), first.addr, new_path))
+    Some((stream.id.clone(), first.addr, new_path.parts.clone()))
 }
 
-fn search_path(app: &App, stream: &ActiveStream, first: PathPart) -> Option<Vec<PathPart>> {
-    let config = app.config()?;
-    let engine = engine_of(&config, &stream.service)?;
+fn search_path(app: &App, stream: &ActiveStream, first: PathPart, engine: &Engine) -> Option<Path> {
     let now = app.now();
     let gateways = app.gateway_count() as f64;
     let fleet = app.fleet.borrow();
@@ -367,7 +371,7 @@
         holders.push(server.holder(engine, now, gateways)?);
     }
     let mut rng = app.rng.borrow_mut();
-    Some(replan_path(engine, &holders, &stream.demand, first, &mut *rng)?.parts)
+    replan_path(engine, &holders, &stream.demand, first, &mut *rng)
 }
 
 fn silent_ms(now: Moment, last: Moment) -> u64 {
