Shorten the placement's lease, and spread the attempts to acquire it

Cause, from the log: each stop or end of the holder cost a whole term of 2.5 s, as a contender counts it from when it first sees the row. A stopping gateway kept the lease. And each new holder saw only for itself how long a server had been giving up layers.

Change: a term of 1.2 s; a stopping gateway releases the lease; after an attempt that found another holder the next one comes a term later, spread by rank and chance; since when a server holds nothing is taken from its row, which all gateways see.

--- a/crates/mustard-gateway/src/fleet/server.rs
+++ b/crates/mustard-gateway/src/fleet/server.rs
@@ -88,6 +88,8 @@
     pub named_limit: Option<NamedLimit>,
     /// The order that it is carrying out.
     pub load_order: Option<LoadOrder>,
+    /// Since when it has held nothing, as far as this gateway knows.
+    pub empty_since: Option<Moment>,
     /// Whether it gets rid of the layers that it gives up.
     pub unload: UnloadWatch,
     /// Memory in use by this gateway's requests, in tokens times layers.
@@ -114,6 +116,7 @@
             paused_until: Moment::default(),
             named_limit: None,
             load_order: None,
+            empty_since: None,
             unload: UnloadWatch::default(),
             memory_used: 0.0,
             running: 0,
@@ -146,9 +149,7 @@
         if state == ServerState::Leaving {
             self.entry.state = ServerState::Leaving;
         }
-        if self.entry.held.is_some() {
-            self.unload.observe(now, false);
-        }
+        self.record_held(now);
         let loaded = self.load_order.is_some_and(|l| self.holds(l.layers));
         if loaded {
             self.load_order = None;
@@ -197,8 +198,9 @@
             self.backoff.clear();
         }
         self.entry.held = report.held;
-        let waits = report.busy && report.held.is_none() && report.memory_used > 0.0;
-        self.unload.observe(now, waits);
+        self.record_held(now);
+        let waits = report.busy && report.memory_used > 0.0;
+        self.unload.observe(now, self.empty_since.filter(|_| waits));
         if self.load_order.is_some_and(|l| self.holds(l.layers)) {
             self.load_order = None;
         }
@@ -263,6 +265,16 @@
         self.entry.held
     }
 
+    /// Records whether the server holds layers, after its row or a report said so.
+    fn record_held(&mut self, now: Moment) {
+        if self.entry.held.is_some() {
+            self.empty_since = None;
+            self.unload.observe(now, None);
+        } else {
+            self.empty_since.get_or_insert(now);
+        }
+    }
+
     fn holds(&self, layers: Layers) -> bool {
         self.entry.held.is_some_and(|h| h.layers == layers)
     }
--- a/crates/mustard-gateway/src/placement.rs
+++ b/crates/mustard-gateway/src/placement.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use ntex::http::Method;
+use rand::Rng;
 use slog::{info, warn};
 use tokio::time::sleep;
 
@@ -33,16 +34,18 @@
 /// The interval between two runs of the planner.
 const PLAN_INTERVAL: Duration = Duration::from_millis(300);
 /// The term of the lease; another gateway can take over from a dead holder after it.
-const LEASE_TERM: Duration = Duration::from_millis(2_500);
+const LEASE_TERM: Duration = Duration::from_millis(1_200);
 /// A lease with less time left than this is renewed before orders are sent.
-const MIN_LEASE_LEFT: Duration = Duration::from_millis(800);
+const MIN_LEASE_LEFT: Duration = Duration::from_millis(400);
 /// How long the number of servers must stay the same before the first plan.
 const SETTLE_TIME: Duration = Duration::from_millis(1_300);
 /// A gateway waits this long times its rank before it acquires the lease, so that few contend for
 /// it. The rank is the number of live peers whose addresses sort before its own.
-const RANK_DELAY: Duration = Duration::from_millis(600);
+const RANK_DELAY: Duration = Duration::from_millis(250);
 /// The highest rank that counts for the delay.
 const MAX_RANK: usize = 4;
+/// The highest rank that counts for the delay between two attempts.
+const MAX_RETRY_RANK: usize = 16;
 /// The timeout of a call that fetches a report or sends an order.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// The age of a loading server's report at which a new one is fetched.
@@ -76,8 +79,13 @@
     let mut planned_since = None;
     let mut idle_since = None;
     let mut era = app.store.era();
+    let mut next_attempt = Moment::default();
     loop {
         sleep(PLAN_INTERVAL).await;
+        if app.stop.is_set() {
+            release_lease(&app, &mut lease).await;
+            continue;
+        }
         if app.store.era() != era {
             era = app.store.era();
             lease.discard_term();
@@ -117,7 +125,11 @@
         if waited < RANK_DELAY * app.peers.borrow().rank().min(MAX_RANK) as u32 {
             continue;
         }
+        if app.now() < next_attempt {
+            continue;
+        }
         let Some(fence) = acquire_lease(&app, &mut lease).await else {
+            next_attempt = app.now() + retry_delay(&app);
             continue;
         };
         send_orders(&app, &mut lease, fence, planned).await;
@@ -193,6 +205,15 @@
     orders.collect()
 }
 
+/// Returns the time until the next attempt to acquire a lease that another gateway holds: no term
+/// ends sooner. All gateways together would otherwise read its row many times a term, and write it at the
+/// same moment once it is over.
+fn retry_delay(app: &App) -> Duration {
+    let rank = app.peers.borrow().rank().min(MAX_RETRY_RANK);
+    let spread: f64 = app.rng.borrow_mut().random();
+    LEASE_TERM + RANK_DELAY.mul_f64(rank as f64 * spread)
+}
+
 async fn acquire_lease(app: &App, lease: &mut Lease<mustard_adapter::Store>) -> Option<Fence> {
     let now = app.now();
     if let Some(held) = lease.held(now)
--- a/crates/mustard-policy/src/pipeline/unload.rs
+++ b/crates/mustard-policy/src/pipeline/unload.rs
@@ -26,10 +26,11 @@
 }
 
 impl UnloadWatch {
-    /// Records a report: whether the server waits for requests that use layers that it gives up.
-    pub fn observe(&mut self, now: Moment, waits: bool) {
-        self.waiting = waits.then(|| Waiting {
-            since: self.waiting.map_or(now, |w| w.since),
+    /// Records a report: since when the server has held nothing, if it waits for requests that use layers
+    /// that it gives up.
+    pub fn observe(&mut self, now: Moment, waiting_since: Option<Moment>) {
+        self.waiting = waiting_since.map(|since| Waiting {
+            since,
             reported: now,
         });
     }
