Leave servers alone that refuse requests although they have room

Cause, from the log: four leaving servers answered 503 and named themselves 100 to 290 times in 2 s. The list could not show that they leave, a refusal kept a server out of use for 150 ms at each gateway, and they were the only holders of their layers in their domains, so that each new path led there. The plan also counted on them. Ruled out: memory; their reports show room.

Change: after two refusals while its report shows a tenth of its memory free, a server isn't used for 1 s, 2 s and 4 s, then only if no other path is cheaper, until it runs a request; the plan doesn't count it. A full server is used again as before.

It now ends the old one first; what it checks is unchanged.

--- a/crates/mustard-gateway/src/active_streams.rs
+++ b/crates/mustard-gateway/src/active_streams.rs
@@ -139,9 +139,13 @@
         let pause = now.since(stream.progress.last_event);
         if stream.progress.has_begun {
             self.app.pauses.borrow_mut().observe(pause);
-        } else if stream.crossings > 0 {
-            let in_time = pause <= stream.target_latency;
-            self.app.crossings.borrow_mut().record_start(now, in_time);
+        } else {
+            let addrs = stream.parts.iter().map(|p| p.addr);
+            self.app.fleet.borrow_mut().record_use(addrs);
+            if stream.crossings > 0 {
+                let in_time = pause <= stream.target_latency;
+                self.app.crossings.borrow_mut().record_start(now, in_time);
+            }
         }
         let before = stream.progress.written;
         stream.progress.advance(now);
--- a/crates/mustard-gateway/src/fleet/mod.rs
+++ b/crates/mustard-gateway/src/fleet/mod.rs
@@ -250,6 +250,26 @@
         was_used && server.backoff.is_backing_off(now)
     }
 
+    /// Records that the server at an address refused a request, or is named as the cause of a refusal.
+    pub fn record_refusal(&mut self, now: Moment, addr: SocketAddr) {
+        self.record_fault(now, addr, Fault::Full);
+        let key = self.key_at(addr);
+        if let Some(server) = key.and_then(|k| self.servers.get_mut(k)) {
+            server.refused_at = Some(now);
+        }
+    }
+
+    /// Records that servers run a request.
+    pub fn record_use(&mut self, addrs: impl Iterator<Item = SocketAddr>) {
+        for addr in addrs {
+            let key = self.key_at(addr);
+            if let Some(server) = key.and_then(|k| self.servers.get_mut(k)) {
+                server.refused_at = None;
+                server.refusals.record_use();
+            }
+        }
+    }
+
     /// Records a report of the server at an address.
     pub fn record_report(&mut self, now: Moment, addr: SocketAddr, report: Rc<ServerReport>) {
         let key = self.key_at(addr);
--- a/crates/mustard-gateway/src/fleet/server.rs
+++ b/crates/mustard-gateway/src/fleet/server.rs
@@ -11,6 +11,7 @@
 use mustard_core::ids::Layers;
 use mustard_policy::backoff::ServerBackoff;
 use mustard_policy::pipeline::{LayerHolder, PlacementServer, UnloadWatch};
+use mustard_policy::refusals::RefusalWatch;
 
 use crate::limits::NamedLimit;
 
@@ -27,6 +28,10 @@
 /// How long the plan counts on a server that doesn't answer; a process that restarts is back
 /// within a few seconds, and loading its layers elsewhere takes about as long.
 const SILENCE_GRACE: Duration = Duration::from_millis(1_500);
+/// The age up to which a refusal is judged by a report.
+const MAX_REFUSAL_AGE: Duration = Duration::from_millis(500);
+/// The share of a server's memory that is free if it has room for a request.
+const ROOM_SHARE: f64 = 0.1;
 /// How long a row lags behind what its server holds: a heartbeat interval and the feed's delay.
 const ROW_LAG: Duration = Duration::from_millis(1_500);
 /// How long after the expected load time an order without effect is dropped.
@@ -78,6 +83,10 @@
     pub domain: u32,
     /// Keeps it out of use for a while after faults.
     pub backoff: ServerBackoff,
+    /// Its refusals that its reports don't explain.
+    pub refusals: RefusalWatch,
+    /// When it last refused a request, until a report shows whether it had room.
+    pub refused_at: Option<Moment>,
     /// When its row vanished, if that happened while the store was unstable.
     pub missing_since: Option<Moment>,
     /// Until when it isn't used, as it was removed before the store was restored and may be gone.
@@ -111,6 +120,8 @@
             entry,
             domain,
             backoff: ServerBackoff::default(),
+            refusals: RefusalWatch::default(),
+            refused_at: None,
             missing_since: None,
             unconfirmed_until: None,
             paused_until: Moment::default(),
@@ -199,6 +210,10 @@
         }
         self.entry.held = report.held;
         self.record_held(now);
+        let refused = self.refused_at.take();
+        if refused.is_some_and(|at| now.since(at) < MAX_REFUSAL_AGE) && has_room(&report) {
+            self.refusals.record_refusal(now);
+        }
         let waits = report.busy && report.memory_used > 0.0;
         self.unload.observe(now, self.empty_since.filter(|_| waits));
         if self.load_order.is_some_and(|l| self.holds(l.layers)) {
@@ -214,6 +229,7 @@
             && self.missing_since.is_none()
             && self.is_confirmed(now)
             && !self.is_paused(now)
+            && !self.refusals.is_declining(now)
             && !self.backoff.is_backing_off(now)
     }
 
@@ -257,6 +273,7 @@
             && missing
             && self.is_confirmed(now)
             && !self.is_paused(now)
+            && !self.refusals.is_declining(now)
             && !self.backoff.is_backing_off(now)
     }
 
@@ -299,13 +316,19 @@
         let layers_mb = f64::from(held.layers.count()) * engine.layer_mb;
         let room_mb = (accelerator.memory_mb - layers_mb).max(1.0);
         let used_mb = self.memory_used * gateways * engine.token_layer_mb();
+        // A server that may still decline counts as full, so that a path avoids it if it can.
+        let memory_share = if self.refusals.is_suspect(now) {
+            (used_mb / room_mb).max(1.0)
+        } else {
+            used_mb / room_mb
+        };
         Some(LayerHolder {
             addr: self.entry.addr,
             domain: self.domain,
             layers: held.layers,
             step_factor: accelerator.step_factor * slow,
             prompt_factor: accelerator.prompt_factor * slow,
-            memory_share: used_mb / room_mb,
+            memory_share,
             takes_requests: self.takes_requests(now),
         })
     }
@@ -319,6 +342,7 @@
     ) -> Option<PlacementServer> {
         let accelerator = engine.accelerator(self.entry.accelerator.as_deref()?)?;
         let is_stuck = self.unload.is_stuck(now);
+        let declines = self.refusals.is_declining(now);
         let order = self.load_order.filter(|l| now < l.until && !is_stuck);
         let lost = self
             .silent_since
@@ -333,10 +357,11 @@
                 .or(self.entry.held.map(|h| h.layers)),
             accepts_orders: order.is_none()
                 && !is_stuck
+                && !declines
                 && self.silent_since.is_none()
                 && self.missing_since.is_none()
                 && !self.is_paused(now),
-            is_staying: self.entry.state == ServerState::Ready && !lost && !is_stuck,
+            is_staying: self.is_ready() && !lost && !is_stuck && !declines,
         })
     }
 
@@ -368,3 +393,10 @@
         });
     }
 }
+
+/// Tells whether a server's report shows memory for another request; one without memory in total, which
+/// holds no layers, has none.
+fn has_room(report: &ServerReport) -> bool {
+    let free = report.memory_total - report.memory_used;
+    report.memory_total > 0.0 && free >= ROOM_SHARE * report.memory_total
+}
--- a/crates/mustard-gateway/src/forward/open_stream.rs
+++ b/crates/mustard-gateway/src/forward/open_stream.rs
@@ -201,7 +201,11 @@
         SendError::NotRun(421, named) => {
             (named.unwrap_or(first_server), Some(Fault::LayersMissing))
         }
-        SendError::NotRun(_, named) => (named.unwrap_or(first_server), Some(Fault::Full)),
+        SendError::NotRun(_, named) => {
+            let addr = named.unwrap_or(first_server);
+            app.fleet.borrow_mut().record_refusal(now, addr);
+            (addr, None)
+        }
         SendError::Lost => (first_server, None),
         SendError::GivenUp => return None,
     };
--- a/crates/mustard-gateway/src/stream_watch.rs
+++ b/crates/mustard-gateway/src/stream_watch.rs
@@ -261,9 +261,7 @@
         let Ok((Outcome::Conflict, Some(faulty))) = result else {
             break;
         };
-        app.fleet
-            .borrow_mut()
-            .record_fault(app.now(), faulty, Fault::Full);
+        app.fleet.borrow_mut().record_refusal(app.now(), faulty);
         paths.borrow_mut().clear();
         probe_faulty_server(&app, faulty);
     }
--- a/crates/mustard-gateway/tests/gateway/limits.rs
+++ b/crates/mustard-gateway/tests/gateway/limits.rs
@@ -226,8 +226,10 @@
     bed.send("/book/x", Duration::from_secs(4)).await;
     for round in 1..=3 {
         for g in 0..3 {
-            // Dropping the old one ends it.
-            bed.gateways[g] = Gateway::start(&bed.site, bed.ips[g], bed.peer_port, &bed.ips);
+            // Dropping the old one ends it, before the new one listens at the same address.
+            drop(bed.gateways.remove(g));
+            let new = Gateway::start(&bed.site, bed.ips[g], bed.peer_port, &bed.ips);
+            bed.gateways.insert(g, new);
             bed.gateways[g].wait_ready(&bed.caller).await;
             bed.numbers[g] = 10 * round + g;
         }
--- a/crates/mustard-policy/src/lib.rs
+++ b/crates/mustard-policy/src/lib.rs
@@ -78,6 +78,7 @@
 pub mod pipeline;
 pub mod quarantine;
 pub mod rate_share;
+pub mod refusals;
 pub mod retry;
 pub mod route;
 
