Count suspended time in all permissions, and send no order after the lease's end

What operators of similar systems reported: a process that had been paused acted on a permission that had run out meanwhile. It could happen here: a machine may be suspended, and the clock behind leases, confirmed configurations, deadlines and limits (CLOCK_MONOTONIC) stands still then. A holder of the placement that woke after 30 s took its lease for valid, and an order that had waited for a server's report wasn't checked again. Servers refuse a token below one that they have seen, but one that the next holder hadn't called yet would have taken the order.

Change: SystemClock follows CLOCK_BOOTTIME (rustix), and an order is sent only while the lease that it was planned under lasts, by that clock, checked after the report.

SIGSTOP was covered before, as CLOCK_MONOTONIC counts that time.

--- a/crates/mustard-core/src/clock.rs
+++ b/crates/mustard-core/src/clock.rs
@@ -3,8 +3,9 @@
 
 use std::fmt;
 use std::ops::{Add, Sub};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use rustix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 
 /// A point of monotonic time, in microseconds since an arbitrary origin of this process.
@@ -68,9 +69,12 @@
 }
 
 /// The clock of the operating system.
+///
+/// Its monotonic time also counts while the machine is suspended, so that a lease, a confirmed
+/// configuration or a deadline that ends meanwhile has ended when the process goes on.
 #[derive(Clone, Debug)]
 pub struct SystemClock {
-    created: Instant,
+    created: Duration,
 }
 
 /// How long before the creation of the clock the origin of its moments lies, so that the age of
@@ -80,14 +84,15 @@
 impl Default for SystemClock {
     fn default() -> Self {
         SystemClock {
-            created: Instant::now(),
+            created: time_since_boot(),
         }
     }
 }
 
 impl Clock for SystemClock {
     fn now(&self) -> Moment {
-        Moment((ORIGIN_OFFSET + self.created.elapsed()).as_micros() as u64)
+        let elapsed = time_since_boot().saturating_sub(self.created);
+        Moment((ORIGIN_OFFSET + elapsed).as_micros() as u64)
     }
 
     fn wall_ms(&self) -> u64 {
@@ -96,3 +101,9 @@
             .map_or(0, |d| d.as_millis() as u64)
     }
 }
+
+/// Returns the time since the machine booted, suspended time included.
+fn time_since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
--- a/crates/mustard-gateway/src/placement.rs
+++ b/crates/mustard-gateway/src/placement.rs
@@ -22,7 +22,7 @@
 use mustard_net::CallError;
 use mustard_net::forward::exchange_unpooled;
 use mustard_net::http::{Request, exchange};
-use mustard_platform::lease::{Lease, LeaseOptions};
+use mustard_platform::lease::{HeldLease, Lease, LeaseOptions};
 use mustard_policy::pipeline::{PlacementSettings, layers_memory_share, plan_placement};
 
 use crate::app::App;
@@ -128,11 +128,11 @@
         if app.now() < next_attempt {
             continue;
         }
-        let Some(fence) = acquire_lease(&app, &mut lease).await else {
+        let Some(grant) = acquire_lease(&app, &mut lease).await else {
             next_attempt = app.now() + retry_delay(&app);
             continue;
         };
-        send_orders(&app, &mut lease, fence, planned).await;
+        send_orders(&app, &mut lease, grant, planned).await;
     }
 }
 
@@ -214,21 +214,47 @@
     LEASE_TERM + RANK_DELAY.mul_f64(rank as f64 * spread)
 }
 
-async fn acquire_lease(app: &App, lease: &mut Lease<mustard_adapter::Store>) -> Option<Fence> {
+/// The permission to send orders.
+#[derive(Clone, Copy, Debug)]
+pub struct OrderGrant {
+    /// The fencing token that the orders carry.
+    pub fence: Fence,
+    /// When the lease ends; `None` if orders are sent under the last fencing token while the store is
+    /// unavailable.
+    pub until: Option<Moment>,
+}
+
+impl From<HeldLease> for OrderGrant {
+    fn from(held: HeldLease) -> Self {
+        OrderGrant {
+            fence: held.fence,
+            until: Some(held.until),
+        }
+    }
+}
+
+impl OrderGrant {
+    /// Tells whether the lease has ended; the process may have been paused since it was acquired.
+    pub fn has_ended(self, now: Moment) -> bool {
+        self.until.is_some_and(|until| now >= until)
+    }
+}
+
+async fn acquire_lease(app: &App, lease: &mut Lease<mustard_adapter::Store>) -> Option<OrderGrant> {
     let now = app.now();
     if let Some(held) = lease.held(now)
         && now.until(held.until) > MIN_LEASE_LEFT
     {
-        return Some(held.fence);
+        return Some(held.into());
     }
     match lease.renew_or_acquire(&app.clock).await {
         Ok(held) => {
             metric::count_store_call("lease", if held.is_some() { "held" } else { "busy" });
-            let fence = held?.fence;
+            let grant = OrderGrant::from(held?);
             if let Some(log) = app.log.logger_for(Topic::Order) {
-                info!(log, "placement: The lease is held."; "fence" => fence.0);
+                info!(log, "placement: The lease is held."; "fence" => grant.fence.0);
             }
-            Some(fence)
+            Some(grant)
         }
         Err(e) => {
             metric::count_store_call("lease", "failed");
@@ -239,7 +265,7 @@
                 warn!(log, "placement: The lease can't be acquired."; "error" => %e,
                     "last_fence" => last.map(|f| f.0));
             }
-            last
+            last.map(|fence| OrderGrant { fence, until: None })
         }
     }
 }
@@ -279,15 +305,14 @@
 async fn send_orders(
     app: &Rc<App>,
     lease: &mut Lease<mustard_adapter::Store>,
-    fence: Fence,
+    grant: OrderGrant,
     planned: Vec<PlannedOrder>,
 ) {
-    let fence = app.node.require_fence.then_some(fence);
     let tasks: Vec<_> = planned
         .into_iter()
         .map(|order| {
             let app = Rc::clone(app);
-            ntex::rt::spawn(async move { order_layers(&app, fence, order).await })
+            ntex::rt::spawn(async move { order_layers(&app, grant, order).await })
         })
         .collect();
     let mut fenced = false;
@@ -300,7 +325,7 @@
     }
 }
 
-async fn order_layers(app: &App, fence: Option<Fence>, order: PlannedOrder) -> Option<Outcome> {
+async fn order_layers(app: &App, grant: OrderGrant, order: PlannedOrder) -> Option<Outcome> {
     let report = match fetch_report(app, order.addr, CallKind::Pooled, CALL_TIMEOUT).await {
         Ok(report) => report,
         Err(e) => {
@@ -329,6 +354,14 @@
         }
         return None;
     }
+    if grant.has_ended(now) {
+        if let Some(log) = app.log.logger_for(Topic::Order) {
+            warn!(log, "placement: The lease ended before an order was sent.";
+                "server" => %order.addr, "fence" => grant.fence.0);
+        }
+        return None;
+    }
+    let fence = app.node.require_fence.then_some(grant.fence);
     let body = orders::encode_place(order.layers, fence, report.order_count);
     let outcome = send_order(app, order.addr, body)
         .await
--- a/crates/mustard-gateway/tests/leave_unlisted.rs
+++ b/crates/mustard-gateway/tests/leave_unlisted.rs
@@ -169,7 +169,7 @@
             };
             self.fleet.record_refusal(self.now, refusing);
             let held = self.fleet.key_at(refusing).and_then(|k| self.fleet.get(k));
-            let held = held.and_then(|s| s.layers());
+            let held = held.and_then(mustard_gateway::fleet::Server::layers);
             self.fleet
                 .record_report(self.now, refusing, leaving_report(held));
             avoid.push(refusing);
