Start tasks again that end although they run for the life of the process

What operators of similar systems reported: one unexpected error took a whole process down. Here it would have been worse to see: a panic in a task that follows the configuration or the servers, plans layers or watches streams ended this task alone, and the gateway went on without it and without a line in the log.

--- a/crates/mustard-gateway/src/metric.rs
+++ b/crates/mustard-gateway/src/metric.rs
@@ -75,6 +75,11 @@
     counter!("mustard_crossing_paths_total", "result" => result).increment(1);
 }
 
+/// Counts a task that ended although it runs for the life of the process, and was started again.
+pub fn count_task_restart(task: &'static str) {
+    counter!("mustard_task_restarts_total", "task" => task).increment(1);
+}
+
 /// Sets the version of the configuration that is in force.
 pub fn set_config_version(version: u64) {
     gauge!("mustard_config_version").set(version as f64);
--- a/crates/mustard-gateway/src/serve.rs
+++ b/crates/mustard-gateway/src/serve.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::convert::Infallible;
+use std::future::Future;
 use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -10,7 +11,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use ntex::http::{HttpService, Method, Request, Response};
 use ntex::server::Server;
-use slog::{Logger, info, warn};
+use slog::{Logger, error, info, warn};
 use tokio::signal::unix::{SignalKind, signal};
 
 use mustard_adapter::NodeSettings;
@@ -18,9 +19,11 @@
 use mustard_net::log::{self, LogFormat, LogOptions, LogOutput};
 use mustard_net::server;
 use mustard_net::shutdown::{self, RequestGate};
+use mustard_net::supervise::supervise;
 
 use crate::app::{App, StopFlag};
 use crate::errors::{GatewayError, Result};
+use crate::log_limit::Topic;
 use crate::{
     forward, metric, own_rows, peers, placement, server_probe, store_watch, stream_watch,
     strike_news,
@@ -197,15 +200,38 @@
 }
 
 fn start_tasks(app: &Rc<App>) {
-    ntex::rt::spawn(store_watch::run(Rc::clone(app), FollowedTable::Operators));
-    ntex::rt::spawn(store_watch::run(Rc::clone(app), FollowedTable::Servers));
-    ntex::rt::spawn(placement::run(Rc::clone(app)));
-    ntex::rt::spawn(stream_watch::run(Rc::clone(app)));
-    ntex::rt::spawn(server_probe::retry_silent_servers(Rc::clone(app)));
-    ntex::rt::spawn(peers::run(Rc::clone(app)));
-    ntex::rt::spawn(strike_news::run(Rc::clone(app)));
-    ntex::rt::spawn(own_rows::run(Rc::clone(app)));
-    ntex::rt::spawn(set_gauges(Rc::clone(app)));
+    keep_running(app, "configuration", |app| {
+        store_watch::run(app, FollowedTable::Operators)
+    });
+    keep_running(app, "servers", |app| {
+        store_watch::run(app, FollowedTable::Servers)
+    });
+    keep_running(app, "placement", placement::run);
+    keep_running(app, "streams", stream_watch::run);
+    keep_running(app, "silent_servers", server_probe::retry_silent_servers);
+    keep_running(app, "peers", peers::run);
+    keep_running(app, "strike_news", strike_news::run);
+    keep_running(app, "own_rows", own_rows::run);
+    keep_running(app, "gauges", set_gauges);
+}
+
+/// Runs a task for the life of the process, also if it panics.
+fn keep_running<F>(app: &Rc<App>, name: &'static str, run: impl Fn(Rc<App>) -> F + 'static)
+where
+    F: Future<Output = ()> + 'static,
+{
+    let (started, ended) = (Rc::clone(app), Rc::clone(app));
+    let task = supervise(
+        move || run(Rc::clone(&started)),
+        move |end| {
+            metric::count_task_restart(name);
+            if let Some(log) = ended.log.logger_for(Topic::Dependency) {
+                error!(log, "gateway: A task ended and is started again."; "task" => name,
+                    "end" => ?end);
+            }
+        },
+    );
+    ntex::rt::spawn(task);
 }
 
 async fn set_gauges(app: Rc<App>) {
--- a/crates/mustard-net/src/lib.rs
+++ b/crates/mustard-net/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod server;
 pub mod settings;
 pub mod shutdown;
+pub mod supervise;
 pub mod traffic;
 
 pub use client::MessageClient;
