Count only events that go on as progress of a stream

What operators of similar systems reported: stalled streams that sent a byte now and then never ended. Here any complete event counted as progress, so a server that sends a comment, an empty line or an event without a number each 0.3 s was never asked for its report, and its stream ended only at the deadline of 20 s. Bytes of an event that doesn't end were covered (2 s).

Change: in a stream of numbered events the next number is progress, in others an event with data. All are passed on as before; the first response is counted from the first event that is progress.

Evidence: take_events_no_progress; the rule before (anything to pass on is progress) fails it at the first comment.

--- a/crates/mustard-gateway/src/forward/events.rs
+++ b/crates/mustard-gateway/src/forward/events.rs
@@ -11,16 +11,31 @@
 /// How long an event may take to arrive.
 const MAX_EVENT_TIME: Duration = Duration::from_secs(2);
 const ID_FIELD: &[u8] = b"id:";
+const DATA_FIELD: &[u8] = b"data";
 
 /// A complete event with its bytes as received.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
     /// The event's id; `None` without an `id` field or if it isn't a number.
     pub id: Option<u64>,
+    /// Whether it has a `data` field; one of comments only has none.
+    pub has_data: bool,
     /// The bytes, including the empty line that ends the event.
     pub bytes: Bytes,
 }
 
+/// The complete events that can be forwarded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TakenEvents {
+    /// The bytes of the events.
+    pub bytes: Bytes,
+    /// Whether the stream goes on with them. Comments, empty events and, in a stream of numbered
+    /// events, those without a number come also from a server that makes no progress.
+    pub has_progress: bool,
+    /// What is wrong with the first event that can't be forwarded.
+    pub fault: Option<&'static str>,
+}
+
 /// Buffers bytes until an event is complete.
 #[derive(Debug, Default)]
 pub struct EventParser {
@@ -46,10 +61,41 @@
         self.begun = None;
         Some(Event {
             id: parse_id(&bytes),
+            has_data: bytes
+                .split(|&b| b == b'\n')
+                .any(|l| l.starts_with(DATA_FIELD)),
             bytes,
         })
     }
 
+    /// Removes the complete events and returns those that follow `last_event`, the id of the last one
+    /// sent, which is updated.
+    pub fn take_events(&mut self, last_event: &mut Option<u64>) -> TakenEvents {
+        let mut out = BytesMut::new();
+        let mut has_progress = false;
+        let mut fault = None;
+        while let Some(event) = self.next_event() {
+            if let (Some(id), Some(previous)) = (event.id, *last_event) {
+                // A resumed attempt may repeat events that the previous attempt delivered meanwhile.
+                if id <= previous {
+                    continue;
+                }
+                if id != previous + 1 {
+                    fault = Some("event out of order");
+                    break;
+                }
+            }
+            has_progress |= event.id.is_some() || (event.has_data && last_event.is_none());
+            *last_event = event.id.or(*last_event);
+            out.extend_from_slice(&event.bytes);
+        }
+        TakenEvents {
+            bytes: out.freeze(),
+            has_progress,
+            fault,
+        }
+    }
+
     /// Returns whether no bytes are buffered, thus no incomplete event.
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -8,7 +8,7 @@
 
 use ntex::http::{Response, StatusCode};
 use ntex::io::{IoRef, OnDisconnect};
-use ntex::util::{Bytes, BytesMut, Stream};
+use ntex::util::{Bytes, Stream};
 use slog::{info, warn};
 use thiserror::Error;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
@@ -22,7 +22,6 @@
 use crate::metric;
 use crate::strikes::{self, Failure};
 
-use super::events::EventParser;
 use super::open_stream::{
     ActiveAttempt, Attempts, OpenError, log_failed_attempt, open_stream, record_faulty_server,
 };
@@ -342,17 +341,19 @@
                 BodyChunk::End => return AttemptEnd::Failed("ended within an event"),
                 BodyChunk::Failed => return AttemptEnd::Failed("connection lost"),
             }
-            let (out, fault) = take_events(&mut attempt.parser, &mut self.last_event);
-            if !out.is_empty() {
+            let taken = attempt.parser.take_events(&mut self.last_event);
+            if taken.has_progress {
                 let now = self.app.now();
                 attempt.guard.record_events(now);
                 if !self.event_sent {
                     self.event_sent = true;
                     metric::record_first_response("stream", now.since(self.request.arrived));
                 }
-                permit.send(Ok(out));
             }
-            if let Some(fault) = fault {
+            if !taken.bytes.is_empty() {
+                permit.send(Ok(taken.bytes));
+            }
+            if let Some(fault) = taken.fault {
                 return AttemptEnd::Failed(fault);
             }
         }
@@ -405,26 +406,3 @@
         let _ = self.sender.send(Err(StreamAborted)).await;
     }
 }
-
-/// Returns the bytes of the complete events that follow the last one sent, and what is wrong with
-/// the first event that can't be forwarded.
-fn take_events(
-    parser: &mut EventParser,
-    last_event: &mut Option<u64>,
-) -> (Bytes, Option<&'static str>) {
-    let mut out = BytesMut::new();
-    while let Some(event) = parser.next_event() {
-        if let (Some(id), Some(previous)) = (event.id, *last_event) {
-            // A resumed attempt may repeat events that the previous attempt delivered meanwhile.
-            if id <= previous {
-                continue;
-            }
-            if id != previous + 1 {
-                return (out.freeze(), Some("event out of order"));
-            }
-        }
-        *last_event = event.id.or(*last_event);
-        out.extend_from_slice(&event.bytes);
-    }
-    (out.freeze(), None)
-}
--- a/crates/mustard-gateway/tests/events.rs
+++ b/crates/mustard-gateway/tests/events.rs
@@ -54,3 +54,42 @@
     assert!(!parser.push(at(4_000), b"\n"));
     assert!(parser.push(at(6_100), b"data"));
 }
+
+/// A stalled server sends a comment, an empty event or an event without a number now and then. Guards
+/// against a stream that never ends, as each of these counts as progress.
+#[test]
+fn take_events_no_progress() {
+    let mut parser = EventParser::default();
+    let mut last = None;
+    let mut take = |bytes: &[u8]| {
+        parser.push(Moment::default(), bytes);
+        parser.take_events(&mut last)
+    };
+    assert!(!take(b": wait\n\n").has_progress, "before the first event");
+    assert!(take(b"id: 1\ndata: a\n\n").has_progress);
+    for idle in [
+        &b": wait\n\n"[..],
+        b"\n",
+        b"\r\n",
+        b"event: ping\n\n",
+        b"data:\n\n",
+    ] {
+        let taken = take(idle);
+        assert_eq!(&taken.bytes[..], idle, "passed on as it came");
+        assert!(!taken.has_progress, "{idle:?}");
+        assert_eq!(taken.fault, None);
+    }
+    assert!(!take(b"id: 1\ndata: a\n\n").has_progress, "repeated");
+    assert!(take(b"id: 2\ndata: b\n\n").has_progress);
+}
+
+/// A stream without numbers goes on with each event that has data.
+#[test]
+fn take_events_unnumbered() {
+    let mut parser = EventParser::default();
+    let mut last = None;
+    parser.push(Moment::default(), b"data: a\n\n");
+    assert!(parser.take_events(&mut last).has_progress);
+    parser.push(Moment::default(), b": wait\n\n");
+    assert!(!parser.take_events(&mut last).has_progress);
+}
