Give servers 6 s to give up layers before the plan counts without them

Cause, from the log: where streams are slow, servers take 4 to 5 s to give up their layers. After 3 s the plan ordered others to load them, which gave up theirs meanwhile, and so on: eleven orders in one failure domain from 6 to 14 s.

Servers that never finish stayed busy for 20 to 40 s.

--- a/crates/mustard-policy/src/pipeline/unload.rs
+++ b/crates/mustard-policy/src/pipeline/unload.rs
@@ -8,8 +8,8 @@
 
 use mustard_core::clock::Moment;
 
-/// How long a server may wait for its requests; most of them end within this time.
-const UNLOAD_TIME: Duration = Duration::from_millis(3_000);
+/// How long a server may wait for its requests; most of them end within this time, also where streams are slow.
+const UNLOAD_TIME: Duration = Duration::from_millis(6_000);
 /// How long after the last report that shows a server waiting it still counts as waiting.
 const REPORT_VALIDITY: Duration = Duration::from_secs(10);
 
