Don't take refused requests that cross for late ones

Cause, read in the diff: an attempt that ended without an event halved the budget of crossings, also one that a full server refused within a few milliseconds, which says nothing of the bandwidth.

Change: only an attempt that waited for the target of its route counts.

--- a/crates/mustard-gateway/src/active_streams.rs
+++ b/crates/mustard-gateway/src/active_streams.rs
@@ -162,7 +162,8 @@
             let now = self.app.now();
             let pause = now.since(stream.progress.last_event);
             if !stream.progress.has_begun && stream.crossings > 0 {
-                self.app.crossings.borrow_mut().record_start(now, false);
+                let mut crossings = self.app.crossings.borrow_mut();
+                crossings.record_no_start(now, pause, stream.target_latency);
             }
             if !stream.progress.has_begun || pause > self.app.pauses.borrow().limit() {
                 strikes::record_run(&self.app, stream.failed_run(Failure::Abandoned));
--- a/crates/mustard-policy/src/pipeline/crossing.rs
+++ b/crates/mustard-policy/src/pipeline/crossing.rs
@@ -86,4 +86,12 @@
             self.reduced_at = Some(now);
         }
     }
+
+    /// Records that an attempt that crosses ended without an event after `waited`. One that was refused at
+    /// once, as a server is full, says nothing of the bandwidth.
+    pub fn record_no_start(&mut self, now: Moment, waited: Duration, target: Duration) {
+        if waited >= target {
+            self.record_start(now, false);
+        }
+    }
 }
--- a/crates/mustard-policy/tests/crossing.rs
+++ b/crates/mustard-policy/tests/crossing.rs
@@ -230,3 +230,26 @@
     let usual = taken(&mut budget, 4_000, 5_000);
     assert!(usual >= 20, "{usual} in a second after 2 s");
 }
+
+/// Requests that cross are refused at once by a server that is out of memory. Guards against a budget
+/// that shrinks as if the bandwidth were used up.
+#[test]
+fn record_no_start_refused() {
+    let at = Moment::from_millis;
+    let target = Duration::from_millis(600);
+    let taken = |waited: u64| {
+        let mut budget = CrossingBudget::default();
+        budget.take(at(1_000), 20.0, 1);
+        (1_000..6_000)
+            .filter(|&ms| {
+                if ms % 500 == 0 {
+                    budget.record_no_start(at(ms), Duration::from_millis(waited), target);
+                }
+                budget.take(at(ms), 20.0, 1)
+            })
+            .count()
+    };
+    let (refused, late) = (taken(8), taken(900));
+    assert!(refused >= 99, "{refused} in 5 s after refusals");
+    assert!(late <= 50, "{late} in 5 s after late ones");
+}
