--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,7 +7,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use world::{Behavior, Gateway, Record, Run, SILENCE, Server, Store, call, config, draft, letter};
+use world::{
+    Behavior, Gateway, Record, Run, SILENCE, Server, Store, booking, call, config, draft, letter,
+    status_read,
+};
 
 /// What a case found.
 enum Outcome {
@@ -30,6 +33,7 @@
     let outcome = match name.as_str() {
         "reused-address" => reused_address(&record, trouble),
         "unfinished-failure" => unfinished_failure(&record, trouble),
+        "unfindable-server" => unfindable_server(&record, trouble),
         _ => Outcome::Unable("no such case"),
     };
     let (text, code) = match outcome {
@@ -223,3 +227,86 @@
         Outcome::Held
     }
 }
+
+/// Sends a mix of requests like that of a small deployment for a time; returns how many were sent and how
+/// many were served.
+fn send_mix(record: &Record, gateway: &Gateway, name: &str, time: Duration) -> (usize, usize) {
+    let began = Instant::now();
+    let mut threads = Vec::new();
+    while began.elapsed() < time {
+        let number = threads.len();
+        let id = format!("{:016x}", name.len() * 0x10000 + number);
+        // Of 70 requests, 62 are drafts, 5 bookings and 3 reads.
+        let (kind, text) = match number % 14 {
+            0 => ("booking", booking(&id, 1_500)),
+            7 if number % 28 == 7 => ("read", status_read(&id, 1_500)),
+            _ => ("draft", draft(&id, 20_000)),
+        };
+        let (front, record) = (gateway.front, record.clone());
+        threads.push(std::thread::spawn(move || {
+            let answer = call(front, &text, Duration::from_secs(21));
+            record.note(format!("{kind} {id}: {}", answer.summary()));
+            answer.status == 200 && answer.whole
+        }));
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    let sent = threads.len();
+    let served = threads.into_iter().filter_map(|t| t.join().ok());
+    let served = served.filter(|served| *served).count();
+    record.note(format!("{name}: {served} of {sent} requests were served"));
+    (sent, served)
+}
+
+/// RECOVER: all processes of the system are killed and start again while the store lists two servers at one
+/// address, a lost one of the desk and a new model server.
+fn unfindable_server(record: &Record, trouble: bool) -> Outcome {
+    const REUSE_AFTER: Duration = Duration::from_millis(2_100);
+    const DOWN: Duration = Duration::from_millis(600);
+    const RECOVER: Duration = Duration::from_secs(12);
+    let models = [("i-m1", (0, 40)), ("i-m2", (40, 80))];
+    let site = Site::start(record, &models, 20_000);
+    let start = |id: &str, service: &str, port, layers| {
+        Server::start(&site.store, record, &site.runs, (id, service, port), layers)
+    };
+    let lost = start("i-z3", "placement-desk", 0, None);
+    let mut gateway = Gateway::start(&site.store, "gateway");
+    if !gateway.wait_ready() {
+        return Outcome::Unable("the gateway doesn't become ready");
+    }
+    let (sent, served) = send_mix(record, &gateway, "before", Duration::from_secs(3));
+    if served * 4 < sent * 3 {
+        return Outcome::Unable("the requests before the disruption weren't served");
+    }
+    let port = if trouble {
+        lost.crash();
+        lost.addr.port()
+    } else {
+        0
+    };
+    std::thread::sleep(REUSE_AFTER);
+    // The successor of i-m1, which starts empty.
+    start("i-m0", "caption-pool", port, Some((0, 0)));
+    std::thread::sleep(Duration::from_millis(100));
+    record.note("all processes of the system are killed");
+    gateway.kill_and_restart(DOWN);
+    let back = Instant::now();
+    if !gateway.wait_ready() {
+        return Outcome::Unable("the gateway doesn't become ready again");
+    }
+    record.note("the gateway is ready again");
+    std::thread::sleep(Duration::from_millis(1_500));
+    site.models[0].leave(Duration::from_millis(500));
+    send_mix(record, &gateway, "meanwhile", Duration::from_secs(5));
+    std::thread::sleep((RECOVER + Duration::from_millis(500)).saturating_sub(back.elapsed()));
+    let (sent, served) = send_mix(
+        record,
+        &gateway,
+        "later than recover_s",
+        Duration::from_secs(20),
+    );
+    if served * 4 < sent {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    }
+}
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -12,6 +12,10 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// The store removes the row of a server after this time without a heartbeat.
 pub const SILENCE: Duration = Duration::from_millis(3_600);
+/// `drain_ms` of the settings.
+pub const DRAIN: Duration = Duration::from_millis(2_000);
+/// `load_s` of the model: the time to load all layers.
+pub const LOAD: Duration = Duration::from_secs(14);
 /// The host of all routes.
 pub const HOST: &str = "ficu95.example";
 /// The key of the only tenant.
@@ -581,6 +585,17 @@
     FailsAndStops,
 }
 
+/// What a server holds and has been ordered.
+struct State {
+    /// The layers of a model server; empty if it holds none.
+    layers: (u32, u32),
+    /// The number of orders that it has accepted.
+    orders: u64,
+    fence: u64,
+    busy: bool,
+    draining: bool,
+}
+
 /// A backend server: a model server with a range of layers, or a plain one.
 #[derive(Clone)]
 pub struct Server {
@@ -588,7 +603,9 @@
     pub service: String,
     pub addr: SocketAddr,
     pub born: u128,
-    pub layers: Option<(u32, u32)>,
+    /// Whether it runs layers of the model; a plain server doesn't.
+    is_model: bool,
+    state: Arc<Mutex<State>>,
     pub behavior: Arc<Mutex<Behavior>>,
     pub ended: Arc<AtomicBool>,
     /// The runs at all servers.
@@ -597,6 +614,7 @@
     count: Arc<AtomicUsize>,
     /// The number of events of a stream, and the time before each.
     pub events: (u64, Duration),
+    store: Store,
     record: Record,
 }
 
@@ -615,7 +633,15 @@
             service: service.to_owned(),
             addr: listener.local_addr().unwrap(),
             born: unix_ms(),
-            layers,
+            is_model: layers.is_some(),
+            state: Arc::new(Mutex::new(State {
+                layers: layers.unwrap_or_default(),
+                orders: 0,
+                fence: 0,
+                busy: false,
+                draining: false,
+            })),
+            store: store.clone(),
             behavior: Arc::new(Mutex::new(Behavior::Sound)),
             ended: Arc::default(),
             runs: Arc::clone(runs),
@@ -652,43 +678,130 @@
         *self.behavior.lock().unwrap() = behavior;
     }
 
-    fn row(&self) -> String {
-        let layers = self.layers.map_or_else(String::new, |(from, to)| {
-            format!(r#","kind":"card","layers":[{{"from":{from},"to":{to},"version":1}}]"#)
+    /// Reports that the server is draining, and ends it `linger` after `drain_ms`.
+    pub fn leave(&self, linger: Duration) {
+        self.record.note(format!("server {} is draining", self.id));
+        self.state.lock().unwrap().draining = true;
+        self.write_row();
+        let leaving = self.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(DRAIN + linger);
+            leaving.record.note(format!("server {} leaves", leaving.id));
+            leaving.ended.store(true, Ordering::SeqCst);
+            leaving.store.put("servers", &leaving.id, None);
         });
+    }
+
+    fn write_row(&self) {
+        self.store.put("servers", &self.id, Some(&self.row()));
+    }
+
+    /// Returns the layers that the server holds, as in its row and its report.
+    fn layers_json(&self) -> String {
+        match self.state.lock().unwrap().layers {
+            (0, 0) => "[]".to_owned(),
+            (from, to) => format!(r#"[{{"from":{from},"to":{to},"version":1}}]"#),
+        }
+    }
+
+    fn row(&self) -> String {
+        let layers = if self.is_model {
+            format!(r#","kind":"card","layers":{}"#, self.layers_json())
+        } else {
+            String::new()
+        };
+        let draining = self.state.lock().unwrap().draining;
         format!(
-            r#"{{"service":"{}","address":"{}","zone":"ga-north-a","version":"v1","slots":192,"state":"ready","warmup_ms":0,"seq":1,"born":{}{layers}}}"#,
-            self.service, self.addr, self.born
+            r#"{{"service":"{}","address":"{}","zone":"ga-north-a","version":"v1","slots":192,"state":"{}","warmup_ms":0,"seq":1,"born":{}{layers}}}"#,
+            self.service,
+            self.addr,
+            if draining { "draining" } else { "ready" },
+            self.born
         )
     }
 
+    /// Handles an order to hold other layers, which are there after the load time.
+    fn place(&self, order: &Json) -> u16 {
+        let (from, to) = (
+            order.get("from").number() as u32,
+            order.get("to").number() as u32,
+        );
+        let fence = order.get("fence").number();
+        let mut state = self.state.lock().unwrap();
+        if order.get("op").text() != "place" {
+            return 404;
+        }
+        if fence < state.fence {
+            return 412;
+        }
+        state.fence = fence;
+        if state.busy || order.get("precondition").number() != state.orders {
+            return 409;
+        }
+        state.orders += 1;
+        state.busy = true;
+        state.layers = (0, 0);
+        let loading = self.clone();
+        std::thread::spawn(move || {
+            loading.write_row();
+            std::thread::sleep(LOAD.mul_f64(f64::from(to - from) / 80.0));
+            let mut state = loading.state.lock().unwrap();
+            state.layers = (from, to);
+            state.busy = false;
+            drop(state);
+            loading
+                .record
+                .note(format!("server {} holds layers {from}-{to}", loading.id));
+            loading.write_row();
+        });
+        202
+    }
+
     fn answer(&self, stream: &mut TcpStream, request: &Request) -> Option<()> {
         match (request.method.as_str(), request.path.as_str()) {
             ("GET", "/health") => {
                 let id = format!("Instance-Id: {}\r\n", self.id);
                 respond(stream, 200, &id, b"")
             }
-            ("GET", "/v1/report") if self.layers.is_some() => {
-                let (from, to) = self.layers.unwrap_or_default();
+            ("GET", "/v1/report") if self.is_model => {
+                let layers = self.layers_json();
+                let (busy, orders) = {
+                    let state = self.state.lock().unwrap();
+                    (state.busy, state.orders)
+                };
                 let report = format!(
-                    r#"{{"stage":"combined","models":[],"busy":false,"seq":0,"born":{},"queued":0,"in_flight":0,"kv_in_use":0,"kv_total":100000,"active_handles":0,"pace":1.0,"kind":"card","layers":[{{"from":{from},"to":{to},"version":1}}],"stalled":[]}}"#,
+                    r#"{{"stage":"combined","models":[],"busy":{busy},"seq":{orders},"born":{},"queued":0,"in_flight":0,"kv_in_use":0,"kv_total":8000000,"active_handles":0,"pace":1.0,"kind":"card","layers":{layers},"stalled":[]}}"#,
                     self.born
                 );
                 let kind = "Content-Type: application/json\r\n";
                 respond(stream, 200, kind, report.as_bytes())
             }
-            ("POST", "/v1/order") if self.layers.is_some() => {
+            ("POST", "/v1/order") if self.is_model => {
+                let text = String::from_utf8_lossy(&request.body);
+                let status = self.place(&Json::parse(&text));
                 self.record.note(format!(
-                    "server {} refuses an order: {}",
-                    self.id,
-                    String::from_utf8_lossy(&request.body)
+                    "server {} answers the order {text} with {status}",
+                    self.id
                 ));
-                respond(stream, 409, "Content-Type: application/json\r\n", b"{}")
+                respond(stream, status, "Content-Type: application/json\r\n", b"{}")
             }
             _ => self.run(stream, request),
         }
     }
 
+    /// Returns whether the server holds its part of a path, which begins at it.
+    fn holds_part(&self, path: &str) -> bool {
+        let first = path.split(',').next().unwrap_or_default();
+        let (from, to) = self.state.lock().unwrap().layers;
+        let part = first.split_once('=').and_then(|(addr, part)| {
+            let (first, end) = part.split_once('-')?;
+            Some((addr, first.parse::<u32>().ok()?, end.parse::<u32>().ok()?))
+        });
+        part.is_some_and(|(addr, first, end)| {
+            addr == self.addr.to_string() && from <= first && first < end && end <= to
+        })
+    }
+
     /// Runs a request of a caller, unless it has no id or expects another server.
     fn run(&self, stream: &mut TcpStream, request: &Request) -> Option<()> {
         let id = request.header("attempt-id").to_owned();
@@ -709,6 +822,14 @@
             let other = format!("{own}Instance-Id: {}\r\nNot-Executed: 1\r\n", self.id);
             return respond(stream, 421, &other, b"");
         }
+        if self.is_model && !self.holds_part(request.header("hop-count")) {
+            return respond(
+                stream,
+                421,
+                &format!("{own}Not-Executed: 1\r\nAt-Server: {}\r\n", self.addr),
+                b"",
+            );
+        }
         self.runs.lock().unwrap().push(Run {
             request: id.clone(),
             server: self.id.clone(),
@@ -741,7 +862,7 @@
             }
             Behavior::Sound => {}
         }
-        if self.layers.is_none() {
+        if !self.is_model {
             std::thread::sleep(Duration::from_millis(15));
             let body = format!("answer to {id} of {}", self.service);
             return respond(stream, 200, &sealed, body.as_bytes());
@@ -793,6 +914,7 @@
 pub struct Gateway {
     child: std::process::Child,
     settings: std::path::PathBuf,
+    metrics: u16,
     pub front: SocketAddr,
     pub ready: SocketAddr,
 }
@@ -805,6 +927,15 @@
     }
 }
 
+fn spawn(settings: &std::path::Path, metrics: u16) -> std::process::Child {
+    let child = std::process::Command::new("target/release/mustard-gateway")
+        .args(["--metrics-port", &metrics.to_string()])
+        .env("MUSTARDFIELD_BOOT", settings)
+        .stdout(std::process::Stdio::null())
+        .spawn();
+    child.expect("the gateway can be started")
+}
+
 impl Gateway {
     /// Starts the program of the deploy file with the settings of a small deployment.
     pub fn start(store: &Store, name: &str) -> Gateway {
@@ -820,20 +951,23 @@
         let settings =
             std::env::temp_dir().join(format!("review-{}-{name}.json", std::process::id()));
         std::fs::write(&settings, text).expect("the settings can be written");
-        let log = std::process::Stdio::null();
-        let child = std::process::Command::new("target/release/mustard-gateway")
-            .args(["--metrics-port", &metrics.to_string()])
-            .env("MUSTARDFIELD_BOOT", &settings)
-            .stdout(log)
-            .spawn();
         Gateway {
-            child: child.expect("the gateway can be started"),
+            child: spawn(&settings, metrics),
             settings,
+            metrics,
             front,
             ready,
         }
     }
 
+    /// Kills the process and starts it again with the same settings after a time.
+    pub fn kill_and_restart(&mut self, down: Duration) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        std::thread::sleep(down);
+        self.child = spawn(&self.settings, self.metrics);
+    }
+
     /// Waits until the gateway says that it is ready; tells whether it did within 20 s.
     pub fn wait_ready(&self) -> bool {
         let until = Instant::now() + Duration::from_secs(20);
@@ -982,3 +1116,19 @@
         body.len()
     )
 }
+
+/// Returns a request for a booking, which may run at most once.
+pub fn booking(id: &str, budget_ms: u32) -> String {
+    let body = format!("booking of {id}");
+    format!(
+        "POST /book/2f HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nTime-Budget-Ms: {budget_ms}\r\nAuthorization: Bearer {KEY}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Returns a request for the status of a booking.
+pub fn status_read(id: &str, budget_ms: u32) -> String {
+    format!(
+        "GET /status/{id} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nTime-Budget-Ms: {budget_ms}\r\nAuthorization: Bearer {KEY}\r\n\r\n"
+    )
+}
