--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -33,6 +33,7 @@
     let outcome = match name.as_str() {
         "reused-address" => reused_address(&record, trouble),
         "unfinished-failure" => unfinished_failure(&record, trouble),
+        "foreign-order" => foreign_order(&record, trouble),
         "unfindable-server" => unfindable_server(&record, trouble),
         _ => Outcome::Unable("no such case"),
     };
@@ -56,9 +57,23 @@
 impl Site {
     /// Starts the store, model servers that hold one half of the layers each, and two servers of the desk.
     fn start(record: &Record, models: &[(&str, (u32, u32))], stream_timeout_ms: u32) -> Site {
+        Site::start_with(record, models, stream_timeout_ms, false)
+    }
+
+    /// The same, on demand with a configuration that names a second pool of model servers.
+    fn start_with(
+        record: &Record,
+        models: &[(&str, (u32, u32))],
+        stream_timeout_ms: u32,
+        has_archive: bool,
+    ) -> Site {
         let store = Store::start();
         let runs = Arc::default();
-        store.put("op", "config", Some(&config(7, stream_timeout_ms)));
+        store.put(
+            "op",
+            "config",
+            Some(&config(7, stream_timeout_ms, has_archive)),
+        );
         let start = |id: &str, service: &str, layers| {
             Server::start(&store, record, &runs, (id, service, 0), layers)
         };
@@ -310,3 +325,54 @@
         Outcome::Held
     }
 }
+
+/// LIMIT: a model server is lost for good, and a smaller one of another pool of model servers gets its
+/// address.
+fn foreign_order(record: &Record, trouble: bool) -> Outcome {
+    const REUSE_AFTER: Duration = Duration::from_millis(2_050);
+    // Less than the interval of heartbeats, by which a server writes its row.
+    const REGISTERED_AFTER: Duration = Duration::from_millis(900);
+    let first = ["i-a1", "i-a2"].map(|id| (id, (0, 40)));
+    let second = ["i-b1", "i-b2", "i-b3", "i-b4", "i-b5"].map(|id| (id, (40, 80)));
+    let models: Vec<_> = first.into_iter().chain(second).collect();
+    let site = Site::start_with(record, &models, 20_000, true);
+    for i in 0..10 {
+        let names = (&*format!("i-t{i}"), "archive-pool", 0);
+        let layers = Some((i * 8, i * 8 + 8));
+        Server::start(&site.store, record, &site.runs, names, layers);
+    }
+    let gateway = Gateway::start(&site.store, "gateway");
+    if !gateway.wait_ready() {
+        return Outcome::Unable("the gateway doesn't become ready");
+    }
+    let (sent, served) = send_mix(record, &gateway, "before", Duration::from_secs(2));
+    if served < sent {
+        return Outcome::Unable("the requests before the disruption weren't served");
+    }
+    let lost = &site.models[0];
+    let port = if trouble {
+        lost.crash();
+        lost.addr.port()
+    } else {
+        0
+    };
+    let since = Instant::now();
+    send_mix(record, &gateway, "after the loss", Duration::from_secs(1));
+    std::thread::sleep(REUSE_AFTER.saturating_sub(since.elapsed()));
+    let names = ("i-t-new", "archive-pool", port);
+    let new = Server::start_unlisted(&site.store, record, &site.runs, names, Some((0, 0)));
+    std::thread::sleep(REGISTERED_AFTER);
+    if new.excess().is_none() {
+        new.register();
+    }
+    send_mix(
+        record,
+        &gateway,
+        "after the change of hands",
+        Duration::from_secs(4),
+    );
+    match new.excess() {
+        Some(_) => Outcome::Broken,
+        None => Outcome::Held,
+    }
+}
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -12,6 +12,9 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// The store removes the row of a server after this time without a heartbeat.
 pub const SILENCE: Duration = Duration::from_millis(3_600);
+/// The kinds of cards and how many layers of 1,750 MB fit on them: 80,000 MB and 14,400 MB.
+const LARGE_CARD: (&str, u32) = ("card", 45);
+const T4: (&str, u32) = ("t4", 8);
 /// `drain_ms` of the settings.
 pub const DRAIN: Duration = Duration::from_millis(2_000);
 /// `load_s` of the model: the time to load all layers.
@@ -594,6 +597,8 @@
     fence: u64,
     busy: bool,
     draining: bool,
+    /// An order that it can't carry out, as its memory doesn't hold so many layers.
+    excess: Option<(u32, u32)>,
 }
 
 /// A backend server: a model server with a range of layers, or a plain one.
@@ -605,6 +610,8 @@
     pub born: u128,
     /// Whether it runs layers of the model; a plain server doesn't.
     is_model: bool,
+    /// The name of its card, and how many layers of the model fit there.
+    card: (&'static str, u32),
     state: Arc<Mutex<State>>,
     pub behavior: Arc<Mutex<Behavior>>,
     pub ended: Arc<AtomicBool>,
@@ -619,8 +626,8 @@
 }
 
 impl Server {
-    /// Starts a server and registers it in the store.
-    pub fn start(
+    /// Starts a server that isn't registered yet.
+    pub fn start_unlisted(
         store: &Store,
         record: &Record,
         runs: &Arc<Mutex<Vec<Run>>>,
@@ -634,12 +641,18 @@
             addr: listener.local_addr().unwrap(),
             born: unix_ms(),
             is_model: layers.is_some(),
+            card: if service == "archive-pool" {
+                T4
+            } else {
+                LARGE_CARD
+            },
             state: Arc::new(Mutex::new(State {
                 layers: layers.unwrap_or_default(),
                 orders: 0,
                 fence: 0,
                 busy: false,
                 draining: false,
+                excess: None,
             })),
             store: store.clone(),
             behavior: Arc::new(Mutex::new(Behavior::Sound)),
@@ -655,16 +668,38 @@
             Arc::clone(&server.ended),
             move |stream, request| serving.answer(stream, &request),
         );
-        store.put("servers", id, Some(&server.row()));
-        let (beating, store) = (server.clone(), store.clone());
+        record.note(format!("server {id} ({service}) starts at {}", server.addr));
+        server
+    }
+
+    /// Starts a server and registers it in the store.
+    pub fn start(
+        store: &Store,
+        record: &Record,
+        runs: &Arc<Mutex<Vec<Run>>>,
+        names: (&str, &str, u16),
+        layers: Option<(u32, u32)>,
+    ) -> Server {
+        let server = Server::start_unlisted(store, record, runs, names, layers);
+        server.register();
+        server
+    }
+
+    /// Writes the server's row, and sends its heartbeats from now on.
+    pub fn register(&self) {
+        self.write_row();
+        let beating = self.clone();
         std::thread::spawn(move || {
             while !beating.ended.load(Ordering::SeqCst) {
-                store.beat(&beating.id);
+                beating.store.beat(&beating.id);
                 std::thread::sleep(HEARTBEAT / 10);
             }
         });
-        record.note(format!("server {id} ({service}) starts at {}", server.addr));
-        server
+    }
+
+    /// Returns the layers that the server was ordered to hold although they don't fit there.
+    pub fn excess(&self) -> Option<(u32, u32)> {
+        self.state.lock().unwrap().excess
     }
 
     /// Ends the server for good, without a word to the store.
@@ -706,7 +741,11 @@
 
     fn row(&self) -> String {
         let layers = if self.is_model {
-            format!(r#","kind":"card","layers":{}"#, self.layers_json())
+            format!(
+                r#","kind":"{}","layers":{}"#,
+                self.card.0,
+                self.layers_json()
+            )
         } else {
             String::new()
         };
@@ -739,6 +778,19 @@
             return 409;
         }
         state.orders += 1;
+        if to - from > self.card.1 {
+            state.excess = Some((from, to));
+            drop(state);
+            self.record.note(format!(
+                "server {} of {} is ordered to hold {} layers; {} fit on its card",
+                self.id,
+                self.service,
+                to - from,
+                self.card.1
+            ));
+            self.crash();
+            return 202;
+        }
         state.busy = true;
         state.layers = (0, 0);
         let loading = self.clone();
@@ -770,8 +822,8 @@
                     (state.busy, state.orders)
                 };
                 let report = format!(
-                    r#"{{"stage":"combined","models":[],"busy":{busy},"seq":{orders},"born":{},"queued":0,"in_flight":0,"kv_in_use":0,"kv_total":8000000,"active_handles":0,"pace":1.0,"kind":"card","layers":{layers},"stalled":[]}}"#,
-                    self.born
+                    r#"{{"stage":"combined","models":[],"busy":{busy},"seq":{orders},"born":{},"queued":0,"in_flight":0,"kv_in_use":0,"kv_total":8000000,"active_handles":0,"pace":1.0,"kind":"{}","layers":{layers},"stalled":[]}}"#,
+                    self.born, self.card.0
                 );
                 let kind = "Content-Type: application/json\r\n";
                 respond(stream, 200, kind, report.as_bytes())
@@ -883,8 +935,8 @@
 }
 
 /// Returns the configuration: two stream routes to the model, drafts that may be resumed and letters that
-/// may not, and a booking and a status route to the desk.
-pub fn config(version: u32, stream_timeout_ms: u32) -> String {
+/// may not, and a booking and a status route to the desk; on demand, a second pool of model servers.
+pub fn config(version: u32, stream_timeout_ms: u32, has_archive: bool) -> String {
     let route = |name: &str, kind: &str, service: &str, timeout: u32, attempts: u32| {
         let is_stream = kind == "stream";
         let is_resumable = name == "draft";
@@ -904,8 +956,16 @@
         route("book", "non_idempotent", "placement-desk", 800, 1),
         route("status", "idempotent", "placement-desk", 800, 2),
     ];
+    let engine = r#""engine":{"slots":192,"kv_capacity":100000,"kv_token_bytes":459000,"link_mbps":480000.0,"stride":2,"models":[{"name":"daka510000","pace":1.0,"load_s":14.0,"warm_s":1.0}],"step_ms":0.85,"per_seq_ms":0.00297,"context_per_k":0.00398,"read_per_s":252000.0,"pairs_per_m":0.129,"chunk":512,"report_lag_ms":200.0,"loads_per_s":0.0,"loads_at_once":6,"delays":[],"usual":{"prompt":772,"answer":154},"layers":80,"layer_mb":1750.0,"act_bytes":22900,"pipe_mbps":7900.0,"kinds":[{"name":"card","mb":80000.0,"pace":3.1,"read_factor":3.2},{"name":"t4","mb":14400.0,"pace":15.0,"read_factor":15.0}]}"#;
+    let archive = if has_archive {
+        format!(
+            r#",{{"name":"archive-pool","health_path":"/health","max_conns":1128,"protocol":"h1","tls":false,{engine}}}"#
+        )
+    } else {
+        String::new()
+    };
     format!(
-        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"caption-pool","health_path":"/health","max_conns":1128,"protocol":"h1","tls":false,"engine":{{"slots":192,"kv_capacity":100000,"kv_token_bytes":459000,"link_mbps":480000.0,"stride":2,"models":[{{"name":"daka510000","pace":1.0,"load_s":14.0,"warm_s":1.0}}],"step_ms":0.85,"per_seq_ms":0.00297,"context_per_k":0.00398,"read_per_s":252000.0,"pairs_per_m":0.129,"chunk":512,"report_lag_ms":200.0,"loads_per_s":0.0,"loads_at_once":6,"delays":[],"usual":{{"prompt":772,"answer":154}},"layers":80,"layer_mb":1750.0,"act_bytes":22900,"pipe_mbps":7900.0,"kinds":[{{"name":"card","mb":80000.0,"pace":3.1,"read_factor":3.2}}]}}}},{{"name":"placement-desk","health_path":"/health","max_conns":100,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"hule930","api_keys":["{KEY}"],"priority":1}}]}}"#,
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"caption-pool","health_path":"/health","max_conns":1128,"protocol":"h1","tls":false,{engine}}}{archive},{{"name":"placement-desk","health_path":"/health","max_conns":100,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"hule930","api_keys":["{KEY}"],"priority":1}}]}}"#,
         routes.join(",")
     )
 }
