--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -33,6 +33,7 @@
     let outcome = match name.as_str() {
         "reused-address" => reused_address(&record, trouble),
         "unfinished-failure" => unfinished_failure(&record, trouble),
+        "second-signal" => second_signal(&record, trouble),
         "foreign-order" => foreign_order(&record, trouble),
         "unfindable-server" => unfindable_server(&record, trouble),
         _ => Outcome::Unable("no such case"),
@@ -390,3 +391,64 @@
         None => Outcome::Held,
     }
 }
+
+/// LOST: a gateway is asked to stop, and asked again a second later.
+fn second_signal(record: &Record, trouble: bool) -> Outcome {
+    const GRACE: Duration = Duration::from_secs(8);
+    let first = ["i-a1", "i-a2"].map(|id| (id, (0, 40)));
+    let second = ["i-b1", "i-b2"].map(|id| (id, (40, 80)));
+    let models: Vec<_> = first.into_iter().chain(second).collect();
+    let site = Site::start(record, &models, 20_000);
+    let mut gateway = Gateway::start(&site.store, "gateway");
+    if !gateway.wait_ready() {
+        return Outcome::Unable("the gateway doesn't become ready");
+    }
+    let mut threads = Vec::new();
+    let mut send = |time: Duration| {
+        let began = Instant::now();
+        while began.elapsed() < time {
+            let id = format!("{:016x}", 0x5000 + threads.len());
+            let (kind, text) = match threads.len() % 4 {
+                0 => ("booking", booking(&id, 1_500)),
+                _ => ("draft", draft(&id, 20_000)),
+            };
+            let (front, record) = (gateway.front, record.clone());
+            threads.push(std::thread::spawn(move || {
+                let answer = call(front, &text, Duration::from_secs(21));
+                record.note(format!("{kind} {id}: {}", answer.summary()));
+                (kind, id, answer)
+            }));
+            std::thread::sleep(Duration::from_millis(25));
+        }
+    };
+    send(Duration::from_secs(2));
+    record.note("SIGTERM");
+    gateway.terminate();
+    // The load balancer still sends requests here until it has seen the gateway unready twice.
+    send(Duration::from_secs(1));
+    if trouble {
+        record.note("SIGTERM once more");
+        gateway.terminate();
+    }
+    let code = gateway.wait_exit(GRACE);
+    record.note(format!("the gateway has ended with {code:?}"));
+    let answers: Vec<_> = threads.into_iter().filter_map(|t| t.join().ok()).collect();
+    let runs = site.runs.lock().unwrap();
+    let is_lost = |id: &str, whole: bool| !whole && runs.iter().any(|r| r.request == id);
+    let lost = answers.iter().filter(|(_, id, a)| is_lost(id, a.whole));
+    let lost: Vec<&str> = lost.map(|(kind, ..)| *kind).collect();
+    let bookings = lost.iter().filter(|kind| **kind == "booking").count();
+    record.note(format!(
+        "of {} requests, {} were passed on to a sound server and got no complete answer, {bookings} of them bookings",
+        answers.len(),
+        lost.len()
+    ));
+    if code.is_none() {
+        return Outcome::Unable("the gateway doesn't stop");
+    }
+    if lost.is_empty() {
+        Outcome::Held
+    } else {
+        Outcome::Broken
+    }
+}
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -998,6 +998,26 @@
         }
     }
 
+    /// Asks the process to stop.
+    pub fn terminate(&self) {
+        let command = format!("kill -TERM {}", self.child.id());
+        let _ = std::process::Command::new("sh")
+            .args(["-c", &command])
+            .status();
+    }
+
+    /// Returns the exit code once the process has ended, or nothing after a time.
+    pub fn wait_exit(&mut self, limit: Duration) -> Option<i32> {
+        let until = Instant::now() + limit;
+        while Instant::now() < until {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.code();
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        None
+    }
+
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
