Log what each gateway spends of a retry budget, and record where the repeats come from

Nothing said how much of a retry budget a process had spent, or among how many it was divided. No change of logic.

--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -16,13 +16,11 @@
 
 use mustard_adapter::{NodeSettings, Store};
 use mustard_core::clock::{Clock, Moment, SystemClock};
-use mustard_core::collections::Map;
 use mustard_core::deployment::{Config, Engine};
 use mustard_core::fingerprint::Fingerprint;
 use mustard_core::ids::{Era, Incarnation};
 use mustard_net::http::{MAX_ANSWER_BYTES, new_client, new_limited_client};
 use mustard_net::shutdown::RequestGate;
-use mustard_policy::budget_share::{Budget, RetryBudgetShare};
 use mustard_policy::hedge;
 use mustard_policy::pipeline::{PrefillLoad, SearchBudget};
 use mustard_policy::quarantine::{Quarantine, Settings};
@@ -37,7 +35,8 @@
 use crate::forward::{Hedging, WaitingQueues};
 use crate::log_limit::LimitedLog;
 use crate::metric;
-use crate::peers::{MIN_GATEWAYS, Peers, STARTUP_TIME};
+use crate::peers::{Peers, STARTUP_TIME};
+use crate::retry_budget::RetryBudgets;
 use crate::strike_news::News;
 
 /// Time limit for opening a connection: a hundred times the one-way delay between failure domains
@@ -153,8 +152,8 @@
     pub pauses: RefCell<PauseEstimate>,
     /// Decides which servers are asked for reports as all of their streams pause.
     pub quiet: RefCell<QuietWatch<SocketAddr>>,
-    /// The retry budget of each service, by its name.
-    pub retry_budgets: RefCell<Map<String, RetryBudgetShare>>,
+    /// This gateway's shares of the retry budgets of services.
+    pub retry_budgets: RefCell<RetryBudgets>,
     /// Decides on second copies of slow requests.
     pub hedging: RefCell<Hedging>,
     /// The request contents that servers died running, and those that are refused for it.
@@ -320,30 +319,6 @@
         is_allowed
     }
 
-    /// Calls a function with the retry budget of a service, created at first use.
-    pub fn with_retry_budget<T>(
-        &self,
-        service: &str,
-        use_budget: impl FnOnce(&mut RetryBudgetShare) -> T,
-    ) -> T {
-        let mut budgets = self.retry_budgets.borrow_mut();
-        if !budgets.contains_key(service) {
-            let budget = Budget {
-                ratio: self.node.retry_ratio,
-                slack: self.node.retry_slack,
-                window: self.node.retry_window,
-            };
-            budgets.insert(
-                service.to_owned(),
-                RetryBudgetShare::new(budget, MIN_GATEWAYS),
-            );
-        }
-        let retry_budget = budgets.get_mut(service).expect("it was inserted above");
-        // A gateway that wasn't heard from lately may still spend its share.
-        retry_budget.observe_processes(self.peers.borrow().known_count() + 1);
-        use_budget(retry_budget)
-    }
-
     /// Returns whether the gateway can serve requests.
     pub fn is_ready(&self) -> bool {
         !self.stop.is_set() && self.list_read.get() && self.config.borrow().is_some()
--- a/crates/mustard-gateway/src/forward/hedging.rs
+++ b/crates/mustard-gateway/src/forward/hedging.rs
@@ -12,7 +12,7 @@
 use crate::app::App;
 use crate::log_limit::Topic;
 use crate::peers::MIN_GATEWAYS;
-use crate::{metric, strikes};
+use crate::{metric, retry_budget, strikes};
 
 use super::AdmittedRequest;
 
@@ -153,7 +153,7 @@
     pub(super) fn is_allowed(&self) -> bool {
         let (app, service) = (self.app, &self.request.service.name);
         let now = app.now();
-        let checked = app.with_retry_budget(service, |budget| {
+        let checked = retry_budget::with_share(app, service, |budget| {
             with_policy(app, service, |p| p.check(now, &self.conditions, budget))
         });
         checked.map_err(|denial| self.deny(denial.name())).is_ok()
@@ -163,7 +163,7 @@
     pub(super) fn spend(&self, server: SocketAddr) -> bool {
         let (app, service) = (self.app, &self.request.service.name);
         let now = app.now();
-        let spent: Result<f64, Denial> = app.with_retry_budget(service, |budget| {
+        let spent: Result<f64, Denial> = retry_budget::with_share(app, service, |budget| {
             with_policy(app, service, |p| {
                 p.try_spend(now, &self.conditions, budget)?;
                 Ok(p.saved())
--- a/crates/mustard-gateway/src/forward/mod.rs
+++ b/crates/mustard-gateway/src/forward/mod.rs
@@ -37,6 +37,7 @@
 use crate::app::App;
 use crate::log_limit::Topic;
 use crate::metric;
+use crate::retry_budget;
 use crate::strikes::{QUARANTINE_RETRY_AFTER, is_quarantined};
 
 /// Time limit for reading the body of a request that names no time budget.
@@ -191,7 +192,7 @@
         return Err(not_run(ENDS_SERVERS, QUARANTINE_RETRY_AFTER));
     }
     let now = app.now();
-    app.with_retry_budget(&service.name, |b| b.record_request(now));
+    retry_budget::with_share(app, &service.name, |s| s.record_request(now));
     hedging::record_request(app, &service.name);
     let left = route.timeout.min(params.budget.unwrap_or(route.timeout));
     Ok(AdmittedRequest {
@@ -297,7 +298,7 @@
 /// Takes one retry out of the service's retry budget; returns whether it is allowed.
 fn spend_retry(app: &App, request: &AdmittedRequest) -> bool {
     let now = app.now();
-    let allowed = app.with_retry_budget(&request.service.name, |b| b.try_spend(now));
+    let allowed = retry_budget::with_share(app, &request.service.name, |s| s.try_spend(now));
     metric::count_retry(if allowed { "failed" } else { "budget empty" });
     allowed
 }
--- a/crates/mustard-gateway/src/lib.rs
+++ b/crates/mustard-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod peers;
 pub mod placement;
 pub mod quiet_servers;
+pub mod retry_budget;
 pub mod serve;
 pub mod server_load;
 pub mod server_probe;
--- a/crates/mustard-gateway/src/metric.rs
+++ b/crates/mustard-gateway/src/metric.rs
@@ -28,6 +28,12 @@
     counter!("mustard_retries_total", "reason" => reason).increment(1);
 }
 
+/// Sets the retries that are left of this gateway's share of a service's retry budget; negative if more were
+/// spent than is allowed now.
+pub fn set_retry_budget(service: &str, remaining: f64) {
+    gauge!("mustard_retry_budget_remaining", "service" => service.to_owned()).set(remaining);
+}
+
 /// Counts a second copy of a slow request when it is sent, and by its outcome: it won, was cancelled as the first
 /// copy answered, or failed.
 pub fn count_copy(kind: &'static str, outcome: &'static str) {
--- a/crates/mustard-gateway/src/moves.rs
+++ b/crates/mustard-gateway/src/moves.rs
@@ -30,6 +30,7 @@
 use crate::log_limit::Topic;
 use crate::metric;
 use crate::placement::{engine_of, send_order};
+use crate::retry_budget;
 use crate::server_probe::probe_faulty_server;
 use crate::stream_watch::{abandon, silent_ms};
 use crate::strikes::{self, Failure};
@@ -369,7 +370,7 @@
     let room = needed_room(app, stream);
     let gateways = app.gateway_count() as f64;
     let may_restart = stream.may_restart
-        && app.with_retry_budget(&stream.service, |budget| budget.remaining() >= 1.0);
+        && retry_budget::with_share(app, &stream.service, |share| share.remaining() >= 1.0);
     let demand = remaining_demand(&stream.demand, stream.tokens_sent);
     let fleet = app.fleet.borrow();
     let running = running_holders(&fleet, stream, engine, now, gateways, faulty);
--- a/crates/mustard-policy/src/budget_share.rs
+++ b/crates/mustard-policy/src/budget_share.rs
@@ -28,6 +28,19 @@
     pub window: Duration,
 }
 
+/// What a process spent of a retry budget since it started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// The requests, each of which adds its share.
+    pub requests: u64,
+    /// The retries that were allowed.
+    pub retries: u64,
+    /// The second copies that were allowed.
+    pub copies: u64,
+    /// The retries and second copies that were refused.
+    pub refused: u64,
+}
+
 /// The requests and retries of one process within the window.
 #[derive(Clone, Debug)]
 pub struct RetryBudgetShare {
@@ -38,6 +51,7 @@
     retries: VecDeque<Moment>,
     /// The second copies of slow requests; they count as retries too.
     copies: VecDeque<Moment>,
+    usage: Usage,
 }
 
 impl RetryBudgetShare {
@@ -49,6 +63,7 @@
             requests: VecDeque::new(),
             retries: VecDeque::new(),
             copies: VecDeque::new(),
+            usage: Usage::default(),
         }
     }
 
@@ -61,15 +76,18 @@
     pub fn record_request(&mut self, now: Moment) {
         self.remove_expired(now);
         self.requests.push_back(now);
+        self.usage.requests += 1;
     }
 
     /// Takes one retry out of the share; returns whether there was one.
     pub fn try_spend(&mut self, now: Moment) -> bool {
         self.remove_expired(now);
         if self.remaining() < 1.0 {
+            self.usage.refused += 1;
             return false;
         }
         self.retries.push_back(now);
+        self.usage.retries += 1;
         true
     }
 
@@ -79,6 +97,9 @@
         let has_copy = self.has_copy();
         if has_copy {
             self.copies.push_back(now);
+            self.usage.copies += 1;
+        } else {
+            self.usage.refused += 1;
         }
         has_copy
     }
@@ -98,6 +119,16 @@
         (earned + fixed_part) * MAX_SPENT_SHARE - spent as f64
     }
 
+    /// Returns what was spent since the process started.
+    pub fn usage(&self) -> Usage {
+        self.usage
+    }
+
+    /// Returns the number of processes among which the fixed number is divided.
+    pub fn processes(&self) -> usize {
+        self.processes
+    }
+
     fn remove_expired(&mut self, now: Moment) {
         let window_start = now - self.budget.window;
         for times in [&mut self.requests, &mut self.retries, &mut self.copies] {
