Earn retries instead of recording windows, so that a restart gives none back

Cause: each process recorded what it had spent in the last window and had its whole share at its start. 18 processes that started within a window spent 0.27 to 0.43 of the budget beside the 11 that ran at first.

Fix: a process earns retries by its own requests and by time, saves a limited number, and starts with none. The fixed number isn't divided before the number of gateways is known, which messages between gateways now tell.

The process test retry_budget_gateways_killed sees 673 repeats beyond the budget on the code before (1,224 in all) and is green now.

--- a/crates/mustard-gateway/src/own_rows.rs
+++ b/crates/mustard-gateway/src/own_rows.rs
@@ -122,6 +122,7 @@
             }
         }
     }
+    app.peers.borrow_mut().record_listed();
     let own_key = format!("{GATEWAY_PREFIX}{}", app.peers.borrow().own_addr());
     let mut txn = Txn::default();
     if !rows.iter().any(|r| r.key == own_key) {
--- a/crates/mustard-gateway/src/peers.rs
+++ b/crates/mustard-gateway/src/peers.rs
@@ -88,6 +88,8 @@
 pub struct Peers {
     own_addr: SocketAddr,
     known: Map<SocketAddr, Peer>,
+    /// The largest number of gateways that the store's rows or another gateway named; `None` until then.
+    counted: Option<usize>,
     /// When the set was last updated; [`Peers::alive_count`] and [`Peers::rank`] count from it.
     updated_at: Moment,
     /// Whether each [`FollowedTable`] of the store is reachable; `None` before the first call.
@@ -108,6 +110,7 @@
                 .filter(|a| *a != own_addr)
                 .map(|a| (a, Peer::default()))
                 .collect(),
+            counted: None,
             updated_at: Moment::default(),
             tables_reachable: [None; 2],
         }
@@ -135,6 +138,22 @@
         self.known.len()
     }
 
+    /// Returns the largest number of gateways ever counted, this one included; `None` before the store's rows
+    /// or another gateway have named it.
+    pub fn total(&self) -> Option<usize> {
+        self.counted.map(|count| count.max(self.known_count() + 1))
+    }
+
+    /// Records that the addresses of all gateways in the store's rows were added.
+    pub fn record_listed(&mut self) {
+        self.counted = self.counted.max(Some(1));
+    }
+
+    /// Records the number of gateways that another one has counted.
+    pub fn record_total(&mut self, total: usize) {
+        self.counted = self.counted.max(Some(total));
+    }
+
     /// Returns the number of live peers whose addresses sort before this gateway's.
     pub fn rank(&self) -> usize {
         let before = self
@@ -295,6 +314,9 @@
     /// The load of servers; absent in messages of older versions.
     #[serde(rename = "m", default, skip_serializing_if = "LoadMessage::is_empty")]
     loads: LoadMessage,
+    /// The largest number of gateways that the sender has counted; absent in messages of older versions.
+    #[serde(rename = "n", default, skip_serializing_if = "Option::is_none")]
+    total: Option<usize>,
 }
 
 impl PeerMessage {
@@ -356,6 +378,7 @@
         outliers: outliers::messages(app),
         crossings: crossing_share::message(app),
         loads: server_load::message(app),
+        total: peers.total(),
     }
 }
 
@@ -366,6 +389,9 @@
         for addr in message.peers {
             peers.record_reported(now, addr);
         }
+        if let Some(total) = message.total {
+            peers.record_total(total);
+        }
         peers.record_heard(now, message.from)
     };
     if newly_alive && let Some(log) = app.log.logger_for(Topic::Dependency) {
--- a/crates/mustard-gateway/src/retry_budget.rs
+++ b/crates/mustard-gateway/src/retry_budget.rs
@@ -11,7 +11,6 @@
 use crate::app::App;
 use crate::log_limit::Topic;
 use crate::metric;
-use crate::peers::MIN_GATEWAYS;
 
 /// The least time between two log lines of a service.
 const LOG_INTERVAL: Duration = Duration::from_millis(250);
@@ -63,7 +62,7 @@
             window: app.node.retry_window,
         };
         let state = ServiceBudget {
-            share: RetryBudgetShare::new(budget, MIN_GATEWAYS),
+            share: RetryBudgetShare::new(budget, app.started_at),
             logged: Usage::default(),
             logged_at: Moment::default(),
         };
@@ -71,8 +70,10 @@
     }
     let state = services.get_mut(service).expect("it was inserted above");
     // A gateway that wasn't heard from lately may still spend its share.
-    let known = app.peers.borrow().known_count() + 1;
-    state.share.observe_processes(known);
+    if let Some(total) = app.peers.borrow().total() {
+        state.share.observe_processes(total);
+    }
+    state.share.advance(now);
     let result = use_share(&mut state.share);
     if state.log_due(now) {
         report(app, service, &state.share, now);
--- a/crates/mustard-gateway/tests/gateway/main.rs
+++ b/crates/mustard-gateway/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod poison;
 mod priorities;
 mod restored;
+mod retry_budget;
 mod second_copies;
 mod segments;
 mod server_load;
