Start second copies with none saved, and let new processes send them

What callers saw: nothing yet; the operators' limits did. A gateway that was killed again and again began each time with up to five saved copies and sent the first one at once: 640 copies of 604 allowed in 30 s with four gateways (try_spend_restarted_gateways, red before). The class is that of the retry budget: what is saved at a start was spent by the predecessor.

Second copies also needed half of what may be saved of the retry budget, which a process has only some seconds after its start. They need half of what is saved now.

--- a/crates/mustard-gateway/src/forward/hedging.rs
+++ b/crates/mustard-gateway/src/forward/hedging.rs
@@ -68,11 +68,11 @@
 
 /// Calls a function with the policy of a service, created at first use.
 fn with_policy<T>(app: &App, service: &str, use_policy: impl FnOnce(&mut HedgePolicy) -> T) -> T {
-    let gateways = app.peers.borrow().known_count() + 1;
+    let gateways = app.peers.borrow().total().unwrap_or(MIN_GATEWAYS);
     let mut hedging = app.hedging.borrow_mut();
     let settings = hedging.settings;
     if !hedging.policies.contains_key(service) {
-        let policy = HedgePolicy::new(settings, MIN_GATEWAYS);
+        let policy = HedgePolicy::new(settings, gateways, app.started_at);
         hedging.policies.insert(service.to_owned(), policy);
     }
     let policy = hedging.policies.get_mut(service);
--- a/crates/mustard-policy/src/budget_share.rs
+++ b/crates/mustard-policy/src/budget_share.rs
@@ -21,7 +21,7 @@
 const SAVED_RATIO: f64 = 0.3;
 /// The part of the fixed number that may be saved; the rest is earned evenly over a window.
 const SAVED_SLACK: f64 = 0.6;
-/// The part of what is earned, and of what may be saved, that second copies may use, so that failed requests can
+/// The part of what is earned, and of what is saved, that second copies may use, so that failed requests can
 /// still be sent again.
 const COPY_PART: f64 = 0.5;
 
@@ -101,6 +101,7 @@
             return false;
         }
         self.saved -= 1.0;
+        self.copies = self.copies.min(COPY_PART * self.saved);
         self.usage.retries += 1;
         true
     }
@@ -120,7 +121,7 @@
 
     /// Returns whether there is a second copy in the share, as of the last change.
     pub fn has_copy(&self) -> bool {
-        self.copies >= 1.0 && self.saved - 1.0 >= (1.0 - COPY_PART) * self.capacity()
+        self.copies >= 1.0
     }
 
     /// Returns the retries that may be spent, as of the last change.
@@ -141,7 +142,7 @@
             self.earned_until = now;
         }
         self.saved = self.saved.min(self.capacity());
-        self.copies = self.copies.min(COPY_PART * self.capacity());
+        self.copies = self.copies.min(COPY_PART * self.saved);
     }
 
     /// Returns what was spent since the process started.
--- a/crates/mustard-policy/src/hedge.rs
+++ b/crates/mustard-policy/src/hedge.rs
@@ -191,22 +191,22 @@
     gateways: usize,
     /// The copies that the share of requests allows now.
     saved: f64,
-    /// When the rate allows the next copy.
-    next_at: Moment,
+    /// When this gateway sent its last copy, or started.
+    spent_at: Moment,
     /// When a server last refused a request for lack of room.
     refused_at: Option<Moment>,
     routes: Map<String, RouteTimes>,
 }
 
 impl HedgePolicy {
-    /// Creates the policy of one of `gateways` gateways.
-    pub fn new(settings: Settings, gateways: usize) -> Self {
-        let gateways = gateways.max(1);
+    /// Creates the policy of one of `gateways` gateways, whose process started at `now`. It has no copies saved, so
+    /// that a restart doesn't give back what was spent.
+    pub fn new(settings: Settings, gateways: usize, now: Moment) -> Self {
         HedgePolicy {
             settings,
-            gateways,
-            saved: reserve(gateways),
-            next_at: Moment::default(),
+            gateways: gateways.max(1),
+            saved: 0.0,
+            spent_at: now,
             refused_at: None,
             routes: Map::default(),
         }
@@ -283,7 +283,7 @@
             (conditions.attempts_left > 0, Denial::Attempts),
             (self.saved >= 1.0, Denial::Share),
             (
-                self.settings.rate > 0.0 && now >= self.next_at,
+                self.settings.rate > 0.0 && now.since(self.spent_at) >= self.interval(),
                 Denial::Rate,
             ),
             (budget.has_copy(), Denial::RetryBudget),
@@ -309,11 +309,16 @@
             return Err(Denial::RetryBudget);
         }
         self.saved -= 1.0;
-        let interval = self.gateways as f64 / self.settings.rate;
-        self.next_at = now + Duration::from_secs_f64(interval.min(MAX_INTERVAL));
+        self.spent_at = now;
         Ok(())
     }
 
+    /// Returns the least time between two copies of this gateway.
+    fn interval(&self) -> Duration {
+        let interval = self.gateways as f64 / self.settings.rate;
+        Duration::from_secs_f64(interval.min(MAX_INTERVAL))
+    }
+
     /// Returns the second copies that the share of requests allows now.
     pub fn saved(&self) -> f64 {
         self.saved
