--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -206,6 +206,7 @@
         hedge: hedge::Settings,
     ) -> Rc<Self> {
         let clock = SystemClock::default();
+        let started_at = clock.now();
         let store = Store::new(new_client().await, node.store);
         let peers = Peers::new(&node);
         Rc::new(App {
@@ -214,7 +215,7 @@
             peer_client: new_limited_client(CONNECT_TIMEOUT, MAX_ANSWER_BYTES).await,
             store,
             log: LimitedLog::new(log, clock.clone()),
-            started_at: clock.now(),
+            started_at,
             clock,
             config: RefCell::new(None),
             config_text: RefCell::default(),
@@ -228,7 +229,7 @@
             list_confirmed: Cell::default(),
             lateness: RefCell::default(),
             answers: RefCell::default(),
-            crossings: RefCell::new(Crossings::new(peers.own_addr())),
+            crossings: RefCell::new(Crossings::new(peers.own_addr(), started_at)),
             pauses: RefCell::default(),
             quiet: RefCell::default(),
             retry_budgets: RefCell::default(),
--- a/crates/mustard-gateway/src/crossing_share.rs
+++ b/crates/mustard-gateway/src/crossing_share.rs
@@ -66,9 +66,9 @@
 
 impl Crossings {
     /// Creates the state of a gateway that knows of no demand.
-    pub fn new(own_addr: SocketAddr) -> Self {
+    pub fn new(own_addr: SocketAddr, now: Moment) -> Self {
         Crossings {
-            budget: CrossingBudget::default(),
+            budget: CrossingBudget::new(now),
             shares: DemandShares::new(own_addr),
             logged: Share::default(),
             logged_at: None,
@@ -195,5 +195,6 @@
 
 /// Returns the number of gateways that this one knows of, this one included.
 fn known_count(app: &App) -> usize {
-    app.peers.borrow().known_count() + 1
+    let peers = app.peers.borrow();
+    peers.total().unwrap_or(peers.known_count() + 1)
 }
--- a/crates/mustard-policy/src/pipeline/crossing.rs
+++ b/crates/mustard-policy/src/pipeline/crossing.rs
@@ -56,18 +56,18 @@
     reduced_at: Option<Moment>,
 }
 
-impl Default for CrossingBudget {
-    fn default() -> Self {
+impl CrossingBudget {
+    /// Creates the budget of a process that has just started. It has nothing saved, as its predecessor may have
+    /// used what it had.
+    pub fn new(now: Moment) -> Self {
         CrossingBudget {
-            saved: 1.0,
+            saved: 0.0,
             factor: 1.0,
-            updated_at: Moment::default(),
+            updated_at: now,
             reduced_at: None,
         }
     }
-}
 
-impl CrossingBudget {
     /// Takes the crossings of one path out of the budget; tells whether they were there. `rate` is this
     /// process's part of the capacity, in crossings a second.
     pub fn take(&mut self, now: Moment, rate: f64, crossings: u32) -> bool {
--- a/crates/mustard-policy/tests/crossing.rs
+++ b/crates/mustard-policy/tests/crossing.rs
@@ -72,7 +72,7 @@
     // One pair of domains; all crossings use it.
     let capacity = crossing_capacity(&engine, 2);
     let transfer_ms = 1e3 / capacity;
-    let mut budgets = vec![CrossingBudget::default(); GATEWAYS];
+    let mut budgets = vec![CrossingBudget::new(Moment::default()); GATEWAYS];
     let mut free_at = 0.0_f64;
     let mut waiting: VecDeque<Waiting> = VecDeque::new();
     let mut windows = vec![Window::default(); (DAY_MS / 2_000) as usize];
@@ -188,6 +188,31 @@
     assert!(share(unlimited) < 0.1, "the jam ends by itself");
 }
 
+/// Guards against processes that are killed again and again and begin each time with saved crossings, so that all
+/// together use more than the bandwidth carries.
+#[test]
+fn take_restarted_processes() {
+    let (capacity, processes) = (20.0, 11);
+    for life_ms in [300, 1_000, 2_500] {
+        let mut budgets = Vec::new();
+        let mut taken = 0;
+        for ms in (60_000..80_000).step_by(10) {
+            let now = Moment::from_millis(ms);
+            if (ms - 60_000) % life_ms == 0 {
+                budgets = vec![CrossingBudget::new(now); processes];
+            }
+            for budget in &mut budgets {
+                let rate = capacity / processes as f64;
+                taken += u32::from(budget.take(now, rate, 1));
+            }
+        }
+        assert!(
+            f64::from(taken) <= capacity * 20.0,
+            "{taken} crossings, {life_ms} ms"
+        );
+    }
+}
+
 /// A calm deployment with wide connections between domains is never limited.
 #[test]
 fn take_wide_connections() {
@@ -196,7 +221,7 @@
         ..engine()
     };
     let rate = crossing_capacity(&wide, 3) / 5.0;
-    let mut budget = CrossingBudget::default();
+    let mut budget = CrossingBudget::new(Moment::default());
     budget.take(Moment::from_millis(0), rate, 1);
     for ms in (1_000..11_000).step_by(66) {
         assert!(
@@ -210,7 +235,7 @@
 /// a request that begins in time.
 #[test]
 fn record_start_recovers() {
-    let mut budget = CrossingBudget::default();
+    let mut budget = CrossingBudget::new(Moment::default());
     let at = |ms| Moment::from_millis(ms);
     let taken = |budget: &mut CrossingBudget, from: u64, to: u64| {
         (from..to)
@@ -238,7 +263,7 @@
     let at = Moment::from_millis;
     let target = Duration::from_millis(600);
     let taken = |waited: u64| {
-        let mut budget = CrossingBudget::default();
+        let mut budget = CrossingBudget::new(Moment::default());
         budget.take(at(1_000), 20.0, 1);
         (1_000..6_000)
             .filter(|&ms| {
--- a/crates/mustard-policy/tests/demand_share.rs
+++ b/crates/mustard-policy/tests/demand_share.rs
@@ -271,7 +271,7 @@
     /// Runs a load for a time; the first 10 s aren't counted unless the gateways start.
     fn run(mut self, load: Load, length_ms: u64) -> Outcome {
         let mut outcome = Outcome::default();
-        let mut common = CrossingBudget::default();
+        let mut common = CrossingBudget::new(Moment::default());
         let mut waiting: Vec<Request> = Vec::new();
         let mut next_id = 0;
         let begin = if self.fault == Fault::Start {
@@ -335,7 +335,7 @@
     let seeds = (0..size).choose_multiple(rng, 3);
     Gateway {
         shares: DemandShares::new(g),
-        budget: CrossingBudget::default(),
+        budget: CrossingBudget::new(Moment::from_millis(ms)),
         known: (0..size)
             .map(|p| knows_all || p == g || seeds.contains(&p))
             .collect(),
