Count all known gateways until a new one has heard from the live ones

A gateway that has just started took every turn for trials of blocked parts of prompts as its own, since it had heard from no other: four of 32 at once 0.5 s after a start of all (has_turn_all_restarted, red before). Each trial may end a server. It divided capacity and the limits that servers name by the gateways heard from after 5 s, also where there are so many that this takes longer: 1.03 of the capacity with 130 gateways after 20.5 s (share_count_sum, red before).

The time after which a peer no longer counts as alive grows with the number of gateways beyond 30, as the time between two of their messages does, and a new gateway counts all that it knows of until that time has passed.

--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -35,7 +35,7 @@
 use crate::forward::{Hedging, WaitingQueues};
 use crate::log_limit::LimitedLog;
 use crate::metric;
-use crate::peers::{Peers, STARTUP_TIME};
+use crate::peers::Peers;
 use crate::retry_budget::RetryBudgets;
 use crate::strike_news::News;
 
@@ -296,10 +296,14 @@
         limit.max(MIN_FEED_TIMEOUT)
     }
 
+    /// Returns how long ago the process started.
+    pub fn age(&self) -> Duration {
+        self.now().since(self.started_at)
+    }
+
     /// Returns the number of gateways that capacity is divided among, this one included.
     pub fn gateway_count(&self) -> usize {
-        let is_new = self.now().since(self.started_at) < STARTUP_TIME;
-        self.peers.borrow().share_count(is_new)
+        self.peers.borrow().share_count(self.age())
     }
 
     /// Takes the crossings of a path between failure domains out of this process's part of what the
--- a/crates/mustard-gateway/src/limits.rs
+++ b/crates/mustard-gateway/src/limits.rs
@@ -16,7 +16,6 @@
 use crate::app::App;
 use crate::log_limit::Topic;
 use crate::metric;
-use crate::peers::STARTUP_TIME;
 
 /// How long a limit is kept that no answer names again, because nobody sends any request.
 const MAX_AGE: Duration = Duration::from_secs(30);
@@ -117,8 +116,11 @@
 /// Returns the number of gateways that use a server, and the place of this one among them.
 fn place(app: &App, id: &str) -> (usize, usize) {
     let peers = app.peers.borrow();
-    let is_new = app.now().since(app.started_at) < STARTUP_TIME;
-    let others: Vec<String> = peers.others(is_new).map(|addr| addr.to_string()).collect();
+    let includes_all = !peers.has_heard_all(app.age());
+    let others: Vec<String> = peers
+        .others(includes_all)
+        .map(|addr| addr.to_string())
+        .collect();
     let names: Vec<&str> = others.iter().map(String::as_str).collect();
     let rank = rank_by_hash(id, &peers.own_addr().to_string(), &names);
     (names.len() + 1, rank)
--- a/crates/mustard-gateway/src/peers.rs
+++ b/crates/mustard-gateway/src/peers.rs
@@ -40,9 +40,9 @@
 /// The media type of messages between gateways.
 pub const MEDIA_TYPE: &str = "application/msgpack";
 /// The interval between rounds; with 340 gateways, a change reaches all of them in about 3 s.
-const ROUND_INTERVAL: Duration = Duration::from_millis(500);
+pub const ROUND_INTERVAL: Duration = Duration::from_millis(500);
 /// The number of live peers called in each round.
-const FANOUT: usize = 2;
+pub const FANOUT: usize = 2;
 /// Each round also calls one of this many peers that aren't alive, as far as is known.
 const OTHERS_ROUNDS: usize = 8;
 /// The most of these in one round.
@@ -53,9 +53,11 @@
 const NEWS_INTERVAL: Duration = Duration::from_millis(100);
 /// The timeout of one call.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(400);
-/// How long after its last message a peer counts as alive. Among 30 gateways, any two exchange
-/// messages every 4 s on average; that time grows in proportion to the number of gateways.
+/// How long after its last message a peer counts as alive, among up to [`ALIVE_GATEWAYS`] gateways. Among 30
+/// gateways, any two exchange messages every 4 s on average; that time grows in proportion to the number of gateways.
 const ALIVE_TIME: Duration = Duration::from_secs(20);
+/// The number of gateways beyond which the time grows in proportion to it.
+const ALIVE_GATEWAYS: u32 = 30;
 /// The most addresses in one message.
 const MAX_ADDRS: usize = 24;
 /// The most strikes, and the most clearances, in one message.
@@ -65,8 +67,6 @@
 /// The least number of gateways among which capacity is divided by one that has just started, as it
 /// knows only few of its peers.
 pub const MIN_GATEWAYS: usize = 4;
-/// The time after its start in which a gateway doesn't know which of the others are alive.
-pub const STARTUP_TIME: Duration = Duration::from_secs(5);
 /// The largest message that is accepted.
 pub const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
 
@@ -78,8 +78,8 @@
 }
 
 impl Peer {
-    fn is_alive(&self, now: Moment) -> bool {
-        self.last_heard.is_some_and(|h| now.since(h) < ALIVE_TIME)
+    fn is_alive(&self, now: Moment, alive_time: Duration) -> bool {
+        self.last_heard.is_some_and(|h| now.since(h) < alive_time)
     }
 }
 
@@ -118,21 +118,31 @@
 
     /// Returns the number of peers that are alive.
     pub fn alive_count(&self) -> usize {
-        let alive = |p: &&Peer| p.is_alive(self.updated_at);
-        self.known.values().filter(alive).count()
+        self.others(false).count()
     }
 
-    /// Returns the number of gateways that capacity is divided among, this one included. While this
-    /// gateway `is_new`, the peers that it knows of count although it hasn't heard from them yet.
-    pub fn share_count(&self, is_new: bool) -> usize {
+    /// Returns whether a gateway that started `age` ago has had the time to hear from all live peers.
+    pub fn has_heard_all(&self, age: Duration) -> bool {
+        age >= self.alive_time()
+    }
+
+    /// Returns the number of gateways that capacity is divided among, this one included, by one that started
+    /// `age` ago. Until it has heard from all live peers, those that it knows of count.
+    pub fn share_count(&self, age: Duration) -> usize {
         let alive = self.alive_count() + 1;
-        if is_new {
-            alive.max(self.known_count() + 1).max(MIN_GATEWAYS)
-        } else {
+        if self.has_heard_all(age) {
             alive
+        } else {
+            alive.max(self.total().unwrap_or(MIN_GATEWAYS))
         }
     }
 
+    /// Returns the time after its last message in which a peer counts as alive.
+    fn alive_time(&self) -> Duration {
+        let gateways = self.known_count() as u32 + 1;
+        ALIVE_TIME.max(ALIVE_TIME * gateways / ALIVE_GATEWAYS)
+    }
+
     /// Returns the number of peers that are known, alive or not.
     pub fn known_count(&self) -> usize {
         self.known.len()
@@ -156,20 +166,24 @@
 
     /// Returns the number of live peers whose addresses sort before this gateway's.
     pub fn rank(&self) -> usize {
-        let before = self
-            .known
-            .iter()
-            .filter(|(a, p)| **a < self.own_addr && p.is_alive(self.updated_at));
-        before.count()
+        self.others(false).filter(|a| *a < self.own_addr).count()
+    }
+
+    /// Returns whether a turn is this gateway's, which started `age` ago: the live gateways have turns one after
+    /// the other. One that hasn't heard from all of them counts those that it knows of.
+    pub fn has_turn(&self, turn: u64, age: Duration) -> bool {
+        let others = || self.others(!self.has_heard_all(age));
+        let rank = others().filter(|a| *a < self.own_addr).count() as u64;
+        turn % (others().count() as u64 + 1) == rank
     }
 
     /// Returns the addresses of the peers that are alive, or of all that are known.
     pub fn others(&self, all: bool) -> impl Iterator<Item = SocketAddr> {
-        let now = self.updated_at;
+        let (now, alive_time) = (self.updated_at, self.alive_time());
         let others = self
             .known
             .iter()
-            .filter(move |(_, p)| all || p.is_alive(now));
+            .filter(move |(_, p)| all || p.is_alive(now, alive_time));
         others.map(|(addr, _)| *addr)
     }
 
@@ -194,20 +208,25 @@
     }
 
     /// Records a message from a peer; tells whether the peer didn't count as alive before.
-    fn record_heard(&mut self, now: Moment, addr: SocketAddr) -> bool {
+    pub fn record_heard(&mut self, now: Moment, addr: SocketAddr) -> bool {
         self.updated_at = now;
         if addr == self.own_addr {
             return false;
         }
+        let alive_time = self.alive_time();
         let peer = self.known.entry(addr).or_default();
-        let newly_alive = !peer.is_alive(now);
+        let newly_alive = !peer.is_alive(now, alive_time);
         peer.last_heard = Some(now);
         newly_alive
     }
 
     /// Returns the addresses of the peers that are alive, at most [`MAX_ADDRS`].
-    fn shared_addrs(&self, now: Moment) -> Vec<SocketAddr> {
-        let alive = self.known.iter().filter(|(_, p)| p.is_alive(now));
+    pub fn shared_addrs(&self, now: Moment) -> Vec<SocketAddr> {
+        let alive_time = self.alive_time();
+        let alive = self
+            .known
+            .iter()
+            .filter(|(_, p)| p.is_alive(now, alive_time));
         let mut list: Vec<SocketAddr> = alive.map(|(addr, _)| *addr).collect();
         list.sort_unstable();
         list.truncate(MAX_ADDRS);
@@ -215,10 +234,11 @@
     }
 
     /// Records that another peer has said that a peer is alive.
-    fn record_reported(&mut self, now: Moment, addr: SocketAddr) {
+    pub fn record_reported(&mut self, now: Moment, addr: SocketAddr) {
         self.add(addr);
+        let alive_time = self.alive_time();
         if let Some(peer) = self.known.get_mut(&addr)
-            && !peer.is_alive(now)
+            && !peer.is_alive(now, alive_time)
         {
             peer.is_reported = true;
         }
@@ -226,7 +246,7 @@
 
     /// Chooses up to `alive` peers that are alive at random and, if `with_others`, those that were
     /// reported alive and some of the rest.
-    fn choose(
+    pub fn choose(
         &mut self,
         now: Moment,
         alive: usize,
@@ -234,11 +254,12 @@
         rng: &mut impl Rng,
     ) -> Vec<SocketAddr> {
         self.updated_at = now;
+        let alive_time = self.alive_time();
         let mut heard = Vec::new();
         let mut reported = Vec::new();
         let mut rest = Vec::new();
         for (addr, peer) in &mut self.known {
-            if peer.is_alive(now) {
+            if peer.is_alive(now, alive_time) {
                 heard.push(*addr);
             } else if with_others && std::mem::take(&mut peer.is_reported) {
                 reported.push(*addr);
--- a/crates/mustard-gateway/src/strikes.rs
+++ b/crates/mustard-gateway/src/strikes.rs
@@ -110,9 +110,8 @@
 /// Returns whether this gateway has its turn to run trials: the live gateways have it one after the
 /// other, by the time of day.
 fn has_trial_turn(app: &App) -> bool {
-    let peers = app.peers.borrow();
-    let turn = u128::from(app.clock.wall_ms()) / TRIAL_TURN.as_millis();
-    turn % (peers.alive_count() as u128 + 1) == peers.rank() as u128
+    let turn = app.clock.wall_ms() / TRIAL_TURN.as_millis() as u64;
+    app.peers.borrow().has_turn(turn, app.age())
 }
 
 /// Returns whether any of the segments is blocked, as too many servers ended on it.
