Resume streams only with a response of the same media type

What callers saw (test): a stream had begun and broke off, the next server answered with a text and status 200, and the caller got this text, with the head in it, in the middle of a stream that ended as if it were complete.

Cause: a resumed stream took every response with status 200 for the rest of the stream. Answers with other statuses were never forwarded. A response continues a stream now only if it has the media type of the first one, so that a page of text or an empty answer without type ends in an aborted stream.

Evidence: resume_answered_with_error, red before with status 200, and green with 500, 503, 404 and 400 before.

--- a/crates/mustard-fakes/src/site/http.rs
+++ b/crates/mustard-fakes/src/site/http.rs
@@ -204,6 +204,9 @@
             out.header("retry-after", format!("{:.2}", wait.as_secs_f64()));
             out.finish()
         }
+        ServerFault::RefusesTwice if call.header("attempt-id").is_some() => {
+            raw::send_refusal_twice(&call).await
+        }
         ServerFault::Silent => std::future::pending().await,
         ServerFault::Endless(what) => {
             if let Some(id) = call.header("attempt-id") {
--- a/crates/mustard-fakes/src/site/mod.rs
+++ b/crates/mustard-fakes/src/site/mod.rs
@@ -101,6 +101,11 @@
     Endless(Endless),
     /// Turns requests away with status 503 and this time in `Retry-After`.
     TurnsAway(Duration),
+    /// Refuses a request with status 503 without running it, writes the refusal once more and keeps the
+    /// connection open.
+    RefusesTwice,
+    /// Answers a stream with this status and a text (model servers only).
+    AnswersText(u16),
 }
 
 /// Which servers a poison content ends; it is any content whose path contains [`POISON`], or whose prompt
--- a/crates/mustard-fakes/src/site/model.rs
+++ b/crates/mustard-fakes/src/site/model.rs
@@ -256,6 +256,13 @@
         site.end_server(index, &id, None);
         return call.end_with_server(site, index).await;
     }
+    if let ServerFault::AnswersText(status) = site.lock().servers[index].current_fault() {
+        let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+        let mut out = Response::build(status);
+        out.header("attempt-id", id.clone())
+            .header("response-seal", format!("seal-{id}"));
+        return out.body(Bytes::from_static(ERROR_TEXT.as_bytes()));
+    }
     let after = call
         .header("last-event-id")
         .and_then(|v| v.parse().ok())
@@ -292,6 +299,9 @@
     out.streaming(body)
 }
 
+/// What [`ServerFault::AnswersText`] sends. Its empty line would end an event.
+const ERROR_TEXT: &str = "error: out of memory\n\nHTTP/1.1 500 Internal Server Error\r\n\r\n";
+
 /// A chunk of a stream's body; none closes the connection before the body ends.
 type Chunk = Option<Bytes>;
 
--- a/crates/mustard-fakes/src/site/raw.rs
+++ b/crates/mustard-fakes/src/site/raw.rs
@@ -64,6 +64,23 @@
     std::future::pending().await
 }
 
+/// Sends a refusal, and a little later the same bytes again on the same connection, which stays open.
+pub(super) async fn send_refusal_twice(call: &Call) -> Response {
+    let Some(io) = call.connection() else {
+        return Response::InternalServerError().finish();
+    };
+    let id = call.header("attempt-id").unwrap_or_default();
+    let refusal = format!(
+        "HTTP/1.1 503 Service Unavailable\r\nattempt-id: {id}\r\nnot-executed: 1\r\n\
+         content-length: 0\r\n\r\n"
+    );
+    if write(&io, refusal.as_bytes()) {
+        sleep(FILLER_PAUSE).await;
+        write(&io, refusal.as_bytes());
+    }
+    std::future::pending().await
+}
+
 /// Counts the bytes of a response without an end, and records them once it is over: the HTTP server
 /// drops it when the client closes the connection.
 struct EndlessCount {
--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -6,6 +6,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use ntex::http::header::{CONTENT_TYPE, HeaderValue};
 use ntex::http::{Response, StatusCode};
 use ntex::io::{IoRef, OnDisconnect};
 use ntex::util::{Bytes, Stream};
@@ -147,6 +148,7 @@
     let session = StreamSession {
         app: Rc::clone(app),
         last_event: request.params.last_event,
+        content_type: attempt.head.headers.get(CONTENT_TYPE).cloned(),
         request: Rc::new(request),
         attempts,
         sender,
@@ -184,6 +186,8 @@
     request: Rc<AdmittedRequest>,
     attempts: Attempts,
     sender: Sender<Result<Bytes, StreamAborted>>,
+    /// The media type of the response that the caller gets.
+    content_type: Option<HeaderValue>,
     /// The id of the last event that was sent to the caller.
     last_event: Option<u64>,
     /// Whether this gateway has sent an event to the caller.
@@ -308,7 +312,13 @@
             self.last_event,
         )
         .await;
-        opened.ok().filter(|next| next.head.status == 200)
+        opened.ok().filter(|next| self.is_continued_by(next))
+    }
+
+    /// Returns whether an attempt's response may follow what the caller got. An error, also one with a status that
+    /// says success, is no part of the stream.
+    fn is_continued_by(&self, next: &ActiveAttempt) -> bool {
+        next.head.status == 200 && next.head.headers.get(CONTENT_TYPE) == self.content_type.as_ref()
     }
 
     /// Opens the stream on another server while still forwarding the current attempt. The new
@@ -336,7 +346,7 @@
         };
         self.attempts = attempts;
         match next {
-            Ok(next) if next.head.status == 200 => Continuation::Resumed(next),
+            Ok(next) if self.is_continued_by(&next) => Continuation::Resumed(next),
             _ if has_failed => Continuation::Failed,
             _ => Continuation::Same(attempt),
         }
