Call plain services on a new connection each, also calls without a reference

What callers saw (test): on the entry path, a service that writes a refusal twice on a kept connection had the second one taken for the answer to the next call, so that a caller could get another call's answer, or be told that a call has not run that the service ran.

Cause: the agent kept connections for calls that may be repeated; calls with a reference had one each before. Answers carry no id of their call there. All calls have a connection of their own now.

Engines are still called on kept connections.

--- a/crates/mustard-backend/src/http.rs
+++ b/crates/mustard-backend/src/http.rs
@@ -52,9 +52,10 @@
 impl HttpBackend {
     /// Creates a client of the backend server at an address.
     ///
-    /// Calls that carry a reference use `unpooled`, on a new connection each, and nothing else may
+    /// Calls of plain services use `unpooled`, on a new connection each, and nothing else may
     /// use that client. The backend server may close a kept connection while a call is being sent
-    /// on it, and then it can't be known whether the call arrived.
+    /// on it, and then it can't be known whether the call arrived; and it may write an answer twice, which
+    /// would be taken for that to the next call.
     pub fn new(client: Rc<HttpClient>, unpooled: Rc<HttpClient>, addr: SocketAddr) -> Self {
         HttpBackend {
             client,
@@ -209,22 +210,20 @@
             .method
             .parse()
             .map_err(|_| bad_answer(0, &call.method))?;
-        let reference = call.reference.as_deref();
-        let headers = reference.map(|r| [(REFERENCE_HEADER, r), CONNECTION_CLOSE]);
-        let client = match reference {
-            Some(_) => &self.unpooled,
-            None => &self.client,
-        };
+        let reference = call.reference.as_deref().map(|r| (REFERENCE_HEADER, r));
+        let headers: Vec<_> = [CONNECTION_CLOSE].into_iter().chain(reference).collect();
         let request = Request {
             to: self.addr,
             method,
             path: &call.path,
             content_type: &call.content_type,
-            headers: headers.as_ref().map_or(&[], |h| h.as_slice()),
+            headers: &headers,
             body: call.body,
             timeout: Duration::from_millis(call.timeout_ms),
         };
-        let answer = exchange(client, request).await.map_err(classify_error)?;
+        let answer = exchange(&self.unpooled, request)
+            .await
+            .map_err(classify_error)?;
         Ok(into_service_answer(answer))
     }
 
