--- a/crates/mustard-gateway/src/metric.rs
+++ b/crates/mustard-gateway/src/metric.rs
@@ -28,8 +28,7 @@
     counter!("mustard_retries_total", "reason" => reason).increment(1);
 }
 
-/// Sets the retries that are left of this gateway's share of a service's retry budget; negative if more were
-/// spent than is allowed now.
+/// Sets the retries that this gateway has saved of a service's retry budget.
 pub fn set_retry_budget(service: &str, remaining: f64) {
     gauge!("mustard_retry_budget_remaining", "service" => service.to_owned()).set(remaining);
 }
--- a/crates/mustard-gateway/tests/peers.rs
+++ b/crates/mustard-gateway/tests/peers.rs
@@ -100,7 +100,8 @@
         let now = Moment::from_millis(100_000) + age;
         for from in 0..all.len() {
             for to in all[from].choose(now, FANOUT, true, &mut rng) {
-                let to = (1..=count).position(|i| addr(i) == to).unwrap();
+                let to = all.iter().position(|p| p.own_addr() == to);
+                let to = to.expect("all peers take part");
                 for (a, b) in [(from, to), (to, from)] {
                     for told in all[a].shared_addrs(now) {
                         all[b].record_reported(now, told);
