Let a new gateway count all known ones for 5 s again, and for turns of trials too

Counting all known gateways for 20 s and more, as since, gives turns and parts of the capacity to peers that are gone: with 200 of them a new gateway would have had hardly a trial or a part for two minutes. This is taken back. What stays is that a gateway which has just started takes turns among all that it knows of, for 5 s.

--- a/crates/mustard-gateway/src/peers.rs
+++ b/crates/mustard-gateway/src/peers.rs
@@ -53,11 +53,9 @@
 const NEWS_INTERVAL: Duration = Duration::from_millis(100);
 /// The timeout of one call.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(400);
-/// How long after its last message a peer counts as alive, among up to [`ALIVE_GATEWAYS`] gateways. Among 30
-/// gateways, any two exchange messages every 4 s on average; that time grows in proportion to the number of gateways.
+/// How long after its last message a peer counts as alive. Among 30 gateways, any two exchange
+/// messages every 4 s on average; that time grows in proportion to the number of gateways.
 const ALIVE_TIME: Duration = Duration::from_secs(20);
-/// The number of gateways beyond which the time grows in proportion to it.
-const ALIVE_GATEWAYS: u32 = 30;
 /// The most addresses in one message.
 const MAX_ADDRS: usize = 24;
 /// The most strikes, and the most clearances, in one message.
@@ -67,6 +65,8 @@
 /// The least number of gateways among which capacity is divided by one that has just started, as it
 /// knows only few of its peers.
 pub const MIN_GATEWAYS: usize = 4;
+/// The time after its start in which a gateway doesn't know which of the others are alive.
+const STARTUP_TIME: Duration = Duration::from_secs(5);
 /// The largest message that is accepted.
 pub const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
 
@@ -78,8 +78,8 @@
 }
 
 impl Peer {
-    fn is_alive(&self, now: Moment, alive_time: Duration) -> bool {
-        self.last_heard.is_some_and(|h| now.since(h) < alive_time)
+    fn is_alive(&self, now: Moment) -> bool {
+        self.last_heard.is_some_and(|h| now.since(h) < ALIVE_TIME)
     }
 }
 
@@ -123,7 +123,7 @@
 
     /// Returns whether a gateway that started `age` ago has had the time to hear from all live peers.
     pub fn has_heard_all(&self, age: Duration) -> bool {
-        age >= self.alive_time()
+        age >= STARTUP_TIME
     }
 
     /// Returns the number of gateways that capacity is divided among, this one included, by one that started
@@ -137,12 +137,6 @@
         }
     }
 
-    /// Returns the time after its last message in which a peer counts as alive.
-    fn alive_time(&self) -> Duration {
-        let gateways = self.known_count() as u32 + 1;
-        ALIVE_TIME.max(ALIVE_TIME * gateways / ALIVE_GATEWAYS)
-    }
-
     /// Returns the number of peers that are known, alive or not.
     pub fn known_count(&self) -> usize {
         self.known.len()
@@ -179,11 +173,11 @@
 
     /// Returns the addresses of the peers that are alive, or of all that are known.
     pub fn others(&self, all: bool) -> impl Iterator<Item = SocketAddr> {
-        let (now, alive_time) = (self.updated_at, self.alive_time());
+        let now = self.updated_at;
         let others = self
             .known
             .iter()
-            .filter(move |(_, p)| all || p.is_alive(now, alive_time));
+            .filter(move |(_, p)| all || p.is_alive(now));
         others.map(|(addr, _)| *addr)
     }
 
@@ -213,20 +207,15 @@
         if addr == self.own_addr {
             return false;
         }
-        let alive_time = self.alive_time();
         let peer = self.known.entry(addr).or_default();
-        let newly_alive = !peer.is_alive(now, alive_time);
+        let newly_alive = !peer.is_alive(now);
         peer.last_heard = Some(now);
         newly_alive
     }
 
     /// Returns the addresses of the peers that are alive, at most [`MAX_ADDRS`].
     pub fn shared_addrs(&self, now: Moment) -> Vec<SocketAddr> {
-        let alive_time = self.alive_time();
-        let alive = self
-            .known
-            .iter()
-            .filter(|(_, p)| p.is_alive(now, alive_time));
+        let alive = self.known.iter().filter(|(_, p)| p.is_alive(now));
         let mut list: Vec<SocketAddr> = alive.map(|(addr, _)| *addr).collect();
         list.sort_unstable();
         list.truncate(MAX_ADDRS);
@@ -236,9 +225,8 @@
     /// Records that another peer has said that a peer is alive.
     pub fn record_reported(&mut self, now: Moment, addr: SocketAddr) {
         self.add(addr);
-        let alive_time = self.alive_time();
         if let Some(peer) = self.known.get_mut(&addr)
-            && !peer.is_alive(now, alive_time)
+            && !peer.is_alive(now)
         {
             peer.is_reported = true;
         }
@@ -254,12 +242,11 @@
         rng: &mut impl Rng,
     ) -> Vec<SocketAddr> {
         self.updated_at = now;
-        let alive_time = self.alive_time();
         let mut heard = Vec::new();
         let mut reported = Vec::new();
         let mut rest = Vec::new();
         for (addr, peer) in &mut self.known {
-            if peer.is_alive(now, alive_time) {
+            if peer.is_alive(now) {
                 heard.push(*addr);
             } else if with_others && std::mem::take(&mut peer.is_reported) {
                 reported.push(*addr);
