--- a/crates/mustard-bench/src/place/day.rs
+++ b/crates/mustard-bench/src/place/day.rs
@@ -7,7 +7,7 @@
 use mustard_policy::pipeline::{LayerHolder, Path, RequestDemand, choose_path};
 
 use super::Args;
-use super::deployment::{Deployment, index_of};
+use super::deployment::Deployment;
 use super::ways::Way;
 
 /// An emulated day lasts a minute.
@@ -244,7 +244,7 @@
         let mut first = f64::from(path.crossings) * bits / (engine.pipe_mbps * 1e3);
         let mut token = 0.0;
         for part in &path.parts {
-            let accelerator = self.deployment.accelerator(index_of(part.addr));
+            let accelerator = self.deployment.accelerator(part.server.index());
             let share = f64::from(part.layers.count()) / f64::from(engine.layers);
             let read = engine.mean_prompt / engine.step_time.prompt_rate * 1e3;
             first += share * read * accelerator.prompt_factor + HOP_MS;
@@ -267,14 +267,14 @@
                 return count as f64;
             };
             for part in &path.parts {
-                let server = index_of(part.addr);
+                let server = part.server.index();
                 let mb = used.entry(server).or_default();
                 *mb += token_mb * f64::from(part.layers.count());
                 let share = *mb / self.deployment.room_mb(server).max(1.0);
                 if share > 1.0 {
                     return count as f64;
                 }
-                if let Some(holder) = holders.iter_mut().find(|h| h.addr == part.addr) {
+                if let Some(holder) = holders.iter_mut().find(|h| h.server == part.server) {
                     holder.memory_share = share;
                 }
             }
--- a/crates/mustard-bench/src/place/deployment.rs
+++ b/crates/mustard-bench/src/place/deployment.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use mustard_core::deployment::{Accelerator, Engine, StepTime};
+use mustard_core::deployment::{Accelerator, Engine, ServerKey, StepTime};
 use mustard_core::ids::Layers;
 use mustard_policy::pipeline::{LayerHolder, PlacementServer};
 
@@ -83,6 +83,7 @@
         let holder = |(index, s): (usize, &Server)| {
             let accelerator = self.accelerator(index);
             Some(LayerHolder {
+                server: ServerKey::from_index(index as u32),
                 addr: addr(index),
                 domain: s.domain,
                 layers: s.held?,
@@ -104,18 +105,10 @@
 }
 
 /// Returns a made-up address that identifies a server by its index.
-pub(super) fn addr(server: usize) -> SocketAddr {
+fn addr(server: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, (server / 250) as u8, (server % 250) as u8], 8_080))
 }
 
-/// Returns the index of the server with an address made by [`addr`].
-pub(super) fn index_of(addr: SocketAddr) -> usize {
-    match addr.ip() {
-        std::net::IpAddr::V4(ip) => ip.octets()[2] as usize * 250 + ip.octets()[3] as usize,
-        std::net::IpAddr::V6(_) => 0,
-    }
-}
-
 /// Returns an engine of 80 layers with the accelerators of the emulated platform.
 fn emulated_engine() -> Engine {
     let accelerator = |name: &str, memory_mb, step_factor, prompt_factor| Accelerator {
--- a/crates/mustard-core/src/arena.rs
+++ b/crates/mustard-core/src/arena.rs
@@ -13,6 +13,16 @@
 }
 
 impl<T> Key<T> {
+    /// Creates the key of a slot that no arena has given out, for values that are kept elsewhere, as in a
+    /// simulation.
+    pub fn from_index(index: u32) -> Self {
+        Key {
+            index,
+            generation: 0,
+            marker: PhantomData,
+        }
+    }
+
     /// Returns the slot index. Indexes are dense, so that they can index a parallel table.
     pub fn index(self) -> usize {
         self.index as usize
@@ -66,18 +76,21 @@
     value: Option<T>,
 }
 
-/// Stores values in slots; the slot of a removed value is reused.
+/// Stores values in slots; the slot of a removed value is reused. `M` marks the keys, where crates that don't
+/// know the values hold them.
 #[derive(Clone, Debug)]
-pub struct Arena<T> {
+pub struct Arena<T, M = T> {
     slots: Vec<Slot<T>>,
     free_slots: Vec<u32>,
+    marker: PhantomData<fn() -> M>,
 }
 
-impl<T> Default for Arena<T> {
+impl<T, M> Default for Arena<T, M> {
     fn default() -> Self {
         Arena {
             slots: Vec::new(),
             free_slots: Vec::new(),
+            marker: PhantomData,
         }
     }
 }
@@ -87,9 +100,11 @@
     pub fn new() -> Self {
         Self::default()
     }
+}
 
+impl<T, M> Arena<T, M> {
     /// Stores a value and returns its key.
-    pub fn insert(&mut self, value: T) -> Key<T> {
+    pub fn insert(&mut self, value: T) -> Key<M> {
         if let Some(index) = self.free_slots.pop() {
             let slot = &mut self.slots[index as usize];
             slot.value = Some(value);
@@ -112,7 +127,7 @@
     }
 
     /// Removes and returns the value of a key.
-    pub fn remove(&mut self, key: Key<T>) -> Option<T> {
+    pub fn remove(&mut self, key: Key<M>) -> Option<T> {
         let slot = self.slots.get_mut(key.index())?;
         if slot.generation != key.generation {
             return None;
@@ -124,7 +139,7 @@
     }
 
     /// Returns a reference to the value of a key.
-    pub fn get(&self, key: Key<T>) -> Option<&T> {
+    pub fn get(&self, key: Key<M>) -> Option<&T> {
         let slot = self.slots.get(key.index())?;
         if slot.generation != key.generation {
             return None;
@@ -133,7 +148,7 @@
     }
 
     /// Returns a mutable reference to the value of a key.
-    pub fn get_mut(&mut self, key: Key<T>) -> Option<&mut T> {
+    pub fn get_mut(&mut self, key: Key<M>) -> Option<&mut T> {
         let slot = self.slots.get_mut(key.index())?;
         if slot.generation != key.generation {
             return None;
@@ -152,7 +167,7 @@
     }
 
     /// Returns an iterator over all values and their keys, in slot order.
-    pub fn iter(&self) -> impl Iterator<Item = (Key<T>, &T)> {
+    pub fn iter(&self) -> impl Iterator<Item = (Key<M>, &T)> {
         self.slots.iter().enumerate().filter_map(|(i, slot)| {
             let key = Key {
                 index: i as u32,
--- a/crates/mustard-core/src/deployment.rs
+++ b/crates/mustard-core/src/deployment.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::arena::Key;
 use crate::check::Finding;
 use crate::collections::{Map, Set};
 use crate::fingerprint::Fingerprint;
@@ -397,10 +398,20 @@
     pub stalled: Vec<(String, SocketAddr)>,
 }
 
+/// Marks the keys of backend server processes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerProcessMark {}
+
+/// The key of one process of a backend server. A process that starts in its place, under the same id or at the
+/// same address, has another key.
+pub type ServerKey = Key<ServerProcessMark>;
+
 /// One part of a request's path: a server and the layers that it runs for the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct PathPart {
-    /// The server's address.
+    /// The server process that is meant.
+    pub server: ServerKey,
+    /// The address at which it takes requests.
     pub addr: SocketAddr,
     /// The range of layers.
     pub layers: Layers,
--- a/crates/mustard-fakes/src/site/http.rs
+++ b/crates/mustard-fakes/src/site/http.rs
@@ -147,11 +147,13 @@
 }
 
 /// Answers a request to one of the servers; one that is leaving says so.
-async fn answer_for_server(site: &Site, index: usize, request: Request) -> Response {
+async fn answer_for_server(site: &Site, listener: usize, request: Request) -> Response {
     let call = Call::read_from(request).await;
-    let (leaving, limit) = {
+    let (index, leaving, limit) = {
         let state = site.lock();
-        (state.servers[index].leaving, state.servers[index].limit)
+        let index = state.occupants[listener];
+        let server = &state.servers[index];
+        (index, server.leaving, server.limit)
     };
     let mut response = answer_by_fault(site, index, call).await;
     if leaving {
--- a/crates/mustard-fakes/src/site/mod.rs
+++ b/crates/mustard-fakes/src/site/mod.rs
@@ -30,6 +30,10 @@
 pub const API_KEY: &str = "key-of-the-customer";
 /// The name of the only customer.
 pub const CUSTOMER: &str = "customer-one";
+/// The service of the model servers.
+pub const MODELS: &str = "models";
+/// The plain service.
+pub const DESK: &str = "desk";
 /// The number of layers of the model.
 pub const LAYERS: u32 = 8;
 
@@ -132,7 +136,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Server {
     pub(crate) id: String,
+    // The service that its row names.
+    pub(crate) service: String,
     pub(crate) domain: usize,
+    // Whether it speaks as a model server.
     pub(crate) model: bool,
     pub(crate) fault: ServerFault,
     // Whether it was ended and hasn't started again.
@@ -159,6 +166,27 @@
 }
 
 impl Server {
+    fn new(id: String, service: &str, domain: usize, model: bool) -> Self {
+        Server {
+            id,
+            service: service.to_owned(),
+            domain,
+            model,
+            fault: ServerFault::None,
+            ended: false,
+            ends_silently: false,
+            layers: None,
+            busy: false,
+            orders: 0,
+            fence: 0,
+            incarnation: 1,
+            listed: true,
+            draining: false,
+            leaving: false,
+            limit: None,
+        }
+    }
+
     /// Returns how the server fails now.
     pub(crate) fn current_fault(&self) -> ServerFault {
         if self.ended && self.ends_silently {
@@ -258,6 +286,8 @@
 pub(crate) struct State {
     pub(crate) options: SiteOptions,
     pub(crate) addrs: Vec<SocketAddr>,
+    // The server that answers at each listener.
+    pub(crate) occupants: Vec<usize>,
     pub(crate) servers: Vec<Server>,
     pub(crate) ledger: Ledger,
     pub(crate) store: store::Store,
@@ -271,6 +301,12 @@
 }
 
 impl State {
+    /// Returns the server that answers at an address.
+    pub(crate) fn server_at(&self, addr: SocketAddr) -> Option<usize> {
+        let mut occupants = self.occupants.iter().copied();
+        occupants.find(|i| self.addrs[*i] == addr)
+    }
+
     /// Returns the path of a stream's copy whose first server is `index`.
     pub(crate) fn path(&self, id: &str, index: usize) -> Option<&Vec<model::ChainStage>> {
         self.paths.get(&(id.to_owned(), index))
@@ -309,23 +345,8 @@
         let mut servers = Vec::new();
         for (i, (domain, model)) in kinds.enumerate() {
             listeners.push(bind_loopback()?);
-            servers.push(Server {
-                id: format!("i-{i:04}"),
-                domain,
-                model,
-                fault: ServerFault::None,
-                ended: false,
-                ends_silently: false,
-                layers: None,
-                busy: false,
-                orders: 0,
-                fence: 0,
-                incarnation: 1,
-                listed: true,
-                draining: false,
-                leaving: false,
-                limit: None,
-            });
+            let service = if model { MODELS } else { DESK };
+            servers.push(Server::new(format!("i-{i:04}"), service, domain, model));
         }
         let addrs = listeners.iter().map(TcpListener::local_addr);
         let addrs = addrs.collect::<std::io::Result<Vec<_>>>()?;
@@ -334,6 +355,7 @@
             changed: Arc::new(Notify::new()),
             state: Arc::new(Mutex::new(State {
                 options,
+                occupants: (0..addrs.len()).collect(),
                 addrs,
                 servers,
                 ledger: Ledger::default(),
@@ -385,7 +407,7 @@
     pub fn path_servers(&self, id: &str, index: usize) -> Vec<usize> {
         let state = self.lock();
         let path = state.path(id, index).into_iter().flatten();
-        let server = |stage: &model::ChainStage| state.addrs.iter().position(|a| *a == stage.addr);
+        let server = |stage: &model::ChainStage| state.server_at(stage.addr);
         path.filter_map(server).collect()
     }
 
@@ -394,6 +416,46 @@
         self.lock().servers[server].fault = fault;
     }
 
+    /// Starts a server of a service under a new id at the address of one that is lost for good; the lost one's
+    /// row stays. With `model`, the new server speaks as a model server. Returns its index.
+    pub fn reuse_address(&self, lost: usize, id: &str, service: &str, model: bool) -> usize {
+        let new = {
+            let mut state = self.lock();
+            let new = state.servers.len();
+            state.servers[lost].ended = true;
+            let mut server = Server::new(id.to_owned(), service, state.servers[lost].domain, model);
+            server.incarnation = state.servers[lost].incarnation + 1;
+            state.servers.push(server);
+            let addr = state.addrs[lost];
+            state.addrs.push(addr);
+            for occupant in &mut state.occupants {
+                if *occupant == lost {
+                    *occupant = new;
+                }
+            }
+            new
+        };
+        self.write_row(new);
+        new
+    }
+
+    /// Lets two servers change places: each goes on under its id at the other one's address, as a new process.
+    pub fn swap_addresses(&self, a: usize, b: usize) {
+        {
+            let mut state = self.lock();
+            state.addrs.swap(a, b);
+            for occupant in &mut state.occupants {
+                if *occupant == a {
+                    *occupant = b;
+                } else if *occupant == b {
+                    *occupant = a;
+                }
+            }
+        }
+        self.restart(a);
+        self.restart(b);
+    }
+
     /// Restarts a server: it has no layers loaded and a new incarnation.
     pub fn restart(&self, server: usize) {
         {
@@ -521,6 +583,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Deletes a row that was written with [`Site::write_raw_row`].
+    pub fn delete_raw_row(&self, key: &str) {
+        self.lock().store.put("servers", key, None);
+        self.changed.notify_waiters();
+    }
+
     /// Makes all connections to the store go silent for good; new ones work.
     pub fn silence_store_connections(&self) {
         self.lock().store.silence_connections();
@@ -652,7 +720,7 @@
 
 fn row_json(server: &Server, addr: SocketAddr) -> Value {
     let mut row = json!({
-        "service": if server.model { "models" } else { "desk" },
+        "service": server.service,
         "address": addr.to_string(), "zone": format!("d{}", server.domain), "version": "v1",
         "slots": 64, "state": if server.draining { "draining" } else { "ready" },
         "warmup_ms": 0, "seq": 1, "born": server.incarnation,
--- a/crates/mustard-fakes/src/site/model.rs
+++ b/crates/mustard-fakes/src/site/model.rs
@@ -13,7 +13,7 @@
 use tokio::time::sleep;
 
 use super::http::{Call, json_response};
-use super::plain::{is_misdirected, misdirected_response, record_run};
+use super::plain::{self, is_misdirected, misdirected_response, record_run};
 use super::{LAYERS, PoisonTarget, ServerFault, Site, raw};
 
 /// The time between the checks of a poison content for a path on which it has ended no server yet.
@@ -46,6 +46,7 @@
 pub(super) async fn answer(site: &Site, index: usize, call: Call) -> Response {
     match (call.method.as_str(), call.path.as_str()) {
         ("GET", "/v1/report") => report_load(site, index),
+        ("GET", "/health") => plain::answer_health(site, index),
         ("POST", "/v1/order") => handle_order(site, index, &call),
         _ => start_stream(site, index, &call).await,
     }
@@ -64,14 +65,12 @@
         .paths
         .iter()
         .filter(|(_, path)| path.first().is_some_and(|h| h.addr == own_addr))
-        .filter_map(
-            |((id, _), path)| match check_path(&state.addrs, &state.servers, path) {
-                Err(PathFault::ServerDown(addr) | PathFault::LayersMissing(addr)) => {
-                    Some(json!({"id": id, "address": addr.to_string()}))
-                }
-                Ok(()) | Err(PathFault::Full(_)) => None,
-            },
-        )
+        .filter_map(|((id, _), path)| match check_path(&state, path) {
+            Err(PathFault::ServerDown(addr) | PathFault::LayersMissing(addr)) => {
+                Some(json!({"id": id, "address": addr.to_string()}))
+            }
+            Ok(()) | Err(PathFault::Full(_)) => None,
+        })
         .collect();
     let used_share = stream_count(&state, own_addr) as f64 / state.options.stream_limit as f64;
     json_response(
@@ -83,6 +82,9 @@
 }
 
 fn handle_order(site: &Site, index: usize, call: &Call) -> Response {
+    if is_misdirected(site, index, call) {
+        return misdirected_response();
+    }
     let body: Value = serde_json::from_slice(&call.body).unwrap_or_default();
     match body["op"].as_str() {
         Some("place") => place_layers(site, index, &body),
@@ -149,7 +151,7 @@
     }
     if let Err(
         PathFault::LayersMissing(addr) | PathFault::ServerDown(addr) | PathFault::Full(addr),
-    ) = check_path(&state.addrs, &state.servers, &path)
+    ) = check_path(&state, &path)
     {
         return json_response(409, &json!({"address": addr.to_string()}));
     }
@@ -175,16 +177,12 @@
 }
 
 /// Checks that the servers of a path answer and that its hops cover all layers in order.
-fn check_path(
-    addrs: &[SocketAddr],
-    servers: &[super::Server],
-    path: &[ChainStage],
-) -> std::result::Result<(), PathFault> {
+fn check_path(state: &super::State, path: &[ChainStage]) -> std::result::Result<(), PathFault> {
     let mut next = 0;
     for hop in path {
-        let index = addrs.iter().position(|a| *a == hop.addr);
-        let server = index
-            .map(|i| &servers[i])
+        let server = state
+            .server_at(hop.addr)
+            .map(|i| &state.servers[i])
             .ok_or(PathFault::ServerDown(hop.addr))?;
         if matches!(
             server.current_fault(),
@@ -235,7 +233,7 @@
     let own_addr = site.addrs()[index];
     let checked = {
         let state = site.lock();
-        check_path(&state.addrs, &state.servers, &path).and_then(|()| check_memory(&state, &path))
+        check_path(&state, &path).and_then(|()| check_memory(&state, &path))
     };
     if path.first().is_none_or(|h| h.addr != own_addr) {
         return json_response(400, &json!({}));
@@ -341,8 +339,7 @@
                 return;
             };
             let last = path.last().map(|stage| stage.addr);
-            let position = |addr| state.addrs.iter().position(|a| *a == addr);
-            last.and_then(position)
+            last.and_then(|addr| state.server_at(addr))
         };
         if let Some(server) = last.filter(|server| ended != Some(*server)) {
             ended = Some(server);
@@ -420,8 +417,7 @@
                 return false;
             }
             let path = state.path(id, index);
-            fault != ServerFault::Silent
-                && path.is_some_and(|p| check_path(&state.addrs, &state.servers, p).is_ok())
+            fault != ServerFault::Silent && path.is_some_and(|p| check_path(&state, p).is_ok())
         };
         if path_ready {
             return true;
--- a/crates/mustard-fakes/src/site/plain.rs
+++ b/crates/mustard-fakes/src/site/plain.rs
@@ -46,14 +46,23 @@
     response
 }
 
+/// Answers a health check, which names the server.
+pub(super) fn answer_health(site: &Site, index: usize) -> Response {
+    let mut out = Response::Ok();
+    out.header("instance-id", site.lock().servers[index].id.clone());
+    out.finish()
+}
+
 pub(super) async fn answer(site: &Site, index: usize, call: Call) -> Response {
     if is_misdirected(site, index, &call) {
         return misdirected_response();
     }
     if call.path == "/health" {
-        let mut out = Response::Ok();
-        out.header("instance-id", site.lock().servers[index].id.clone());
-        return out.finish();
+        return answer_health(site, index);
+    }
+    if call.header("attempt-id").is_none() {
+        // Such a server answers neither reports nor orders.
+        return json_response(400, &json!({}));
     }
     let id = record_run(site, index, &call);
     sleep(CALL_TIME).await;
--- a/crates/mustard-gateway/src/active_streams.rs
+++ b/crates/mustard-gateway/src/active_streams.rs
@@ -1,7 +1,6 @@
 //! The registry of streams in flight, which [`crate::stream_watch`] scans for stalls.
 
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,7 +8,7 @@
 
 use mustard_core::arena::{Arena, Key};
 use mustard_core::clock::Moment;
-use mustard_core::deployment::PathPart;
+use mustard_core::deployment::{PathPart, ServerKey};
 use mustard_core::fingerprint::Fingerprint;
 use mustard_policy::pipeline::RequestDemand;
 use mustard_policy::segments::PROOF_WRITTEN;
@@ -82,9 +81,9 @@
         }
     }
 
-    /// Tells whether the server at an address is on the stream's path.
-    pub fn uses_server(&self, addr: SocketAddr) -> bool {
-        self.parts.iter().any(|p| p.addr == addr)
+    /// Tells whether a server is on the stream's path.
+    pub fn uses_server(&self, server: ServerKey) -> bool {
+        self.parts.iter().any(|p| p.server == server)
     }
 }
 
@@ -136,11 +135,11 @@
 
     /// Returns the servers that the attempt uses, the first one first, when it was sent to them, and whether
     /// an event has arrived.
-    pub fn servers(&self) -> Option<(Vec<SocketAddr>, Moment, bool)> {
+    pub fn servers(&self) -> Option<(Vec<ServerKey>, Moment, bool)> {
         let streams = self.app.streams.borrow();
         let stream = streams.get(self.key)?;
-        let addrs = stream.processes.iter().map(|p| p.addr).collect();
-        Some((addrs, stream.sent_at, stream.progress.has_begun))
+        let keys = stream.processes.iter().map(|p| p.key).collect();
+        Some((keys, stream.sent_at, stream.progress.has_begun))
     }
 
     /// Tells whether the attempt was moved to another path.
@@ -160,13 +159,12 @@
         if stream.progress.has_begun {
             self.app.pauses.borrow_mut().observe(pause);
         } else {
-            let addrs = stream.parts.iter().map(|p| p.addr);
             let mut fleet = self.app.fleet.borrow_mut();
-            fleet.record_use(addrs);
+            fleet.record_use(stream.parts.iter().map(|p| p.server));
             fleet.record_accepted(memory_per_server(&stream.parts, &stream.demand));
             drop(fleet);
-            let addrs = stream.processes.iter().map(|p| p.addr);
-            outliers::record_success(&self.app, &stream.service, addrs, stream.sent_at);
+            let path = stream.processes.iter().map(|p| p.key);
+            outliers::record_success(&self.app, &stream.service, path, stream.sent_at);
             if stream.crossings > 0 {
                 let in_time = pause <= stream.target_latency;
                 self.app.crossings.borrow_mut().record_start(now, in_time);
--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Ordering;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{self, AtomicBool};
@@ -16,7 +15,7 @@
 
 use mustard_adapter::{NodeSettings, Store};
 use mustard_core::clock::{Clock, Moment, SystemClock};
-use mustard_core::deployment::{Config, Engine};
+use mustard_core::deployment::{Config, Engine, ServerKey};
 use mustard_core::fingerprint::Fingerprint;
 use mustard_core::ids::{Era, Incarnation};
 use mustard_net::http::{MAX_ANSWER_BYTES, new_client, new_limited_client};
@@ -151,7 +150,7 @@
     /// The running mean of the pauses between events of streams.
     pub pauses: RefCell<PauseEstimate>,
     /// Decides which servers are asked for reports as all of their streams pause.
-    pub quiet: RefCell<QuietWatch<SocketAddr>>,
+    pub quiet: RefCell<QuietWatch<ServerKey>>,
     /// This gateway's shares of the retry budgets of services.
     pub retry_budgets: RefCell<RetryBudgets>,
     /// Decides on second copies of slow requests.
--- a/crates/mustard-gateway/src/fleet/load.rs
+++ b/crates/mustard-gateway/src/fleet/load.rs
@@ -1,6 +1,5 @@
 //! The load that requests in flight put on servers.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use crate::app::App;
@@ -21,16 +20,12 @@
 }
 
 impl LoadGuard {
-    /// Counts a request; `parts` are server addresses with the memory used there, in tokens times
-    /// layers.
-    pub fn begin(app: &Rc<App>, parts: impl Iterator<Item = (SocketAddr, f64)>) -> Self {
+    /// Counts a request; `parts` are servers with the memory used there, in tokens times layers.
+    pub fn begin(app: &Rc<App>, parts: impl Iterator<Item = (ServerKey, f64)>) -> Self {
         let now = app.now();
         let mut fleet = app.fleet.borrow_mut();
         let mut loads = Vec::new();
-        for (addr, memory) in parts {
-            let Some(server) = fleet.key_at(addr) else {
-                continue;
-            };
+        for (server, memory) in parts {
             if let Some(s) = fleet.get_mut(server) {
                 s.add_use(now, memory);
                 s.running += 1;
--- a/crates/mustard-gateway/src/fleet/mod.rs
+++ b/crates/mustard-gateway/src/fleet/mod.rs
@@ -6,17 +6,17 @@
 mod server;
 
 pub use load::{LoadGuard, ServerLoad};
+pub use mustard_core::deployment::ServerKey;
 pub use reports::{ProcessLoad, ProcessReport};
-pub use server::{ProcessState, RequestRoom, Server, ServerKey, ServerProcess};
+pub use server::{ProcessState, RequestRoom, Server, ServerProcess};
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use mustard_core::arena::Arena;
 use mustard_core::clock::Moment;
 use mustard_core::collections::Map;
-use mustard_core::deployment::{Engine, ServerEntry, ServerReport, ServerState};
+use mustard_core::deployment::{Engine, ServerEntry, ServerProcessMark, ServerReport, ServerState};
 use mustard_policy::backoff::Fault;
 use mustard_policy::outlier::Outliers;
 use mustard_policy::pipeline::{LayerHolder, PlacementServer};
@@ -57,12 +57,11 @@
     Same,
 }
 
-/// The known servers, found by key, id or address.
+/// The known servers, found by key or id.
 #[derive(Debug, Default)]
 pub struct Fleet {
-    servers: Arena<Server>,
+    servers: Arena<Server, ServerProcessMark>,
     ids: Map<String, ServerKey>,
-    addrs: Map<SocketAddr, ServerKey>,
     /// The servers whose load is exchanged, by the digests of their processes.
     processes: Map<u64, ServerKey>,
     domains: Vec<String>,
@@ -92,16 +91,19 @@
         self.servers.get_mut(key)
     }
 
-    /// Returns the server with an id, to be changed.
-    pub fn get_by_id_mut(&mut self, id: &str) -> Option<&mut Server> {
-        self.servers.get_mut(*self.ids.get(id)?)
+    /// Returns the process that another gateway names by the id of its server and its start; `None` if this
+    /// gateway doesn't know it, or knows another process of that server.
+    pub fn find_process(&self, id: &str, started_ms: u64) -> Option<ServerKey> {
+        let key = *self.ids.get(id)?;
+        let server = self.get(key)?;
+        (server.entry.started_ms == started_ms).then_some(key)
     }
 
-    /// Returns the ids of the servers that name a limit.
-    pub fn limited_ids(&self, now: Moment) -> Vec<String> {
+    /// Returns the servers that name a limit, with their ids.
+    pub fn limited_servers(&self, now: Moment) -> Vec<(ServerKey, String)> {
         let limited = |s: &Server| s.named_limit.is_some_and(|n| n.in_force(now).is_some());
         let servers = self.iter().filter(|(_, s)| limited(s));
-        servers.map(|(_, s)| s.entry.id.clone()).collect()
+        servers.map(|(k, s)| (k, s.entry.id.clone())).collect()
     }
 
     /// Counts a request that is sent to a server against the limit that it names.
@@ -130,9 +132,20 @@
         servers.filter(move |s| s.entry.service == service && s.is_usable(now))
     }
 
-    /// Returns the server that has an address.
-    pub fn key_at(&self, addr: SocketAddr) -> Option<ServerKey> {
-        self.addrs.get(&addr).copied()
+    /// Returns the server with an id.
+    pub fn key_of(&self, id: &str) -> Option<ServerKey> {
+        self.ids.get(id).copied()
+    }
+
+    /// Formats a server for the log: its address, or its key if it is no longer listed.
+    pub fn format_server(&self, key: ServerKey) -> String {
+        let addr = self.get(key).map(|s| s.entry.addr.to_string());
+        addr.unwrap_or_else(|| format!("{key:?}"))
+    }
+
+    /// Returns the process of a server.
+    pub fn process(&self, key: ServerKey) -> Option<ServerProcess> {
+        self.get(key).map(|s| s.process(key))
     }
 
     /// Iterates over all servers.
@@ -172,18 +185,14 @@
     ) -> RowChange {
         let domain = self.domain_index(&entry.domain);
         let id = entry.id.clone();
-        if let Some(server) = self
-            .ids
-            .get(&entry.id)
-            .and_then(|k| self.servers.get_mut(*k))
-        {
-            let change = server.update(now, entry, unconfirmed_until.is_none());
-            if change == RowChange::Joined
-                && let Some(&key) = self.ids.get(&id)
-            {
-                self.forget_outcomes(key);
+        if let Some(key) = self.key_of(&id) {
+            match self.servers.get_mut(key) {
+                Some(server) if server.is_process_of(&entry) => {
+                    return server.update(now, entry, unconfirmed_until.is_none());
+                }
+                // What is known of the former process doesn't hold for the one in its place.
+                _ => self.remove_key(now, key),
             }
-            return change;
         }
         let departed = self.departed.remove(&entry.id);
         let departed = departed.filter(|d| d.started_ms == entry.started_ms);
@@ -191,13 +200,10 @@
             entry.state = ServerState::Leaving;
         }
         let leaving = entry.state == ServerState::Leaving;
-        let addr = entry.addr;
         let mut server = Server::new(now, entry, domain);
         server.unconfirmed_until = unconfirmed_until.filter(|_| departed.is_some());
         let key = self.servers.insert(server);
         self.ids.insert(id, key);
-        // A new server can reuse the address of one that has ended.
-        self.addrs.insert(addr, key);
         if leaving {
             RowChange::Left
         } else {
@@ -259,17 +265,13 @@
             self.departed.insert(server.entry.id.clone(), departed);
             self.ids.remove(&server.entry.id);
             self.forget_outcomes(key);
-            if self.addrs.get(&server.entry.addr) == Some(&key) {
-                self.addrs.remove(&server.entry.addr);
-            }
         }
     }
 
-    /// Records a fault of the server at an address; returns whether the fault put the server out of
+    /// Records a fault of a server; returns whether the fault put the server out of
     /// use.
-    pub fn record_fault(&mut self, now: Moment, addr: SocketAddr, fault: Fault) -> bool {
-        let key = self.key_at(addr);
-        let Some(server) = key.and_then(|k| self.servers.get_mut(k)) else {
+    pub fn record_fault(&mut self, now: Moment, key: ServerKey, fault: Fault) -> bool {
+        let Some(server) = self.servers.get_mut(key) else {
             return false;
         };
         let was_used = !server.backoff.is_backing_off(now);
@@ -277,19 +279,17 @@
         was_used && server.backoff.is_backing_off(now)
     }
 
-    /// Records how long an answer of the server at an address took, at least if it was cancelled.
-    pub fn record_answer(&mut self, now: Moment, addr: SocketAddr, took: Duration) {
-        let key = self.key_at(addr);
-        if let Some(server) = key.and_then(|k| self.servers.get_mut(k)) {
+    /// Records how long an answer of a server took, at least if it was cancelled.
+    pub fn record_answer(&mut self, now: Moment, key: ServerKey, took: Duration) {
+        if let Some(server) = self.servers.get_mut(key) {
             server.answer_time.record(now, took);
         }
     }
 
-    /// Records that the server at an address refused a request, or is named as the cause of a refusal.
-    pub fn record_refusal(&mut self, now: Moment, addr: SocketAddr) {
-        self.record_fault(now, addr, Fault::Full);
-        let key = self.key_at(addr);
-        if let Some(server) = key.and_then(|k| self.servers.get_mut(k)) {
+    /// Records that a server refused a request, or is named as the cause of a refusal.
+    pub fn record_refusal(&mut self, now: Moment, key: ServerKey) {
+        self.record_fault(now, key, Fault::Full);
+        if let Some(server) = self.servers.get_mut(key) {
             server.refused_at = Some(now);
             // Neither a pause nor a limit that the server names is a lack of memory.
             let has_cause = server.is_paused(now) || !server.takes_requests(now);
@@ -301,48 +301,43 @@
     }
 
     /// Records that servers accepted a request, with the memory that it takes at each.
-    pub fn record_accepted(&mut self, parts: impl Iterator<Item = (SocketAddr, f64)>) {
-        for (addr, memory) in parts {
-            let key = self.key_at(addr);
-            if let Some(server) = key.and_then(|k| self.servers.get_mut(k)) {
+    pub fn record_accepted(&mut self, parts: impl Iterator<Item = (ServerKey, f64)>) {
+        for (key, memory) in parts {
+            if let Some(server) = self.servers.get_mut(key) {
                 server.room.record_accepted(memory);
             }
         }
     }
 
     /// Records that servers run a request.
-    pub fn record_use(&mut self, addrs: impl Iterator<Item = SocketAddr>) {
-        for addr in addrs {
-            let key = self.key_at(addr);
-            if let Some(server) = key.and_then(|k| self.servers.get_mut(k)) {
+    pub fn record_use(&mut self, keys: impl Iterator<Item = ServerKey>) {
+        for key in keys {
+            if let Some(server) = self.servers.get_mut(key) {
                 server.refused_at = None;
                 server.refusals.record_use();
             }
         }
     }
 
-    /// Records a report of the server at an address.
-    pub fn record_report(&mut self, now: Moment, addr: SocketAddr, report: Rc<ServerReport>) {
-        let key = self.key_at(addr);
-        if let Some(server) = key.and_then(|k| self.servers.get_mut(k)) {
+    /// Records a report of a server.
+    pub fn record_report(&mut self, now: Moment, key: ServerKey, report: Rc<ServerReport>) {
+        if let Some(server) = self.servers.get_mut(key) {
             server.apply_report(now, report);
         }
     }
 
-    /// Returns the processes of the servers on a path; addresses that no listed server has are left
-    /// out.
-    pub fn processes(&self, addrs: impl Iterator<Item = SocketAddr>) -> Vec<ServerProcess> {
-        let known = addrs.filter_map(|addr| self.servers.get(self.key_at(addr)?));
-        known.map(Server::process).collect()
+    /// Returns the processes of the servers on a path; those that are no longer listed are left out.
+    pub fn processes(&self, keys: impl Iterator<Item = ServerKey>) -> Vec<ServerProcess> {
+        keys.filter_map(|key| self.process(key)).collect()
     }
 
     /// Returns what is known of a process at or after `since`.
     pub fn process_state(&self, process: &ServerProcess, since: Moment) -> ProcessState {
-        let server = self.ids.get(&process.id).and_then(|k| self.servers.get(*k));
-        if let Some(server) = server {
-            return server.process_state(process, since);
+        if let Some(server) = self.get(process.key) {
+            return server.process_state(since);
         }
         let departed = self.departed.get(&process.id);
+        let departed = departed.filter(|d| d.started_ms == process.started_ms);
         if departed.is_some_and(|d| d.has_announced) {
             ProcessState::Running
         } else {
@@ -351,20 +346,19 @@
     }
 
     /// Records that nothing listens at the address of a server.
-    pub fn record_no_listener(&mut self, addr: SocketAddr) {
-        let key = self.key_at(addr);
-        if let Some(server) = key.and_then(|k| self.servers.get_mut(k)) {
+    pub fn record_no_listener(&mut self, key: ServerKey) {
+        if let Some(server) = self.servers.get_mut(key) {
             server.has_no_listener = true;
         }
     }
 
     /// Records that a server announced in an answer that it is leaving; tells whether this is new.
-    pub fn record_leaving(&mut self, addr: SocketAddr, id: &str) -> bool {
-        if let Some(departed) = self.departed.get_mut(id) {
+    pub fn record_leaving(&mut self, process: &ServerProcess) -> bool {
+        let departed = self.departed.get_mut(&process.id);
+        if let Some(departed) = departed.filter(|d| d.started_ms == process.started_ms) {
             departed.has_announced = true;
         }
-        let server = self.ids.get(id).and_then(|k| self.servers.get_mut(*k));
-        let Some(server) = server.filter(|s| s.entry.addr == addr) else {
+        let Some(server) = self.servers.get_mut(process.key) else {
             return false;
         };
         let is_new = server.is_ready();
@@ -372,17 +366,16 @@
         is_new
     }
 
-    /// Records that the server at an address wants nothing from this gateway for a time.
-    pub fn record_pause(&mut self, now: Moment, addr: SocketAddr, pause: Duration) {
-        let key = self.key_at(addr);
-        if let Some(server) = key.and_then(|k| self.servers.get_mut(k)) {
+    /// Records that a server wants nothing from this gateway for a time.
+    pub fn record_pause(&mut self, now: Moment, key: ServerKey, pause: Duration) {
+        if let Some(server) = self.servers.get_mut(key) {
             server.paused_until = server.paused_until.max(now + pause);
         }
     }
 
-    /// Tells whether the server at an address wants nothing from this gateway now.
-    pub fn is_paused(&self, now: Moment, addr: SocketAddr) -> bool {
-        let server = self.key_at(addr).and_then(|k| self.servers.get(k));
+    /// Tells whether a server wants nothing from this gateway now.
+    pub fn is_paused(&self, now: Moment, key: ServerKey) -> bool {
+        let server = self.servers.get(key);
         server.is_some_and(|s| s.is_paused(now))
     }
 
@@ -396,10 +389,9 @@
         paused.map(|s| s.paused_until).min()
     }
 
-    /// Records that the server at an address didn't answer; tells whether this is new.
-    pub fn record_silence(&mut self, now: Moment, addr: SocketAddr) -> bool {
-        let key = self.key_at(addr);
-        let Some(server) = key.and_then(|k| self.servers.get_mut(k)) else {
+    /// Records that a server didn't answer; tells whether this is new.
+    pub fn record_silence(&mut self, now: Moment, key: ServerKey) -> bool {
+        let Some(server) = self.servers.get_mut(key) else {
             return false;
         };
         let newly_silent = server.silent_since.is_none();
@@ -408,21 +400,21 @@
         newly_silent
     }
 
-    /// Tells whether the server at an address didn't answer the last call.
-    pub fn is_silent(&self, addr: SocketAddr) -> bool {
-        let server = self.key_at(addr).and_then(|k| self.servers.get(k));
+    /// Tells whether a server didn't answer the last call.
+    pub fn is_silent(&self, key: ServerKey) -> bool {
+        let server = self.servers.get(key);
         server.is_some_and(|s| s.silent_since.is_some())
     }
 
-    /// Returns the addresses of the servers that probably answer calls for reports, without one of them.
-    pub fn answering_servers(&self, now: Moment, without: SocketAddr) -> Vec<SocketAddr> {
-        let others = self.iter().map(|(_, s)| s).filter(|s| {
-            s.entry.addr != without
+    /// Returns the servers that probably answer calls for reports, without one of them.
+    pub fn answering_servers(&self, now: Moment, without: ServerKey) -> Vec<ServerKey> {
+        let others = self.iter().filter(|(key, s)| {
+            *key != without
                 && s.entry.held.is_some()
                 && s.silent_since.is_none()
                 && !s.is_paused(now)
         });
-        others.map(|s| s.entry.addr).collect()
+        others.map(|(key, _)| key).collect()
     }
 
     /// Tells whether any server is loading layers.
@@ -430,17 +422,17 @@
         self.iter().any(|(_, s)| s.is_loading(now))
     }
 
-    /// Returns the addresses of the servers that didn't answer the last call and may be called.
-    pub fn silent_servers(&self, now: Moment) -> Vec<SocketAddr> {
+    /// Returns the servers that didn't answer the last call and may be called.
+    pub fn silent_servers(&self, now: Moment) -> Vec<ServerKey> {
         let silent = self
             .iter()
             .filter(|(_, s)| s.silent_since.is_some() && !s.is_paused(now));
-        silent.map(|(_, s)| s.entry.addr).collect()
+        silent.map(|(key, _)| key).collect()
     }
 
-    /// Returns the last report of the server at an address if it is not older than `since`.
-    pub fn fresh_report(&self, addr: SocketAddr, since: Moment) -> Option<Rc<ServerReport>> {
-        let (at, report) = self.servers.get(self.key_at(addr)?)?.last_report.as_ref()?;
+    /// Returns the last report of a server if it is not older than `since`.
+    pub fn fresh_report(&self, key: ServerKey, since: Moment) -> Option<Rc<ServerReport>> {
+        let (at, report) = self.servers.get(key)?.last_report.as_ref()?;
         (*at >= since).then(|| Rc::clone(report))
     }
 
@@ -481,7 +473,7 @@
             .filter(|(_, s)| s.entry.service == service && usable(s));
         usable
             .filter(|(_, s)| admits(s))
-            .filter_map(|(_, s)| s.holder(engine, now, gateways))
+            .filter_map(|(key, s)| s.holder(key, engine, now, gateways))
             .collect()
     }
 
--- a/crates/mustard-gateway/src/fleet/outliers.rs
+++ b/crates/mustard-gateway/src/fleet/outliers.rs
@@ -11,11 +11,8 @@
 
 impl Fleet {
     /// Records that a request is sent to servers; it is the trial of those that were ejected.
-    pub fn begin_trials(&mut self, now: Moment, addrs: impl Iterator<Item = SocketAddr>) {
-        for addr in addrs {
-            let Some(key) = self.key_at(addr) else {
-                continue;
-            };
+    pub fn begin_trials(&mut self, now: Moment, keys: impl Iterator<Item = ServerKey>) {
+        for key in keys {
             let Some(server) = self.servers.get_mut(key) else {
                 continue;
             };
@@ -35,9 +32,9 @@
         now: Moment,
         began: Moment,
         service: &str,
-        addrs: impl Iterator<Item = SocketAddr>,
+        keys: impl Iterator<Item = ServerKey>,
     ) -> Vec<Change<ServerKey>> {
-        let path = self.keys_at(addrs);
+        let path = self.listed(keys);
         let changes = self.outliers_of(service).record_success(now, began, &path);
         self.apply_standings(&changes);
         changes
@@ -48,10 +45,10 @@
         &mut self,
         now: Moment,
         service: &str,
-        attempt: &FailedAttempt<'_, SocketAddr>,
+        attempt: &FailedAttempt<'_, ServerKey>,
         spread: f64,
     ) -> Decision<ServerKey> {
-        let path = self.keys_at(attempt.path.iter().copied());
+        let path = self.listed(attempt.path.iter().copied());
         // The first server is the one that some failures identify.
         if path.len() != attempt.path.len() {
             return Decision::default();
@@ -80,12 +77,8 @@
         report: Report,
         spread: f64,
     ) -> Option<Change<ServerKey>> {
-        let key = *self.ids.get(id)?;
-        let entry = &self.servers.get(key)?.entry;
-        if entry.started_ms != started_ms {
-            return None;
-        }
-        let service = entry.service.clone();
+        let key = self.find_process(id, started_ms)?;
+        let service = self.get(key)?.entry.service.clone();
         let context = self.outlier_context(&service, spread);
         let outliers = self.outliers_of(&service);
         let change = outliers.record_report(now, from, key, report, context)?;
@@ -97,7 +90,7 @@
     pub fn outlier_reports(&self, now: Moment) -> Vec<(ServerProcess, Report)> {
         let reports = self.outliers.values();
         let reports = reports.flat_map(|o| o.reports_in_force(now));
-        let with_process = reports.filter_map(|(key, r)| Some((self.get(key)?.process(), r)));
+        let with_process = reports.filter_map(|(key, r)| Some((self.process(key)?, r)));
         with_process.collect()
     }
 
@@ -107,8 +100,8 @@
     }
 
     /// Tells whether any of the servers doesn't answer calls, which explains a failed attempt.
-    pub fn has_silent(&self, addrs: &[SocketAddr]) -> bool {
-        addrs.iter().any(|a| self.is_silent(*a))
+    pub fn has_silent(&self, keys: &[ServerKey]) -> bool {
+        keys.iter().any(|key| self.is_silent(*key))
     }
 
     /// Drops what is known of a server whose process has ended.
@@ -118,8 +111,9 @@
         }
     }
 
-    fn keys_at(&self, addrs: impl Iterator<Item = SocketAddr>) -> Vec<ServerKey> {
-        addrs.filter_map(|a| self.key_at(a)).collect()
+    /// Returns the servers among some that are still listed.
+    fn listed(&self, keys: impl Iterator<Item = ServerKey>) -> Vec<ServerKey> {
+        keys.filter(|key| self.get(*key).is_some()).collect()
     }
 
     fn outliers_of(&mut self, service: &str) -> &mut Outliers<ServerKey> {
--- a/crates/mustard-gateway/src/fleet/reports.rs
+++ b/crates/mustard-gateway/src/fleet/reports.rs
@@ -1,6 +1,5 @@
 //! The load of servers as reports say, where gateways tell each other of it.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use mustard_core::clock::Moment;
@@ -81,15 +80,11 @@
         reports_to_share(now, reports, limit)
     }
 
-    /// Returns the age of the oldest report by which the servers at some addresses were judged; `None` if any of
+    /// Returns the age of the oldest report by which some servers were judged; `None` if any of
     /// them has no recent report.
-    pub fn load_age(
-        &self,
-        now: Moment,
-        addrs: impl Iterator<Item = SocketAddr>,
-    ) -> Option<Duration> {
-        let ages = addrs.map(|addr| {
-            let load = self.servers.get(self.key_at(addr)?)?.load.as_ref()?;
+    pub fn load_age(&self, now: Moment, keys: impl Iterator<Item = ServerKey>) -> Option<Duration> {
+        let ages = keys.map(|key| {
+            let load = self.servers.get(key)?.load.as_ref()?;
             Some(now.since(load.tracker.recent_report(now)?.at))
         });
         ages.collect::<Option<Vec<_>>>()?.into_iter().max()
--- a/crates/mustard-gateway/src/fleet/server.rs
+++ b/crates/mustard-gateway/src/fleet/server.rs
@@ -5,9 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use mustard_core::arena::Key;
 use mustard_core::clock::Moment;
-use mustard_core::deployment::{Engine, HeldLayers, ServerEntry, ServerReport, ServerState};
+use mustard_core::deployment::{
+    Engine, HeldLayers, ServerEntry, ServerKey, ServerReport, ServerState,
+};
 use mustard_core::fingerprint::Fingerprint;
 use mustard_core::ids::Layers;
 use mustard_policy::backoff::ServerBackoff;
@@ -23,9 +24,6 @@
 
 use super::{ProcessLoad, RowChange};
 
-/// The key of a server in the fleet.
-pub type ServerKey = Key<Server>;
-
 /// How long a server whose row is missing gets requests that no listed server can serve; shorter
 /// than the time for which a leaving server goes on serving.
 const LAST_RESORT_TIME: Duration = Duration::from_millis(1_700);
@@ -64,6 +62,8 @@
 /// One process of a server, which ends when the server restarts.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServerProcess {
+    /// The key of the process in the fleet.
+    pub key: ServerKey,
     /// The address of the server.
     pub addr: SocketAddr,
     /// The id of the server.
@@ -164,23 +164,20 @@
         }
     }
 
-    /// Applies a row; `is_current` unless the row may be older than the one before.
+    /// Tells whether a row is of this process: it has the same id and start, and it hasn't moved.
+    pub fn is_process_of(&self, entry: &ServerEntry) -> bool {
+        let own = &self.entry;
+        own.id == entry.id && own.started_ms == entry.started_ms && own.addr == entry.addr
+    }
+
+    /// Applies a row of the same process; `is_current` unless it may be older than the one before.
     pub fn update(&mut self, now: Moment, entry: ServerEntry, is_current: bool) -> RowChange {
-        let restarted = entry.started_ms != self.entry.started_ms;
         let leaves = entry.state == ServerState::Leaving && self.entry.state == ServerState::Ready;
         let held_changed = entry.held != self.entry.held;
         self.missing_since = None;
         if is_current {
             self.unconfirmed_until = None;
         }
-        if restarted {
-            *self = Server {
-                memory_used: self.memory_used,
-                running: self.running,
-                ..Server::new(now, entry, self.domain)
-            };
-            return RowChange::Joined;
-        }
         // A server that is leaving never becomes ready again without a restart.
         let state = self.entry.state;
         self.entry = entry;
@@ -206,21 +203,22 @@
         Fingerprint::of(&[self.entry.id.as_bytes(), &started_ms]).0 as u64
     }
 
-    /// Returns the current process.
-    pub fn process(&self) -> ServerProcess {
+    /// Returns the current process; `key` is that of the server.
+    pub fn process(&self, key: ServerKey) -> ServerProcess {
         ServerProcess {
+            key,
             addr: self.entry.addr,
             id: self.entry.id.clone(),
             started_ms: self.entry.started_ms,
         }
     }
 
-    /// Returns what is known of a process of this server at or after `since`.
-    pub fn process_state(&self, process: &ServerProcess, since: Moment) -> ProcessState {
+    /// Returns what is known of this process at or after `since`.
+    pub fn process_state(&self, since: Moment) -> ProcessState {
         let reported = self.last_report.as_ref();
         let reported = reported.filter(|(at, _)| *at >= since);
         let started_ms = reported.map_or(self.entry.started_ms, |(_, r)| r.started_ms);
-        if started_ms != process.started_ms || self.has_no_listener {
+        if started_ms != self.entry.started_ms || self.has_no_listener {
             ProcessState::Ended
         } else if reported.is_some() && self.silent_since.is_none() {
             ProcessState::Running
@@ -368,8 +366,15 @@
         fresh.map_or(1.0, |(_, report)| report.slow_factor.max(1.0))
     }
 
-    /// Returns the server as input for the choice of a path, if it holds layers and isn't loading.
-    pub fn holder(&self, engine: &Engine, now: Moment, gateways: f64) -> Option<LayerHolder> {
+    /// Returns the server as input for the choice of a path, if it holds layers and isn't loading; `key` is
+    /// its own.
+    pub fn holder(
+        &self,
+        key: ServerKey,
+        engine: &Engine,
+        now: Moment,
+        gateways: f64,
+    ) -> Option<LayerHolder> {
         let held = self.entry.held?;
         if self.is_loading(now) {
             // It is dropping the layers that it holds.
@@ -393,6 +398,7 @@
             memory_share = memory_share.max(1.0);
         }
         Some(LayerHolder {
+            server: key,
             addr: self.entry.addr,
             domain: self.domain,
             layers: held.layers,
--- a/crates/mustard-gateway/src/forward/hedging.rs
+++ b/crates/mustard-gateway/src/forward/hedging.rs
@@ -1,12 +1,12 @@
 //! Second copies of slow requests; the policy is [`hedge`](mustard_policy::hedge).
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use slog::info;
 
 use mustard_core::catalogue::Class;
 use mustard_core::collections::Map;
+use mustard_core::deployment::ServerKey;
 use mustard_policy::hedge::{Conditions, Delay, Denial, HedgePolicy, Settings};
 
 use crate::app::App;
@@ -159,7 +159,7 @@
     }
 
     /// Takes the copy out of all limits; returns whether they allow it.
-    pub(super) fn spend(&self, server: SocketAddr) -> bool {
+    pub(super) fn spend(&self, server: ServerKey) -> bool {
         let (app, service) = (self.app, &self.request.service.name);
         let now = app.now();
         let spent: Result<f64, Denial> = retry_budget::with_share(app, service, |budget| {
@@ -173,7 +173,7 @@
                 metric::count_copy(self.kind, "sent");
                 if let Some(log) = app.log.logger_for(Topic::Copy) {
                     info!(log, "hedge: A second copy was sent."; "request" => &self.request.params.id,
-                        "server" => %server, "route" => &self.request.route.name,
+                        "server" => app.fleet.borrow().format_server(server), "route" => &self.request.route.name,
                         "after_ms" => self.delay.wait.as_millis() as u64, "times" => self.delay.times,
                         "load" => self.conditions.load, "share_left" => saved,
                         "view_ms" => app.list_age_ms());
--- a/crates/mustard-gateway/src/forward/mod.rs
+++ b/crates/mustard-gateway/src/forward/mod.rs
@@ -17,7 +17,6 @@
 pub use waiting::{RequestPriority, WaitingQueues};
 
 use std::future::poll_fn;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -29,7 +28,7 @@
 
 use mustard_adapter::requests::{self, RequestParams};
 use mustard_core::clock::Moment;
-use mustard_core::deployment::{Config, PathPart, Route, RouteKind, Service};
+use mustard_core::deployment::{Config, PathPart, Route, RouteKind, ServerKey, Service};
 use mustard_core::fingerprint::Fingerprint;
 use mustard_net::shutdown::RequestGuard;
 use mustard_policy::pipeline::RequestDemand;
@@ -120,11 +119,11 @@
 pub fn memory_per_server(
     parts: &[PathPart],
     demand: &RequestDemand,
-) -> impl Iterator<Item = (SocketAddr, f64)> {
+) -> impl Iterator<Item = (ServerKey, f64)> {
     let tokens = memory_tokens(demand);
     parts
         .iter()
-        .map(move |p| (p.addr, tokens * f64::from(p.layers.count())))
+        .map(move |p| (p.server, tokens * f64::from(p.layers.count())))
 }
 
 /// Handles a caller's request. Always returns `Ok`; the HTTP service requires an error type.
--- a/crates/mustard-gateway/src/forward/open_stream.rs
+++ b/crates/mustard-gateway/src/forward/open_stream.rs
@@ -1,6 +1,5 @@
 //! Opens a stream: chooses a path, sends the request, and retries over other servers.
 
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,7 +9,7 @@
 use tokio::time::timeout;
 
 use mustard_core::clock::Moment;
-use mustard_core::deployment::{PathPart, RouteKind};
+use mustard_core::deployment::{PathPart, RouteKind, ServerKey};
 use mustard_policy::backoff::Fault;
 use mustard_policy::hedge::Delay;
 use mustard_policy::outlier;
@@ -53,7 +52,7 @@
     /// Notified when the stream watch finds that the attempt is to be abandoned.
     pub(super) abandon: Rc<Notify>,
     /// The first server of the path, to which the request was sent.
-    pub(super) first_server: SocketAddr,
+    pub(super) first_server: ServerKey,
 }
 
 /// Why no attempt brought a response.
@@ -79,21 +78,21 @@
     pub(super) unrun_sends: u32,
     /// The servers that are probably at fault for earlier failed attempts. Whether they are is
     /// known only once they have sent a report, and the next attempt doesn't wait for that.
-    pub(super) avoid: Vec<SocketAddr>,
+    pub(super) avoid: Vec<ServerKey>,
     /// The first servers of earlier attempts that were lost before an answer; the next attempt goes to
     /// another server, if there is one.
-    pub(super) lost: Vec<SocketAddr>,
+    pub(super) lost: Vec<ServerKey>,
     /// The id of the last event that the caller got if the next attempt resumes the stream, by which the
     /// tokens to be processed again are counted.
     pub(super) tokens_sent: Option<u64>,
     /// The servers of each copy whose answer is waited for, and when it was sent.
-    pub(super) current: Vec<(Vec<SocketAddr>, Moment)>,
+    pub(super) current: Vec<(Vec<ServerKey>, Moment)>,
 }
 
 impl Attempts {
     /// Records that a copy is sent, until it is concluded.
     fn begin_copy(&mut self, now: Moment, target: &Target) {
-        self.current.push((target.addrs(), now));
+        self.current.push((target.keys().collect(), now));
     }
 }
 
@@ -156,9 +155,9 @@
     parser: EventParser,
     guard: ActiveStreamGuard,
     abandon: Rc<Notify>,
-    first_server: SocketAddr,
+    first_server: ServerKey,
     /// The servers of its path and when it was sent to them; of the path that it was moved to last, if any.
-    path: Vec<SocketAddr>,
+    path: Vec<ServerKey>,
     sent_at: Moment,
     /// The failure that is recorded at its servers if its response was lost.
     lost_as: outlier::Failure,
@@ -182,7 +181,7 @@
     reads_event: bool,
     attempts_left: u32,
 ) -> StreamCopy {
-    let first_server = target.addr;
+    let first_server = target.server;
     let abandon = Rc::new(Notify::new());
     let now = app.now();
     let repeatable = matches!(request.route.kind, RouteKind::Stream { resumable: true });
@@ -231,7 +230,7 @@
     };
     // A copy may have been moved to another path while its first event was awaited.
     let used = guard.servers().map(|(path, at, _)| (path, at));
-    let (path, sent_at) = used.unwrap_or_else(|| (target.addrs(), now));
+    let (path, sent_at) = used.unwrap_or_else(|| (target.keys().collect(), now));
     StreamCopy {
         result,
         parser,
@@ -450,13 +449,8 @@
     let service = &request.service;
     let runs = attempts.possible_runs + 1;
     let attempts_left = request.route.max_attempts.saturating_sub(runs);
-    let is_avoided =
-        |addr: &SocketAddr| attempts.avoid.contains(addr) || attempts.lost.contains(addr);
-    let domain = {
-        let fleet = app.fleet.borrow();
-        let server = fleet.key_at(first.addr).and_then(|k| fleet.get(k));
-        server.map(|s| s.domain)
-    };
+    let is_avoided = |key: &ServerKey| attempts.avoid.contains(key) || attempts.lost.contains(key);
+    let domain = app.fleet.borrow().get(first.server).map(|s| s.domain);
     let deny =
         |reason| DueCopy::new(app, request, "stream", delay, 1.0, attempts_left).deny(reason);
     let (path, crossings, server, load) = match &service.engine {
@@ -471,42 +465,40 @@
             let mut holders =
                 fleet.holders_with_room(&service.name, engine, now, gateways, filter, room);
             drop(fleet);
-            holders.retain(|h| !is_avoided(&h.addr));
+            holders.retain(|h| !is_avoided(&h.server));
             let choose = |is_admitted: &dyn Fn(&LayerHolder) -> bool| {
                 let admitted: Vec<LayerHolder> =
                     holders.iter().filter(|h| is_admitted(h)).cloned().collect();
                 choose_path(engine, &admitted, demand, &mut *app.rng.borrow_mut())
             };
-            let is_used = |h: &LayerHolder| first.path.iter().any(|p| p.addr == h.addr);
+            let is_used = |h: &LayerHolder| first.path.iter().any(|p| p.server == h.server);
             let chosen = choose(&|h| Some(h.domain) != domain && !is_used(h))
                 .or_else(|| choose(&|h| !is_used(h)))
-                .or_else(|| choose(&|h| h.addr != first.addr));
+                .or_else(|| choose(&|h| h.server != first.server));
             let Some(chosen) = chosen else {
                 deny("no other path");
                 return None;
             };
-            let on_path = |h: &&LayerHolder| chosen.parts.iter().any(|p| p.addr == h.addr);
+            let on_path = |h: &&LayerHolder| chosen.parts.iter().any(|p| p.server == h.server);
             let loads = holders.iter().filter(on_path).map(|h| h.memory_share);
             let load = loads.fold(0.0, f64::max);
-            let server = chosen.parts.first()?.addr;
+            let server = chosen.parts.first()?.server;
             (chosen.parts, chosen.crossings, server, load)
         }
         None => {
-            let may_take = |s: &Server| {
-                let addr = &s.entry.addr;
-                let is_other = *addr != first.addr && !is_avoided(addr);
+            let may_take = |key: ServerKey, s: &Server| {
+                let is_other = key != first.server && !is_avoided(&key);
                 is_other && s.is_usable(now) && s.takes_requests(now)
             };
-            let is_far = |s: &Server| may_take(s) && Some(s.domain) != domain;
+            let is_far = |key, s: &Server| may_take(key, s) && Some(s.domain) != domain;
             let key = choose_plain_server(app, &service.name, now, is_far)
                 .or_else(|| choose_plain_server(app, &service.name, now, may_take));
             let Some(key) = key else {
                 deny("no other server");
                 return None;
             };
-            let server = app.fleet.borrow().get(key)?.entry.addr;
             let load = hedging::plain_load(app, &service.name);
-            (Vec::new(), 0, server, load)
+            (Vec::new(), 0, key, load)
         }
     };
     let due = DueCopy::new(app, request, "stream", delay, load, attempts_left);
@@ -517,7 +509,7 @@
         due.deny("crossings");
         return None;
     };
-    due.spend(target.addr).then_some((target, due))
+    due.spend(target.server).then_some((target, due))
 }
 
 /// Records a failed send at the server that is probably at fault, and returns that server, which
@@ -526,28 +518,28 @@
 /// Which server is at fault can only be guessed here, so the server is asked for a report.
 pub(super) fn record_faulty_server(
     app: &Rc<App>,
-    first_server: SocketAddr,
+    first_server: ServerKey,
     error: SendError,
-) -> Option<SocketAddr> {
+) -> Option<ServerKey> {
     let now = app.now();
-    let (addr, fault) = match error {
+    let (server, fault) = match error {
         SendError::NotSent => (first_server, Some(Fault::Full)),
         SendError::NotRun(421, named) => {
             (named.unwrap_or(first_server), Some(Fault::LayersMissing))
         }
         SendError::NotRun(_, named) => {
-            let addr = named.unwrap_or(first_server);
-            app.fleet.borrow_mut().record_refusal(now, addr);
-            (addr, None)
+            let server = named.unwrap_or(first_server);
+            app.fleet.borrow_mut().record_refusal(now, server);
+            (server, None)
         }
         SendError::Lost => (first_server, None),
         SendError::GivenUp => return None,
     };
     if let Some(fault) = fault {
-        app.fleet.borrow_mut().record_fault(now, addr, fault);
+        app.fleet.borrow_mut().record_fault(now, server, fault);
     }
-    probe_faulty_server(app, addr);
-    Some(addr)
+    probe_faulty_server(app, server);
+    Some(server)
 }
 
 /// Waits until there is a path; `None` if there is none within the time that a request may wait.
@@ -613,11 +605,11 @@
                 tokens: memory_tokens(&demand),
                 rank,
             });
-            let mut choose = |filter, avoid: &[SocketAddr]| {
+            let mut choose = |filter, avoid: &[ServerKey]| {
                 let service = &request.service.name;
                 let mut holders =
                     fleet.holders_with_room(service, engine, now, gateways, filter, room);
-                holders.retain(|h| !avoid.contains(&h.addr));
+                holders.retain(|h| !avoid.contains(&h.server));
                 let Some(rest) = &rest else {
                     return choose_path(engine, &holders, &demand, &mut *rng);
                 };
@@ -638,24 +630,23 @@
         None => (Vec::new(), 0),
     };
     let first_server = match path.first() {
-        Some(part) => part.addr,
+        Some(part) => part.server,
         None => {
             let service = &request.service.name;
             let may_take = |s: &Server| s.takes_requests(now) && s.is_usable(now);
             let is_last =
                 |s: &Server| s.takes_requests(now) && s.is_present(now) && s.is_last_resort(now);
-            let is_new = |s: &Server| !attempts.avoid.contains(&s.entry.addr);
-            let has_lost = |s: &Server| attempts.lost.contains(&s.entry.addr);
-            let choose = |is_admitted: &dyn Fn(&Server) -> bool| {
+            let is_new = |key| !attempts.avoid.contains(&key);
+            let has_lost = |key| attempts.lost.contains(&key);
+            let choose = |is_admitted: &dyn Fn(ServerKey, &Server) -> bool| {
                 choose_plain_server(app, service, now, is_admitted)
             };
             // A server that lost an earlier attempt is used only if there is no other, ejected ones included.
-            let key = choose(&|s| may_take(s) && is_new(s) && !has_lost(s))
-                .or_else(|| choose(&|s| may_take(s) && !has_lost(s)))
-                .or_else(|| choose(&|s| is_last(s) && !has_lost(s)))
-                .or_else(|| choose(&may_take))
-                .or_else(|| choose(&is_last))?;
-            fleet.get(key)?.entry.addr
+            choose(&|key, s| may_take(s) && is_new(key) && !has_lost(key))
+                .or_else(|| choose(&|key, s| may_take(s) && !has_lost(key)))
+                .or_else(|| choose(&|key, s| is_last(s) && !has_lost(key)))
+                .or_else(|| choose(&|_, s| may_take(s)))
+                .or_else(|| choose(&|_, s| is_last(s)))?
         }
     };
     drop(fleet);
@@ -671,16 +662,16 @@
 fn take_target(
     app: &App,
     request: &AdmittedRequest,
-    first_server: SocketAddr,
+    first_server: ServerKey,
     path: Vec<PathPart>,
     crossings: u32,
 ) -> Option<Target> {
     let fleet = app.fleet.borrow();
-    let key = fleet.key_at(first_server)?;
-    let server = fleet.get(key)?;
-    let later = path.iter().skip(1).map(|p| p.addr);
+    let server = fleet.get(first_server)?;
+    let later = path.iter().skip(1).map(|p| p.server);
     let target = Target {
-        addr: first_server,
+        server: first_server,
+        addr: server.entry.addr,
         identity: server.entry.id.clone(),
         processes: fleet.processes(std::iter::once(first_server).chain(later)),
         path,
@@ -694,8 +685,8 @@
     }
     let now = app.now();
     let mut fleet = app.fleet.borrow_mut();
-    fleet.take_request(now, key);
-    fleet.begin_trials(now, target.processes.iter().map(|p| p.addr));
+    fleet.take_request(now, first_server);
+    fleet.begin_trials(now, target.keys());
     drop(fleet);
     Some(target)
 }
@@ -706,7 +697,7 @@
 fn choose_over_tiers(
     fleet: &Fleet,
     attempts: &Attempts,
-    mut choose: impl FnMut(ServerFilter, &[SocketAddr]) -> Option<Path>,
+    mut choose: impl FnMut(ServerFilter, &[ServerKey]) -> Option<Path>,
 ) -> Option<Path> {
     let Attempts { avoid, lost, .. } = attempts;
     let has_ejected = fleet.ejected_count() > 0;
@@ -727,7 +718,7 @@
 fn log_chosen_path(app: &App, request: &AdmittedRequest, target: &Target, last_event: Option<u64>) {
     if let Some(log) = app.log.logger_for(Topic::Chosen) {
         let version = app.config().map_or(0, |c| c.version);
-        let path = target.path.iter().map(|p| p.addr);
+        let path = target.path.iter().map(|p| p.server);
         let load_ms = app.fleet.borrow().load_age(app.now(), path);
         info!(log, "request: Path chosen."; "request" => &request.params.id,
             "service" => &request.service.name, "first" => %target.addr,
@@ -749,12 +740,12 @@
 pub(super) fn log_failed_attempt(
     app: &App,
     request: &AdmittedRequest,
-    first_server: SocketAddr,
+    first_server: ServerKey,
     cause: &str,
 ) {
     if let Some(log) = app.log.logger_for(Topic::Attempt) {
         info!(log, "request: An attempt failed."; "request" => &request.params.id,
-            "server" => %first_server, "cause" => cause,
+            "server" => app.fleet.borrow().format_server(first_server), "cause" => cause,
             "took_ms" => app.now().ms_since(request.arrived));
     }
 }
--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -1,6 +1,5 @@
 //! Forwards requests on routes that have a single response instead of a stream.
 
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,7 +11,7 @@
 
 use mustard_adapter::responses;
 use mustard_core::clock::Moment;
-use mustard_core::deployment::RouteKind;
+use mustard_core::deployment::{RouteKind, ServerKey};
 use mustard_policy::backoff::Fault;
 use mustard_policy::outlier;
 
@@ -42,7 +41,7 @@
 
 /// The result of one send to one server.
 struct SendResult {
-    addr: SocketAddr,
+    server: ServerKey,
     sent_at: Moment,
     processes: Vec<ServerProcess>,
     took: Duration,
@@ -64,13 +63,13 @@
     match timeout(left, try_servers(app, &request, &mut tried)).await {
         Ok(response) => response,
         Err(_) => {
-            if let Some(&addr) = tried.last() {
+            if let Some(&server) = tried.last() {
                 app.fleet
                     .borrow_mut()
-                    .record_fault(app.now(), addr, Fault::Broken);
-                log_failed_send(app, &request, addr, "no answer in time", 0);
+                    .record_fault(app.now(), server, Fault::Broken);
+                log_failed_send(app, &request, server, "no answer in time", 0);
                 let failure = outlier::Failure::NoAnswer;
-                outliers::record_failure(app, &request, &[addr], request.arrived, failure);
+                outliers::record_failure(app, &request, &[server], request.arrived, failure);
                 hedging::record_time(app, &request, app.now().since(request.arrived));
             }
             metric::count_request("plain", "timeout");
@@ -86,7 +85,7 @@
 async fn try_servers(
     app: &Rc<App>,
     request: &AdmittedRequest,
-    tried: &mut Vec<SocketAddr>,
+    tried: &mut Vec<ServerKey>,
 ) -> Response {
     let repeatable = request.route.kind == RouteKind::Idempotent;
     let mut unsent = 0;
@@ -107,7 +106,7 @@
         let Some(target) = choose_server(app, request, tried) else {
             break;
         };
-        tried.push(target.addr);
+        tried.push(target.server);
         let attempts_left = request.route.max_attempts - attempt - 1;
         let sends = if repeatable && attempts_left > 0 {
             send_hedged(app, request, target, tried, attempts_left).await
@@ -161,11 +160,11 @@
     app: &Rc<App>,
     request: &AdmittedRequest,
     target: Target,
-    tried: &mut Vec<SocketAddr>,
+    tried: &mut Vec<ServerKey>,
     attempts_left: u32,
 ) -> Sends {
     let sent_at = app.now();
-    let first_server = target.addr;
+    let first_server = target.server;
     let mut primary = pin!(send_once(app, request, target));
     let single = |sent: SendResult| {
         record_result(app, request, &sent);
@@ -188,7 +187,7 @@
     let Some(second) = choose_second(app, request, tried, first_server, &due) else {
         return single(primary.await);
     };
-    tried.push(second.addr);
+    tried.push(second.server);
     let mut secondary = pin!(send_once(app, request, second));
     let (sent, is_second) = tokio::select! {
         sent = &mut primary => (sent, false),
@@ -238,32 +237,28 @@
 fn choose_second(
     app: &App,
     request: &AdmittedRequest,
-    tried: &[SocketAddr],
-    first_server: SocketAddr,
+    tried: &[ServerKey],
+    first_server: ServerKey,
     due: &DueCopy<'_>,
 ) -> Option<Target> {
     if !due.is_allowed() {
         return None;
     }
-    let domain = {
-        let fleet = app.fleet.borrow();
-        let first = fleet.key_at(first_server).and_then(|k| fleet.get(k));
-        first.map(|s| s.domain)
-    };
+    let domain = app.fleet.borrow().get(first_server).map(|s| s.domain);
     let now = app.now();
-    let second = choose_among(app, request, |s| {
-        s.is_usable(now) && !tried.contains(&s.entry.addr) && Some(s.domain) != domain
+    let second = choose_among(app, request, |key, s| {
+        s.is_usable(now) && !tried.contains(&key) && Some(s.domain) != domain
     });
     let second = second.or_else(|| {
-        choose_among(app, request, |s| {
-            s.is_usable(now) && !tried.contains(&s.entry.addr)
+        choose_among(app, request, |key, s| {
+            s.is_usable(now) && !tried.contains(&key)
         })
     });
     let Some(second) = second else {
         due.deny("no other server");
         return None;
     };
-    due.spend(second.addr).then_some(second)
+    due.spend(second.server).then_some(second)
 }
 
 /// A send whose result isn't known yet. If it is dropped before that, as the caller left, the time was over
@@ -311,10 +306,10 @@
 }
 
 async fn send_once(app: &Rc<App>, request: &AdmittedRequest, target: Target) -> SendResult {
-    let addr = target.addr;
+    let server = target.server;
     let sent_at = app.now();
     let open_run = OpenRun::new(app, request, &target.processes);
-    let _load = LoadGuard::begin(app, std::iter::once((addr, 1.0)));
+    let _load = LoadGuard::begin(app, std::iter::once((server, 1.0)));
     let response = async {
         let mut head = send_request(app, request, &target, None).await?;
         let body = head.read_body(app).await?;
@@ -327,7 +322,7 @@
     let result = response.await;
     open_run.conclude();
     SendResult {
-        addr,
+        server,
         sent_at,
         took: app.now().since(sent_at),
         result,
@@ -341,29 +336,29 @@
     let mut fleet = app.fleet.borrow_mut();
     let cause = match &sent.result {
         Ok(response) if response.status < 500 => {
-            if let Some(server) = fleet.key_at(sent.addr).and_then(|k| fleet.get_mut(k)) {
+            if let Some(server) = fleet.get_mut(sent.server) {
                 server.backoff.clear();
             }
-            fleet.record_answer(now, sent.addr, sent.took);
+            fleet.record_answer(now, sent.server, sent.took);
             let content = request.content;
             app.quarantine.borrow_mut().record_success(now, content);
             drop(fleet);
-            let path = std::iter::once(sent.addr);
+            let path = std::iter::once(sent.server);
             outliers::record_success(app, &request.service.name, path, sent.sent_at);
             return;
         }
         Ok(_) => "error answer",
         Err(SendError::NotSent) => {
-            fleet.record_fault(now, sent.addr, Fault::Silent);
+            fleet.record_fault(now, sent.server, Fault::Silent);
             "not sent"
         }
         Err(SendError::NotRun(status, _)) => {
             hedging::record_refusal(app, request, *status);
-            fleet.record_fault(now, sent.addr, Fault::Full);
+            fleet.record_fault(now, sent.server, Fault::Full);
             "not run"
         }
         Err(SendError::Lost | SendError::GivenUp) => {
-            fleet.record_fault(now, sent.addr, Fault::Broken);
+            fleet.record_fault(now, sent.server, Fault::Broken);
             "lost"
         }
     };
@@ -375,7 +370,7 @@
         Err(SendError::NotSent | SendError::NotRun(..)) => None,
     };
     if let Some(failure) = failure {
-        outliers::record_failure(app, request, &[sent.addr], sent.sent_at, failure);
+        outliers::record_failure(app, request, &[sent.server], sent.sent_at, failure);
     }
     if matches!(sent.result, Err(SendError::Lost)) {
         let failure = Failure::PlainConnectionLost(request.service.health_path.clone());
@@ -383,27 +378,27 @@
         strikes::record_run(app, run);
     }
     let status = sent.result.as_ref().map_or(0, |r| r.status);
-    log_failed_send(app, request, sent.addr, cause, status);
+    log_failed_send(app, request, sent.server, cause, status);
 }
 
 fn log_failed_send(
     app: &App,
     request: &AdmittedRequest,
-    server: SocketAddr,
+    server: ServerKey,
     cause: &str,
     status: u16,
 ) {
     if let Some(log) = app.log.logger_for(Topic::Attempt) {
         info!(log, "request: An attempt failed."; "request" => &request.params.id,
-            "server" => %server, "cause" => cause, "status" => status,
+            "server" => app.fleet.borrow().format_server(server), "cause" => cause, "status" => status,
             "took_ms" => app.now().ms_since(request.arrived));
     }
 }
 
 /// Chooses a server among those not tried, which counts the request.
-fn choose_server(app: &App, request: &AdmittedRequest, tried: &[SocketAddr]) -> Option<Target> {
+fn choose_server(app: &App, request: &AdmittedRequest, tried: &[ServerKey]) -> Option<Target> {
     let now = app.now();
-    let is_new = |s: &Server| !tried.contains(&s.entry.addr);
+    let is_new = |key| !tried.contains(&key);
     // Servers that failed or refused lately are used if there are no others, and ejected ones only after them.
     let is_fallback = |s: &Server| {
         s.is_last_resort(now)
@@ -412,35 +407,38 @@
                 && s.is_confirmed(now)
                 && !s.is_paused(now))
     };
-    choose_among(app, request, |s| is_new(s) && s.is_usable(now))
+    choose_among(app, request, |key, s| is_new(key) && s.is_usable(now))
         .or_else(|| {
             let in_use = |s: &Server| s.standing.takes_requests(now);
-            choose_among(app, request, |s| is_new(s) && is_fallback(s) && in_use(s))
+            choose_among(app, request, |key, s| {
+                is_new(key) && is_fallback(s) && in_use(s)
+            })
         })
-        .or_else(|| choose_among(app, request, |s| is_new(s) && is_fallback(s)))
+        .or_else(|| choose_among(app, request, |key, s| is_new(key) && is_fallback(s)))
 }
 
 /// Chooses a server among those that a filter admits and that take a request now, which counts the request.
 fn choose_among(
     app: &App,
     request: &AdmittedRequest,
-    is_admitted: impl Fn(&Server) -> bool,
+    is_admitted: impl Fn(ServerKey, &Server) -> bool,
 ) -> Option<Target> {
     let now = app.now();
-    let key = choose_plain_server(app, &request.service.name, now, |s| {
-        s.takes_requests(now) && is_admitted(s)
+    let key = choose_plain_server(app, &request.service.name, now, |key, s| {
+        s.takes_requests(now) && is_admitted(key, s)
     })?;
     let mut fleet = app.fleet.borrow_mut();
     let server = fleet.get(key)?;
     let target = Target {
+        server: key,
         addr: server.entry.addr,
         identity: server.entry.id.clone(),
-        processes: vec![server.process()],
+        processes: vec![server.process(key)],
         path: Vec::new(),
         crossings: 0,
     };
     fleet.take_request(now, key);
-    fleet.begin_trials(now, std::iter::once(target.addr));
+    fleet.begin_trials(now, std::iter::once(key));
     Some(target)
 }
 
--- a/crates/mustard-gateway/src/forward/plain_server.rs
+++ b/crates/mustard-gateway/src/forward/plain_server.rs
@@ -16,11 +16,11 @@
     app: &App,
     service: &str,
     now: Moment,
-    is_admitted: impl Fn(&Server) -> bool,
+    is_admitted: impl Fn(ServerKey, &Server) -> bool,
 ) -> Option<ServerKey> {
     let fleet = app.fleet.borrow();
     let servers = fleet.iter();
-    let servers = servers.filter(|(_, s)| s.entry.service == service && is_admitted(s));
+    let servers = servers.filter(|(key, s)| s.entry.service == service && is_admitted(*key, s));
     let candidates: Vec<Candidate<ServerKey>> = servers
         .map(|(key, s)| Candidate {
             key,
--- a/crates/mustard-gateway/src/forward/send.rs
+++ b/crates/mustard-gateway/src/forward/send.rs
@@ -11,7 +11,7 @@
 
 use mustard_adapter::requests::{self, ForwardParams};
 use mustard_adapter::responses::{self, Verdict};
-use mustard_core::deployment::PathPart;
+use mustard_core::deployment::{PathPart, ServerKey};
 use mustard_net::CallError;
 use mustard_net::forward::{ForwardedRequest, ForwardedResponse, ResponseBody, forward_request};
 use mustard_net::http::MAX_ANSWER_BYTES;
@@ -60,7 +60,9 @@
 /// A server that a request is sent to.
 #[derive(Clone, Debug)]
 pub(super) struct Target {
-    /// The address that the request is sent to.
+    /// The server that the request is sent to.
+    pub server: ServerKey,
+    /// The address of that server.
     pub addr: SocketAddr,
     /// The id of the server that is meant; another server that has the address now refuses the
     /// request.
@@ -74,9 +76,15 @@
 }
 
 impl Target {
-    /// Returns the addresses of the servers that the request uses, the first one first.
-    pub(super) fn addrs(&self) -> Vec<SocketAddr> {
-        self.processes.iter().map(|p| p.addr).collect()
+    /// Returns the servers that the request uses, the first one first.
+    pub(super) fn keys(&self) -> impl Iterator<Item = ServerKey> {
+        self.processes.iter().map(|p| p.key)
+    }
+
+    /// Returns the server at an address that an answer names, if the request uses it.
+    fn find_server(&self, addr: SocketAddr) -> Option<ServerKey> {
+        let named = self.processes.iter().find(|p| p.addr == addr);
+        named.map(|p| p.key)
     }
 }
 
@@ -97,7 +105,7 @@
     NotSent,
     /// The server refused the request without running it; with the HTTP status and the server that
     /// the refusal names as the cause.
-    NotRun(u16, Option<SocketAddr>),
+    NotRun(u16, Option<ServerKey>),
     /// The connection failed, the response can't be trusted or its body is too large; the request
     /// may have run.
     Lost,
@@ -135,7 +143,7 @@
             _ => SendError::Lost,
         })?;
     record_announcements(app, target, &response);
-    check_response(&request.params.id, response)
+    check_response(&request.params.id, target, response)
 }
 
 /// Records what a response says about its server, whoever asked for it: that it is leaving, that it
@@ -145,20 +153,20 @@
     let headers = &response.headers;
     if status != 421 {
         let limit = responses::request_limit(headers);
-        limits::record_answer(app, target.addr, &target.identity, limit);
+        limits::record_answer(app, target.server, limit);
     }
     let now = app.now();
     let mut fleet = app.fleet.borrow_mut();
     // Status 421 may come from another server that has the address now.
-    let leaves = status != 421
-        && responses::announces_leaving(headers)
-        && fleet.record_leaving(target.addr, &target.identity);
+    let process = target.processes.first().filter(|_| status != 421);
+    let leaves =
+        responses::announces_leaving(headers) && process.is_some_and(|p| fleet.record_leaving(p));
     if leaves && let Some(log) = app.log.logger_for(Topic::Server) {
         info!(log, "servers: Leaving, as an answer says."; "id" => &target.identity,
             "server" => %target.addr);
     }
     if let Some(pause) = responses::requested_pause(status, headers) {
-        fleet.record_pause(now, target.addr, pause);
+        fleet.record_pause(now, target.server, pause);
         metric::count_pause();
         if let Some(log) = app.log.logger_for(Topic::Server) {
             info!(log, "servers: Turned a request away for a time."; "server" => %target.addr,
@@ -168,7 +176,11 @@
 }
 
 /// Returns the head of a response that belongs to the request and comes from a server that ran it.
-fn check_response(id: &str, response: ForwardedResponse) -> Result<ResponseHead, SendError> {
+fn check_response(
+    id: &str,
+    target: &Target,
+    response: ForwardedResponse,
+) -> Result<ResponseHead, SendError> {
     let ForwardedResponse {
         status,
         headers,
@@ -178,7 +190,7 @@
         Verdict::Foreign => Err(SendError::Lost),
         Verdict::NotRun => Err(SendError::NotRun(
             status,
-            responses::parse_faulty_server(&headers),
+            responses::parse_faulty_server(&headers).and_then(|addr| target.find_server(addr)),
         )),
         Verdict::Genuine => Ok(ResponseHead {
             status,
--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -274,7 +274,7 @@
         if let Some(log) = session.app.log.logger_for(Topic::Stream) {
             info!(log, "request: A stream was resumed on another server.";
                 "request" => &session.request.params.id, "after" => session.last_event,
-                "server" => %attempt.first_server);
+                "server" => session.app.fleet.borrow().format_server(attempt.first_server));
         }
     }
 }
--- a/crates/mustard-gateway/src/forward/waiting.rs
+++ b/crates/mustard-gateway/src/forward/waiting.rs
@@ -4,7 +4,6 @@
 //! requests behind it only wait until they become the head.
 
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,7 +14,7 @@
 
 use mustard_core::clock::Moment;
 use mustard_core::collections::Map;
-use mustard_core::deployment::{Config, Route};
+use mustard_core::deployment::{Config, Route, ServerKey};
 use mustard_policy::admission::waiting::{
     Head, MAX_SEARCH_PAUSE, PathRequest, Pushed, Urgency, WaiterKey, WaitingQueue,
 };
@@ -357,7 +356,7 @@
 pub(super) fn log_full_server(
     app: &App,
     request: &AdmittedRequest,
-    first_server: SocketAddr,
+    first_server: ServerKey,
     error: SendError,
 ) {
     let SendError::NotRun(status, named) = error else {
@@ -366,16 +365,15 @@
     if request.priority.is_none() || status == 421 {
         return;
     }
-    let addr = named.unwrap_or(first_server);
     let now = app.now();
     let fleet = app.fleet.borrow();
-    let Some(server) = fleet.key_at(addr).and_then(|k| fleet.get(k)) else {
+    let Some(server) = fleet.get(named.unwrap_or(first_server)) else {
         return;
     };
     if let Some(log) = app.log.logger_for(Topic::Server) {
         let report_at = server.last_report.as_ref().map(|(at, _)| *at);
         info!(log, "room: A server refused a request for lack of room.";
-            "request" => &request.params.id, "server" => %addr,
+            "request" => &request.params.id, "server" => %server.entry.addr,
             "used" => server.memory_used, "running" => server.running,
             "window_reduced" => server.room.is_reduced(),
             "report_age_ms" => report_at.map(|at| now.ms_since(at)));
--- a/crates/mustard-gateway/src/limits.rs
+++ b/crates/mustard-gateway/src/limits.rs
@@ -3,13 +3,13 @@
 //! An answer tells its gateway, and the gateways tell each other, so that each one knows of a limit
 //! that it has not been told, and of its end.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use slog::info;
 
 use mustard_core::clock::Moment;
+use mustard_core::deployment::ServerKey;
 use mustard_policy::rate_share::RateShare;
 use mustard_policy::subset::rank_by_hash;
 
@@ -51,34 +51,28 @@
     age_ms: u64,
 }
 
-/// Records what an answer that has just arrived from the server at an address says of its limit.
-pub fn record_answer(app: &App, addr: SocketAddr, id: &str, limit: Option<f64>) {
+/// Records what an answer that has just arrived from a server says of its limit.
+pub fn record_answer(app: &App, server: ServerKey, limit: Option<f64>) {
     let now = app.now();
-    let started_ms = {
-        let fleet = app.fleet.borrow();
-        let server = fleet.key_at(addr).and_then(|k| fleet.get(k));
-        // Another server may have the address by now.
-        let Some(server) = server.filter(|s| s.entry.id == id) else {
-            return;
-        };
-        if limit.is_none() && server.named_limit.is_none() {
-            return;
-        }
-        server.entry.started_ms
-    };
-    observe(app, id, started_ms, limit, now);
+    let known = app.fleet.borrow().get(server).map(|s| s.named_limit);
+    if known.is_some_and(|known| limit.is_some() || known.is_some()) {
+        observe(app, server, limit, now);
+    }
 }
 
 /// Records an observation, unless a newer one is known.
-fn observe(app: &App, id: &str, started_ms: u64, limit: Option<f64>, at: Moment) {
+fn observe(app: &App, key: ServerKey, limit: Option<f64>, at: Moment) {
     let now = app.now();
-    let (processes, rank) = place(app, id);
+    let Some(id) = app.fleet.borrow().get(key).map(|s| s.entry.id.clone()) else {
+        return;
+    };
+    let (processes, rank) = place(app, &id);
     let mut fleet = app.fleet.borrow_mut();
-    let Some(server) = fleet.get_by_id_mut(id) else {
+    let Some(server) = fleet.get_mut(key) else {
         return;
     };
     let known = server.named_limit;
-    if server.entry.started_ms != started_ms || known.is_some_and(|k| k.at >= at) {
+    if known.is_some_and(|k| k.at >= at) {
         return;
     }
     let known = known.and_then(|k| k.share);
@@ -92,7 +86,7 @@
     if known.map(|k| k.limit()) != limit {
         metric::count_limit(if limit.is_some() { "named" } else { "ended" });
         if let Some(log) = app.log.logger_for(Topic::Server) {
-            info!(log, "servers: Named another limit."; "id" => id,
+            info!(log, "servers: Named another limit."; "id" => &id,
                 "server" => %server.entry.addr, "requests_s" => limit, "gateways" => processes);
         }
     }
@@ -101,11 +95,11 @@
 /// Divides all limits anew between the gateways that are alive.
 pub fn divide_again(app: &App) {
     let now = app.now();
-    let limited = app.fleet.borrow().limited_ids(now);
-    for id in limited {
+    let limited = app.fleet.borrow().limited_servers(now);
+    for (key, id) in limited {
         let (processes, rank) = place(app, &id);
         let mut fleet = app.fleet.borrow_mut();
-        let server = fleet.get_by_id_mut(&id);
+        let server = fleet.get_mut(key);
         let share = server.and_then(|s| s.named_limit.as_mut()?.share.as_mut());
         if let Some(share) = share {
             share.divide(now, processes, rank);
@@ -147,6 +141,9 @@
     let now = app.now();
     for m in messages {
         let at = now - Duration::from_millis(m.age_ms);
-        observe(app, &m.server, m.started_ms, m.limit, at);
+        let server = app.fleet.borrow().find_process(&m.server, m.started_ms);
+        if let Some(server) = server {
+            observe(app, server, m.limit, at);
+        }
     }
 }
--- a/crates/mustard-gateway/src/moves.rs
+++ b/crates/mustard-gateway/src/moves.rs
@@ -5,7 +5,6 @@
 //! the same new one.
 
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,7 +14,7 @@
 use mustard_adapter::orders::{self, Outcome};
 use mustard_core::clock::Moment;
 use mustard_core::collections::Map;
-use mustard_core::deployment::{Engine, PathPart};
+use mustard_core::deployment::{Engine, PathPart, ServerKey};
 use mustard_core::fingerprint::Fingerprint;
 use mustard_policy::pipeline::{
     LayerHolder, MovePlan, MovingStream, Path, PrefillView, RequestDemand, move_order, plan_move,
@@ -25,7 +24,7 @@
 use crate::active_streams::{ActiveStream, ActiveStreamKey};
 use crate::app::App;
 use crate::crossing_share::is_scarce;
-use crate::fleet::{Fleet, LoadGuard, RequestRoom, ServerFilter};
+use crate::fleet::{Fleet, LoadGuard, RequestRoom, ServerFilter, ServerProcess};
 use crate::forward::{memory_per_server, memory_tokens};
 use crate::log_limit::Topic;
 use crate::metric;
@@ -49,7 +48,7 @@
 pub(crate) struct StrandedStream {
     pub key: ActiveStreamKey,
     /// The servers of its path that don't answer.
-    pub faulty: Vec<SocketAddr>,
+    pub faulty: Vec<ServerKey>,
 }
 
 /// The new path for each old one, where streams with the same old path get the same new one.
@@ -84,7 +83,7 @@
 /// An order to a first server to continue a stream over another path.
 struct MoveOrder {
     id: String,
-    first_server: SocketAddr,
+    first_server: ServerProcess,
     path: Rc<Path>,
     planned_at: Moment,
     /// The predicted time until the stream continues, if it was predicted.
@@ -99,7 +98,7 @@
     content: Fingerprint,
     segments: Rc<[Fingerprint]>,
     /// The servers that the new path avoids.
-    faulty: Vec<SocketAddr>,
+    faulty: Vec<ServerKey>,
     paths: Rc<RefCell<NewPaths>>,
 }
 
@@ -115,7 +114,7 @@
         let run = {
             let mut streams = app.streams.borrow_mut();
             let stream = streams.get_mut(key)?;
-            if stream.moving || !faulty.iter().any(|addr| stream.uses_server(*addr)) {
+            if stream.moving || !faulty.iter().any(|key| stream.uses_server(*key)) {
                 return None;
             }
             let run = stream.failed_run(Failure::Stalled);
@@ -166,7 +165,7 @@
             }
             let path = &order.path.parts;
             let body = orders::encode_repath(&order.id, path, None);
-            let result = send_order(&app, order.first_server, body).await;
+            let result = send_order(&app, &order.first_server, body).await;
             let moved = matches!(result, Ok((Outcome::Begun | Outcome::Done, _)));
             metric::count_order("repath", if moved { "done" } else { "failed" });
             let Some(silent) = record_repath(&app, key, path, moved) else {
@@ -184,7 +183,11 @@
                 return recount_load(&app, key, path);
             }
             cancel_work(&app, &order.id);
-            let Ok((Outcome::Conflict, Some(faulty))) = result else {
+            let named = match result {
+                Ok((Outcome::Conflict, Some(addr))) => path.iter().find(|p| p.addr == addr),
+                _ => None,
+            };
+            let Some(faulty) = named.map(|p| p.server) else {
                 break;
             };
             app.fleet.borrow_mut().record_refusal(app.now(), faulty);
@@ -213,6 +216,9 @@
         let mut streams = app.streams.borrow_mut();
         let stream = streams.get_mut(self.key)?;
         let first = *stream.parts.first()?;
+        let Some(first_server) = app.fleet.borrow().process(first.server) else {
+            return Some(Found::Restart("first server gone"));
+        };
         let config = app.config();
         let engine = config.as_ref().and_then(|c| engine_of(c, &stream.service));
         let Some(engine) = engine else {
@@ -265,7 +271,7 @@
         }
         Some(Found::Path(MoveOrder {
             id: stream.id.clone(),
-            first_server: first.addr,
+            first_server,
             path,
             planned_at: now,
             ready_ms: predicted.as_ref().map(|p| p.ready_ms),
@@ -286,7 +292,7 @@
 }
 
 /// Records the prefill work of an order or a new attempt of a request, in place of an earlier one.
-pub(crate) fn record_work(app: &App, request: &str, work: &[(SocketAddr, f64)]) {
+pub(crate) fn record_work(app: &App, request: &str, work: &[(ServerKey, f64)]) {
     let gateways = app.gateway_count() as f64;
     let order = Fingerprint::of(&[request.as_bytes()]);
     let mut prefill = app.prefill.borrow_mut();
@@ -324,8 +330,8 @@
     stream.moving = false;
     if moved {
         stream.parts = new_path.to_vec();
-        let addrs = new_path.iter().map(|p| p.addr);
-        stream.processes = app.fleet.borrow().processes(addrs);
+        let keys = new_path.iter().map(|p| p.server);
+        stream.processes = app.fleet.borrow().processes(keys);
         stream.sent_at = now;
         stream.progress.record_move(now);
     }
@@ -364,7 +370,7 @@
     app: &App,
     stream: &ActiveStream,
     engine: &Engine,
-    faulty: &[SocketAddr],
+    faulty: &[ServerKey],
 ) -> Option<MovePlan> {
     let now = app.now();
     let room = needed_room(app, stream);
@@ -377,7 +383,7 @@
     let plan = |filter| {
         let mut holders =
             fleet.holders_with_room(&stream.service, engine, now, gateways, filter, room);
-        holders.retain(|h| !faulty.contains(&h.addr));
+        holders.retain(|h| !faulty.contains(&h.server));
         let view = PrefillView {
             engine,
             holders: &holders,
@@ -409,12 +415,12 @@
     engine: &Engine,
     now: Moment,
     gateways: f64,
-    faulty: &[SocketAddr],
+    faulty: &[ServerKey],
 ) -> Vec<LayerHolder> {
     let parts = stream.parts.iter().enumerate();
     let running = parts.filter_map(|(i, part)| {
-        let server = fleet.get(fleet.key_at(part.addr)?)?;
-        let holder = server.holder(engine, now, gateways)?;
+        let server = fleet.get(part.server)?;
+        let holder = server.holder(part.server, engine, now, gateways)?;
         let holds_part =
             holder.layers.first <= part.layers.first && part.layers.end <= holder.layers.end;
         // The first server of a stream takes orders, whatever else is known of it.
@@ -422,9 +428,8 @@
             || (server.silent_since.is_none()
                 && !server.has_no_listener
                 && !server.backoff.is_faulty(now)
-                && stream.processes.contains(&server.process())
                 && holds_part);
-        (is_running && !faulty.contains(&part.addr)).then_some(holder)
+        (is_running && !faulty.contains(&part.server)).then_some(holder)
     });
     running.collect()
 }
@@ -437,10 +442,10 @@
     let search = |filter| {
         let mut holders =
             fleet.holders_with_room(&stream.service, engine, now, gateways, filter, room);
-        if !holders.iter().any(|h| h.addr == first.addr) {
+        if !holders.iter().any(|h| h.server == first.server) {
             // The first server may be out of use for new requests and still serve this one.
-            let server = fleet.key_at(first.addr).and_then(|k| fleet.get(k))?;
-            holders.push(server.holder(engine, now, gateways)?);
+            let server = fleet.get(first.server)?;
+            holders.push(server.holder(first.server, engine, now, gateways)?);
         }
         let mut rng = app.rng.borrow_mut();
         replan_path(engine, &holders, &stream.demand, first, &mut *rng)
--- a/crates/mustard-gateway/src/outliers.rs
+++ b/crates/mustard-gateway/src/outliers.rs
@@ -70,7 +70,7 @@
 pub fn record_failure(
     app: &Rc<App>,
     request: &AdmittedRequest,
-    path: &[SocketAddr],
+    path: &[ServerKey],
     began: Moment,
     failure: Failure,
 ) {
@@ -108,7 +108,7 @@
 pub fn record_success(
     app: &App,
     service: &str,
-    path: impl Iterator<Item = SocketAddr>,
+    path: impl Iterator<Item = ServerKey>,
     began: Moment,
 ) {
     let now = app.now();
@@ -158,7 +158,7 @@
     let reports = reports.iter();
     let messages: Vec<OutlierMessage> = reports
         .filter_map(|(key, report)| {
-            let process = fleet.get(*key)?.process();
+            let process = fleet.process(*key)?;
             Some(OutlierMessage::encode(now, process, *report))
         })
         .collect();
--- a/crates/mustard-gateway/src/placement.rs
+++ b/crates/mustard-gateway/src/placement.rs
@@ -31,7 +31,7 @@
 };
 
 use crate::app::App;
-use crate::fleet::ServerKey;
+use crate::fleet::{ServerKey, ServerProcess};
 use crate::limits;
 use crate::log_limit::Topic;
 use crate::metric;
@@ -68,8 +68,7 @@
 
 /// An order for a server to hold layers.
 struct PlannedOrder {
-    server: ServerKey,
-    addr: SocketAddr,
+    server: ServerProcess,
     layers: Layers,
     /// The layers that the server held according to the plan's input.
     held: Option<Layers>,
@@ -211,18 +210,18 @@
 fn check_loads(app: &Rc<App>) {
     let now = app.now();
     let oldest = now - LOAD_CHECK_INTERVAL;
-    let addrs: Vec<SocketAddr> = {
+    let servers: Vec<ServerProcess> = {
         let fleet = app.fleet.borrow();
         let unreported = fleet
             .iter()
             .filter(|(_, s)| s.is_load_unreported(now, oldest) && !s.is_paused(now));
-        unreported.map(|(_, s)| s.entry.addr).collect()
+        unreported.map(|(key, s)| s.process(key)).collect()
     };
-    for addr in addrs {
+    for server in servers {
         let app = Rc::clone(app);
         ntex::rt::spawn(async move {
             // A server that doesn't answer shows elsewhere.
-            let _ = fetch_report(&app, addr, CallKind::Pooled, CALL_TIMEOUT).await;
+            let _ = fetch_report(&app, &server, CallKind::Pooled, CALL_TIMEOUT).await;
         });
     }
 }
@@ -289,8 +288,7 @@
         let (key, server) = candidates.iter().find(|(_, s)| s.index == order.index)?;
         let share = f64::from(order.layers.count()) / f64::from(engine.layers.max(1));
         Some(PlannedOrder {
-            server: *key,
-            addr: fleet.get(*key)?.entry.addr,
+            server: fleet.process(*key)?,
             layers: order.layers,
             held: server.held,
             load_time: engine.load_time.mul_f64(share),
@@ -420,12 +418,14 @@
 }
 
 async fn order_layers(app: &App, grant: OrderGrant, order: PlannedOrder) -> Option<Outcome> {
-    let report = match fetch_report(app, order.addr, CallKind::Pooled, CALL_TIMEOUT).await {
+    let report = match fetch_report(app, &order.server, CallKind::Pooled, CALL_TIMEOUT).await {
         Ok(report) => report,
         Err(e) => {
-            app.fleet.borrow_mut().record_silence(app.now(), order.addr);
+            app.fleet
+                .borrow_mut()
+                .record_silence(app.now(), order.server.key);
             if let Some(log) = app.log.logger_for(Topic::Order) {
-                warn!(log, "placement: A server sent no report."; "server" => %order.addr,
+                warn!(log, "placement: A server sent no report."; "server" => %order.server.addr,
                     "error" => %e);
             }
             return None;
@@ -436,13 +436,13 @@
     let held = report.held.map(|h| h.layers);
     if report.busy || held != order.held {
         if report.busy
-            && let Some(server) = app.fleet.borrow_mut().get_mut(order.server)
+            && let Some(server) = app.fleet.borrow_mut().get_mut(order.server.key)
         {
             server.mark_ordered_elsewhere(now, order.layers);
         }
         if let Some(log) = app.log.logger_for(Topic::Order) {
             info!(log, "placement: A server's state differs from the plan.";
-                "server" => %order.addr, "busy" => report.busy,
+                "server" => %order.server.addr, "busy" => report.busy,
                 "memory_used" => report.memory_used,
                 "held" => held.map(|h| h.to_string()));
         }
@@ -451,17 +451,17 @@
     if grant.has_ended(now) {
         if let Some(log) = app.log.logger_for(Topic::Order) {
             warn!(log, "placement: The lease ended before an order was sent.";
-                "server" => %order.addr, "fence" => grant.fence.0);
+                "server" => %order.server.addr, "fence" => grant.fence.0);
         }
         return None;
     }
     let fence = app.node.require_fence.then_some(grant.fence);
     let body = orders::encode_place(order.layers, fence, report.order_count);
-    let outcome = send_order(app, order.addr, body)
+    let outcome = send_order(app, &order.server, body)
         .await
         .map(|(outcome, _)| outcome);
     if matches!(outcome, Ok(Outcome::Begun | Outcome::Done) | Err(_))
-        && let Some(server) = app.fleet.borrow_mut().get_mut(order.server)
+        && let Some(server) = app.fleet.borrow_mut().get_mut(order.server.key)
     {
         // An order whose answer was lost may still be executed.
         server.begin_loading(now, order.layers, order.load_time);
@@ -470,7 +470,7 @@
         .as_ref()
         .map_or_else(ToString::to_string, |o| format!("{o:?}"));
     if let Some(log) = app.log.logger_for(Topic::Order) {
-        info!(log, "placement: A server was ordered to hold layers."; "server" => %order.addr,
+        info!(log, "placement: A server was ordered to hold layers."; "server" => %order.server.addr,
             "layers" => %order.layers, "fence" => fence.map(|f| f.0), "outcome" => text);
     }
     metric::count_order(
@@ -492,11 +492,11 @@
 /// After an error other than [`CallError::NotSent`] or [`CallError::NoListener`] the server may still execute the order.
 pub async fn send_order(
     app: &App,
-    to: SocketAddr,
+    to: &ServerProcess,
     body: Vec<u8>,
 ) -> std::result::Result<(Outcome, Option<SocketAddr>), CallError> {
     let request = Request {
-        to,
+        to: to.addr,
         method: Method::POST,
         path: orders::ORDER_PATH,
         content_type: JSON,
@@ -527,12 +527,12 @@
 /// Returns an error if the server doesn't answer in time or the answer isn't a report.
 pub async fn fetch_report(
     app: &App,
-    to: SocketAddr,
+    server: &ServerProcess,
     kind: CallKind,
     timeout: Duration,
 ) -> std::result::Result<Rc<ServerReport>, CallError> {
     let request = Request {
-        to,
+        to: server.addr,
         method: Method::GET,
         path: orders::REPORT_PATH,
         content_type: JSON,
@@ -550,7 +550,7 @@
         app.answers.borrow_mut().record_answer(sent);
     }
     if matches!(result, Err(CallError::NoListener(_))) {
-        app.fleet.borrow_mut().record_no_listener(to);
+        app.fleet.borrow_mut().record_no_listener(server.key);
     }
     let answer = result?;
     if answer.status != 200 {
@@ -559,42 +559,26 @@
     let report = decode_report(&answer.body).map_err(|e| CallError::Lost(e.to_string()))?;
     let report = Rc::new(report);
     // Only requests show the end of a limit, as a report need not name it.
-    if let Some(limit) = responses::request_limit(&answer.headers) {
-        record_limit(app, to, report.started_ms, limit);
-    }
-    if responses::announces_leaving(&answer.headers) {
-        record_leaving(app, to, report.started_ms);
+    if report.started_ms == server.started_ms {
+        if let Some(limit) = responses::request_limit(&answer.headers) {
+            limits::record_answer(app, server.key, Some(limit));
+        }
+        if responses::announces_leaving(&answer.headers) {
+            record_leaving(app, server);
+        }
     }
     app.fleet
         .borrow_mut()
-        .record_report(app.now(), to, Rc::clone(&report));
+        .record_report(app.now(), server.key, Rc::clone(&report));
     Ok(report)
 }
 
-/// Records the limit that a server's report names, unless another process has its address.
-fn record_limit(app: &App, addr: SocketAddr, started_ms: u64, limit: f64) {
-    let id = {
-        let fleet = app.fleet.borrow();
-        let server = fleet.key_at(addr).and_then(|k| fleet.get(k));
-        let server = server.filter(|s| s.entry.started_ms == started_ms);
-        server.map(|s| s.entry.id.clone())
-    };
-    if let Some(id) = id {
-        limits::record_answer(app, addr, &id, Some(limit));
-    }
-}
-
-/// Records that a server's report says that it is leaving, unless another process has its address.
-fn record_leaving(app: &App, addr: SocketAddr, started_ms: u64) {
-    let mut fleet = app.fleet.borrow_mut();
-    let server = fleet.key_at(addr).and_then(|k| fleet.get(k));
-    let id = server
-        .filter(|s| s.entry.started_ms == started_ms)
-        .map(|s| s.entry.id.clone());
-    if id.is_some_and(|id| fleet.record_leaving(addr, &id))
+/// Records that a server's report says that it is leaving.
+fn record_leaving(app: &App, server: &ServerProcess) {
+    if app.fleet.borrow_mut().record_leaving(server)
         && let Some(log) = app.log.logger_for(Topic::Server)
     {
-        info!(log, "servers: Leaving, as a report says."; "server" => %addr);
+        info!(log, "servers: Leaving, as a report says."; "server" => %server.addr);
     }
 }
 
--- a/crates/mustard-gateway/src/quiet_servers.rs
+++ b/crates/mustard-gateway/src/quiet_servers.rs
@@ -12,6 +12,7 @@
 use slog::info;
 
 use mustard_core::collections::Map;
+use mustard_core::deployment::ServerKey;
 use mustard_policy::quiet::Activity;
 
 use crate::app::App;
@@ -41,13 +42,13 @@
     let Some(config) = app.config() else {
         return;
     };
-    let mut servers: Map<SocketAddr, Activity> = Map::default();
+    let mut servers: Map<ServerKey, Activity> = Map::default();
     {
         let streams = app.streams.borrow();
         let begun = streams.iter().map(|(_, s)| s);
         for stream in begun.filter(|s| s.progress.has_begun && !s.moving) {
             for part in &stream.parts {
-                let activity = servers.entry(part.addr).or_default();
+                let activity = servers.entry(part.server).or_default();
                 activity.add(stream.progress.last_event);
             }
         }
@@ -57,11 +58,10 @@
         .quiet
         .borrow_mut()
         .take_quiet(now, pause, servers.into_iter());
-    for addr in quiet {
+    for key in quiet {
         let is_enabled = {
             let fleet = app.fleet.borrow();
-            let server = fleet.key_at(addr).and_then(|k| fleet.get(k));
-            let server = server.filter(|s| s.silent_since.is_none());
+            let server = fleet.get(key).filter(|s| s.silent_since.is_none());
             let service = server.map(|s| s.entry.service.clone());
             drop(fleet);
             let service = service.and_then(|name| config.service(&name));
@@ -72,18 +72,18 @@
         };
         if is_enabled {
             metric::count_quiet_server("asked");
-            probe_faulty_server(app, addr);
+            probe_faulty_server(app, key);
         }
     }
 }
 
 /// Tells other gateways of a server that this one has just found silent.
-pub fn send_alert(app: &Rc<App>, addr: SocketAddr) {
+pub fn send_alert(app: &Rc<App>, key: ServerKey) {
     let now = app.now();
     let process = {
         let fleet = app.fleet.borrow();
-        let server = fleet.key_at(addr).and_then(|k| fleet.get(k));
-        let server = server.map(|s| (s.process(), s.entry.service.clone()));
+        let server = fleet.get(key);
+        let server = server.map(|s| (s.process(key), s.entry.service.clone()));
         drop(fleet);
         let config = app.config();
         server.filter(|(_, name)| {
@@ -120,23 +120,22 @@
 pub fn apply_messages(app: &Rc<App>, from: SocketAddr, messages: Vec<SilentMessage>) {
     let now = app.now();
     for message in messages {
-        let addr = {
-            let mut fleet = app.fleet.borrow_mut();
-            let server = fleet.get_by_id_mut(&message.server);
-            let server = server.filter(|s| s.entry.started_ms == message.started_ms);
-            let server = server.filter(|s| s.silent_since.is_none());
-            server.map(|s| s.entry.addr)
+        let key = {
+            let fleet = app.fleet.borrow();
+            let key = fleet.find_process(&message.server, message.started_ms);
+            key.filter(|key| !fleet.is_silent(*key))
         };
-        let Some(addr) = addr else {
+        let Some(key) = key else {
             continue;
         };
-        if app.quiet.borrow_mut().take_alert(now, addr) {
+        if app.quiet.borrow_mut().take_alert(now, key) {
             metric::count_quiet_server("asked for another gateway");
             if let Some(log) = app.log.logger_for(Topic::Server) {
-                info!(log, "watch: Another gateway gets no answer of a server."; "server" => %addr,
+                info!(log, "watch: Another gateway gets no answer of a server.";
+                    "server" => &message.server,
                     "peer" => %from);
             }
-            probe_faulty_server(app, addr);
+            probe_faulty_server(app, key);
         }
     }
 }
--- a/crates/mustard-gateway/src/server_load.rs
+++ b/crates/mustard-gateway/src/server_load.rs
@@ -155,7 +155,7 @@
 
 /// Asks a server for its report, and has the other gateways told at once if it became slow. A server that doesn't answer shows elsewhere.
 fn request(app: &Rc<App>, key: ServerKey) {
-    let addr = {
+    let process = {
         let fleet = &mut *app.fleet.borrow_mut();
         let Some(server) = fleet.get_mut(key) else {
             return;
@@ -163,12 +163,12 @@
         if let Some(load) = &mut server.load {
             load.tracker.record_request(app.now());
         }
-        server.entry.addr
+        server.process(key)
     };
     let app = Rc::clone(app);
     ntex::rt::spawn(async move {
         let was_slow = is_slow(&app, key);
-        let report = fetch_report(&app, addr, CallKind::Pooled, CALL_TIMEOUT).await;
+        let report = fetch_report(&app, &process, CallKind::Pooled, CALL_TIMEOUT).await;
         let result = if report.is_ok() {
             "answered"
         } else {
--- a/crates/mustard-gateway/src/server_probe.rs
+++ b/crates/mustard-gateway/src/server_probe.rs
@@ -1,7 +1,6 @@
 //! Asks servers for their reports, and decides which of them don't answer.
 
 use std::future::Future;
-use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,11 +10,12 @@
 use tokio::time::{sleep, timeout};
 
 use mustard_core::clock::Moment;
-use mustard_core::deployment::ServerReport;
+use mustard_core::deployment::{ServerKey, ServerReport};
 use mustard_net::CallError;
 use mustard_policy::silence::Verdict;
 
 use crate::app::App;
+use crate::fleet::ServerProcess;
 use crate::log_limit::Topic;
 use crate::metric;
 use crate::placement::{CallKind, fetch_report};
@@ -68,13 +68,16 @@
 
 /// Returns the report that a server sent at or after `since`, or else asks it for one. A server that
 /// doesn't answer is put out of use and all streams are moved off it.
-pub async fn probe(app: &Rc<App>, addr: SocketAddr, since: Moment) -> Probed {
-    let known = app.fleet.borrow().fresh_report(addr, since);
+pub async fn probe(app: &Rc<App>, key: ServerKey, since: Moment) -> Probed {
+    let known = app.fleet.borrow().fresh_report(key, since);
     if let Some(report) = known {
         return Probed::Report(report);
     }
+    let Some(process) = app.fleet.borrow().process(key) else {
+        return Probed::Unknown;
+    };
     let asked = app.now();
-    let probed = ask(app, addr).await;
+    let probed = ask(app, &process).await;
     let error = match probed {
         Ok(report) => return Probed::Report(report),
         Err(None) => {
@@ -83,15 +86,15 @@
         }
         Err(Some(error)) => error,
     };
-    let newly_silent = app.fleet.borrow_mut().record_silence(app.now(), addr);
+    let newly_silent = app.fleet.borrow_mut().record_silence(app.now(), key);
     if newly_silent {
         if let Some(log) = app.log.logger_for(Topic::Server) {
-            warn!(log, "watch: A server doesn't answer."; "server" => %addr,
+            warn!(log, "watch: A server doesn't answer."; "server" => %process.addr,
                 "error" => %error, "took_ms" => app.now().ms_since(asked),
                 "late_ms" => app.lateness.borrow().since(asked).as_millis() as u64);
         }
-        quiet_servers::send_alert(app, addr);
-        move_streams_off(app, addr);
+        quiet_servers::send_alert(app, key);
+        move_streams_off(app, key);
     }
     Probed::Silent
 }
@@ -100,12 +103,12 @@
 /// is known.
 async fn ask(
     app: &Rc<App>,
-    addr: SocketAddr,
+    process: &ServerProcess,
 ) -> std::result::Result<Rc<ServerReport>, Option<CallError>> {
     let sent = app.now();
     let mut first = pin!(fetch_report(
         app,
-        addr,
+        process,
         CallKind::Pooled,
         REPORT_TIMEOUT + LATE_REPORT_TIMEOUT
     ));
@@ -113,7 +116,7 @@
         Ok(Ok(report)) => return Ok(report),
         // A kept connection may have been closed by the server.
         Ok(Err(CallError::Lost(_))) => {
-            let again = fetch_report(app, addr, CallKind::Unpooled, REPORT_TIMEOUT * 2).await;
+            let again = fetch_report(app, process, CallKind::Unpooled, REPORT_TIMEOUT * 2).await;
             return again.map_err(Some);
         }
         Ok(Err(e)) => return Err(Some(e)),
@@ -122,13 +125,13 @@
     // A kept connection may also have gone silent.
     let mut again = pin!(fetch_report(
         app,
-        addr,
+        process,
         CallKind::Unpooled,
         LATE_REPORT_TIMEOUT
     ));
     let timed_out = CallError::TimedOut(REPORT_TIMEOUT.as_millis() as u64);
     loop {
-        begin_control(app, addr);
+        begin_control(app, process.key);
         let step = wait_step(app, sent, first.as_mut(), again.as_mut()).await;
         match step {
             Waited::Answer(Ok(report)) => return Ok(report),
@@ -173,32 +176,33 @@
 }
 
 /// Calls another server, whose answer shows that those of live servers arrive.
-fn begin_control(app: &Rc<App>, suspect: SocketAddr) {
+fn begin_control(app: &Rc<App>, suspect: ServerKey) {
     let now = app.now();
     if !app.answers.borrow_mut().begin_control(now) {
         return;
     }
     let others = app.fleet.borrow().answering_servers(now, suspect);
-    let Some(&control) = others.choose(&mut *app.rng.borrow_mut()) else {
+    let control = others.choose(&mut *app.rng.borrow_mut());
+    let Some(control) = control.and_then(|key| app.fleet.borrow().process(*key)) else {
         return;
     };
     let app = Rc::clone(app);
     ntex::rt::spawn(async move {
         // The answer, or its absence, shows in `App::answers`.
-        let _ = fetch_report(&app, control, CallKind::Pooled, LATE_REPORT_TIMEOUT).await;
+        let _ = fetch_report(&app, &control, CallKind::Pooled, LATE_REPORT_TIMEOUT).await;
     });
 }
 
 /// Asks a server that is probably at fault for a report, so that its actual state decides.
-pub fn probe_faulty_server(app: &Rc<App>, addr: SocketAddr) {
+pub fn probe_faulty_server(app: &Rc<App>, key: ServerKey) {
     let app = Rc::clone(app);
     ntex::rt::spawn(async move {
         let now = app.now();
-        if app.fleet.borrow().is_paused(now, addr) {
+        if app.fleet.borrow().is_paused(now, key) {
             return;
         }
         if matches!(
-            probe(&app, addr, oldest_report(now)).await,
+            probe(&app, key, oldest_report(now)).await,
             Probed::Report(_)
         ) {
             app.changed.notify_waiters();
@@ -211,14 +215,17 @@
     loop {
         sleep(SILENT_RETRY_INTERVAL).await;
         let silent = app.fleet.borrow().silent_servers(app.now());
-        for addr in silent {
+        for key in silent {
+            let Some(process) = app.fleet.borrow().process(key) else {
+                continue;
+            };
             let app = Rc::clone(&app);
             ntex::rt::spawn(async move {
-                let report = fetch_report(&app, addr, CallKind::Pooled, SILENT_RETRY_TIMEOUT);
+                let report = fetch_report(&app, &process, CallKind::Pooled, SILENT_RETRY_TIMEOUT);
                 if report.await.is_ok() {
                     app.changed.notify_waiters();
                     if let Some(log) = app.log.logger_for(Topic::Server) {
-                        info!(log, "watch: A server answers again."; "server" => %addr);
+                        info!(log, "watch: A server answers again."; "server" => %process.addr);
                     }
                 }
             });
--- a/crates/mustard-gateway/src/stream_watch.rs
+++ b/crates/mustard-gateway/src/stream_watch.rs
@@ -1,6 +1,5 @@
 //! Detects streams in flight that have stalled, and moves them off servers that don't answer.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,7 +8,7 @@
 
 use mustard_core::clock::Moment;
 use mustard_core::collections::{Map, Set};
-use mustard_core::deployment::{PathPart, ServerReport};
+use mustard_core::deployment::{PathPart, ServerKey, ServerReport};
 use mustard_policy::backoff::Fault;
 use mustard_policy::stall::Progress;
 
@@ -27,7 +26,7 @@
 
 /// The reports of the servers of stalled streams; `None` for a server that doesn't answer while others
 /// do.
-type Reports = Map<SocketAddr, Option<Rc<ServerReport>>>;
+type Reports = Map<ServerKey, Option<Rc<ServerReport>>>;
 
 /// Scans the streams in flight for the life of the process.
 pub async fn run(app: Rc<App>) {
@@ -81,30 +80,30 @@
 /// Collects a report from every server on the paths of the streams, recent ones included. Servers
 /// that want nothing from this gateway now are left out.
 async fn collect_reports(app: &Rc<App>, stalled: &[ActiveStreamKey]) -> Reports {
-    let mut addrs: Set<SocketAddr> = Set::default();
+    let mut servers: Set<ServerKey> = Set::default();
     for key in stalled {
         if let Some(stream) = app.streams.borrow().get(*key) {
-            addrs.extend(stream.parts.iter().map(|p| p.addr));
+            servers.extend(stream.parts.iter().map(|p| p.server));
         }
     }
     let now = app.now();
     let oldest = oldest_report(now);
-    addrs.retain(|addr| !app.fleet.borrow().is_paused(now, *addr));
-    let tasks: Vec<_> = addrs
+    servers.retain(|key| !app.fleet.borrow().is_paused(now, *key));
+    let tasks: Vec<_> = servers
         .into_iter()
-        .map(|addr| {
+        .map(|key| {
             let app = Rc::clone(app);
             (
-                addr,
-                ntex::rt::spawn(async move { probe(&app, addr, oldest).await }),
+                key,
+                ntex::rt::spawn(async move { probe(&app, key, oldest).await }),
             )
         })
         .collect();
     let mut reports = Reports::default();
-    for (addr, task) in tasks {
+    for (key, task) in tasks {
         match task.await {
-            Ok(Probed::Report(report)) => reports.insert(addr, Some(report)),
-            Ok(Probed::Silent) => reports.insert(addr, None),
+            Ok(Probed::Report(report)) => reports.insert(key, Some(report)),
+            Ok(Probed::Silent) => reports.insert(key, None),
             Ok(Probed::Unknown) | Err(_) => continue,
         };
     }
@@ -118,7 +117,7 @@
     /// The attempt is abandoned, for this cause.
     Abandon(&'static str),
     /// These servers, which don't answer, are replaced.
-    Repath(Vec<SocketAddr>),
+    Repath(Vec<ServerKey>),
 }
 
 /// Decides what to do about a stalled stream by its servers' reports.
@@ -134,28 +133,27 @@
     if stream.progress.asked_at.is_none() || stream.moving {
         return Action::Keep;
     }
-    let first_report = reports.get(&first.addr);
+    let first_report = reports.get(&first.server);
     if first_report.is_some_and(Option::is_none) {
         return Action::Abandon("first server silent");
     }
-    let reported_silent: Vec<SocketAddr> = first_report
+    let find_part = |addr| stream.parts.iter().find(|p| p.addr == addr);
+    let reported_silent: Vec<ServerKey> = first_report
         .into_iter()
         .flatten()
         .flat_map(|report| &report.stalled)
         .filter(|(id, _)| *id == stream.id)
-        .map(|(_, addr)| *addr)
+        .filter_map(|(_, addr)| Some(find_part(*addr)?.server))
         .collect();
     let silent = |p: &PathPart| {
-        matches!(reports.get(&p.addr), Some(None)) || reported_silent.contains(&p.addr)
+        matches!(reports.get(&p.server), Some(None)) || reported_silent.contains(&p.server)
     };
     let faulty = stream.parts[1..].iter().filter(|p| silent(p));
-    let faulty: Vec<SocketAddr> = faulty.map(|p| p.addr).collect();
+    let faulty: Vec<ServerKey> = faulty.map(|p| p.server).collect();
     if !faulty.is_empty() {
         let now = app.now();
-        for addr in reported_silent {
-            app.fleet
-                .borrow_mut()
-                .record_fault(now, addr, Fault::Broken);
+        for key in reported_silent {
+            app.fleet.borrow_mut().record_fault(now, key, Fault::Broken);
         }
         // Without a report the first server takes no orders either.
         return if stream.progress.has_begun && first_report.is_some() {
@@ -187,18 +185,18 @@
 /// Moves every stream whose path uses a server that doesn't answer to another path. The
 /// attempt is abandoned instead if it has no event yet, or if its first server is that server or
 /// takes no orders now.
-pub(crate) fn move_streams_off(app: &Rc<App>, addr: SocketAddr) {
+pub(crate) fn move_streams_off(app: &Rc<App>, server: ServerKey) {
     let affected: Vec<(ActiveStreamKey, bool)> = {
         let now = app.now();
         let fleet = app.fleet.borrow();
         let streams = app.streams.borrow();
         let affected = streams
             .iter()
-            .filter(|(_, s)| !s.moving && s.uses_server(addr));
+            .filter(|(_, s)| !s.moving && s.uses_server(server));
         affected
             .map(|(k, s)| {
-                let first = s.parts.first().map(|p| p.addr);
-                let takes_orders = first.is_some_and(|f| f != addr && !fleet.is_paused(now, f));
+                let first = s.parts.first().map(|p| p.server);
+                let takes_orders = first.is_some_and(|f| f != server && !fleet.is_paused(now, f));
                 (k, s.progress.has_begun && takes_orders)
             })
             .collect()
@@ -206,7 +204,7 @@
     let mut stranded = Vec::new();
     for (key, movable) in affected {
         if movable {
-            let faulty = vec![addr];
+            let faulty = vec![server];
             stranded.push(StrandedStream { key, faulty });
         } else {
             abandon(app, key, "server silent");
--- a/crates/mustard-gateway/src/strikes.rs
+++ b/crates/mustard-gateway/src/strikes.rs
@@ -195,7 +195,7 @@
             return strike_segments(&app, &run.segments, run.content, &ended, finished_at);
         }
         let first = run.processes.first();
-        if first.is_some_and(|p| app.fleet.borrow().is_silent(p.addr)) {
+        if first.is_some_and(|p| app.fleet.borrow().is_silent(p.key)) {
             return;
         }
         acquit_segments(&app, &run.segments, finished_at);
@@ -353,10 +353,10 @@
 /// refused or closed. One that doesn't answer in time is unknown, one that may not be asked now counts
 /// as running.
 async fn ask_report(app: &App, process: &ServerProcess) -> ProcessState {
-    if app.fleet.borrow().is_paused(app.now(), process.addr) {
+    if app.fleet.borrow().is_paused(app.now(), process.key) {
         return ProcessState::Running;
     }
-    match fetch_report(app, process.addr, CallKind::Pooled, REPORT_TIMEOUT).await {
+    match fetch_report(app, process, CallKind::Pooled, REPORT_TIMEOUT).await {
         Ok(report) if report.started_ms == process.started_ms => ProcessState::Running,
         Ok(_) | Err(CallError::NoListener(_) | CallError::Lost(_)) => ProcessState::Ended,
         Err(_) => ProcessState::Unknown,
@@ -366,7 +366,7 @@
 /// Asks the server of a plain service for its health. It has ended if nothing listens or another
 /// server answers; whether it is healthy doesn't matter.
 async fn check_health(app: &App, process: &ServerProcess, path: &str) -> ProcessState {
-    if app.fleet.borrow().is_paused(app.now(), process.addr) {
+    if app.fleet.borrow().is_paused(app.now(), process.key) {
         return ProcessState::Unknown;
     }
     let request = Request {
--- a/crates/mustard-gateway/tests/fleet.rs
+++ b/crates/mustard-gateway/tests/fleet.rs
@@ -220,10 +220,11 @@
 
 /// Lets a server reset two requests with distinct contents.
 fn eject(fleet: &mut Fleet, now: Moment, server: usize) {
+    let key = fleet.key_of(&format!("server-{server}")).unwrap();
     for content in 0..2 {
         let attempt = FailedAttempt {
             began: now,
-            path: &[addr(server)],
+            path: &[key],
             content: Fingerprint(content),
             failure: Failure::Reset,
             lateness: Duration::ZERO,
@@ -320,14 +321,18 @@
     fleet.upsert(now, restarted, None);
     fleet.track_loads(now, &services, 1, &[2, 3]);
     assert!(!fleet.apply_load(now, &former), "of a former process");
-    fleet.record_report(now, addr(0), unloading_report());
+    fleet.record_report(now, fleet.key_of("server-0").unwrap(), unloading_report());
     let without_memory = ServerReport {
         started_ms,
         memory_used: f64::NAN,
         held: Some(held(Layers::new(0, 8))),
         ..(*unloading_report()).clone()
     };
-    fleet.record_report(now, addr(0), Rc::new(without_memory));
+    fleet.record_report(
+        now,
+        fleet.key_of("server-0").unwrap(),
+        Rc::new(without_memory),
+    );
     assert_eq!(fleet.loads_to_share(now, MAX_REPORTS), []);
     let current = report(&fleet, 0);
     assert!(fleet.apply_load(now, &current));
@@ -359,3 +364,40 @@
         rmp_serde::from_slice(&[0x94, 0xc4, 3, 1, 2, 3, 0x90, 0x91, 5, 0x90]).unwrap();
     assert_eq!(cut.decode(now).count(), 0);
 }
+
+/// Guards against a pause, silence, a refusal, an order or load of a former process that count against the one in
+/// its place, after a restart or a move to another address.
+#[test]
+fn upsert_later_process() {
+    let now = Moment::from_millis(10_000);
+    let layers = Layers::new(0, LAYERS);
+    let first = row(0, Some(layers));
+    let restarted = ServerEntry {
+        started_ms: 2,
+        ..first.clone()
+    };
+    let moved = ServerEntry {
+        addr: addr(7),
+        ..first.clone()
+    };
+    for later in [restarted, moved] {
+        let mut fleet = Fleet::default();
+        fleet.upsert(now, first.clone(), None);
+        let former = fleet.key_of("server-0").unwrap();
+        fleet.record_pause(now, former, Duration::from_secs(60));
+        fleet.record_silence(now, former);
+        fleet.record_refusal(now, former);
+        let server = fleet.get_mut(former).unwrap();
+        server.add_use(now, 1e6);
+        server.begin_loading(now, layers, LOAD_TIME);
+        assert!(holders(&fleet, now, ServerFilter::LastResort).is_empty());
+        fleet.upsert(now, later.clone(), None);
+        assert!(fleet.get(former).is_none());
+        assert_eq!(holders(&fleet, now, ServerFilter::Listed), [later.addr]);
+        assert_eq!(holder_load(&fleet, now), (0.0, 16.0));
+        // What is still on its way to or from the former process changes nothing.
+        fleet.record_pause(now, former, Duration::from_secs(60));
+        fleet.record_silence(now, former);
+        assert_eq!(holders(&fleet, now, ServerFilter::Listed), [later.addr]);
+    }
+}
--- a/crates/mustard-gateway/tests/gateway/main.rs
+++ b/crates/mustard-gateway/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod priorities;
 mod restored;
 mod retry_budget;
+mod reused_addresses;
 mod second_copies;
 mod segments;
 mod server_load;
--- a/crates/mustard-gateway/tests/leave_unlisted.rs
+++ b/crates/mustard-gateway/tests/leave_unlisted.rs
@@ -13,7 +13,7 @@
 use mustard_core::clock::Moment;
 use mustard_core::collections::Set;
 use mustard_core::deployment::{
-    Accelerator, Engine, HeldLayers, ServerEntry, ServerReport, ServerState, StepTime,
+    Accelerator, Engine, HeldLayers, ServerEntry, ServerKey, ServerReport, ServerState, StepTime,
 };
 use mustard_gateway::fleet::{Fleet, ServerFilter};
 use mustard_policy::pipeline::{PlacementSettings, RequestDemand, choose_path, plan_placement};
@@ -128,47 +128,44 @@
     }
 
     /// Draws a quarter of the servers.
-    fn draw_leaving(&mut self) -> Set<SocketAddr> {
-        let addrs: Vec<SocketAddr> = self.fleet.iter().map(|(_, s)| s.entry.addr).collect();
+    fn draw_leaving(&mut self) -> Set<ServerKey> {
+        let keys: Vec<ServerKey> = self.fleet.iter().map(|(key, _)| key).collect();
         let rng = &mut self.rng;
-        addrs
-            .into_iter()
-            .filter(|_| rng.random_bool(0.25))
-            .collect()
+        keys.into_iter().filter(|_| rng.random_bool(0.25)).collect()
     }
 
-    fn path(&mut self, without: impl Fn(&SocketAddr) -> bool) -> Option<Vec<SocketAddr>> {
+    fn path(&mut self, without: impl Fn(&ServerKey) -> bool) -> Option<Vec<ServerKey>> {
         let filter = ServerFilter::Listed;
         let mut holders = self
             .fleet
             .holders(SERVICE, &self.engine, self.now, GATEWAYS, filter);
-        holders.retain(|h| !without(&h.addr));
+        holders.retain(|h| !without(&h.server));
         let demand = RequestDemand {
             prompt: 760.0,
             answer: 146.0,
             domain: 0,
         };
         let path = choose_path(&self.engine, &holders, &demand, &mut self.rng)?;
-        Some(path.parts.iter().map(|p| p.addr).collect())
+        Some(path.parts.iter().map(|p| p.server).collect())
     }
 
     /// Sends a request until servers run it; tells whether they do. A refusing server is asked for its
     /// report.
-    fn request(&mut self, leaving: &Set<SocketAddr>) -> bool {
-        let mut avoid: Vec<SocketAddr> = Vec::new();
+    fn request(&mut self, leaving: &Set<ServerKey>) -> bool {
+        let mut avoid: Vec<ServerKey> = Vec::new();
         for _ in 0..MAX_SENDS {
             let path = self
-                .path(|a| avoid.contains(a))
+                .path(|key| avoid.contains(key))
                 .or_else(|| self.path(|_| false));
             let Some(path) = path else {
                 return false;
             };
-            let Some(refusing) = path.iter().find(|a| leaving.contains(*a)).copied() else {
+            let Some(refusing) = path.iter().find(|key| leaving.contains(*key)).copied() else {
                 self.fleet.record_use(path.into_iter());
                 return true;
             };
             self.fleet.record_refusal(self.now, refusing);
-            let held = self.fleet.key_at(refusing).and_then(|k| self.fleet.get(k));
+            let held = self.fleet.get(refusing);
             let held = held.and_then(mustard_gateway::fleet::Server::layers);
             self.fleet
                 .record_report(self.now, refusing, leaving_report(held));
@@ -225,16 +222,15 @@
 #[test]
 fn refuse_full_server_returns() {
     let mut view = View::new(1, 60, 3);
-    let addr = view.fleet.iter().next().unwrap().1.entry.addr;
-    let key = view.fleet.key_at(addr).unwrap();
+    let (key, _) = view.fleet.iter().next().unwrap();
     for _ in 0..5 {
-        view.fleet.record_refusal(view.now, addr);
+        view.fleet.record_refusal(view.now, key);
         let held = view.fleet.get(key).unwrap().layers();
         let full = ServerReport {
             memory_used: 1_390_000.0,
             ..(*leaving_report(held)).clone()
         };
-        view.fleet.record_report(view.now, addr, Rc::new(full));
+        view.fleet.record_report(view.now, key, Rc::new(full));
         view.now = view.now + Duration::from_millis(200);
         assert!(view.fleet.get(key).unwrap().is_usable(view.now));
     }
@@ -245,14 +241,11 @@
 fn refuse_leaving_server_planned_without() {
     let mut view = View::new(1, 60, 3);
     let held = |view: &View, key| view.fleet.get(key).unwrap().layers();
-    let (key, addr) = {
-        let (key, server) = view.fleet.iter().next().unwrap();
-        (key, server.entry.addr)
-    };
+    let (key, _) = view.fleet.iter().next().unwrap();
     for _ in 0..2 {
-        view.fleet.record_refusal(view.now, addr);
+        view.fleet.record_refusal(view.now, key);
         let report = leaving_report(held(&view, key));
-        view.fleet.record_report(view.now, addr, report);
+        view.fleet.record_report(view.now, key, report);
         view.now = view.now + Duration::from_millis(200);
     }
     let planned = view
--- a/crates/mustard-policy/src/pipeline/moves.rs
+++ b/crates/mustard-policy/src/pipeline/moves.rs
@@ -6,7 +6,6 @@
 //! processes do this at the same moment, so each counts the work that it orders once for every process.
 
 use std::cmp::Reverse;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::Rng;
@@ -14,7 +13,7 @@
 
 use mustard_core::clock::Moment;
 use mustard_core::collections::Map;
-use mustard_core::deployment::{Engine, PathPart};
+use mustard_core::deployment::{Engine, PathPart, ServerKey};
 use mustard_core::fingerprint::Fingerprint;
 use mustard_core::ids::Layers;
 
@@ -108,7 +107,7 @@
 /// The prefill work that this process has ordered, by server.
 #[derive(Clone, Debug, Default)]
 pub struct PrefillLoad {
-    servers: Map<SocketAddr, Vec<OrderedWork>>,
+    servers: Map<ServerKey, Vec<OrderedWork>>,
 }
 
 impl PrefillLoad {
@@ -118,12 +117,12 @@
         &mut self,
         now: Moment,
         order: Fingerprint,
-        work: &[(SocketAddr, f64)],
+        work: &[(ServerKey, f64)],
         gateways: f64,
     ) {
         self.retain(|w| now.since(w.at) < WORK_AGE);
-        for &(addr, ms) in work {
-            self.servers.entry(addr).or_default().push(OrderedWork {
+        for &(server, ms) in work {
+            self.servers.entry(server).or_default().push(OrderedWork {
                 order,
                 at: now,
                 work_ms: ms * gateways,
@@ -144,8 +143,8 @@
     }
 
     /// Returns the time until a server has done the work that was ordered there, in milliseconds.
-    pub fn wait_ms(&self, now: Moment, addr: SocketAddr) -> f64 {
-        let ordered = self.servers.get(&addr).into_iter().flatten();
+    pub fn wait_ms(&self, now: Moment, server: ServerKey) -> f64 {
+        let ordered = self.servers.get(&server).into_iter().flatten();
         let recent = ordered.filter(|w| now.since(w.at) < WORK_AGE);
         let ms = |at: Moment| at.0 as f64 / 1e3;
         let free = recent.fold(0.0, |free: f64, w| free.max(ms(w.at)) + w.work_ms);
@@ -191,7 +190,7 @@
     /// The time until the stream continues, in milliseconds.
     pub ready_ms: f64,
     /// The prefill work that it takes at each server, in milliseconds.
-    pub work: Vec<(SocketAddr, f64)>,
+    pub work: Vec<(ServerKey, f64)>,
 }
 
 /// How a stream is to continue.
@@ -230,14 +229,16 @@
         kept: Vec<PathPart>,
         rng: &mut dyn RngCore,
     ) -> Self {
-        let waits = holders.iter().map(|h| view.load.wait_ms(view.now, h.addr));
+        let waits = holders
+            .iter()
+            .map(|h| view.load.wait_ms(view.now, h.server));
         let factors = holders.iter().map(|_| 1.0 + JITTER * rng.random::<f64>());
         let factors = factors.collect();
         // A random place in the queue of each server spreads the streams of gateways that have the same view, in
         // proportion to the speeds of the servers.
         let others = (view.gateways - 1.0).max(0.0);
         let ahead = holders.iter().map(|_| others * rng.random::<f64>());
-        let takes_parts = |h: &LayerHolder| view.holders.iter().any(|v| v.addr == h.addr);
+        let takes_parts = |h: &LayerHolder| view.holders.iter().any(|v| v.server == h.server);
         let is_full = holders
             .iter()
             .map(|h| h.memory_share >= FULL_SHARE || !takes_parts(h));
@@ -257,7 +258,7 @@
     fn search(&self, first: Option<PathPart>) -> Option<Prediction> {
         let first = match first {
             Some(part) => {
-                let index = self.holders.iter().position(|h| h.addr == part.addr)?;
+                let index = self.holders.iter().position(|h| h.server == part.server)?;
                 Some((index, part.layers))
             }
             None => None,
@@ -268,8 +269,8 @@
         let (path, ready_ms) = find_path(engine, self.holders, self, first, &cuts)?;
         let new_parts = path.parts.iter().filter(|p| !self.kept.contains(p));
         let work = new_parts.filter_map(|part| {
-            let holder = self.holders.iter().find(|h| h.addr == part.addr)?;
-            Some((part.addr, self.work_ms(holder, part.layers)))
+            let holder = self.holders.iter().find(|h| h.server == part.server)?;
+            Some((part.server, self.work_ms(holder, part.layers)))
         });
         Some(Prediction {
             work: work.collect(),
@@ -305,6 +306,7 @@
         };
         surcharge += transfer * CROSSING_WEIGHT;
         let part = PathPart {
+            server: holder.server,
             addr: holder.addr,
             layers,
         };
@@ -317,7 +319,7 @@
             // A server is on a path only once, so another part at it replaces its own one.
             let replaces = |p: &PathPart| {
                 let overlaps = p.layers.first < layers.end && layers.first < p.layers.end;
-                overlaps || p.addr == holder.addr
+                overlaps || p.server == holder.server
             };
             if self.kept.iter().any(replaces) {
                 surcharge += REPLACED_MS;
@@ -403,10 +405,12 @@
     rng: &mut dyn RngCore,
 ) -> Option<Prediction> {
     let first = *stream.parts.first()?;
-    let running = |addr: SocketAddr| stream.running.iter().find(|h| h.addr == addr);
-    let (kept, lost): (Vec<PathPart>, Vec<PathPart>) =
-        stream.parts.iter().partition(|p| running(p.addr).is_some());
-    let is_new = |h: &&LayerHolder| running(h.addr).is_none();
+    let running = |server: ServerKey| stream.running.iter().find(|h| h.server == server);
+    let (kept, lost): (Vec<PathPart>, Vec<PathPart>) = stream
+        .parts
+        .iter()
+        .partition(|p| running(p.server).is_some());
+    let is_new = |h: &&LayerHolder| running(h.server).is_none();
     let is_near = |h: &&LayerHolder| {
         let holds_lost =
             |p: &PathPart| h.layers.first < p.layers.end && p.layers.first < h.layers.end;
@@ -420,7 +424,7 @@
     };
     // A search over the holders of the lost layers took 8 us on B, one over all servers 52 us.
     let near = search(others.iter().copied().filter(|h| is_near(h)).collect());
-    let domains = kept.iter().filter_map(|p| Some(running(p.addr)?.domain));
+    let domains = kept.iter().filter_map(|p| Some(running(p.server)?.domain));
     let domains: Vec<u32> = domains.collect();
     let kept_crossings = domains.windows(2).filter(|w| w[0] != w[1]).count() as u32;
     near.filter(|p| p.path.crossings <= kept_crossings)
--- a/crates/mustard-policy/src/pipeline/path.rs
+++ b/crates/mustard-policy/src/pipeline/path.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 use rand::RngCore;
 
-use mustard_core::deployment::{Engine, PathPart};
+use mustard_core::deployment::{Engine, PathPart, ServerKey};
 use mustard_core::ids::Layers;
 
 /// The most parts, and so servers, on one path.
@@ -33,6 +33,8 @@
 /// A server that holds layers, as a candidate for a path.
 #[derive(Clone, Debug)]
 pub struct LayerHolder {
+    /// Its process.
+    pub server: ServerKey,
     /// The address at which it takes requests.
     pub addr: std::net::SocketAddr,
     /// The index of its failure domain.
@@ -169,7 +171,7 @@
     first: PathPart,
     rng: &mut dyn RngCore,
 ) -> Option<Path> {
-    let index = holders.iter().position(|h| h.addr == first.addr)?;
+    let index = holders.iter().position(|h| h.server == first.server)?;
     let cost = RequestCost::new(engine, holders, demand, rng);
     find_path(engine, holders, &cost, Some((index, first.layers)), &[]).map(|(path, _)| path)
 }
@@ -315,6 +317,7 @@
     while let Some((boundary, domain)) = state {
         let path = table.get(boundary, domain)?;
         parts.push(PathPart {
+            server: holders[path.holder].server,
             addr: holders[path.holder].addr,
             layers: Layers::new(path.start, boundary),
         });
--- a/crates/mustard-policy/tests/moves.rs
+++ b/crates/mustard-policy/tests/moves.rs
@@ -15,7 +15,7 @@
 
 use mustard_core::clock::Moment;
 use mustard_core::collections::Map;
-use mustard_core::deployment::{Engine, PathPart};
+use mustard_core::deployment::{Engine, PathPart, ServerKey};
 use mustard_core::fingerprint::Fingerprint;
 use mustard_policy::pipeline::{
     LayerHolder, MovePlan, MovingStream, PrefillLoad, PrefillView, RequestDemand, SearchBudget,
@@ -61,6 +61,7 @@
     let needed = domain_requests(6.0 * servers.len() as f64, 3);
     let orders = plan_capacity(&deployment.engine, &servers, needed, 256);
     let holders = orders.iter().map(|order| LayerHolder {
+        server: ServerKey::from_index(order.index as u32),
         addr: addr(order.index),
         domain: servers[order.index].server.domain,
         layers: order.layers,
@@ -145,8 +146,10 @@
     /// Adds holders of the lost layers until they can prefill all streams in time.
     fn add_spares(&mut self) {
         while self.fastest_ms() > MAX_PREFILL_MS {
+            let index = 100 + self.holders.len();
             self.holders.push(LayerHolder {
-                addr: addr(100 + self.holders.len()),
+                server: ServerKey::from_index(index as u32),
+                addr: addr(index),
                 ..self.ended.clone()
             });
         }
@@ -273,6 +276,7 @@
             };
             let done = self.holders.iter().filter(holds).map(|h| {
                 let part = PathPart {
+                    server: h.server,
                     addr: h.addr,
                     layers: lost,
                 };
@@ -390,11 +394,11 @@
             "a move crosses"
         );
         let mut load = PrefillLoad::default();
-        load.record(NOW, Fingerprint(1), &[(ended.addr, 5.0)], 11.0);
-        load.record(NOW, Fingerprint(2), &[(ended.addr, 3.0)], 11.0);
+        load.record(NOW, Fingerprint(1), &[(ended.server, 5.0)], 11.0);
+        load.record(NOW, Fingerprint(2), &[(ended.server, 3.0)], 11.0);
         load.cancel(Fingerprint(1));
         assert_eq!(
-            load.wait_ms(NOW + Duration::from_millis(10), ended.addr),
+            load.wait_ms(NOW + Duration::from_millis(10), ended.server),
             23.0
         );
     }
--- a/crates/mustard-policy/tests/pipeline.rs
+++ b/crates/mustard-policy/tests/pipeline.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use mustard_core::deployment::{Accelerator, Engine, PathPart, StepTime};
+use mustard_core::deployment::{Accelerator, Engine, PathPart, ServerKey, StepTime};
 use mustard_core::ids::Layers;
 use mustard_policy::pipeline::{
     LayerHolder, Path, PlacementServer, PlacementSettings, RequestDemand, choose_path,
@@ -60,6 +60,7 @@
 
 fn holder(i: usize, domain: u32, first: u32, end: u32) -> LayerHolder {
     LayerHolder {
+        server: ServerKey::from_index(i as u32),
         addr: addr(i),
         domain,
         layers: Layers::new(first, end),
@@ -162,6 +163,7 @@
         holder(3, 0, 50, 80),
     ];
     let first = PathPart {
+        server: ServerKey::from_index(0),
         addr: addr(0),
         layers: Layers::new(0, 36),
     };
--- a/crates/mustard-policy/tests/server_load.rs
+++ b/crates/mustard-policy/tests/server_load.rs
@@ -13,7 +13,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use mustard_core::clock::Moment;
-use mustard_core::deployment::Engine;
+use mustard_core::deployment::{Engine, ServerKey};
 use mustard_policy::pipeline::{
     LayerHolder, RequestDemand, choose_path, domain_requests, plan_capacity,
 };
@@ -112,6 +112,7 @@
                 let room_mb = c.server.memory_mb - f64::from(layers.count()) * engine.layer_mb;
                 Server {
                     holder: LayerHolder {
+                        server: ServerKey::from_index(c.server.index as u32),
                         addr: ([10, 0, 0, c.server.index as u8], 80).into(),
                         domain: c.server.domain,
                         layers,
