Keep all rows that name an address, and find out which process is there

The map held one key for each address, the row that was read last won, and when it went nobody had the address, though the present server's row was still listed. Such a server couldn't be the first one of a path, and nothing that was observed of it was recorded.

An address now leads to all rows that name it. The process that started last is presumed to be there; a report whose start is that of another row settles it. A process that was replaced isn't used, planned with or asked, and when a row goes the others stay.

--- a/crates/mustard-gateway/src/fleet/mod.rs
+++ b/crates/mustard-gateway/src/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! The backend servers as this gateway knows them, from the server list, reports and failures.
 
+mod addresses;
 mod load;
 mod outliers;
 mod reports;
@@ -10,6 +11,7 @@
 pub use reports::{ProcessLoad, ProcessReport};
 pub use server::{ProcessState, RequestRoom, Server, ServerProcess};
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -62,6 +64,8 @@
 pub struct Fleet {
     servers: Arena<Server, ServerProcessMark>,
     ids: Map<String, ServerKey>,
+    /// The processes whose rows name an address, in the order in which these were read.
+    addrs: Map<SocketAddr, Vec<ServerKey>>,
     /// The servers whose load is exchanged, by the digests of their processes.
     processes: Map<u64, ServerKey>,
     domains: Vec<String>,
@@ -200,10 +204,12 @@
             entry.state = ServerState::Leaving;
         }
         let leaving = entry.state == ServerState::Leaving;
+        let addr = entry.addr;
         let mut server = Server::new(now, entry, domain);
         server.unconfirmed_until = unconfirmed_until.filter(|_| departed.is_some());
         let key = self.servers.insert(server);
         self.ids.insert(id, key);
+        self.add_address(addr, key);
         if leaving {
             RowChange::Left
         } else {
@@ -264,6 +270,7 @@
             };
             self.departed.insert(server.entry.id.clone(), departed);
             self.ids.remove(&server.entry.id);
+            self.remove_address(server.entry.addr, key);
             self.forget_outcomes(key);
         }
     }
@@ -319,9 +326,16 @@
         }
     }
 
-    /// Records a report of a server.
+    /// Records a report that a server was asked for; it is that of the process that answers at its address.
     pub fn record_report(&mut self, now: Moment, key: ServerKey, report: Rc<ServerReport>) {
-        if let Some(server) = self.servers.get_mut(key) {
+        let Some(addr) = self.get(key).map(|s| s.entry.addr) else {
+            return;
+        };
+        let sender = self.started_at(addr, report.started_ms);
+        if let Some(sender) = sender {
+            self.record_present(sender);
+        }
+        if let Some(server) = self.servers.get_mut(sender.unwrap_or(key)) {
             server.apply_report(now, report);
         }
     }
@@ -412,6 +426,7 @@
             *key != without
                 && s.entry.held.is_some()
                 && s.silent_since.is_none()
+                && !s.is_replaced
                 && !s.is_paused(now)
         });
         others.map(|(key, _)| key).collect()
@@ -426,7 +441,7 @@
     pub fn silent_servers(&self, now: Moment) -> Vec<ServerKey> {
         let silent = self
             .iter()
-            .filter(|(_, s)| s.silent_since.is_some() && !s.is_paused(now));
+            .filter(|(_, s)| s.silent_since.is_some() && !s.is_replaced && !s.is_paused(now));
         silent.map(|(key, _)| key).collect()
     }
 
--- a/crates/mustard-gateway/src/fleet/reports.rs
+++ b/crates/mustard-gateway/src/fleet/reports.rs
@@ -59,8 +59,10 @@
     pub fn load_candidates(&self, now: Moment) -> Vec<Candidate<ServerKey>> {
         let asked = self.iter().filter_map(|(key, server)| {
             let load = server.load.as_ref()?;
-            let may_ask =
-                server.is_ready() && server.silent_since.is_none() && !server.is_paused(now);
+            let may_ask = server.is_ready()
+                && !server.is_replaced
+                && server.silent_since.is_none()
+                && !server.is_paused(now);
             may_ask.then_some(Candidate {
                 key,
                 known_at: load.tracker.known_at(),
--- a/crates/mustard-gateway/src/fleet/server.rs
+++ b/crates/mustard-gateway/src/fleet/server.rs
@@ -104,6 +104,8 @@
     pub refusals: RefusalWatch,
     /// When it last refused a request, until a report shows whether it had room.
     pub refused_at: Option<Moment>,
+    /// Whether another process is at its address, though its row is still listed.
+    pub is_replaced: bool,
     /// When its row vanished, if that happened while the store was unstable.
     pub missing_since: Option<Moment>,
     /// Until when it isn't used, as it was removed before the store was restored and may be gone.
@@ -146,6 +148,7 @@
             standing: Standing::InUse,
             refusals: RefusalWatch::default(),
             refused_at: None,
+            is_replaced: false,
             missing_since: None,
             unconfirmed_until: None,
             paused_until: Moment::default(),
@@ -218,7 +221,7 @@
         let reported = self.last_report.as_ref();
         let reported = reported.filter(|(at, _)| *at >= since);
         let started_ms = reported.map_or(self.entry.started_ms, |(_, r)| r.started_ms);
-        if started_ms != self.entry.started_ms || self.has_no_listener {
+        if started_ms != self.entry.started_ms || self.has_no_listener || self.is_replaced {
             ProcessState::Ended
         } else if reported.is_some() && self.silent_since.is_none() {
             ProcessState::Running
@@ -285,6 +288,7 @@
     /// Tells whether the server is listed and answers, so that it serves requests sooner or later.
     pub fn is_present(&self, now: Moment) -> bool {
         self.is_ready()
+            && !self.is_replaced
             && self.silent_since.is_none()
             && self.missing_since.is_none()
             && self.is_confirmed(now)
@@ -327,6 +331,7 @@
             .missing_since
             .is_none_or(|m| now.since(m) < LAST_RESORT_TIME);
         self.is_ready()
+            && !self.is_replaced
             && self.silent_since.is_none()
             && missing
             && self.is_confirmed(now)
@@ -454,10 +459,11 @@
             accepts_orders: order.is_none()
                 && !is_stuck
                 && !declines
+                && !self.is_replaced
                 && self.silent_since.is_none()
                 && self.missing_since.is_none()
                 && !self.is_paused(now),
-            is_staying: self.is_ready() && !lost && !is_stuck && !declines,
+            is_staying: self.is_ready() && !self.is_replaced && !lost && !is_stuck && !declines,
         })
     }
 
@@ -473,7 +479,7 @@
     /// Tells whether the server is carrying out an order and no report says since `oldest` how far it is.
     pub fn is_load_unreported(&self, now: Moment, oldest: Moment) -> bool {
         let reported = self.last_report.as_ref();
-        self.is_loading(now) && reported.is_none_or(|(at, _)| *at < oldest)
+        self.is_loading(now) && !self.is_replaced && reported.is_none_or(|(at, _)| *at < oldest)
     }
 
     /// Tells whether the server is carrying out an order.
--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -403,6 +403,7 @@
     let is_fallback = |s: &Server| {
         s.is_last_resort(now)
             || (s.is_ready()
+                && !s.is_replaced
                 && s.missing_since.is_none()
                 && s.is_confirmed(now)
                 && !s.is_paused(now))
--- a/crates/mustard-gateway/tests/fleet.rs
+++ b/crates/mustard-gateway/tests/fleet.rs
@@ -401,3 +401,81 @@
         assert_eq!(holders(&fleet, now, ServerFilter::Listed), [later.addr]);
     }
 }
+
+/// Guards against a present server that is lost with the row of a former one at its address, and against paths and
+/// orders to the former one.
+#[test]
+fn remove_row_same_address() {
+    let now = Moment::from_millis(10_000);
+    let layers = Layers::new(0, LAYERS);
+    let former = ServerEntry {
+        id: "former".to_owned(),
+        ..row(0, Some(layers))
+    };
+    let present = ServerEntry {
+        started_ms: 5,
+        ..row(0, Some(layers))
+    };
+    for rows in [[&former, &present], [&present, &former]] {
+        let mut fleet = Fleet::default();
+        for row in rows {
+            fleet.upsert(now, row.clone(), None);
+        }
+        let key = fleet.key_of("server-0").unwrap();
+        let is_used = |fleet: &Fleet| {
+            let holders = fleet.holders(SERVICE, &engine(), now, 1.0, ServerFilter::LastResort);
+            assert!(holders.len() <= 1, "one server twice");
+            holders.first().map(|h| h.server) == Some(key)
+        };
+        assert!(is_used(&fleet));
+        let planned = fleet.placement_servers(SERVICE, &engine(), now);
+        for (planned_key, server) in planned {
+            assert_eq!(server.accepts_orders, planned_key == key);
+            assert_eq!(server.is_staying, planned_key == key);
+        }
+        fleet.remove(now, "former", false);
+        assert!(is_used(&fleet));
+        fleet.record_silence(now, key);
+        assert!(!is_used(&fleet), "what is observed of it is still recorded");
+        let report = ServerReport {
+            started_ms: 5,
+            held: Some(held(layers)),
+            ..(*unloading_report()).clone()
+        };
+        fleet.record_report(now, key, Rc::new(report));
+        assert!(is_used(&fleet));
+    }
+}
+
+/// Guards against the presumption, where the clocks of servers differ, that the one which seems to have started
+/// last is at an address: the process that answers there is, and the report that it sends is its own.
+#[test]
+fn record_report_earlier_start() {
+    let now = Moment::from_millis(10_000);
+    let presumed = row(0, Some(Layers::new(0, 40)));
+    let actual = ServerEntry {
+        id: "actual".to_owned(),
+        started_ms: 0,
+        ..row(0, Some(Layers::new(40, LAYERS)))
+    };
+    let mut fleet = Fleet::default();
+    fleet.upsert(now, actual, None);
+    fleet.upsert(now, presumed, None);
+    let used = |fleet: &Fleet| {
+        let holders = fleet.holders(SERVICE, &engine(), now, 1.0, ServerFilter::Listed);
+        holders.iter().map(|h| h.server).collect::<Vec<_>>()
+    };
+    let (presumed, actual) = (fleet.key_of("server-0"), fleet.key_of("actual"));
+    assert_eq!(used(&fleet), [presumed.unwrap()]);
+    let report = ServerReport {
+        started_ms: 0,
+        held: Some(held(Layers::new(40, LAYERS))),
+        ..(*unloading_report()).clone()
+    };
+    fleet.record_report(now, presumed.unwrap(), Rc::new(report));
+    assert_eq!(used(&fleet), [actual.unwrap()]);
+    let layers = fleet.get(presumed.unwrap()).unwrap().layers().unwrap();
+    assert_eq!(layers.layers, Layers::new(0, 40));
+    fleet.remove(now, "actual", false);
+    assert_eq!(used(&fleet), [presumed.unwrap()]);
+}
--- a/crates/mustard-gateway/tests/gateway/reused_addresses.rs
+++ b/crates/mustard-gateway/tests/gateway/reused_addresses.rs
@@ -4,7 +4,7 @@
 use mustard_tests::site_soak::stream_text;
 
 use super::harness::{Caller, Gateway, wait_until};
-use super::{EVENT_COUNT, PROPAGATION_LIMIT, start_ready};
+use super::{EVENT_COUNT, PROPAGATION_LIMIT, start_ready, start_site, wait_for_paths};
 
 const MODEL_SERVERS: std::ops::Range<usize> = 0..6;
 const PLAIN_SERVERS: std::ops::Range<usize> = 6..8;
@@ -100,3 +100,28 @@
     tokio::time::sleep(PROPAGATION_LIMIT).await;
     assert_streams_served(&gateway, &caller, "moved").await;
 }
+
+/// Guards against streams that are refused without end after a power loss of all machines: the rows of the former
+/// processes have the addresses of the present servers, are read after theirs and are removed later.
+#[ntex::test]
+async fn stream_former_rows_removed() {
+    let options = SiteOptions::default();
+    let site = start_site(options.clone());
+    let former = |server| format!("z-former-{server}");
+    for server in MODEL_SERVERS {
+        let row = format!(
+            r#"{{"service":"{MODELS}","address":"{}","zone":"d0","slots":64,"state":"ready","born":0,
+            "kind":"card","layers":[{{"from":0,"to":4,"version":1}}]}}"#,
+            site.addrs()[server]
+        );
+        site.write_raw_row(&former(server), row.as_bytes());
+    }
+    let caller = Caller::new().await;
+    let gateway = Gateway::start_ready(&site, &caller).await;
+    tokio::time::sleep(PROPAGATION_LIMIT).await;
+    for server in MODEL_SERVERS {
+        site.delete_raw_row(&former(server));
+    }
+    wait_for_paths(&options, &site, &gateway, &caller).await;
+    assert_streams_served(&gateway, &caller, "after").await;
+}
