Read the body of a failure within the attempt and its time limit

Opening a stream now ends with a stream that has begun or with a complete other response, so that nothing but the events of a stream is read outside of the limit around the whole, and that has a deadline of its own. While the body is read, the attempt can be abandoned. If it is lost, a stream that may be resumed is tried elsewhere within its attempts; before, it got 502.

--- a/crates/mustard-fakes/src/site/http.rs
+++ b/crates/mustard-fakes/src/site/http.rs
@@ -217,6 +217,12 @@
             }
             answer_normally(site, index, call, model).await
         }
+        ServerFault::Unfinished(status, what) => {
+            if let Some(id) = call.header("attempt-id") {
+                return raw::send_unfinished(&call, &id, status, what).await;
+            }
+            answer_normally(site, index, call, model).await
+        }
         ServerFault::ResetsRequests if call.header("attempt-id").is_some() => {
             call.drop_connection();
             Response::Ok().finish()
--- a/crates/mustard-fakes/src/site/mod.rs
+++ b/crates/mustard-fakes/src/site/mod.rs
@@ -22,7 +22,7 @@
 use crate::errors::Result;
 
 pub use limit::find_excess;
-pub use raw::Endless;
+pub use raw::{Endless, Unfinished};
 
 /// The host name of every route.
 pub const HOST: &str = "site.example";
@@ -110,6 +110,10 @@
     RefusesTwice,
     /// Answers a stream with this status and a text (model servers only).
     AnswersText(u16),
+    /// Answers with this status and doesn't finish the body.
+    Unfinished(u16, Unfinished),
+    /// Sends streams whose events are large, one after another without a pause (model servers only).
+    LargeEvents,
 }
 
 /// Which servers a poison content ends; it is any content whose path contains [`POISON`], or whose prompt
@@ -648,18 +652,19 @@
 
     fn build_config(&self, version: u64, keys: &[&str]) -> Value {
         let state = self.lock();
-        let route = |prefix: &str, kind: &str, service: &str, attempts: u32| {
+        let route = |prefix: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
             json!({"name": prefix, "host": HOST, "prefix": prefix, "kind": kind,
                 "timeout_ms": 8_000, "target_latency_ms": 500, "priority": 1,
                 "service": service, "max_attempts": attempts, "public": false,
-                "resumable": kind == "stream", "target_gap_ms": 200})
+                "resumable": resumable, "target_gap_ms": 200})
         };
         json!({
             "version": version,
             "routes": [
-                route("/draft/", "stream", "models", 2),
-                route("/book/", "non_idempotent", "desk", 1),
-                route("/status/", "idempotent", "desk", 2),
+                route("/draft/", "stream", "models", 2, true),
+                route("/book/", "non_idempotent", "desk", 1, false),
+                route("/status/", "idempotent", "desk", 2, false),
+                route("/letter/", "stream", "models", 2, false),
             ],
             "services": [
                 {"name": "models", "health_path": "/health", "max_conns": 100, "engine": {
--- a/crates/mustard-fakes/src/site/model.rs
+++ b/crates/mustard-fakes/src/site/model.rs
@@ -19,6 +19,9 @@
 /// The time between the checks of a poison content for a path on which it has ended no server yet.
 const POISON_DELAY: std::time::Duration = std::time::Duration::from_millis(60);
 
+/// The size of the events of [`ServerFault::LargeEvents`].
+const LARGE_EVENT_BYTES: usize = 200 * 1024;
+
 /// The events of a stream before a server cuts it off within one.
 const CUT_EVENTS: u64 = 5;
 
@@ -370,14 +373,18 @@
         )
     };
     for event in after + 1..=events {
-        sleep(event_interval).await;
+        let is_large = site.lock().servers[index].current_fault() == ServerFault::LargeEvents;
+        if !is_large {
+            sleep(event_interval).await;
+        }
         if !wait_for_path(site, index, incarnation, id, stall_timeout).await {
             // An error means that the client has disconnected already.
             let _ = sender.send(None).await;
             site.lock().remove_path(id, index);
             return;
         }
-        let text = format!("id: {event}\ndata: piece {event} of {id}\n\n");
+        let padding = "x".repeat(if is_large { LARGE_EVENT_BYTES } else { 0 });
+        let text = format!("id: {event}\ndata: piece {event} of {id}{padding}\n\n");
         let fault = site.lock().servers[index].current_fault();
         if event == after + CUT_EVENTS && fault == ServerFault::UnframedCut {
             let _ = sender.send(None).await;
--- a/crates/mustard-fakes/src/site/raw.rs
+++ b/crates/mustard-fakes/src/site/raw.rs
@@ -64,6 +64,48 @@
     std::future::pending().await
 }
 
+/// How a server begins a body that it doesn't finish.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unfinished {
+    /// The head names a length, and no body follows.
+    Length,
+    /// The head names a length, and half of the body follows.
+    Half,
+    /// The head announces chunks, and none follows.
+    Chunks,
+    /// Only the end of the connection would end the body.
+    Connection,
+    /// As `Half`, and the connection is closed.
+    Cut,
+}
+
+/// Sends the head of a response and not its whole body, and keeps the connection open unless it is to be cut.
+pub(super) async fn send_unfinished(
+    call: &Call,
+    id: &str,
+    status: u16,
+    what: Unfinished,
+) -> Response {
+    let Some(io) = call.connection() else {
+        return Response::InternalServerError().finish();
+    };
+    let (framing, body) = match what {
+        Unfinished::Length => ("content-length: 40\r\n", ""),
+        Unfinished::Half | Unfinished::Cut => ("content-length: 40\r\n", "half of the body is "),
+        Unfinished::Chunks => ("transfer-encoding: chunked\r\n", ""),
+        Unfinished::Connection => ("", ""),
+    };
+    let head = format!(
+        "HTTP/1.1 {status} Status\r\nattempt-id: {id}\r\nresponse-seal: seal-{id}\r\n\
+         content-type: text/plain\r\n{framing}\r\n{body}"
+    );
+    write(&io, head.as_bytes());
+    if what == Unfinished::Cut {
+        io.close();
+    }
+    std::future::pending().await
+}
+
 /// Sends a refusal, and a little later the same bytes again on the same connection, which stays open.
 pub(super) async fn send_refusal_twice(call: &Call) -> Response {
     let Some(io) = call.connection() else {
--- a/crates/mustard-gateway/src/forward/open_stream.rs
+++ b/crates/mustard-gateway/src/forward/open_stream.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ntex::http::HeaderMap;
+use ntex::util::Bytes;
 use slog::info;
 use tokio::sync::Notify;
 use tokio::time::timeout;
@@ -31,7 +33,7 @@
 use super::events::EventParser;
 use super::hedging::{self, DueCopy, WaitGuard};
 use super::plain_server::choose_plain_server;
-use super::send::{BodyChunk, ResponseHead, SendError, Target, send_request};
+use super::send::{BODY_TIMEOUT, BodyChunk, ResponseHead, SendError, Target, send_request};
 use super::waiting::{self, Wait};
 use super::{AdmittedRequest, memory_per_server, memory_tokens, spend_retry};
 
@@ -55,6 +57,21 @@
     pub(super) first_server: ServerKey,
 }
 
+/// How a request was answered.
+pub(super) enum Opened {
+    /// By a stream, which has begun.
+    Stream(ActiveAttempt),
+    /// By a complete response that is no success.
+    Failure(FailureResponse),
+}
+
+/// A server's complete response that is no success.
+pub(super) struct FailureResponse {
+    pub(super) status: u16,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
 /// Why no attempt brought a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum OpenError {
@@ -85,6 +102,8 @@
     /// The id of the last event that the caller got if the next attempt resumes the stream, by which the
     /// tokens to be processed again are counted.
     pub(super) tokens_sent: Option<u64>,
+    /// Whether the caller's response has begun, which only a stream can continue.
+    pub(super) is_resuming: bool,
     /// The servers of each copy whose answer is waited for, and when it was sent.
     pub(super) current: Vec<(Vec<ServerKey>, Moment)>,
 }
@@ -96,14 +115,16 @@
     }
 }
 
-/// Sends the request until a server begins to respond or no further attempt is allowed. With
-/// `last_event`, the stream resumes after the event with that id.
+/// Sends the request until a server begins a stream, has sent a complete other response, or no further attempt is
+/// allowed. With `last_event`, the stream resumes after the event with that id.
+///
+/// The caller limits the time of the whole; nothing of the response but a stream is left to be read afterwards.
 pub(super) async fn open_stream(
     app: &Rc<App>,
     request: &AdmittedRequest,
     attempts: &mut Attempts,
     last_event: Option<u64>,
-) -> Result<ActiveAttempt, OpenError> {
+) -> Result<Opened, OpenError> {
     loop {
         if let Some(retry_after) = strikes::refusal(app, request) {
             return Err(if attempts.possible_runs > 0 {
@@ -143,12 +164,77 @@
             });
         }
         let copy = send_copies(app, request, attempts, target, demand, last_event).await;
-        if let Some(end) = conclude_copy(app, request, attempts, copy) {
+        let Some(concluded) = conclude_copy(app, request, attempts, copy) else {
+            continue;
+        };
+        let attempt = concluded?;
+        if attempt.head.is_success() {
+            return Ok(Opened::Stream(attempt));
+        }
+        if attempts.is_resuming {
+            return Err(OpenError::Lost);
+        }
+        if let Some(end) = read_failure(app, request, attempts, attempt).await {
             return end;
         }
     }
 }
 
+/// Reads the body of a response that is no success. Returns the response, or the error if its body was lost and no
+/// further attempt is allowed; `None` if the request may be sent again.
+async fn read_failure(
+    app: &Rc<App>,
+    request: &AdmittedRequest,
+    attempts: &mut Attempts,
+    attempt: ActiveAttempt,
+) -> Option<Result<Opened, OpenError>> {
+    let ActiveAttempt {
+        mut head,
+        guard,
+        abandon,
+        first_server,
+        ..
+    } = attempt;
+    let is_repeatable = matches!(request.route.kind, RouteKind::Stream { resumable: true });
+    let may_retry = is_repeatable && attempts.possible_runs < request.route.max_attempts;
+    let limit = if may_retry {
+        BODY_TIMEOUT
+    } else {
+        Duration::MAX
+    };
+    // The failure itself counts against the servers if its status is from 500 on.
+    let path = guard.servers().filter(|_| head.status < 500);
+    let path = path.map(|(path, sent_at, _)| (path, sent_at));
+    attempts.current.extend(path.clone());
+    let body = tokio::select! {
+        body = timeout(limit, head.read_body(app)) => body.unwrap_or(Err(SendError::Lost)),
+        () = abandon.notified() => Err(SendError::GivenUp),
+    };
+    if path.is_some() {
+        attempts.current.pop();
+    }
+    let error = match body {
+        Ok(body) => {
+            return Some(Ok(Opened::Failure(FailureResponse {
+                status: head.status,
+                headers: head.headers,
+                body,
+            })));
+        }
+        Err(error) => error,
+    };
+    if let Some((path, sent_at)) = path {
+        let failure = outlier::Failure::EndedEarly;
+        outliers::record_failure(app, request, &path, sent_at, failure);
+    }
+    log_failed_attempt(app, request, first_server, "body of a failure lost");
+    attempts
+        .avoid
+        .extend(record_faulty_server(app, first_server, error));
+    attempts.lost.push(first_server);
+    (!may_retry).then_some(Err(OpenError::Lost))
+}
+
 /// One copy of a request that was sent, with its response once that has begun.
 struct StreamCopy {
     result: Result<ResponseHead, SendError>,
@@ -166,7 +252,7 @@
 impl StreamCopy {
     /// Returns whether its stream has begun.
     fn has_begun(&self) -> bool {
-        matches!(&self.result, Ok(head) if head.status < 300)
+        self.result.as_ref().is_ok_and(ResponseHead::is_success)
     }
 }
 
@@ -215,7 +301,7 @@
     let mut lost_as = outlier::Failure::Reset;
     let begin = async {
         let mut head = send_request(app, request, target, last_event).await?;
-        if reads_event && head.status < 300 {
+        if reads_event && head.is_success() {
             let read = read_first_event(app, &mut head, &mut parser).await;
             read.map_err(|failure| {
                 lost_as = failure;
@@ -367,7 +453,7 @@
     match result {
         Ok(head) => {
             attempts.possible_runs += 1;
-            if head.status >= 300 {
+            if !head.is_success() {
                 guard.conclude();
             }
             if head.status >= 500 {
--- a/crates/mustard-gateway/src/forward/send.rs
+++ b/crates/mustard-gateway/src/forward/send.rs
@@ -26,7 +26,7 @@
 
 /// The time within which a body ends whose head doesn't say how long it is; that of a stream isn't
 /// read at once.
-const BODY_TIMEOUT: Duration = Duration::from_secs(3);
+pub(super) const BODY_TIMEOUT: Duration = Duration::from_secs(3);
 /// The most bytes of all bodies that are being read.
 const MAX_BUFFERED_BYTES: usize = 48 * 1024 * 1024;
 
@@ -211,6 +211,11 @@
 }
 
 impl ResponseHead {
+    /// Returns whether the status is that of a success.
+    pub(super) fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+
     /// Reads the next chunk of the body.
     pub(super) async fn next_chunk(&mut self) -> BodyChunk {
         match self.body.next_chunk().await {
--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use ntex::http::header::{CONTENT_TYPE, HeaderValue};
-use ntex::http::{Response, StatusCode};
+use ntex::http::{HeaderMap, Response, ResponseBuilder, StatusCode};
 use ntex::io::{IoRef, OnDisconnect};
 use ntex::util::{Bytes, Stream};
 use slog::{info, warn};
@@ -26,7 +26,8 @@
 use crate::strikes::{self, Failure};
 
 use super::open_stream::{
-    ActiveAttempt, Attempts, OpenError, log_failed_attempt, open_stream, record_faulty_server,
+    ActiveAttempt, Attempts, OpenError, Opened, log_failed_attempt, open_stream,
+    record_faulty_server,
 };
 use super::send::{BodyChunk, SendError};
 use super::{AdmittedRequest, ENDS_SERVERS, GatewayResponse, record_served, waiting};
@@ -115,8 +116,8 @@
         open_stream(app, &request, &mut attempts, request.params.last_event),
     )
     .await;
-    let attempt = match opened {
-        Ok(Ok(attempt)) => attempt,
+    let opened = match opened {
+        Ok(Ok(opened)) => opened,
         Ok(Err(error)) => return refuse(app, &request, error),
         Err(_) => {
             for (path, sent_at) in std::mem::take(&mut attempts.current) {
@@ -129,21 +130,13 @@
                 .respond(app);
         }
     };
-    let status = StatusCode::from_u16(attempt.head.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut out = Response::build(status);
-    for (name, value) in responses::forwarded_headers(&attempt.head.headers) {
-        out.header(name, value);
-    }
-    if app.stop.is_set() {
-        out.force_close();
-    }
-    if !status.is_success() {
-        let mut attempt = attempt;
-        return match attempt.head.read_body(app).await {
-            Ok(body) => out.body(body),
-            Err(_) => refuse(app, &request, OpenError::Lost),
-        };
-    }
+    let attempt = match opened {
+        Opened::Stream(attempt) => attempt,
+        Opened::Failure(failure) => {
+            return begin_response(app, failure.status, &failure.headers).body(failure.body);
+        }
+    };
+    let mut out = begin_response(app, attempt.head.status, &attempt.head.headers);
     let (sender, receiver) = channel(QUEUED_CHUNKS);
     let session = StreamSession {
         app: Rc::clone(app),
@@ -162,6 +155,19 @@
     })
 }
 
+/// Begins the response to the caller with the status and headers of a server's.
+fn begin_response(app: &App, status: u16, headers: &HeaderMap) -> ResponseBuilder {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut out = Response::build(status);
+    for (name, value) in responses::forwarded_headers(headers) {
+        out.header(name, value);
+    }
+    if app.stop.is_set() {
+        out.force_close();
+    }
+    out
+}
+
 /// Responds to a request for which no server opened the stream, or whose error response was lost.
 fn refuse(app: &Rc<App>, request: &AdmittedRequest, error: OpenError) -> Response {
     metric::count_request("stream", "refused");
@@ -305,6 +311,7 @@
     /// Opens the stream on another server after the last event.
     async fn resume(&mut self) -> Option<ActiveAttempt> {
         self.attempts.tokens_sent = self.last_event;
+        self.attempts.is_resuming = true;
         let opened = open_stream(
             &self.app,
             &self.request,
@@ -312,7 +319,10 @@
             self.last_event,
         )
         .await;
-        opened.ok().filter(|next| self.is_continued_by(next))
+        match opened {
+            Ok(Opened::Stream(next)) if self.is_continued_by(&next) => Some(next),
+            _ => None,
+        }
     }
 
     /// Returns whether an attempt's response may follow what the caller got. An error, also one with a status that
@@ -326,6 +336,7 @@
     async fn race_resume(&mut self, mut attempt: ActiveAttempt) -> Continuation {
         let (app, request) = (Rc::clone(&self.app), Rc::clone(&self.request));
         self.attempts.tokens_sent = self.last_event;
+        self.attempts.is_resuming = true;
         let mut attempts = self.attempts.clone();
         let last_event = self.last_event;
         let mut has_failed = false;
@@ -346,7 +357,7 @@
         };
         self.attempts = attempts;
         match next {
-            Ok(next) if self.is_continued_by(&next) => Continuation::Resumed(next),
+            Ok(Opened::Stream(next)) if self.is_continued_by(&next) => Continuation::Resumed(next),
             _ if has_failed => Continuation::Failed,
             _ => Continuation::Same(attempt),
         }
--- a/crates/mustard-gateway/tests/gateway/harness.rs
+++ b/crates/mustard-gateway/tests/gateway/harness.rs
@@ -255,6 +255,17 @@
 
     /// Sends a request with the customer's key to the gateway at an address.
     pub(crate) async fn request_at(&self, to: SocketAddr, path: &str, id: &str) -> Option<Answer> {
+        self.request_within(to, path, id, "7000").await
+    }
+
+    /// Sends a request with the customer's key and a time budget in milliseconds.
+    pub(crate) async fn request_within(
+        &self,
+        to: SocketAddr,
+        path: &str,
+        id: &str,
+        budget_ms: &str,
+    ) -> Option<Answer> {
         let key = format!("Bearer {API_KEY}");
         let method = if path.starts_with("/status/") {
             "GET"
@@ -264,7 +275,7 @@
         let headers = [
             ("attempt-id", id),
             ("authorization", key.as_str()),
-            ("time-budget-ms", "7000"),
+            ("time-budget-ms", budget_ms),
             ("token-count", "100,80"),
         ];
         self.send(to, method, path, &headers).await
--- a/crates/mustard-gateway/tests/gateway/main.rs
+++ b/crates/mustard-gateway/tests/gateway/main.rs
@@ -22,6 +22,7 @@
 mod second_copies;
 mod segments;
 mod server_load;
+mod unfinished;
 
 use std::net::Ipv4Addr;
 use std::process::Command;
--- /dev/null
+++ b/crates/mustard-gateway/tests/gateway/unfinished.rs
@@ -0,0 +1,65 @@
+//! Answers that begin and don't go on.
+
+use std::time::{Duration, Instant};
+
+use mustard_fakes::site::{ServerFault, SiteOptions, Unfinished};
+use mustard_tests::site_soak::stream_text;
+
+use super::harness::Caller;
+use super::{EVENT_COUNT, start_ready};
+
+const BUDGET: Duration = Duration::from_millis(1_500);
+/// How much later than its time limit a request may have its final answer.
+const ANSWER_DELAY: Duration = Duration::from_millis(500);
+const SERVERS: std::ops::Range<usize> = 0..8;
+
+/// Guards against callers that wait without end, as the head of a failure arrived and its body doesn't follow.
+#[ntex::test]
+async fn failure_without_body() {
+    let (site, gateway, _caller) = start_ready(SiteOptions::default()).await;
+    let kinds = [
+        Unfinished::Length,
+        Unfinished::Half,
+        Unfinished::Chunks,
+        Unfinished::Connection,
+    ];
+    for status in [200, 302, 404, 429, 500, 503] {
+        for what in kinds {
+            for server in SERVERS {
+                site.set_fault(server, ServerFault::Unfinished(status, what));
+            }
+            let ask = async |path: &'static str| {
+                let id = format!("{status}-{what:?}{}", path.replace('/', "-"));
+                let caller = Caller::new().await;
+                let begun = Instant::now();
+                let budget = BUDGET.as_millis().to_string();
+                let answer = caller.request_within(gateway.caller_addr, path, &id, &budget);
+                let answer = answer.await.unwrap();
+                assert!(begun.elapsed() <= BUDGET + ANSWER_DELAY, "{id}: {answer:?}");
+                assert!(!answer.complete || answer.status >= 500, "{id}: {answer:?}");
+            };
+            tokio::join!(
+                ask("/draft/x"),
+                ask("/letter/x"),
+                ask("/book/x"),
+                ask("/status/x")
+            );
+        }
+    }
+}
+
+/// Guards against a stream that may be resumed and is given up as a whole, though other servers are sound, as the
+/// body of a failure was lost.
+#[ntex::test]
+async fn failure_body_lost() {
+    let (site, gateway, caller) = start_ready(SiteOptions::default()).await;
+    for server in [0, 3] {
+        site.set_fault(server, ServerFault::Unfinished(404, Unfinished::Cut));
+    }
+    for n in 0..12 {
+        let id = format!("lost-{n}");
+        let answer = caller.request(&gateway, "/draft/x", &id).await.unwrap();
+        assert_eq!((answer.status, answer.complete), (200, true), "{id}");
+        assert_eq!(answer.text, stream_text(&id, EVENT_COUNT));
+    }
+}
