Give up a stream at its time limit also if the caller doesn't read

A stream went on at its servers after its time limit while its caller didn't read: the notice that it is aborted waits for room in the queue of its events, outside of any limit, and the attempt was kept meanwhile, with its connection to the server. The attempt is now dropped first, the notice has the time that is left, and the connection of a caller that takes nothing by then is closed.

stream_caller_never_reads is red on (the server still sends after 20 s) and green now.

--- a/crates/mustard-gateway/src/forward/stream.rs
+++ b/crates/mustard-gateway/src/forward/stream.rs
@@ -145,6 +145,7 @@
         request: Rc::new(request),
         attempts,
         sender,
+        io: io.clone(),
         event_sent: false,
     };
     ntex::rt::spawn(forward_events(session, attempt));
@@ -192,6 +193,8 @@
     request: Rc<AdmittedRequest>,
     attempts: Attempts,
     sender: Sender<Result<Bytes, StreamAborted>>,
+    /// The caller's connection; `None` if the HTTP server gives no access to it.
+    io: Option<IoRef>,
     /// The media type of the response that the caller gets.
     content_type: Option<HeaderValue>,
     /// The id of the last event that was sent to the caller.
@@ -237,7 +240,10 @@
                 return session.finish_served(has_failed);
             }
             AttemptEnd::CallerLeft => return metric::count_request("stream", "caller left"),
-            AttemptEnd::Deadline => return session.abort("deadline").await,
+            AttemptEnd::Deadline => {
+                drop(attempt);
+                return session.abort("deadline").await;
+            }
             AttemptEnd::Stalled => {
                 session.record_failed_run(&attempt, Failure::Stalled);
                 session.record_outcome(&attempt, outlier::Failure::NoAnswer);
@@ -473,7 +479,14 @@
                 "cause" => cause, "after" => self.last_event,
                 "took_ms" => self.app.now().ms_since(self.request.arrived));
         }
-        // Fails only if the caller has left, and then there is nobody to tell.
-        let _ = self.sender.send(Err(StreamAborted)).await;
+        let left = self.app.now().until(self.request.deadline);
+        let notice = self.sender.send(Err(StreamAborted));
+        // If the caller has left, there is nobody to tell. One that doesn't read leaves no room for the notice.
+        let told = timeout(left.max(CLOSE_TIMEOUT), notice).await;
+        if told.is_err()
+            && let Some(io) = &self.io
+        {
+            io.terminate();
+        }
     }
 }
--- a/crates/mustard-gateway/tests/gateway/unfinished.rs
+++ b/crates/mustard-gateway/tests/gateway/unfinished.rs
@@ -1,12 +1,14 @@
-//! Answers that begin and don't go on.
+//! Answers that begin and don't go on, and callers that don't read.
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use mustard_fakes::site::{ServerFault, SiteOptions, Unfinished};
+use mustard_fakes::site::{API_KEY, HOST, ServerFault, SiteOptions, Unfinished};
 use mustard_tests::site_soak::stream_text;
 
-use super::harness::Caller;
-use super::{EVENT_COUNT, start_ready};
+use super::harness::{Caller, wait_until};
+use super::{EVENT_COUNT, start_ready, start_ready_without_stream};
 
 const BUDGET: Duration = Duration::from_millis(1_500);
 /// How much later than its time limit a request may have its final answer.
@@ -63,3 +65,31 @@
         assert_eq!(answer.text, stream_text(&id, EVENT_COUNT));
     }
 }
+
+/// Guards against a stream that goes on at its servers after its time limit, as its caller doesn't read.
+#[ntex::test]
+async fn stream_caller_never_reads() {
+    let options = SiteOptions {
+        events: 400,
+        ..SiteOptions::default()
+    };
+    let (site, gateway, _caller) = start_ready_without_stream(options).await;
+    for server in SERVERS {
+        site.set_fault(server, ServerFault::LargeEvents);
+    }
+    let mut connection = TcpStream::connect(gateway.caller_addr).unwrap();
+    let request = format!(
+        "POST /draft/x HTTP/1.1\r\nhost: {HOST}\r\nattempt-id: unread\r\n\
+         authorization: Bearer {API_KEY}\r\ntime-budget-ms: {}\r\ntoken-count: 100,80\r\n\
+         content-length: 0\r\n\r\n",
+        BUDGET.as_millis()
+    );
+    connection.write_all(request.as_bytes()).unwrap();
+    let begun = Instant::now();
+    wait_until("a run", || site.ledger().runs.contains_key("unread")).await;
+    wait_until("the end of the run", || site.ledger().cancelled == 1).await;
+    let took = begun.elapsed();
+    assert!(took <= BUDGET + ANSWER_DELAY, "{took:?}");
+    assert!(took >= BUDGET - ANSWER_DELAY, "{took:?}");
+    drop(connection);
+}
