Apply the time limit of a call over its own connection to all of it

exchange_unpooled limited the time to connect and left the rest to the calling code, which had a limit in two of four places. A server that accepted the connection and didn't answer held the question that follows a lost one without end, and with it the check of all streams that had stalled at the same moment. The limit is now around the whole call.

--- a/crates/mustard-net/src/forward.rs
+++ b/crates/mustard-net/src/forward.rs
@@ -118,12 +118,19 @@
 }
 
 /// Sends a request over a connection of its own and reads the complete answer, of at most
-/// [`MAX_ANSWER_BYTES`]. The time limit is that of the calling code.
+/// [`MAX_ANSWER_BYTES`], all within the time limit of the request.
 ///
 /// # Errors
 ///
 /// As for [`forward_request`].
 pub async fn exchange_unpooled(request: &Request<'_>) -> Result<Answer> {
+    match timeout(request.timeout, exchange_once(request)).await {
+        Ok(answer) => answer,
+        Err(_) => Err(CallError::TimedOut(request.timeout.as_millis() as u64)),
+    }
+}
+
+async fn exchange_once(request: &Request<'_>) -> Result<Answer> {
     let header = |name: &str, value: &str| {
         let name = HeaderName::try_from(name).ok()?;
         Some((name, HeaderValue::from_str(value).ok()?))
--- a/crates/mustard-net/src/http.rs
+++ b/crates/mustard-net/src/http.rs
@@ -125,11 +125,9 @@
     ///
     /// As for [`exchange`].
     pub async fn exchange(&self, request: Request<'_>) -> Result<Answer> {
-        let limit = request.timeout;
         let until = self.unpooled_until.get();
         let answer = if until.is_some_and(|until| Instant::now() < until) {
-            let answer = tokio::time::timeout(limit, forward::exchange_unpooled(&request)).await;
-            answer.unwrap_or(Err(CallError::TimedOut(limit.as_millis() as u64)))
+            forward::exchange_unpooled(&request).await
         } else {
             exchange(&self.client, request).await
         };
--- a/crates/mustard-net/tests/unframed.rs
+++ b/crates/mustard-net/tests/unframed.rs
@@ -12,7 +12,7 @@
 use socket2::SockRef;
 
 use mustard_net::CallError;
-use mustard_net::forward::{ForwardedRequest, forward_request};
+use mustard_net::forward::{ForwardedRequest, exchange_unpooled, forward_request};
 use mustard_net::http::{Request, exchange, new_client};
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\n";
@@ -284,3 +284,26 @@
         assert!(matches!(result, Err(CallError::Lost(_))), "{result:?}");
     }
 }
+
+/// Guards against a question to a server over a connection of its own that is never answered and waited for
+/// without end, before the head of the answer and within its body.
+#[ntex::test]
+async fn exchange_unpooled_unanswered() {
+    let limit = Duration::from_millis(200);
+    for begin in [String::new(), format!("{HEAD}content-length: 40\r\n\r\n")] {
+        let request = Request {
+            to: start_server(begin, false, Duration::from_secs(5)),
+            method: Method::GET,
+            path: "/",
+            content_type: "application/json",
+            headers: &[],
+            body: Vec::new(),
+            timeout: limit,
+        };
+        let answer = tokio::time::timeout(limit * 10, exchange_unpooled(&request)).await;
+        assert!(
+            matches!(answer, Ok(Err(CallError::TimedOut(_)))),
+            "{answer:?}"
+        );
+    }
+}
