Do the same work for each byte of a response, however small its pieces are

Each chunk was returned by itself, and the search for the end of an event began anew with each of them, over up to 256 KB.

Each byte of a stream is searched once, all chunks that were read together are returned together, a head that comes in small pieces is parsed again only once it has doubled or shows an empty line, and after 64 KB of one body other tasks have a turn.

Tests that were added for the class: forward_request_small_chunks, forward_request_small_pieces, forward_request_fault_after_chunks, next_chunk_others_run, small_chunks_delay_others (green before too: the stand-in doesn't send as fast), exchange_endless (the HTTP client of reports, store, peers and engines: bounded as it was).

--- a/crates/mustard-fakes/src/site/raw.rs
+++ b/crates/mustard-fakes/src/site/raw.rs
@@ -13,6 +13,8 @@
 
 /// What a response without an end repeats.
 const FILLER: [u8; 1024] = [b'a'; 1024];
+/// How many small chunks are written at once.
+const SMALL_CHUNKS: usize = 10_000;
 /// The pause between two repetitions.
 const FILLER_PAUSE: Duration = Duration::from_millis(2);
 /// After this time the server gives up on a client that doesn't close the connection.
@@ -29,6 +31,8 @@
     Body,
     /// The extension of a chunk's size.
     ChunkLine,
+    /// An event, which comes in chunks of eight bytes.
+    SmallChunks,
 }
 
 /// Returns the head of a response that only the end of the connection delimits.
@@ -149,6 +153,10 @@
         Endless::Headers => (head, b"x-filler: a\r\n"),
         Endless::Body => (head + "\r\n", &FILLER),
         Endless::ChunkLine => (head + "transfer-encoding: chunked\r\n\r\n1;x=", &FILLER),
+        Endless::SmallChunks => (
+            head + "transfer-encoding: chunked\r\n\r\n",
+            &*b"8\r\naaaaaaaa\r\n".repeat(SMALL_CHUNKS),
+        ),
     };
     let mut count = EndlessCount {
         site: site.clone(),
--- a/crates/mustard-gateway/src/forward/events.rs
+++ b/crates/mustard-gateway/src/forward/events.rs
@@ -1,5 +1,6 @@
 //! Splits a byte stream of server-sent events into complete events.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use ntex::util::{Bytes, BytesMut};
@@ -36,10 +37,28 @@
     pub fault: Option<&'static str>,
 }
 
-/// Buffers bytes until an event is complete.
+/// A complete event at the begin of what is buffered.
+#[derive(Clone, Copy, Debug)]
+struct BufferedEvent {
+    /// Its length, including its empty line.
+    len: usize,
+    /// Whether it has an id or data.
+    has_content: bool,
+}
+
+/// Buffers bytes until an event is complete. Each byte is searched once, however small the pieces are in which
+/// the bytes arrive.
 #[derive(Debug, Default)]
 pub struct EventParser {
     buffer: BytesMut,
+    /// The complete events.
+    events: VecDeque<BufferedEvent>,
+    /// The number of complete events with an id or data.
+    with_content: usize,
+    /// Where the event that is incomplete begins.
+    event_start: usize,
+    /// Where the line that is incomplete begins.
+    line_start: usize,
     /// When the first byte of the event that is incomplete arrived.
     begun: Option<Moment>,
 }
@@ -48,16 +67,43 @@
     /// Adds bytes that arrived now. Returns true on failure: an event is too large, or hasn't ended
     /// within [`MAX_EVENT_TIME`].
     pub fn push(&mut self, now: Moment, bytes: &[u8]) -> bool {
+        let searched = self.buffer.len();
         self.buffer.extend_from_slice(bytes);
+        self.find_events(searched);
         let begun = *self.begun.get_or_insert(now);
-        let is_late = now.since(begun) > MAX_EVENT_TIME && first_event_len(&self.buffer).is_none();
+        let is_late = now.since(begun) > MAX_EVENT_TIME && self.events.is_empty();
         is_late || self.buffer.len() > MAX_EVENT_BYTES
     }
 
+    /// Finds the events that end in the bytes from `searched` on.
+    fn find_events(&mut self, searched: usize) {
+        let mut next = searched;
+        while let Some(offset) = self.buffer[next..].iter().position(|&b| b == b'\n') {
+            let line_end = next + offset;
+            next = line_end + 1;
+            let line = &self.buffer[self.line_start..line_end];
+            self.line_start = next;
+            if !line.is_empty() && line != b"\r" {
+                continue;
+            }
+            let event = &self.buffer[self.event_start..next];
+            let has_content = parse_id(event).is_some() || has_data(event);
+            self.events.push_back(BufferedEvent {
+                len: event.len(),
+                has_content,
+            });
+            self.with_content += usize::from(has_content);
+            self.event_start = next;
+        }
+    }
+
     /// Removes and returns the next complete event.
     pub fn next_event(&mut self) -> Option<Event> {
-        let end = first_event_len(&self.buffer)?;
-        let bytes = self.buffer.split_to(end);
+        let event = self.events.pop_front()?;
+        let bytes = self.buffer.split_to(event.len);
+        self.event_start -= event.len;
+        self.line_start -= event.len;
+        self.with_content -= usize::from(event.has_content);
         self.begun = None;
         Some(Event {
             id: parse_id(&bytes),
@@ -96,15 +142,7 @@
 
     /// Returns whether a complete event with an id or data is buffered.
     pub fn has_event(&self) -> bool {
-        let mut rest = &self.buffer[..];
-        while let Some(len) = first_event_len(rest) {
-            let (event, later) = rest.split_at(len);
-            if parse_id(event).is_some() || has_data(event) {
-                return true;
-            }
-            rest = later;
-        }
-        false
+        self.with_content > 0
     }
 
     /// Returns whether no bytes are buffered, thus no incomplete event.
@@ -113,19 +151,6 @@
     }
 }
 
-/// Returns the length of the first event including its empty line; `None` if it is incomplete.
-fn first_event_len(bytes: &[u8]) -> Option<usize> {
-    let mut start = 0;
-    while let Some(offset) = bytes[start..].iter().position(|&b| b == b'\n') {
-        let line = &bytes[start..start + offset];
-        start += offset + 1;
-        if line.is_empty() || line == b"\r" {
-            return Some(start);
-        }
-    }
-    None
-}
-
 fn has_data(bytes: &[u8]) -> bool {
     let mut lines = bytes.split(|&b| b == b'\n');
     lines.any(|l| l.starts_with(DATA_FIELD))
--- a/crates/mustard-gateway/tests/events.rs
+++ b/crates/mustard-gateway/tests/events.rs
@@ -1,5 +1,7 @@
 //! Parsing a byte stream of server-sent events into complete events.
 
+use std::time::{Duration, Instant};
+
 use mustard_core::clock::Moment;
 use mustard_gateway::forward::EventParser;
 
@@ -111,3 +113,27 @@
     assert_eq!(&taken.bytes[..], b": ping\n\nid: 1\ndata: a\n\n");
     assert!(!parser.has_event());
 }
+
+/// Returns the time to parse an event without an end that comes in pieces of eight bytes, the shortest of some runs.
+fn parse_time(bytes: usize) -> Duration {
+    let run = |_| {
+        let mut parser = EventParser::default();
+        let begun = Instant::now();
+        for _ in 0..bytes / 8 {
+            assert!(!parser.push(Moment::default(), b"aaaaaaaa"));
+            assert!(!parser.has_event());
+            assert!(parser.take_events(&mut None).bytes.is_empty());
+        }
+        begun.elapsed()
+    };
+    (0..5).map(run).min().unwrap_or_default()
+}
+
+/// Guards against work for each byte that grows with what came before: a server that sends an event without an end in
+/// small pieces would keep the gateway from the requests of others.
+#[test]
+fn push_small_pieces() {
+    let (short, long) = (parse_time(8 * 1_024), parse_time(256 * 1_024));
+    // Linear work takes 32 times as long, quadratic work 1,024 times.
+    assert!(long < short * 128, "{short:?}, {long:?}");
+}
--- a/crates/mustard-gateway/tests/gateway/framing.rs
+++ b/crates/mustard-gateway/tests/gateway/framing.rs
@@ -140,3 +140,31 @@
 async fn endless_read() {
     check_endless("/status/x", PLAIN_SERVERS).await;
 }
+
+/// Guards against requests to sound servers that get no answer, as others send small chunks of an event without an
+/// end: the work for each byte must not grow with what came before, and no connection may keep the thread.
+#[ntex::test]
+async fn small_chunks_delay_others() {
+    let (site, gateway, _caller) = start_ready(SiteOptions::default()).await;
+    let fault = ServerFault::Endless(Endless::SmallChunks);
+    set_faults(&site, 0..MODEL_SERVERS, fault);
+    let streams = (0..60).map(|n| {
+        let caller_addr = gateway.caller_addr;
+        tokio::task::spawn_local(async move {
+            let id = format!("endless-{n}");
+            let caller = Caller::new().await;
+            caller.request_at(caller_addr, "/draft/x", &id).await
+        })
+    });
+    let streams: Vec<_> = streams.collect();
+    for n in 0..60 {
+        let id = format!("sound-{n}");
+        let caller = Caller::new().await;
+        let answer = caller.request_within(gateway.caller_addr, "/status/x", &id, "1000");
+        assert_eq!(answer.await.unwrap().status, 200, "{id}");
+    }
+    for stream in streams {
+        let answer = stream.await.unwrap();
+        assert!(answer.is_none_or(|a| a.status != 200 || !a.complete));
+    }
+}
--- a/crates/mustard-net/src/forward.rs
+++ b/crates/mustard-net/src/forward.rs
@@ -34,6 +34,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The most bytes that one read takes off the connection.
 const READ_BYTES: usize = 16 * 1024;
+/// After so many bytes of a body other tasks have a turn, though more may be there already.
+const TURN_BYTES: usize = 64 * 1024;
 
 /// A request of a remote client that is forwarded.
 #[derive(Clone, Debug)]
@@ -66,6 +68,10 @@
 pub struct ResponseBody {
     connection: Connection,
     framing: Framing,
+    /// How the body goes on after the bytes that were returned last, if that was read with them.
+    next: Option<Result<Bytes>>,
+    /// The bytes that were read since other tasks had a turn.
+    turn_bytes: usize,
 }
 
 /// A connection on which one request is sent and its response read.
@@ -113,6 +119,8 @@
         body: ResponseBody {
             connection,
             framing,
+            next: None,
+            turn_bytes: 0,
         },
     })
 }
@@ -264,9 +272,21 @@
 
     async fn read_rest_of_head(&mut self, method: &Method) -> Result<(u16, HeaderMap, Framing)> {
         let mut interim_bytes = 0;
+        // A head that comes in small pieces isn't parsed anew for each of them.
+        let (mut parsed, mut searched) = (0, 0);
         loop {
-            if let Some((status, headers, len)) = parse_head(&self.buffer)? {
+            let unsearched = &self.buffer[usize::saturating_sub(searched, 2)..];
+            let is_due = self.buffer.len() >= 2 * parsed || has_empty_line(unsearched);
+            searched = self.buffer.len();
+            let head = if is_due {
+                parsed = self.buffer.len();
+                parse_head(&self.buffer)?
+            } else {
+                None
+            };
+            if let Some((status, headers, len)) = head {
                 self.buffer.advance_to(len);
+                (parsed, searched) = (0, 0);
                 if !(100..200).contains(&status) {
                     let framing = find_framing(status, &headers, method)?;
                     return Ok((status, headers, framing));
@@ -282,6 +302,13 @@
     }
 }
 
+/// Tells whether there is an empty line, which ends a head.
+fn has_empty_line(bytes: &[u8]) -> bool {
+    let mut pairs = bytes.windows(2);
+    let mut triples = bytes.windows(3);
+    pairs.any(|w| w == b"\n\n") || triples.any(|w| w == b"\n\r\n")
+}
+
 /// Returns the status, the headers and the length of a head; `None` if it is incomplete.
 fn parse_head(bytes: &[u8]) -> Result<Option<(u16, HeaderMap, usize)>> {
     let mut list = [httparse::EMPTY_HEADER; MAX_HEADERS];
@@ -337,15 +364,48 @@
     /// cut off if the connection was reset.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>> {
         loop {
-            if let Some(piece) = self.take_piece()? {
+            if let Some(piece) = self.take_pieces()? {
                 return Ok((!piece.is_empty()).then_some(piece));
             }
-            if self.connection.read_more().await? == 0 {
-                return match self.framing {
-                    Framing::Connection => Ok(None),
-                    _ => Err(CallError::Lost("connection closed in the body".to_owned())),
-                };
+            if self.turn_bytes >= TURN_BYTES {
+                self.turn_bytes = 0;
+                tokio::task::yield_now().await;
             }
+            match self.connection.read_more().await? {
+                0 => {
+                    return match self.framing {
+                        Framing::Connection => Ok(None),
+                        _ => Err(CallError::Lost("connection closed in the body".to_owned())),
+                    };
+                }
+                count => self.turn_bytes += count,
+            }
+        }
+    }
+
+    /// Returns all of the body that is buffered, empty at the end of the body; `None` if more has to be read
+    /// first. A body may come in very small chunks, each of which would cost as much as a large one.
+    fn take_pieces(&mut self) -> Result<Option<Bytes>> {
+        if let Some(next) = self.next.take() {
+            return next.map(Some);
+        }
+        let Some(first) = self.take_piece()? else {
+            return Ok(None);
+        };
+        if first.is_empty() || self.connection.buffer.is_empty() {
+            return Ok(Some(first));
+        }
+        let mut pieces = BytesMut::from(first);
+        loop {
+            self.next = match self.take_piece() {
+                Ok(Some(piece)) if !piece.is_empty() => {
+                    pieces.extend_from_slice(&piece);
+                    continue;
+                }
+                Ok(end) => end.map(Ok),
+                Err(fault) => Some(Err(fault)),
+            };
+            return Ok(Some(pieces.freeze()));
         }
     }
 
--- a/crates/mustard-net/tests/unframed.rs
+++ b/crates/mustard-net/tests/unframed.rs
@@ -4,8 +4,8 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
-use std::sync::mpsc::{Receiver, channel};
-use std::time::Duration;
+use std::sync::mpsc::{Receiver, TryRecvError, channel};
+use std::time::{Duration, Instant};
 
 use ntex::http::Method;
 use ntex::util::Bytes;
@@ -13,7 +13,7 @@
 
 use mustard_net::CallError;
 use mustard_net::forward::{ForwardedRequest, exchange_unpooled, forward_request};
-use mustard_net::http::{Request, exchange, new_client};
+use mustard_net::http::{Request, exchange, new_client, new_limited_client};
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\n";
 const BODY: &str = "the whole body";
@@ -164,6 +164,167 @@
     }
 }
 
+/// The same for the HTTP client of the other calls: reports, the store, peers, engines.
+#[ntex::test]
+async fn exchange_endless() {
+    let filler = "a".repeat(1_024);
+    let chunked = format!("{HEAD}transfer-encoding: chunked\r\n\r\n");
+    let cases = [
+        (format!("{HEAD}x: "), filler.clone()),
+        (HEAD.to_owned(), "x: a\r\n".to_owned()),
+        (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".to_owned()),
+        (format!("{HEAD}\r\n"), filler.clone()),
+        (chunked.clone(), format!("400\r\n{filler}\r\n")),
+        (chunked.clone(), "8\r\naaaaaaaa\r\n".repeat(100)),
+        (format!("{chunked}1;"), filler.clone()),
+        (chunked.clone(), "0".repeat(1_024)),
+        (format!("{chunked}0\r\n"), "t: a\r\n".to_owned()),
+        (
+            format!("{HEAD}content-length: 99999999999\r\n\r\n"),
+            filler.clone(),
+        ),
+    ];
+    let client = new_limited_client(CONNECT_LIMIT, 1_024 * 1_024).await;
+    for (begin, filler) in cases {
+        let (addr, written) = start_endless_server(begin.clone(), filler);
+        let request = Request {
+            to: addr,
+            method: Method::POST,
+            path: "/",
+            content_type: "application/json",
+            headers: &[],
+            body: Vec::new(),
+            timeout: Duration::from_secs(1),
+        };
+        let answer = exchange(&client, request).await;
+        assert!(answer.is_err(), "{begin}: {answer:?}");
+        // The server's socket buffers take some of it.
+        let until = tokio::time::Instant::now() + Duration::from_secs(5);
+        let written = loop {
+            // The client closes the connection only while this thread isn't blocked.
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            match written.try_recv() {
+                Err(TryRecvError::Empty) if tokio::time::Instant::now() < until => {}
+                result => break result,
+            }
+        };
+        // The extension of a chunk's size isn't kept, and the time limit ends the call.
+        let is_skipped = begin.ends_with("1;");
+        let is_bounded = written.is_ok_and(|w| is_skipped || w < 16 * 1_024 * 1_024);
+        assert!(is_bounded, "{begin}: {written:?} bytes");
+    }
+}
+
+/// Guards against an answer whose head stops in the middle and that is taken for a whole one with an empty or
+/// short body, by either client.
+#[ntex::test]
+async fn exchange_head_cut() {
+    let client = new_client().await;
+    let heads = [
+        "HTTP/1.1 200 OK\r\nx: y\r\ncontent-length: 14\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\nx: y\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nconnection: close\r\nx: y\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+    ];
+    for head in heads {
+        for cut in 0..head.len() {
+            for reset in [false, true] {
+                let start = || start_server(head[..cut].to_owned(), reset, Duration::ZERO);
+                let body = read_body(start()).await;
+                assert!(matches!(body, Err(CallError::Lost(_))), "{cut}: {body:?}");
+                let request = Request {
+                    to: start(),
+                    method: Method::POST,
+                    path: "/",
+                    content_type: "application/json",
+                    headers: &[],
+                    body: Vec::new(),
+                    timeout: Duration::from_secs(2),
+                };
+                let answer = exchange(&client, request).await;
+                assert!(
+                    matches!(answer, Err(CallError::Lost(_))),
+                    "{cut}: {answer:?}"
+                );
+            }
+        }
+    }
+}
+
+/// Chunks and heads are read alike in pieces of each size.
+#[ntex::test]
+async fn forward_request_small_pieces() {
+    let text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n\
+        3\r\nthe\r\n1\r\n \r\n5;x=y\r\nwhole\r\n5\r\n body\r\n0\r\n\r\n";
+    for size in [1, 2, 3, 5, 50, text.len()] {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            stream.set_nodelay(true).unwrap();
+            let _ = stream.read(&mut [0; 4096]).unwrap();
+            for piece in text.as_bytes().chunks(size) {
+                stream.write_all(piece).unwrap();
+                std::thread::sleep(Duration::from_millis(1));
+            }
+        });
+        assert_eq!(read_body(addr).await.unwrap(), BODY, "pieces of {size}");
+    }
+}
+
+/// Guards against a body in very small chunks that costs as much for each of them as for a large one.
+#[ntex::test]
+async fn forward_request_small_chunks() {
+    let chunks = "8\r\naaaaaaaa\r\n".repeat(8_000);
+    let answer = format!("{HEAD}transfer-encoding: chunked\r\n\r\n{chunks}0\r\n\r\n");
+    let addr = start_server(answer, false, Duration::ZERO);
+    let mut response = forward_request(&get(addr), CONNECT_LIMIT).await.unwrap();
+    let (mut pieces, mut bytes) = (0, 0);
+    while let Some(piece) = response.body.next_chunk().await.unwrap() {
+        pieces += 1;
+        bytes += piece.len();
+    }
+    assert_eq!(bytes, 8 * 8_000);
+    assert!(pieces < 800, "{pieces} pieces");
+}
+
+/// Guards against a server that keeps the thread, as it always has more bytes ready.
+#[ntex::test]
+async fn next_chunk_others_run() {
+    let chunked = format!("{HEAD}transfer-encoding: chunked\r\n\r\n");
+    let filler = "8\r\naaaaaaaa\r\n".repeat(10_000);
+    let (addr, _written) = start_endless_server(chunked, filler);
+    let mut response = forward_request(&get(addr), CONNECT_LIMIT).await.unwrap();
+    let reading = async { while let Ok(Some(_)) = response.body.next_chunk().await {} };
+    let others = async {
+        for _ in 0..20 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let begun = Instant::now();
+    tokio::select! {
+        () = reading => panic!("the body ended"),
+        () = others => {}
+    }
+    assert!(
+        begun.elapsed() < Duration::from_secs(2),
+        "{:?}",
+        begun.elapsed()
+    );
+}
+
+/// Guards against bytes of a body that are lost, or returned as whole, if what follows them at once is no body.
+#[ntex::test]
+async fn forward_request_fault_after_chunks() {
+    let answer = format!("{HEAD}transfer-encoding: chunked\r\n\r\n3\r\nthe\r\n1\r\n \r\nx\r\n");
+    let addr = start_server(answer, false, Duration::ZERO);
+    let mut response = forward_request(&get(addr), CONNECT_LIMIT).await.unwrap();
+    let first = response.body.next_chunk().await.unwrap().unwrap();
+    assert_eq!(&first[..], b"the ");
+    let second = response.body.next_chunk().await;
+    assert!(matches!(second, Err(CallError::Lost(_))), "{second:?}");
+}
+
 /// Guards against a head that comes so slowly that it never ends.
 #[ntex::test]
 async fn forward_request_slow_head() {
