Refuse a request whose body ends after a stopping gateway takes no more

One whose body came later than 2.6 s after the stop signal was still passed on to a server, however late in the grace time, and was cut at its end if the server needed longer, also if it may run only once. It now gets 503, not run, once its body is there.

--- a/crates/mustard-gateway/src/forward/mod.rs
+++ b/crates/mustard-gateway/src/forward/mod.rs
@@ -164,6 +164,10 @@
     let body = body.map_err(|_| GatewayResponse::new("slow body", 408).for_request(&params))??;
     let not_run =
         |reason, retry_after| GatewayResponse::not_run(reason, retry_after).for_request(&params);
+    // A body may end long after its head. What is sent on as late as this may be cut at the end of the grace time.
+    if app.gate.is_closed() {
+        return Err(GatewayResponse::not_run("stopping", STOP_RETRY_AFTER).for_request(&params));
+    }
     let config = wait_for_config(app).await;
     let config = config.ok_or_else(|| not_run("no configuration", STARTUP_RETRY_AFTER))?;
     let path = request.uri().path();
--- a/crates/mustard-gateway/tests/gateway/unfinished.rs
+++ b/crates/mustard-gateway/tests/gateway/unfinished.rs
@@ -1,6 +1,6 @@
-//! Answers that begin and don't go on, and callers that don't read.
+//! Answers and requests that begin and don't go on, and callers that don't read.
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
@@ -8,11 +8,13 @@
 use mustard_tests::site_soak::stream_text;
 
 use super::harness::{Caller, wait_until};
-use super::{EVENT_COUNT, start_ready, start_ready_without_stream};
+use super::{EVENT_COUNT, signal, start_ready, start_ready_without_stream};
 
 const BUDGET: Duration = Duration::from_millis(1_500);
 /// How much later than its time limit a request may have its final answer.
 const ANSWER_DELAY: Duration = Duration::from_millis(500);
+/// The time after a stop signal from which on requests are no longer taken.
+const LAST_TAKEN: Duration = Duration::from_secs(3);
 const SERVERS: std::ops::Range<usize> = 0..8;
 
 /// Guards against callers that wait without end, as the head of a failure arrived and its body doesn't follow.
@@ -93,3 +95,34 @@
     assert!(took >= BUDGET - ANSWER_DELAY, "{took:?}");
     drop(connection);
 }
+
+/// Guards against a request that is taken late in the grace time of a planned stop and cut at its end, as its body
+/// came late: it is refused as not run.
+#[ntex::test]
+async fn stop_body_arrives_late() {
+    let (site, mut gateway, _caller) = start_ready(SiteOptions::default()).await;
+    let requests: Vec<TcpStream> = ["book", "draft"]
+        .map(|name| {
+            let mut connection = TcpStream::connect(gateway.caller_addr).unwrap();
+            let head = format!(
+                "POST /{name}/x HTTP/1.1\r\nhost: {HOST}\r\nattempt-id: late-{name}\r\n\
+                 authorization: Bearer {API_KEY}\r\ntime-budget-ms: 20000\r\ntoken-count: 100,80\r\n\
+                 content-length: 8\r\n\r\nhalf"
+            );
+            connection.write_all(head.as_bytes()).unwrap();
+            connection
+        })
+        .into();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    signal(&gateway, "TERM");
+    tokio::time::sleep(LAST_TAKEN).await;
+    for mut connection in requests {
+        connection.write_all(b"rest").unwrap();
+        let mut text = String::new();
+        connection.read_to_string(&mut text).unwrap();
+        assert!(text.starts_with("HTTP/1.1 503 "), "{text}");
+    }
+    let ledger = site.ledger();
+    assert!(!ledger.arrivals.iter().any(|a| a.id.starts_with("late")));
+    assert_eq!(gateway.wait_exit().await, Some(0));
+}
