Name the server that an order or a question for a report is for

The report of any later process counted as that of the server, restarted, and the order for the lost layers named no server, so that the new one carried it out; it had no memory for them.

Orders and questions for reports carry Expect-Instance, and 421 is handled. A report counts for the process whose start it names: the one that was asked, or another row's with the same address. If no row names it, the one that was asked is replaced, and the health check, whose answer names the server, tells whether it is that server, restarted; only then its layers are ordered before its row is read. Strikes take 421 for the end of the process that was meant.

--- a/crates/mustard-gateway/src/fleet/addresses.rs
+++ b/crates/mustard-gateway/src/fleet/addresses.rs
@@ -5,6 +5,8 @@
 
 use std::net::SocketAddr;
 
+use mustard_core::clock::Moment;
+
 use super::{Fleet, ServerKey};
 
 impl Fleet {
@@ -20,6 +22,19 @@
         }
     }
 
+    /// Records that another process than that of a server answers at its address.
+    pub fn record_replaced(&mut self, now: Moment, key: ServerKey) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.is_replaced = true;
+            server.silent_since.get_or_insert(now);
+        }
+    }
+
+    /// Tells whether the rows of several processes name an address.
+    pub(super) fn is_shared(&self, addr: SocketAddr) -> bool {
+        self.addrs.get(&addr).is_some_and(|keys| keys.len() > 1)
+    }
+
     /// Returns the process with an address that started at a given time.
     pub(super) fn started_at(&self, addr: SocketAddr, started_ms: u64) -> Option<ServerKey> {
         let keys = self.addrs.get(&addr)?.iter().copied();
--- a/crates/mustard-gateway/src/fleet/mod.rs
+++ b/crates/mustard-gateway/src/fleet/mod.rs
@@ -194,6 +194,12 @@
                 Some(server) if server.is_process_of(&entry) => {
                     return server.update(now, entry, unconfirmed_until.is_none());
                 }
+                // The row of the process before.
+                Some(server)
+                    if server.is_unlisted && entry.started_ms < server.entry.started_ms =>
+                {
+                    return RowChange::Same;
+                }
                 // What is known of the former process doesn't hold for the one in its place.
                 _ => self.remove_key(now, key),
             }
@@ -326,18 +332,57 @@
         }
     }
 
-    /// Records a report that a server was asked for; it is that of the process that answers at its address.
-    pub fn record_report(&mut self, now: Moment, key: ServerKey, report: Rc<ServerReport>) {
-        let Some(addr) = self.get(key).map(|s| s.entry.addr) else {
-            return;
+    /// Records a report that a server was asked for, and returns the process that made it: another one whose row
+    /// names the same address may have answered. `None` if no row names it, or the server is no longer listed.
+    pub fn record_report(
+        &mut self,
+        now: Moment,
+        key: ServerKey,
+        report: Rc<ServerReport>,
+    ) -> Option<ServerKey> {
+        let asked = self.get(key)?;
+        // A report that doesn't say when its process started can't be told from that of the server.
+        let is_own = [0, asked.entry.started_ms].contains(&report.started_ms);
+        let sender = if is_own {
+            Some(key)
+        } else {
+            self.started_at(asked.entry.addr, report.started_ms)
         };
-        let sender = self.started_at(addr, report.started_ms);
-        if let Some(sender) = sender {
-            self.record_present(sender);
-        }
-        if let Some(server) = self.servers.get_mut(sender.unwrap_or(key)) {
+        let Some(sender) = sender else {
+            self.record_replaced(now, key);
+            return None;
+        };
+        self.record_present(sender);
+        if let Some(server) = self.servers.get_mut(sender) {
             server.apply_report(now, report);
         }
+        Some(sender)
+    }
+
+    /// Records that a server has restarted under its id, as its report and its health check say before its row
+    /// does.
+    pub fn record_restart(
+        &mut self,
+        now: Moment,
+        former: &ServerProcess,
+        report: &Rc<ServerReport>,
+    ) {
+        let Some(server) = self.get(former.key) else {
+            return;
+        };
+        let entry = ServerEntry {
+            started_ms: report.started_ms,
+            state: ServerState::Ready,
+            held: report.held,
+            ..server.entry.clone()
+        };
+        self.upsert(now, entry, None);
+        if let Some(key) = self.key_of(&former.id) {
+            if let Some(server) = self.servers.get_mut(key) {
+                server.is_unlisted = true;
+            }
+            self.record_report(now, key, Rc::clone(report));
+        }
     }
 
     /// Returns the processes of the servers on a path; those that are no longer listed are left out.
@@ -439,9 +484,10 @@
 
     /// Returns the servers that didn't answer the last call and may be called.
     pub fn silent_servers(&self, now: Moment) -> Vec<ServerKey> {
+        let is_gone = |s: &Server| s.is_replaced && self.is_shared(s.entry.addr);
         let silent = self
             .iter()
-            .filter(|(_, s)| s.silent_since.is_some() && !s.is_replaced && !s.is_paused(now));
+            .filter(|(_, s)| s.silent_since.is_some() && !is_gone(s) && !s.is_paused(now));
         silent.map(|(key, _)| key).collect()
     }
 
--- a/crates/mustard-gateway/src/fleet/server.rs
+++ b/crates/mustard-gateway/src/fleet/server.rs
@@ -106,6 +106,8 @@
     pub refused_at: Option<Moment>,
     /// Whether another process is at its address, though its row is still listed.
     pub is_replaced: bool,
+    /// Whether its report was read before any row of this process.
+    pub is_unlisted: bool,
     /// When its row vanished, if that happened while the store was unstable.
     pub missing_since: Option<Moment>,
     /// Until when it isn't used, as it was removed before the store was restored and may be gone.
@@ -149,6 +151,7 @@
             refusals: RefusalWatch::default(),
             refused_at: None,
             is_replaced: false,
+            is_unlisted: false,
             missing_since: None,
             unconfirmed_until: None,
             paused_until: Moment::default(),
@@ -178,6 +181,7 @@
         let leaves = entry.state == ServerState::Leaving && self.entry.state == ServerState::Ready;
         let held_changed = entry.held != self.entry.held;
         self.missing_since = None;
+        self.is_unlisted = false;
         if is_current {
             self.unconfirmed_until = None;
         }
@@ -220,8 +224,7 @@
     pub fn process_state(&self, since: Moment) -> ProcessState {
         let reported = self.last_report.as_ref();
         let reported = reported.filter(|(at, _)| *at >= since);
-        let started_ms = reported.map_or(self.entry.started_ms, |(_, r)| r.started_ms);
-        if started_ms != self.entry.started_ms || self.has_no_listener || self.is_replaced {
+        if self.has_no_listener || self.is_replaced {
             ProcessState::Ended
         } else if reported.is_some() && self.silent_since.is_none() {
             ProcessState::Running
@@ -230,14 +233,8 @@
         }
     }
 
-    /// Applies a report; ignores one from before the server's last restart.
+    /// Applies a report of this process.
     pub fn apply_report(&mut self, now: Moment, report: Rc<ServerReport>) {
-        if report.started_ms != 0
-            && self.entry.started_ms != 0
-            && report.started_ms < self.entry.started_ms
-        {
-            return;
-        }
         self.has_no_listener = false;
         if self.silent_since.take().is_some() {
             self.backoff.clear();
--- a/crates/mustard-gateway/src/moves.rs
+++ b/crates/mustard-gateway/src/moves.rs
@@ -183,6 +183,9 @@
                 return recount_load(&app, key, path);
             }
             cancel_work(&app, &order.id);
+            if matches!(result, Ok((Outcome::Moved, _))) {
+                probe_faulty_server(&app, order.first_server.key);
+            }
             let named = match result {
                 Ok((Outcome::Conflict, Some(addr))) => path.iter().find(|p| p.addr == addr),
                 _ => None,
--- a/crates/mustard-gateway/src/placement.rs
+++ b/crates/mustard-gateway/src/placement.rs
@@ -14,15 +14,15 @@
 use tokio::time::sleep;
 
 use mustard_adapter::orders::{self, Outcome};
-use mustard_adapter::responses;
 use mustard_adapter::servers::decode_report;
+use mustard_adapter::{requests, responses};
 use mustard_core::clock::Moment;
 use mustard_core::collections::Map;
 use mustard_core::deployment::{Config, Engine, ServerReport, Service};
 use mustard_core::ids::{Fence, Layers};
 use mustard_net::CallError;
 use mustard_net::forward::exchange_unpooled;
-use mustard_net::http::{Request, exchange};
+use mustard_net::http::{Answer, Request, exchange};
 use mustard_platform::lease::{HeldLease, Lease, LeaseOptions};
 use mustard_policy::pipeline::{
     CapacityServer, DomainCapacity, LayerAssignment, PlacementServer, PlacementSettings,
@@ -35,6 +35,7 @@
 use crate::limits;
 use crate::log_limit::Topic;
 use crate::metric;
+use crate::server_probe::probe_faulty_server;
 
 /// The interval between two runs of the planner.
 const PLAN_INTERVAL: Duration = Duration::from_millis(300);
@@ -417,7 +418,7 @@
     }
 }
 
-async fn order_layers(app: &App, grant: OrderGrant, order: PlannedOrder) -> Option<Outcome> {
+async fn order_layers(app: &Rc<App>, grant: OrderGrant, order: PlannedOrder) -> Option<Outcome> {
     let report = match fetch_report(app, &order.server, CallKind::Pooled, CALL_TIMEOUT).await {
         Ok(report) => report,
         Err(e) => {
@@ -460,6 +461,9 @@
     let outcome = send_order(app, &order.server, body)
         .await
         .map(|(outcome, _)| outcome);
+    if matches!(outcome, Ok(Outcome::Moved)) {
+        probe_faulty_server(app, order.server.key);
+    }
     if matches!(outcome, Ok(Outcome::Begun | Outcome::Done) | Err(_))
         && let Some(server) = app.fleet.borrow_mut().get_mut(order.server.key)
     {
@@ -484,8 +488,8 @@
     outcome.ok()
 }
 
-/// Sends an order to a server; returns the outcome, and the server that a refusal names as the
-/// cause.
+/// Sends an order to a server, which no other one at its address carries out; returns the outcome, and the server
+/// that a refusal names as the cause.
 ///
 /// # Errors
 ///
@@ -500,7 +504,7 @@
         method: Method::POST,
         path: orders::ORDER_PATH,
         content_type: JSON,
-        headers: &[],
+        headers: &[requests::identity_header(&to.id)],
         body,
         timeout: CALL_TIMEOUT,
     };
@@ -524,7 +528,8 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the server doesn't answer in time or the answer isn't a report.
+/// Returns an error if the server doesn't answer in time or the answer isn't a report. The error is
+/// [`CallError::Status`] with [`orders::MISDIRECTED`] if another process has the server's address.
 pub async fn fetch_report(
     app: &App,
     server: &ServerProcess,
@@ -536,7 +541,7 @@
         method: Method::GET,
         path: orders::REPORT_PATH,
         content_type: JSON,
-        headers: &[],
+        headers: &[requests::identity_header(&server.id)],
         body: Vec::new(),
         timeout,
     };
@@ -553,26 +558,91 @@
         app.fleet.borrow_mut().record_no_listener(server.key);
     }
     let answer = result?;
+    if answer.status == orders::MISDIRECTED {
+        app.fleet
+            .borrow_mut()
+            .record_replaced(app.now(), server.key);
+    }
     if answer.status != 200 {
         return Err(CallError::Status(answer.status));
     }
     let report = decode_report(&answer.body).map_err(|e| CallError::Lost(e.to_string()))?;
     let report = Rc::new(report);
-    // Only requests show the end of a limit, as a report need not name it.
-    if report.started_ms == server.started_ms {
-        if let Some(limit) = responses::request_limit(&answer.headers) {
-            limits::record_answer(app, server.key, Some(limit));
-        }
-        if responses::announces_leaving(&answer.headers) {
-            record_leaving(app, server);
-        }
-    }
-    app.fleet
+    let sender = app
+        .fleet
         .borrow_mut()
         .record_report(app.now(), server.key, Rc::clone(&report));
+    if ![0, server.started_ms].contains(&report.started_ms) {
+        if sender.is_none() {
+            identify_later_process(app, server, &report, timeout).await;
+        }
+        return Err(CallError::Status(orders::MISDIRECTED));
+    }
+    // Only requests show the end of a limit, as a report need not name it.
+    if let Some(limit) = responses::request_limit(&answer.headers) {
+        limits::record_answer(app, server.key, Some(limit));
+    }
+    if responses::announces_leaving(&answer.headers) {
+        record_leaving(app, server);
+    }
     Ok(report)
 }
 
+/// Finds out whether a process that no row names, and that answered at a server's address, is that server,
+/// restarted.
+async fn identify_later_process(
+    app: &App,
+    server: &ServerProcess,
+    report: &Rc<ServerReport>,
+    timeout: Duration,
+) {
+    let path = {
+        let fleet = app.fleet.borrow();
+        let config = app.config();
+        let service = fleet.get(server.key).map(|s| s.entry.service.clone());
+        service.and_then(|name| Some(config?.service(&name)?.health_path.clone()))
+    };
+    let Some(path) = path else {
+        return;
+    };
+    let answer = call_health(app, server.addr, &path, timeout).await;
+    let is_same = answer.is_ok_and(|a| responses::server_id(&a.headers) == Some(&server.id));
+    if let Some(log) = app.log.logger_for(Topic::Server) {
+        info!(log, "servers: Another process answers."; "server" => %server.addr,
+            "process" => %server, "started_ms" => report.started_ms, "same_id" => is_same);
+    }
+    if is_same {
+        let now = app.now();
+        app.fleet.borrow_mut().record_restart(now, server, report);
+        app.changed.notify_waiters();
+    }
+}
+
+/// Calls the health check of the server at an address, whose answer names the server.
+///
+/// # Errors
+///
+/// Returns an error if there is no answer in time.
+pub async fn call_health(
+    app: &App,
+    to: SocketAddr,
+    path: &str,
+    timeout: Duration,
+) -> std::result::Result<Answer, CallError> {
+    let request = Request {
+        to,
+        method: Method::GET,
+        path,
+        content_type: "text/plain",
+        headers: &[],
+        body: Vec::new(),
+        timeout,
+    };
+    let result = exchange(&app.client, request).await;
+    metric::count_probe(if result.is_ok() { "answered" } else { "silent" });
+    result
+}
+
 /// Records that a server's report says that it is leaving.
 fn record_leaving(app: &App, server: &ServerProcess) {
     if app.fleet.borrow_mut().record_leaving(server)
--- a/crates/mustard-gateway/src/strikes.rs
+++ b/crates/mustard-gateway/src/strikes.rs
@@ -8,15 +8,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ntex::http::Method;
 use slog::{info, warn};
 use tokio::time::sleep;
 
-use mustard_adapter::responses;
+use mustard_adapter::{orders, responses};
 use mustard_core::clock::{Clock, Moment};
 use mustard_core::fingerprint::Fingerprint;
 use mustard_net::CallError;
-use mustard_net::http::{Request, exchange};
 use mustard_policy::quarantine::{Standing, Strike};
 use mustard_policy::segments::{Admission, PROOF_WRITTEN, SegmentStrike, TRIAL_TURN};
 
@@ -25,7 +23,7 @@
 use crate::forward::AdmittedRequest;
 use crate::log_limit::Topic;
 use crate::metric;
-use crate::placement::{CallKind, fetch_report};
+use crate::placement::{CallKind, call_health, fetch_report};
 
 /// Time limit for the report of a server that closed a connection early; a live server responds
 /// within a few milliseconds.
@@ -357,8 +355,10 @@
         return ProcessState::Running;
     }
     match fetch_report(app, process, CallKind::Pooled, REPORT_TIMEOUT).await {
-        Ok(report) if report.started_ms == process.started_ms => ProcessState::Running,
-        Ok(_) | Err(CallError::NoListener(_) | CallError::Lost(_)) => ProcessState::Ended,
+        Ok(_) => ProcessState::Running,
+        Err(
+            CallError::NoListener(_) | CallError::Lost(_) | CallError::Status(orders::MISDIRECTED),
+        ) => ProcessState::Ended,
         Err(_) => ProcessState::Unknown,
     }
 }
@@ -369,18 +369,7 @@
     if app.fleet.borrow().is_paused(app.now(), process.key) {
         return ProcessState::Unknown;
     }
-    let request = Request {
-        to: process.addr,
-        method: Method::GET,
-        path,
-        content_type: "text/plain",
-        headers: &[],
-        body: Vec::new(),
-        timeout: HEALTH_TIMEOUT,
-    };
-    let result = exchange(&app.client, request).await;
-    metric::count_probe(if result.is_ok() { "answered" } else { "silent" });
-    match result {
+    match call_health(app, process.addr, path, HEALTH_TIMEOUT).await {
         Ok(answer) => match responses::server_id(&answer.headers) {
             Some(id) if id != process.id => ProcessState::Ended,
             _ => ProcessState::Running,
--- a/crates/mustard-gateway/tests/fleet.rs
+++ b/crates/mustard-gateway/tests/fleet.rs
@@ -452,10 +452,13 @@
 #[test]
 fn record_report_earlier_start() {
     let now = Moment::from_millis(10_000);
-    let presumed = row(0, Some(Layers::new(0, 40)));
+    let presumed = ServerEntry {
+        started_ms: 5,
+        ..row(0, Some(Layers::new(0, 40)))
+    };
     let actual = ServerEntry {
         id: "actual".to_owned(),
-        started_ms: 0,
+        started_ms: 2,
         ..row(0, Some(Layers::new(40, LAYERS)))
     };
     let mut fleet = Fleet::default();
@@ -468,7 +471,7 @@
     let (presumed, actual) = (fleet.key_of("server-0"), fleet.key_of("actual"));
     assert_eq!(used(&fleet), [presumed.unwrap()]);
     let report = ServerReport {
-        started_ms: 0,
+        started_ms: 2,
         held: Some(held(Layers::new(40, LAYERS))),
         ..(*unloading_report()).clone()
     };
@@ -479,3 +482,55 @@
     fleet.remove(now, "actual", false);
     assert_eq!(used(&fleet), [presumed.unwrap()]);
 }
+
+/// Guards against the report of a process that no row names being taken for that of the server that was asked. Its
+/// health check may show that it is that server, restarted; the row of the process before changes nothing then.
+#[test]
+fn record_report_unknown_process() {
+    let now = Moment::from_millis(10_000);
+    let layers = Layers::new(0, LAYERS);
+    let mut fleet = Fleet::default();
+    fleet.upsert(now, row(0, Some(layers)), None);
+    let former = fleet.process(fleet.key_of("server-0").unwrap()).unwrap();
+    let report = Rc::new(ServerReport {
+        started_ms: 2,
+        ..(*unloading_report()).clone()
+    });
+    assert!(
+        fleet
+            .record_report(now, former.key, Rc::clone(&report))
+            .is_none()
+    );
+    assert!(holders(&fleet, now, ServerFilter::LastResort).is_empty());
+    let planned = fleet.placement_servers(SERVICE, &engine(), now);
+    assert!(
+        planned
+            .iter()
+            .all(|(_, s)| !s.accepts_orders && !s.is_staying)
+    );
+    assert_eq!(fleet.get(former.key).unwrap().layers(), Some(held(layers)));
+    assert_eq!(
+        fleet.silent_servers(now),
+        [former.key],
+        "it may answer again"
+    );
+
+    fleet.record_restart(now, &former, &report);
+    assert!(fleet.get(former.key).is_none());
+    fleet.upsert(now, row(0, Some(layers)), None);
+    let key = fleet.key_of("server-0").unwrap();
+    assert_eq!(fleet.get(key).unwrap().entry.started_ms, 2);
+    let planned = fleet.placement_servers(SERVICE, &engine(), now);
+    assert!(
+        planned
+            .iter()
+            .all(|(_, s)| s.accepts_orders && s.is_staying)
+    );
+    let own_row = ServerEntry {
+        started_ms: 2,
+        ..row(0, Some(layers))
+    };
+    fleet.upsert(now, own_row, None);
+    assert_eq!(fleet.key_of("server-0"), Some(key));
+    assert_eq!(holders(&fleet, now, ServerFilter::Listed), [addr(0)]);
+}
--- a/crates/mustard-gateway/tests/gateway/reused_addresses.rs
+++ b/crates/mustard-gateway/tests/gateway/reused_addresses.rs
@@ -1,11 +1,15 @@
 //! Servers at the addresses of others that are gone while the rows of both are listed.
 
-use mustard_fakes::site::{DESK, LAYERS, MODELS, Site, SiteOptions};
+use std::time::{Duration, Instant};
+
+use mustard_fakes::site::{DESK, LAYERS, MODELS, Site, SiteOptions, StoreMode};
 use mustard_tests::site_soak::stream_text;
 
 use super::harness::{Caller, Gateway, wait_until};
 use super::{EVENT_COUNT, PROPAGATION_LIMIT, start_ready, start_site, wait_for_paths};
 
+/// The time within which restarted servers have layers again.
+const RELOAD_LIMIT: Duration = Duration::from_secs(12);
 const MODEL_SERVERS: std::ops::Range<usize> = 0..6;
 const PLAIN_SERVERS: std::ops::Range<usize> = 6..8;
 
@@ -125,3 +129,45 @@
     wait_for_paths(&options, &site, &gateway, &caller).await;
     assert_streams_served(&gateway, &caller, "after").await;
 }
+
+/// Guards against orders for a lost server that a server of another pool at its address carries out, which may not have
+/// the memory; before the row of the new server is listed, and after.
+#[ntex::test]
+async fn order_address_of_other_pool() {
+    for is_listed in [false, true] {
+        let (site, gateway, caller) = start_ready(SiteOptions::default()).await;
+        let lost = holders(&site, true);
+        let new: Vec<usize> = lost[1..]
+            .iter()
+            .map(|lost| site.reuse_address(*lost, &format!("i-new-{lost}"), "others", true))
+            .collect();
+        for server in new.iter().filter(|_| !is_listed) {
+            site.delete_row(*server);
+        }
+        assert_streams_served(&gateway, &caller, "pool").await;
+        tokio::time::sleep(PROPAGATION_LIMIT).await;
+        let placements = site.ledger().placements;
+        let foreign = placements.iter().filter(|p| new.contains(&p.0));
+        assert_eq!(foreign.count(), 0, "listed: {is_listed}, {placements:?}");
+        assert!(new.iter().all(|server| run_ids(&site, *server).is_empty()));
+    }
+}
+
+/// Guards against a server that restarts under its id and gets no layers, as its row isn't read while the store is
+/// silent.
+#[ntex::test]
+async fn order_restarted_store_silent() {
+    let (site, gateway, caller) = start_ready(SiteOptions::default()).await;
+    site.set_store_fault(StoreMode::Silent);
+    for server in holders(&site, true) {
+        site.restart(server);
+    }
+    let until = Instant::now() + RELOAD_LIMIT;
+    let mut served = false;
+    while !served {
+        assert!(Instant::now() < until, "streams aren't served again");
+        let answer = caller.request(&gateway, "/draft/x", "reload").await;
+        served = answer.is_some_and(|a| a.status == 200 && a.complete);
+    }
+    assert_streams_served(&gateway, &caller, "reloaded").await;
+}
