Refuse a request whose body ends after a stopping entry takes no more

A planned stop, on the entry path: as at the gateway, a request counted as taken when its head arrived, so that a body that came after the gate had closed still began a draft or a call, which the end of the grace time cut. The entry now asks its gate again once the body is there; callers get 503, draining.

terminate_entry_body_arrives_late is red on the entry before (200) and green now.

--- a/crates/mustard-entry/src/api/access.rs
+++ b/crates/mustard-entry/src/api/access.rs
@@ -57,6 +57,10 @@
     // The body is read before any further refusal; unread bytes would be taken for the connection's
     // next request.
     let body = body::read(payload, limits.body_bytes, time_limit).await?;
+    // A body may end long after its head. What begins as late as this may be cut at the end of the grace time.
+    if shared.gate.is_closed() {
+        return Err(ApiError::Draining);
+    }
     let bearer_key = bearer_key?;
     Ok(ReceivedRequest {
         arrived,
--- a/crates/mustard-tests/tests/drain.rs
+++ b/crates/mustard-tests/tests/drain.rs
@@ -1,12 +1,14 @@
 //! A planned stop interrupts no request, and a draining server gets no new work.
 #![allow(clippy::unwrap_used)]
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
 use mustard_tests::caller::{Draft, expected_text};
-use mustard_tests::plan::{MODEL, SERVICE};
+use mustard_tests::plan::{CUSTOMER_KEY, MODEL, SERVICE};
 use mustard_tests::{Caller, Cluster, Plan, Result, wait_for};
 use serde_json::json;
 
@@ -124,3 +126,45 @@
     assert_eq!(cluster.entries[0].wait().unwrap(), Some(0));
     assert_correct(&[6], &cluster.caller(1).stream(MODEL, &[6], TOKENS));
 }
+
+/// Guards against requests that an entry takes late in its grace time, as their bodies come late, and that are cut at
+/// its end: they are refused as not run.
+#[test]
+fn terminate_entry_body_arrives_late() {
+    let mut cluster = start_cluster();
+    let draft = json!({"model": MODEL, "prompt": [5], "max_tokens": 4}).to_string();
+    let requests = [
+        ("/v1/completions".to_owned(), draft),
+        (format!("/v1/services/{SERVICE}/9"), "{}".to_owned()),
+    ];
+    let sent: Vec<(TcpStream, String)> = requests
+        .into_iter()
+        .map(|(path, body)| {
+            let mut connection = TcpStream::connect(cluster.entries[0].addr()).unwrap();
+            let head = format!(
+                "POST {path} HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {CUSTOMER_KEY}\r\n\
+                 content-type: application/json\r\nidempotency-key: late\r\n\
+                 x-deadline-ms: 20000\r\ncontent-length: {}\r\n\r\n",
+                body.len()
+            );
+            connection.write_all(head.as_bytes()).unwrap();
+            let (first, rest) = body.split_at(1);
+            connection.write_all(first.as_bytes()).unwrap();
+            (connection, rest.to_owned())
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(300));
+    cluster.entries[0].terminate().unwrap();
+    // The gate closes 1 s after the signal.
+    thread::sleep(Duration::from_secs(2));
+    for (mut connection, rest) in sent {
+        connection.write_all(rest.as_bytes()).unwrap();
+        connection
+            .set_read_timeout(Some(Duration::from_secs(20)))
+            .unwrap();
+        let mut answer = [0; 12];
+        connection.read_exact(&mut answer).unwrap();
+        assert_eq!(String::from_utf8_lossy(&answer), "HTTP/1.1 503");
+    }
+    assert_eq!(cluster.entries[0].wait().unwrap(), Some(0));
+}
