Test crowds of clients that don't behave before gateway, entry and agent

Crowds hold connections with bodies just short of their end, whole or in pieces, chunked in large and small chunks, over the limit, with endless chunk extensions and trailers, pipelined, with refusals known at the head, and up to the limit of descriptors. The tests check that the process lives, its peak memory (/proc), its descriptors, and that an ordinary request is answered beside the crowd and after it; no times. One crowd runs at a time.

--- a/crates/mustard-fakes/src/site/mod.rs
+++ b/crates/mustard-fakes/src/site/mod.rs
@@ -61,6 +61,8 @@
     pub stream_limit: usize,
     /// The bandwidth between the failure domains, in megabits per second.
     pub pipe_mbps: f64,
+    /// The largest body that callers may send, in bytes.
+    pub body_limit: usize,
 }
 
 impl Default for SiteOptions {
@@ -75,6 +77,7 @@
             load_time: Duration::from_millis(50),
             stream_limit: usize::MAX,
             pipe_mbps: 1_000.0,
+            body_limit: 65_536,
         }
     }
 }
@@ -677,7 +680,7 @@
                         "pace": 1.0, "read_factor": 1.0}]}},
                 {"name": "desk", "health_path": "/health", "max_conns": 100},
             ],
-            "limits": {"max_header_bytes": 16_384, "max_body_bytes": 65_536,
+            "limits": {"max_header_bytes": 16_384, "max_body_bytes": state.options.body_limit,
                 "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000},
             "tenants": [{"name": CUSTOMER, "api_keys": keys}],
         })
--- /dev/null
+++ b/crates/mustard-tests/tests/client_crowds/gateway.rs
@@ -0,0 +1,391 @@
+//! Crowds before a gateway.
+
+use std::fs::File;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::process::{Child, Command, Stdio};
+use std::sync::MutexGuard;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use rustix::process::{Pid, Resource, Rlimit, prlimit};
+use serde_json::json;
+
+use mustard_fakes::site::{API_KEY, HOST, Site, SiteOptions};
+use mustard_tests::child::find_program;
+use mustard_tests::http::HttpRequest;
+use mustard_tests::ports::free_port;
+use mustard_tests::wait_for;
+
+use super::crowd::{Body, Crowd, Sent, lock_crowds, open_descriptors, peak_memory};
+
+const MEMORY_MB: u64 = 64;
+const DESCRIPTORS: u64 = 1_000;
+const BODY_LIMIT: usize = 1024 * 1024;
+const CLIENTS: usize = 120;
+
+/// A gateway with little memory, the only one of its site; dropping this kills the process.
+struct Gateway {
+    child: Child,
+    callers: SocketAddr,
+    ready: SocketAddr,
+    peers: SocketAddr,
+    metrics: SocketAddr,
+    descriptors: u64,
+    next_id: AtomicUsize,
+    dir: std::path::PathBuf,
+    _lock: MutexGuard<'static, ()>,
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if std::thread::panicking() {
+            eprintln!(
+                "the log of the failed test is kept in {}",
+                self.dir.display()
+            );
+        } else {
+            let _ = std::fs::remove_dir_all(&self.dir);
+        }
+    }
+}
+
+impl Gateway {
+    fn start() -> Self {
+        Gateway::start_with(DESCRIPTORS)
+    }
+
+    fn start_with(descriptors: u64) -> Self {
+        let lock = lock_crowds();
+        let site = Site::start(SiteOptions {
+            body_limit: BODY_LIMIT,
+            ..SiteOptions::default()
+        })
+        .unwrap();
+        site.write_config(1, &[API_KEY]);
+        let ip = Ipv4Addr::LOCALHOST;
+        let ports = [0; 4].map(|_| free_port().unwrap());
+        let mut settings = site.settings(ip, [ports[0], ports[1], ports[2]], &[]);
+        settings["limits"] = json!({"memory_mb": MEMORY_MB, "max_fds": descriptors});
+        let name = format!("mustard-crowd-{}-{}", std::process::id(), ports[0]);
+        let dir = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&dir).unwrap();
+        let file = dir.join("settings.json");
+        std::fs::write(&file, settings.to_string()).unwrap();
+        let log = File::create(dir.join("log")).unwrap();
+        let child = Command::new(find_program("mustard-gateway").unwrap())
+            .args(["--metrics-port", &ports[3].to_string()])
+            .env("MUSTARDFIELD_BOOT", &file)
+            .stdout(Stdio::from(log.try_clone().unwrap()))
+            .stderr(Stdio::from(log))
+            .spawn()
+            .unwrap();
+        let limit = Rlimit {
+            current: Some(descriptors),
+            maximum: Some(descriptors),
+        };
+        prlimit(Some(Pid::from_child(&child)), Resource::Nofile, limit).unwrap();
+        let at = |port| SocketAddr::from((ip, port));
+        let mut gateway = Gateway {
+            child,
+            callers: at(ports[0]),
+            ready: at(ports[1]),
+            peers: at(ports[2]),
+            metrics: at(ports[3]),
+            descriptors,
+            next_id: AtomicUsize::new(0),
+            dir,
+            _lock: lock,
+        };
+        gateway.assert_serves();
+        gateway
+    }
+
+    /// Sends an ordinary request until it is answered with success; it may be refused before.
+    fn assert_serves(&mut self) {
+        let answered = || {
+            let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+            let answer = HttpRequest::post(self.callers, "/book/x", "{}")
+                .bearer(API_KEY)
+                .header("host", HOST)
+                .header("attempt-id", format!("ordinary-{id}"))
+                .header("time-budget-ms", "2000")
+                .send();
+            (answer.ok()?.status == 200).then_some(())
+        };
+        wait_for("an ordinary request is answered", answered).unwrap();
+        let is_ready = || {
+            let answer = HttpRequest::get(self.ready, "/v1/ready").send();
+            (answer.ok()?.status == 200).then_some(())
+        };
+        wait_for("the readiness check is answered", is_ready).unwrap();
+    }
+
+    /// Checks that the process lives and holds no more than its machine has.
+    fn assert_bounded(&mut self) {
+        assert!(
+            self.child.try_wait().unwrap().is_none(),
+            "the process ended"
+        );
+        let peak = peak_memory(self.child.id());
+        let open = open_descriptors(self.child.id());
+        println!("peak memory {peak} bytes, {open} descriptors");
+        assert!(peak <= MEMORY_MB * 1_000_000, "peak memory {peak} bytes");
+        assert!(open as u64 <= self.descriptors, "{open} descriptors");
+    }
+
+    fn assert_withstands(&mut self, to: SocketAddr, count: usize, request: &Sent) {
+        let crowd = Crowd::send(to, count, request);
+        self.assert_serves();
+        self.assert_bounded();
+        drop(crowd);
+        self.assert_serves();
+        self.assert_bounded();
+    }
+}
+
+fn booking(body: Body) -> Sent {
+    Sent::new(
+        &format!(
+            "POST /book/x HTTP/1.1\r\nhost: {HOST}\r\nattempt-id: {{id}}\r\n\
+             authorization: Bearer {API_KEY}\r\ntime-budget-ms: 60000\r\n"
+        ),
+        body,
+    )
+}
+
+fn withstand(request: &Sent) {
+    let mut gateway = Gateway::start();
+    gateway.assert_withstands(gateway.callers, CLIENTS, request);
+}
+
+#[test]
+fn gateway_bodies_just_short() {
+    withstand(&booking(Body::just_short(BODY_LIMIT)));
+}
+
+#[test]
+fn gateway_bodies_in_pieces() {
+    withstand(&booking(Body::in_pieces(BODY_LIMIT, 1_000)));
+}
+
+#[test]
+fn gateway_bodies_whole() {
+    withstand(&booking(Body::Length {
+        announced: BODY_LIMIT as u64,
+        sent: BODY_LIMIT,
+        piece: BODY_LIMIT,
+    }));
+}
+
+#[test]
+fn gateway_chunks_large() {
+    withstand(&booking(Body::Chunks {
+        chunk: 65_536,
+        sent: BODY_LIMIT - 65_536,
+    }));
+}
+
+#[test]
+fn gateway_chunks_small() {
+    withstand(&booking(Body::Chunks {
+        chunk: 64,
+        sent: BODY_LIMIT - 64,
+    }));
+}
+
+#[test]
+fn gateway_chunks_single_bytes() {
+    withstand(&booking(Body::Chunks {
+        chunk: 1,
+        sent: BODY_LIMIT / 8,
+    }));
+}
+
+#[test]
+fn gateway_announced_over_limit() {
+    withstand(&booking(Body::Length {
+        announced: 100_000_000_000,
+        sent: 8 * BODY_LIMIT,
+        piece: 65_536,
+    }));
+}
+
+#[test]
+fn gateway_chunks_over_limit() {
+    withstand(&booking(Body::Chunks {
+        chunk: 65_536,
+        sent: 8 * BODY_LIMIT,
+    }));
+}
+
+#[test]
+fn gateway_extension_without_end() {
+    withstand(&booking(Body::Extension {
+        sent: 4 * BODY_LIMIT,
+    }));
+}
+
+#[test]
+fn gateway_trailers_without_end() {
+    withstand(&booking(Body::Trailers {
+        sent: 4 * BODY_LIMIT,
+    }));
+}
+
+#[test]
+fn gateway_pipelined_bodies() {
+    let mut request = booking(Body::just_short(BODY_LIMIT));
+    request.pipelined = (4, BODY_LIMIT);
+    withstand(&request);
+}
+
+#[test]
+fn gateway_bodies_without_key() {
+    let mut request = booking(Body::just_short(BODY_LIMIT));
+    request.head = request.head.replace(API_KEY, "unknown");
+    withstand(&request);
+}
+
+#[test]
+fn gateway_bodies_without_route() {
+    let mut request = booking(Body::just_short(BODY_LIMIT));
+    request.head = request.head.replace("/book/", "/nowhere/");
+    withstand(&request);
+}
+
+#[test]
+fn gateway_bodies_without_id() {
+    let mut request = booking(Body::just_short(BODY_LIMIT));
+    request.head = request.head.replace("attempt-id", "other-id");
+    withstand(&request);
+}
+
+#[test]
+fn gateway_bodies_of_reads() {
+    let mut request = booking(Body::just_short(BODY_LIMIT));
+    request.head = request.head.replace("POST /book/", "GET /status/");
+    withstand(&request);
+}
+
+#[test]
+fn gateway_peer_bodies() {
+    let mut gateway = Gateway::start();
+    for path in ["/peer/exchange", "/peer/strikes", "/"] {
+        let head = format!("POST {path} HTTP/1.1\r\nhost: x\r\n");
+        let request = Sent::new(&head, Body::just_short(BODY_LIMIT));
+        gateway.assert_withstands(gateway.peers, CLIENTS, &request);
+    }
+}
+
+#[test]
+fn gateway_bodies_at_each_listener() {
+    let mut gateway = Gateway::start();
+    for to in [gateway.ready, gateway.peers, gateway.metrics] {
+        for body in [
+            Body::just_short(BODY_LIMIT),
+            Body::Extension {
+                sent: 2 * BODY_LIMIT,
+            },
+        ] {
+            let head = "POST /v1/ready HTTP/1.1\r\nhost: x\r\n";
+            gateway.assert_withstands(to, CLIENTS, &Sent::new(head, body));
+        }
+    }
+}
+
+/// The number of descriptors of a gateway before a crowd of connections; 200 of them aren't for sockets.
+const FEW_DESCRIPTORS: u64 = 400;
+/// The part of them that clients may take; the rest is for connections of the gateway's own.
+const CLIENT_SHARE: f64 = 0.75;
+
+fn withstand_connections(bytes: &[u8]) {
+    let mut gateway = Gateway::start_with(FEW_DESCRIPTORS);
+    let listeners = [
+        gateway.callers,
+        gateway.peers,
+        gateway.metrics,
+        gateway.ready,
+    ];
+    for to in listeners {
+        let crowd = Crowd::connect(to, 2 * FEW_DESCRIPTORS as usize, bytes);
+        let open = open_descriptors(gateway.child.id());
+        println!("{open} descriptors beside the crowd");
+        let most = CLIENT_SHARE * FEW_DESCRIPTORS as f64;
+        assert!(open as f64 <= most, "{open} descriptors");
+        gateway.assert_serves();
+        gateway.assert_bounded();
+        drop(crowd);
+        gateway.assert_serves();
+    }
+}
+
+#[test]
+fn gateway_connections_silent() {
+    withstand_connections(b"");
+}
+
+#[test]
+fn gateway_connections_half_heads() {
+    let head = format!("POST /book/x HTTP/1.1\r\nhost: {HOST}\r\nx-fill: ");
+    let mut bytes = head.into_bytes();
+    bytes.resize(15_000, b'x');
+    withstand_connections(&bytes);
+}
+
+#[test]
+fn gateway_connections_half_bodies() {
+    let head = booking(Body::just_short(BODY_LIMIT)).head;
+    let bytes = format!("{head}content-length: 100\r\n\r\nhalf");
+    withstand_connections(bytes.as_bytes());
+}
+
+/// A body of the full size is served if no one else asks for anything.
+#[test]
+fn gateway_single_full_body() {
+    let mut gateway = Gateway::start();
+    let framings = [
+        ("content-length", BODY_LIMIT),
+        ("chunked", 65_536),
+        ("chunked", 100),
+        ("chunked", 1),
+    ];
+    for (n, (framing, chunk)) in framings.into_iter().enumerate() {
+        let head = booking(Body::just_short(BODY_LIMIT)).head;
+        let head = head.replace("{id}", &format!("full-{n}"));
+        let mut bytes = match framing {
+            "chunked" => format!("{head}transfer-encoding: chunked\r\n\r\n"),
+            _ => format!("{head}content-length: {BODY_LIMIT}\r\n\r\n"),
+        }
+        .into_bytes();
+        let body = vec![b'x'; BODY_LIMIT];
+        if framing == "chunked" {
+            for part in body.chunks(chunk) {
+                bytes.extend_from_slice(format!("{:x}\r\n", part.len()).as_bytes());
+                bytes.extend_from_slice(part);
+                bytes.extend_from_slice(b"\r\n");
+            }
+            bytes.extend_from_slice(b"0\r\n\r\n");
+        } else {
+            bytes.extend_from_slice(&body);
+        }
+        let answer = send_whole(gateway.callers, &bytes);
+        assert!(
+            answer.starts_with("HTTP/1.1 200"),
+            "{framing} {chunk}: {answer}"
+        );
+    }
+    gateway.assert_bounded();
+}
+
+/// Sends bytes and returns the beginning of the answer.
+fn send_whole(to: SocketAddr, bytes: &[u8]) -> String {
+    use std::io::{Read, Write};
+    let mut stream = std::net::TcpStream::connect(to).unwrap();
+    let limit = mustard_tests::wait::WAIT_LIMIT;
+    stream.set_read_timeout(Some(limit)).unwrap();
+    stream.write_all(bytes).unwrap();
+    let mut buffer = [0; 256];
+    let count = stream.read(&mut buffer).unwrap();
+    String::from_utf8_lossy(&buffer[..count]).into_owned()
+}
