Hold bodies of callers and peers within one budget at the gateway

Callers saw a gateway that its machine ended: it ran out of memory as many clients sent large bodies of legal size and stopped just short of their end. Each request had a limit, their sum had none, and settings' memory was read and unused.

A budget for the worker thread, a quarter of the process's memory by default, now counts all bodies, from their first byte until the request has ended, and what connections hold before it is decoded. It lies below the HTTP decoder, as a layer of each connection, so that every listener has it. If it is exhausted, the body that has stalled longest (1 s without a byte, or below 16 KiB/s) is answered with 408 and gives up its room; if none has, the request that asks is refused with 503 and when to come back. A quarter is only for bodies up to 64 KiB. A request that the head tells can't be served (too large, no id, no route, unknown key, stopping) is answered at once; what follows is discarded, up to 2 s and 16 MB. The receive buffer of a connection is limited to 64 KiB.

--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -18,6 +18,7 @@
 use mustard_core::deployment::{Config, Engine, ServerKey};
 use mustard_core::fingerprint::Fingerprint;
 use mustard_core::ids::{Era, Incarnation};
+use mustard_net::client_budget::{ClientBudget, ClientLimits};
 use mustard_net::http::{MAX_ANSWER_BYTES, new_client, new_limited_client};
 use mustard_net::shutdown::RequestGate;
 use mustard_policy::hedge;
@@ -170,6 +171,8 @@
     pub quarantined: Notify,
     /// The peers, which are the other gateways.
     pub peers: RefCell<Peers>,
+    /// What is held for clients, and how much that may be.
+    pub clients: Rc<ClientBudget>,
     /// Counts the requests in flight and refuses new ones at a stop.
     pub gate: Arc<RequestGate>,
     /// Whether a stop signal has arrived.
@@ -203,6 +206,7 @@
         gate: Arc<RequestGate>,
         stop: Arc<StopFlag>,
         hedge: hedge::Settings,
+        limits: ClientLimits,
     ) -> Rc<Self> {
         let clock = SystemClock::default();
         let started_at = clock.now();
@@ -213,6 +217,7 @@
             client: new_limited_client(CONNECT_TIMEOUT, MAX_REPORT_BYTES).await,
             peer_client: new_limited_client(CONNECT_TIMEOUT, MAX_ANSWER_BYTES).await,
             store,
+            clients: ClientBudget::new(limits, log.clone()),
             log: LimitedLog::new(log, clock.clone()),
             started_at,
             clock,
--- a/crates/mustard-gateway/src/forward/mod.rs
+++ b/crates/mustard-gateway/src/forward/mod.rs
@@ -16,12 +16,12 @@
 pub use response::GatewayResponse;
 pub use waiting::{RequestPriority, WaitingQueues};
 
-use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
 
+use ntex::http::header::CONTENT_LENGTH;
 use ntex::http::{HeaderMap, Method, Payload, Request, Response};
-use ntex::util::{Bytes, BytesMut};
+use ntex::util::Bytes;
 use rand::Rng;
 use slog::info;
 use tokio::time::{Instant, timeout, timeout_at};
@@ -30,6 +30,8 @@
 use mustard_core::clock::Moment;
 use mustard_core::deployment::{Config, PathPart, Route, RouteKind, ServerKey, Service};
 use mustard_core::fingerprint::Fingerprint;
+use mustard_net::client_body::{BodyError, ClientBody, discard_rest, read_body};
+use mustard_net::client_budget::BodyGuard;
 use mustard_net::shutdown::RequestGuard;
 use mustard_policy::pipeline::RequestDemand;
 
@@ -50,6 +52,8 @@
 const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Retry delay for callers while the configuration isn't confirmed.
 const UNCONFIRMED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Retry delay for callers whose request finds no room.
+const ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Retry delay for callers of a gateway that is stopping; short, as they retry at another one.
 const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -68,6 +72,8 @@
     pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
+    /// Counts the body as held until dropped.
+    pub body_guard: BodyGuard,
     /// The route that matched host and path.
     pub route: Route,
     /// The service chosen by the weights of the route's services.
@@ -149,19 +155,16 @@
     payload: Payload,
     arrived: Moment,
 ) -> Result<AdmittedRequest, GatewayResponse> {
-    let guard = app
-        .gate
-        .admit()
-        .ok_or_else(|| GatewayResponse::not_run("stopping", STOP_RETRY_AFTER))?;
     let headers = request.headers();
-    let params = requests::decode(headers);
-    // The body is read before any refusal that follows: closing a connection with unread bytes
-    // resets it, and the caller never sees the response.
-    let limit = app.config().map_or(DEFAULT_BODY_BYTES, |c| c.body_limit);
-    let budget = params.as_ref().ok().and_then(|a| a.budget);
-    let body = timeout(budget.unwrap_or(BODY_TIMEOUT), read_body(payload, limit)).await;
-    let params = params.map_err(|_| GatewayResponse::new("no id", 400))?;
-    let body = body.map_err(|_| GatewayResponse::new("slow body", 408).for_request(&params))??;
+    let (guard, params) = match check_head(app, request) {
+        Ok(checked) => checked,
+        Err(response) => {
+            discard_rest(payload);
+            return Err(response);
+        }
+    };
+    let body = receive_body(app, payload, &params).await;
+    let body = body.map_err(|r| r.for_request(&params))?;
     let not_run =
         |reason, retry_after| GatewayResponse::not_run(reason, retry_after).for_request(&params);
     // A body may end long after its head. What is sent on as late as this may be cut at the end of the grace time.
@@ -171,15 +174,12 @@
     let config = wait_for_config(app).await;
     let config = config.ok_or_else(|| not_run("no configuration", STARTUP_RETRY_AFTER))?;
     let path = request.uri().path();
-    let Some(route) = config.route(&params.host, path) else {
-        return Err(refuse_by_config(app, "no route", 404).for_request(&params));
-    };
-    let customer = authorize(app, &config, route, &params)?;
+    let (route, customer) = authorize(app, &config, path, &params)?;
     let service = choose_service(app, &config, route);
     let service = service.ok_or_else(|| not_run("no service", STARTUP_RETRY_AFTER))?;
     let own_priority = params.key.and_then(|k| config.customer(k)?.priority);
     let priority = RequestPriority::of(&config, route, &service.name, own_priority);
-    let fingerprint = compute_fingerprint(&params, path, &body);
+    let fingerprint = compute_fingerprint(&params, path, &body.bytes);
     let (content, segments) = match params.prompt {
         Some(prompt) => {
             let content = [fingerprint.0.to_le_bytes(), prompt.0.to_le_bytes()];
@@ -206,7 +206,8 @@
             .map_or(path, |p| p.as_str())
             .to_owned(),
         headers: headers.clone(),
-        body,
+        body: body.bytes,
+        body_guard: body.guard,
         service: service.clone(),
         customer,
         priority,
@@ -220,6 +221,37 @@
     })
 }
 
+/// Refuses a request whose head already tells that it can't be served. Returns its parameters and the guard that
+/// counts it as running.
+fn check_head(
+    app: &App,
+    request: &Request,
+) -> Result<(RequestGuard, RequestParams), GatewayResponse> {
+    let guard = app.gate.admit();
+    let guard = guard.ok_or_else(|| GatewayResponse::not_run("stopping", STOP_RETRY_AFTER))?;
+    let headers = request.headers();
+    let params = requests::decode(headers).map_err(|_| GatewayResponse::new("no id", 400))?;
+    let announced = headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok());
+    let announced = announced.and_then(|v| v.trim().parse::<u64>().ok());
+    if announced.is_some_and(|size| size > body_limit(app) as u64) {
+        return Err(large_body().for_request(&params));
+    }
+    // An older configuration may lack a route or a key, so the refusal waits until the body has arrived.
+    if let Some(config) = app.config().filter(|_| app.is_config_confirmed()) {
+        authorize(app, &config, request.uri().path(), &params)?;
+    }
+    Ok((guard, params))
+}
+
+/// Returns the size of the largest body, in bytes.
+fn body_limit(app: &App) -> usize {
+    app.config().map_or(DEFAULT_BODY_BYTES, |c| c.body_limit)
+}
+
+fn large_body() -> GatewayResponse {
+    GatewayResponse::new("large body", 413)
+}
+
 /// Waits until the configuration and the list of servers are known, at most [`STARTUP_WAIT`];
 /// returns the configuration if there is one.
 ///
@@ -238,21 +270,24 @@
     }
 }
 
-/// Returns the customer's name; `None` if the route is public and the key unknown, or if the
-/// configuration names no customers.
-fn authorize(
+/// Returns the route of a path and the customer's name; `None` if the route is public and the key unknown, or
+/// if the configuration names no customers.
+fn authorize<'a>(
     app: &App,
-    config: &Config,
-    route: &Route,
+    config: &'a Config,
+    path: &str,
     params: &RequestParams,
-) -> Result<Option<String>, GatewayResponse> {
+) -> Result<(&'a Route, Option<String>), GatewayResponse> {
+    let Some(route) = config.route(&params.host, path) else {
+        return Err(refuse_by_config(app, "no route", 404).for_request(params));
+    };
     if !config.has_customers() {
-        return Ok(None);
+        return Ok((route, None));
     }
     let customer = params.key.and_then(|k| config.customer(k));
     match customer {
-        Some(c) => Ok(Some(c.name.clone())),
-        None if route.public => Ok(None),
+        Some(c) => Ok((route, Some(c.name.clone()))),
+        None if route.public => Ok((route, None)),
         None => Err(refuse_by_config(app, "unknown key", 401).for_request(params)),
     }
 }
@@ -286,16 +321,29 @@
     config.service(&route.services.last()?.service)
 }
 
-async fn read_body(mut payload: Payload, limit: usize) -> Result<Bytes, GatewayResponse> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = poll_fn(|cx| payload.poll_recv(cx)).await {
-        let chunk = chunk.map_err(|_| GatewayResponse::new("broken body", 400))?;
-        if body.len() + chunk.len() > limit {
-            return Err(GatewayResponse::new("large body", 413));
+/// Reads the body of a request within its time limit.
+async fn receive_body(
+    app: &App,
+    mut payload: Payload,
+    params: &RequestParams,
+) -> Result<ClientBody, GatewayResponse> {
+    let limit = params.budget.unwrap_or(BODY_TIMEOUT);
+    let reading = read_body(&app.clients, &mut payload, body_limit(app));
+    let Ok(body) = timeout(limit, reading).await else {
+        return Err(GatewayResponse::new("slow body", 408));
+    };
+    body.map_err(|error| match error {
+        BodyError::Broken => GatewayResponse::new("broken body", 400),
+        BodyError::Stalled => GatewayResponse::new("stalled body", 408),
+        BodyError::TooLarge => {
+            discard_rest(payload);
+            large_body()
         }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body.freeze())
+        BodyError::NoRoom => {
+            discard_rest(payload);
+            GatewayResponse::not_run("no room for the body", ROOM_RETRY_AFTER)
+        }
+    })
 }
 
 /// Takes one retry out of the service's retry budget; returns whether it is allowed.
--- a/crates/mustard-gateway/src/main.rs
+++ b/crates/mustard-gateway/src/main.rs
@@ -5,13 +5,13 @@
 
 use std::process::ExitCode;
 
-use anyhow::Context;
+use anyhow::{Context, ensure};
 use clap::Parser;
 
 use mustard_adapter::NodeSettings;
 use mustard_gateway::serve::{self, Options};
-use mustard_net::metric;
 use mustard_net::shutdown::install_hangup_handler;
+use mustard_net::{ClientLimits, metric};
 use mustard_policy::hedge;
 
 const EXIT_BAD_SETTINGS: u8 = 2;
@@ -43,6 +43,13 @@
     /// Also sends second copies of resumable streams before their first event.
     #[arg(long)]
     hedge_streams: bool,
+    /// Memory held for clients, in megabytes: bodies and what is still to be decoded; a quarter of the
+    /// process's memory by default.
+    #[arg(long, value_name = "MB", value_parser = clap::value_parser!(u64).range(8..))]
+    client_memory_mb: Option<u64>,
+    /// Connections of callers; half of all by default, so that each running request finds one to a server.
+    #[arg(long, value_name = "COUNT", value_parser = clap::value_parser!(u64).range(8..))]
+    client_connections: Option<u64>,
     /// Checks the options and the settings file and exits.
     #[arg(long)]
     check: bool,
@@ -72,8 +79,16 @@
             return Ok(ExitCode::from(EXIT_BAD_SETTINGS));
         }
     };
+    let clients = match client_limits(&args, &node) {
+        Ok(limits) => limits,
+        Err(e) => {
+            eprintln!("{e}");
+            return Ok(ExitCode::from(EXIT_BAD_SETTINGS));
+        }
+    };
     if args.check {
         println!("{}: settings are valid", node.name);
+        println!("held for clients: {clients}");
         return Ok(ExitCode::SUCCESS);
     }
     let metrics = metric::install().context("can't start the metrics recorder")?;
@@ -81,6 +96,37 @@
         metrics_port: args.metrics_port,
         log_level: args.log_level,
         hedge,
+        clients,
     };
     match serve::run(node, &options, metrics).await? {}
 }
+
+/// Returns the limits of what is held for clients.
+///
+/// # Errors
+///
+/// Returns an error if an option exceeds what the platform gives the process.
+fn client_limits(args: &Args, node: &NodeSettings) -> anyhow::Result<ClientLimits> {
+    let bytes = match args.client_memory_mb {
+        Some(mb) => mb * 1_000_000,
+        None => node.memory_bytes / 4,
+    };
+    let connections = match args.client_connections {
+        Some(count) => count as usize,
+        None => node.max_sockets / 2,
+    };
+    ensure!(
+        bytes < node.memory_bytes,
+        "--client-memory-mb: the process has {} bytes",
+        node.memory_bytes
+    );
+    ensure!(
+        connections < node.max_sockets,
+        "--client-connections: the process has {}",
+        node.max_sockets
+    );
+    Ok(ClientLimits::default()
+        .bytes(bytes as usize)
+        .connections(connections)
+        .per_listener(node.max_sockets / 8))
+}
--- a/crates/mustard-gateway/src/serve.rs
+++ b/crates/mustard-gateway/src/serve.rs
@@ -9,17 +9,18 @@
 use std::time::Duration;
 
 use metrics_exporter_prometheus::PrometheusHandle;
-use ntex::http::{HttpService, Method, Request, Response};
+use ntex::http::{Method, Request, Response};
 use ntex::server::Server;
 use slog::{Logger, error, info, warn};
 use tokio::signal::unix::{SignalKind, signal};
 
 use mustard_adapter::NodeSettings;
 use mustard_adapter::store::FollowedTable;
+use mustard_net::client_body::{BodyError, discard_rest, read_body};
 use mustard_net::log::{self, LogFormat, LogOptions, LogOutput};
-use mustard_net::server;
 use mustard_net::shutdown::{self, RequestGate};
 use mustard_net::supervise::supervise;
+use mustard_net::{ClientLimits, Listener, http_service, server};
 use mustard_policy::hedge;
 
 use crate::app::{App, StopFlag};
@@ -41,6 +42,8 @@
 const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
 /// The most connections that wait to be accepted, for each listener.
 const LISTEN_BACKLOG: i32 = 1_024;
+/// The number of listeners.
+const LISTENERS: usize = 4;
 
 /// Options from the command line.
 #[derive(Clone, Debug)]
@@ -51,6 +54,8 @@
     pub log_level: String,
     /// The limits on second copies of slow requests.
     pub hedge: hedge::Settings,
+    /// The limits of what is held for clients.
+    pub clients: ClientLimits,
 }
 
 /// Inputs from which the serving thread creates its state.
@@ -61,6 +66,7 @@
     gate: Arc<RequestGate>,
     stop: Arc<StopFlag>,
     hedge: hedge::Settings,
+    clients: ClientLimits,
 }
 
 thread_local! {
@@ -88,6 +94,7 @@
         gate: RequestGate::new(),
         stop: Arc::default(),
         hedge: options.hedge,
+        clients: options.clients,
         node,
     };
     let log = inputs.log.clone();
@@ -95,6 +102,7 @@
         "rate" => options.hedge.rate, "streams" => options.hedge.streams);
     info!(log, "gateway: Started."; "domain" => &inputs.node.domain,
         "callers" => %inputs.node.caller_addr, "version" => env!("CARGO_PKG_VERSION"));
+    info!(log, "clients: Limits."; "limits" => %inputs.clients);
     let _server = listen(&inputs, options, handle)?;
     let stop = Arc::clone(&inputs.stop);
     let on_stop_signal = || {
@@ -151,26 +159,34 @@
     let server = ntex::server::build()
         .workers(1)
         .backlog(LISTEN_BACKLOG)
+        .maxconn(inputs.clients.max_open(LISTENERS))
         .disable_signals()
         .listen("callers", callers, async move |_| {
             let app = get_or_create_app(&a).await;
-            HttpService::h1(move |r: Request| forward::handle(Rc::clone(&app), r))
+            let clients = Rc::clone(&app.clients);
+            let handle = move |r: Request| forward::handle(Rc::clone(&app), r);
+            http_service(&clients, Listener::main("callers"), handle)
         })?
         .listen("ready", ready, async move |_| {
             let app = get_or_create_app(&b).await;
-            HttpService::h1(move |r: Request| answer_ready(Rc::clone(&app), r))
+            let clients = Rc::clone(&app.clients);
+            let handle = move |r: Request| answer_ready(Rc::clone(&app), r);
+            http_service(&clients, Listener::other("ready"), handle)
         })?
         .listen("gossip", peers_listener, async move |_| {
             let app = get_or_create_app(&c).await;
-            HttpService::h1(move |r: Request| answer_peer(Rc::clone(&app), r))
+            let clients = Rc::clone(&app.clients);
+            let handle = move |r: Request| answer_peer(Rc::clone(&app), r);
+            http_service(&clients, Listener::other("peers"), handle)
         })?
         .listen("metrics", metrics, async move |_| {
-            let _ = get_or_create_app(&d).await;
+            let app = get_or_create_app(&d).await;
             let handle = handle.clone();
-            HttpService::h1(move |_: Request| {
+            let scrape = move |_: Request| {
                 let text = handle.render();
                 async move { Ok::<Response, std::io::Error>(Response::Ok().body(text)) }
-            })
+            };
+            http_service(&app.clients, Listener::other("metrics"), scrape)
         })?
         .config("callers", config.clone())
         .config("ready", config.clone())
@@ -183,9 +199,10 @@
 fn bind(addr: SocketAddr) -> Result<TcpListener> {
     ntex::server::bind_addr(addr, LISTEN_BACKLOG)
         .and_then(|list| {
-            list.into_iter()
-                .next()
-                .ok_or_else(|| std::io::ErrorKind::Other.into())
+            let first = list.into_iter().next();
+            let listener = first.ok_or(std::io::ErrorKind::Other)?;
+            server::limit_receive_buffers(&listener)?;
+            Ok(listener)
         })
         .map_err(|source| GatewayError::Listen { addr, source })
 }
@@ -197,7 +214,7 @@
     }
     let (gate, stop) = (Arc::clone(&inputs.gate), Arc::clone(&inputs.stop));
     let (node, log) = (inputs.node.clone(), inputs.log.clone());
-    let app = App::new(node, log, gate, stop, inputs.hedge).await;
+    let app = App::new(node, log, gate, stop, inputs.hedge, inputs.clients).await;
     // Another listener may have created it during the await above.
     if let Some(app) = APP.with_borrow(Clone::clone) {
         return app;
@@ -255,6 +272,7 @@
         metric::set_servers(usable, known);
         metric::set_ejected_servers(ejected);
         metric::set_running_requests(app.gate.running());
+        app.clients.set_gauges();
     }
 }
 
@@ -273,21 +291,27 @@
         return Ok(Response::NotFound().finish());
     }
     let mut payload = request.take_payload();
-    let mut body = Vec::new();
-    while let Some(Ok(chunk)) = std::future::poll_fn(|cx| payload.poll_recv(cx)).await {
-        body.extend_from_slice(&chunk);
-        if body.len() > peers::MAX_MESSAGE_BYTES {
-            return Ok(Response::PayloadTooLarge().finish());
+    let received = read_body(&app.clients, &mut payload, peers::MAX_MESSAGE_BYTES);
+    let received = match received.await {
+        Ok(received) => received,
+        Err(error) => {
+            discard_rest(payload);
+            return Ok(match error {
+                BodyError::TooLarge => Response::PayloadTooLarge().finish(),
+                BodyError::Broken => Response::BadRequest().finish(),
+                BodyError::Stalled | BodyError::NoRoom => Response::ServiceUnavailable().finish(),
+            });
         }
-    }
+    };
+    let body = &received.bytes;
     if is_news {
-        return Ok(if strike_news::handle_message(&app, &body) {
+        return Ok(if strike_news::handle_message(&app, body) {
             Response::Ok().finish()
         } else {
             Response::BadRequest().finish()
         });
     }
-    Ok(match peers::handle_message(&app, &body) {
+    Ok(match peers::handle_message(&app, body) {
         Some(bytes) => Response::Ok()
             .content_type(peers::MEDIA_TYPE)
             .body(peers::message_body(bytes)),
--- /dev/null
+++ b/crates/mustard-net/src/client_body.rs
@@ -0,0 +1,101 @@
+//! Reads the bodies of requests into the budget of what is held for clients.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ntex::http::Payload;
+use ntex::http::error::PayloadError;
+use ntex::util::{Bytes, BytesMut, Stream, stream_recv};
+use tokio::time::timeout;
+
+use crate::client_budget::{BodyGuard, ClientBudget, Exhausted};
+
+/// The result of reading a body.
+pub type Result<T> = std::result::Result<T, BodyError>;
+
+/// How long, and how much of, the rest of a refused body is read and discarded: closing a connection with unread
+/// bytes resets it, and the client would never see the response.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+const MAX_DISCARD_BYTES: usize = 16 * 1024 * 1024;
+
+/// Why a body could not be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyError {
+    /// It is larger than allowed.
+    TooLarge,
+    /// It ended early, or is not framed as it should be.
+    Broken,
+    /// Others need the room that it takes while it makes no progress.
+    Stalled,
+    /// There is no room for it.
+    NoRoom,
+}
+
+/// A complete body, counted in the budget until it is dropped.
+#[derive(Debug)]
+pub struct ClientBody {
+    /// The bytes.
+    pub bytes: Bytes,
+    /// Counts the bytes.
+    pub guard: BodyGuard,
+}
+
+/// Reads a body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Returns an error if the body isn't complete, too large, or the budget is exhausted.
+pub async fn read_body<P>(
+    budget: &Rc<ClientBudget>,
+    payload: &mut P,
+    limit: usize,
+) -> Result<ClientBody>
+where
+    P: Stream<Item = std::result::Result<Bytes, PayloadError>> + Unpin,
+{
+    let mut guard = budget.begin_body();
+    let mut bytes = BytesMut::new();
+    loop {
+        let chunk = tokio::select! {
+            biased;
+            () = guard.evicted() => return Err(BodyError::Stalled),
+            chunk = stream_recv(payload) => chunk,
+        };
+        let Some(chunk) = chunk else {
+            break;
+        };
+        let chunk = chunk.map_err(|_| BodyError::Broken)?;
+        if bytes.len() + chunk.len() > limit {
+            return Err(BodyError::TooLarge);
+        }
+        guard.grow(chunk.len())?;
+        bytes.extend_from_slice(&chunk);
+    }
+    guard.complete()?;
+    Ok(ClientBody {
+        bytes: bytes.freeze(),
+        guard,
+    })
+}
+
+impl From<Exhausted> for BodyError {
+    fn from(_: Exhausted) -> Self {
+        BodyError::NoRoom
+    }
+}
+
+/// Reads and discards the rest of a body, up to a limit, while its refusal is sent.
+pub fn discard_rest(mut payload: Payload) {
+    let reading = async move {
+        let mut discarded = 0;
+        while let Some(Ok(chunk)) = stream_recv(&mut payload).await {
+            discarded += chunk.len();
+            if discarded > MAX_DISCARD_BYTES {
+                return;
+            }
+        }
+    };
+    ntex::rt::spawn(async move {
+        let _ = timeout(DISCARD_TIMEOUT, reading).await;
+    });
+}
--- /dev/null
+++ b/crates/mustard-net/src/client_budget.rs
@@ -0,0 +1,558 @@
+//! The budget of what a process holds for its clients: connections, bytes that wait to be decoded, and bodies.
+//!
+//! All listeners of a worker thread share one [`ClientBudget`]. A client that needs more than is left is refused,
+//! unless another client that makes no progress can be evicted. See `docs/design/client-budget.md`.
+
+use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use metrics::{counter, gauge};
+use ntex::io::IoRef;
+use slog::{Logger, warn};
+
+use mustard_core::arena::{Arena, Key};
+
+/// The part of the budget that only requests with small bodies may use.
+const SMALL_SHARE: f64 = 0.25;
+/// The largest body that may use it, in bytes.
+const SMALL_BODY: usize = 64 * 1024;
+/// How long a client may send nothing before it can be evicted.
+const STALL_TIME: Duration = Duration::from_secs(1);
+/// The rate below which a body can be evicted, in bytes per second, over the time since it began.
+const MIN_RATE: f64 = 16.0 * 1024.0;
+/// How long a response may pause before its connection can be closed for another one.
+const STREAM_TIME: Duration = Duration::from_secs(10);
+/// The interval of log lines about refused and evicted clients.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The limits of a worker thread, as a builder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClientLimits {
+    bytes: usize,
+    connections: usize,
+    per_listener: usize,
+}
+
+impl Default for ClientLimits {
+    fn default() -> Self {
+        ClientLimits {
+            bytes: 64 * 1024 * 1024,
+            connections: 1_024,
+            per_listener: 256,
+        }
+    }
+}
+
+impl ClientLimits {
+    /// Sets the number of bytes held for all clients together.
+    #[must_use]
+    pub fn bytes(mut self, bytes: usize) -> Self {
+        self.bytes = bytes;
+        self
+    }
+
+    /// Sets the number of connections of the main listener.
+    #[must_use]
+    pub fn connections(mut self, count: usize) -> Self {
+        self.connections = count;
+        self
+    }
+
+    /// Sets the number of connections of each other listener.
+    #[must_use]
+    pub fn per_listener(mut self, count: usize) -> Self {
+        self.per_listener = count;
+        self
+    }
+
+    /// Returns the limit on the bytes held for all clients together.
+    pub fn max_bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Returns the limit on the connections of all `listeners`.
+    pub fn max_open(&self, listeners: usize) -> usize {
+        self.connections + (listeners - 1) * self.per_listener
+    }
+
+    /// Returns the limit on the connections of a listener.
+    pub fn max_connections(&self, listener: Listener) -> usize {
+        if listener.is_main {
+            self.connections
+        } else {
+            self.per_listener
+        }
+    }
+}
+
+impl fmt::Display for ClientLimits {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} bytes, {} connections, {} at each further listener",
+            self.bytes, self.connections, self.per_listener
+        )
+    }
+}
+
+/// A listener, by its name in metrics and logs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Listener {
+    name: &'static str,
+    is_main: bool,
+}
+
+impl Listener {
+    /// Returns the listener on which a process takes requests of callers.
+    pub const fn main(name: &'static str) -> Self {
+        Listener {
+            name,
+            is_main: true,
+        }
+    }
+
+    /// Returns a listener for other processes or for operators.
+    pub const fn other(name: &'static str) -> Self {
+        Listener {
+            name,
+            is_main: false,
+        }
+    }
+}
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// It was opened, and nothing was received on it.
+    New,
+    /// A part of a head was received.
+    Head,
+    /// A request runs, or its body arrives.
+    Request,
+    /// The body of a response is sent in pieces.
+    Streaming,
+    /// All requests on it were answered.
+    Idle,
+}
+
+struct ConnectionState {
+    listener: Listener,
+    io: IoRef,
+    phase: Phase,
+    /// The bytes that were received and not yet decoded.
+    buffered: usize,
+    /// When something was last received, or the last answer was given.
+    active: Instant,
+}
+
+struct BodyState {
+    held: usize,
+    began: Instant,
+    /// When bytes were last received.
+    active: Instant,
+    /// Wakes the reader; taken when the body is evicted.
+    reader: Rc<Eviction>,
+}
+
+#[derive(Debug, Default)]
+struct Eviction {
+    is_evicted: Cell<bool>,
+    notify: tokio::sync::Notify,
+}
+
+#[derive(Default)]
+struct Held {
+    connections: Arena<ConnectionState>,
+    /// The bodies that are still arriving.
+    arriving: Arena<BodyState>,
+    /// The bytes of all bodies and buffers.
+    bytes: usize,
+}
+
+/// A limit was reached, and no other client could be evicted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Exhausted;
+
+/// The budget of a worker thread.
+pub struct ClientBudget {
+    limits: ClientLimits,
+    held: RefCell<Held>,
+    log: Logger,
+    logged: Cell<Option<Instant>>,
+    unlogged: Cell<u64>,
+}
+
+impl fmt::Debug for ClientBudget {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ClientBudget")
+            .field("limits", &self.limits)
+            .field("bytes", &self.held.borrow().bytes)
+            .finish_non_exhaustive()
+    }
+}
+
+impl ClientBudget {
+    /// Creates the budget of the calling thread.
+    pub fn new(limits: ClientLimits, log: Logger) -> Rc<Self> {
+        Rc::new(ClientBudget {
+            limits,
+            held: RefCell::default(),
+            log,
+            logged: Cell::default(),
+            unlogged: Cell::default(),
+        })
+    }
+
+    /// Returns the number of bytes held for clients.
+    pub fn held_bytes(&self) -> usize {
+        self.held.borrow().bytes
+    }
+
+    /// Returns the number of open connections of all listeners.
+    pub fn open_connections(&self) -> usize {
+        self.held.borrow().connections.len()
+    }
+
+    /// Sets the gauges of what is held.
+    pub fn set_gauges(&self) {
+        gauge!("mustard_client_bytes").set(self.held_bytes() as f64);
+        gauge!("mustard_client_connections").set(self.open_connections() as f64);
+    }
+
+    /// Takes a connection into the budget until the guard is dropped; closes another one if there are too many.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the listener has as many connections as it may, and all of them are in use.
+    pub(crate) fn open(
+        self: &Rc<Self>,
+        listener: Listener,
+        io: IoRef,
+    ) -> Result<ConnectionGuard, Exhausted> {
+        let limit = self.limits.max_connections(listener);
+        let count = self.held.borrow().count(listener);
+        if count >= limit && !self.evict_connection(listener) && !self.evict_body(None) {
+            self.record("refused", "connection");
+            return Err(Exhausted);
+        }
+        let key = self.held.borrow_mut().connections.insert(ConnectionState {
+            listener,
+            io,
+            phase: Phase::New,
+            buffered: 0,
+            active: Instant::now(),
+        });
+        Ok(ConnectionGuard {
+            budget: Rc::clone(self),
+            key,
+        })
+    }
+
+    /// Begins to count a body that arrives.
+    pub(crate) fn begin_body(self: &Rc<Self>) -> BodyGuard {
+        let now = Instant::now();
+        let reader = Rc::<Eviction>::default();
+        let key = self.held.borrow_mut().arriving.insert(BodyState {
+            held: 0,
+            began: now,
+            active: now,
+            reader: Rc::clone(&reader),
+        });
+        BodyGuard {
+            budget: Rc::clone(self),
+            key,
+            reader,
+            held: 0,
+        }
+    }
+
+    /// Closes the connection of a listener that is of the least use; returns whether there is one.
+    fn evict_connection(&self, listener: Listener) -> bool {
+        let now = Instant::now();
+        let victim = {
+            let held = self.held.borrow();
+            let candidates = held.connections.iter();
+            let candidates = candidates.filter(|(_, c)| c.listener == listener);
+            let candidates = candidates.filter_map(|(key, c)| Some((c.use_rank(now)?, key)));
+            candidates.min_by_key(|(rank, _)| *rank).map(|(_, key)| key)
+        };
+        victim.is_some_and(|key| self.terminate(key))
+    }
+
+    /// Closes the connection with the part of a head that has stalled longest; returns whether there is one.
+    fn evict_head(&self) -> bool {
+        let now = Instant::now();
+        let victim = {
+            let held = self.held.borrow();
+            let heads = held.connections.iter();
+            let heads = heads.filter(|(_, c)| c.phase == Phase::Head && c.is_stalled(now));
+            heads.min_by_key(|(_, c)| c.active).map(|(key, _)| key)
+        };
+        victim.is_some_and(|key| self.terminate(key))
+    }
+
+    fn terminate(&self, key: Key<ConnectionState>) -> bool {
+        let Some(connection) = self.held.borrow_mut().remove_connection(key) else {
+            return false;
+        };
+        connection.io.terminate();
+        self.record("evicted", "connection");
+        true
+    }
+
+    /// Gives up the arriving body that has stalled longest, other than `claimant`; returns whether there is one.
+    fn evict_body(&self, claimant: Option<Key<BodyState>>) -> bool {
+        let now = Instant::now();
+        let mut held = self.held.borrow_mut();
+        let bodies = held.arriving.iter();
+        let bodies = bodies.filter(|(key, body)| Some(*key) != claimant && body.is_stalled(now));
+        let Some(key) = bodies.min_by_key(|(_, b)| b.active).map(|(key, _)| key) else {
+            return false;
+        };
+        if let Some(body) = held.arriving.remove(key) {
+            held.bytes -= body.held;
+            body.reader.is_evicted.set(true);
+            body.reader.notify.notify_one();
+        }
+        drop(held);
+        self.record("evicted", "body");
+        true
+    }
+
+    /// Makes room for `count` further bytes below `limit` by evicting stalled clients.
+    fn make_room(
+        &self,
+        count: usize,
+        limit: usize,
+        claimant: Option<Key<BodyState>>,
+    ) -> Result<(), Exhausted> {
+        while self.held_bytes() + count > limit {
+            if !self.evict_body(claimant) && !self.evict_head() {
+                return Err(Exhausted);
+            }
+        }
+        Ok(())
+    }
+
+    /// Counts a client that was refused or evicted, and logs it, at most once a second.
+    pub(crate) fn record(&self, action: &'static str, what: &'static str) {
+        counter!("mustard_clients_turned_away_total", "action" => action, "what" => what)
+            .increment(1);
+        let now = Instant::now();
+        let is_due = |at: Instant| now.duration_since(at) >= LOG_INTERVAL;
+        if self.logged.get().is_none_or(is_due) {
+            self.logged.set(Some(now));
+            warn!(self.log, "clients: The budget is exhausted or a limit was exceeded.";
+                "action" => action, "what" => what, "bytes" => self.held_bytes(),
+                "connections" => self.open_connections(), "not_logged" => self.unlogged.take());
+        } else {
+            self.unlogged.set(self.unlogged.get() + 1);
+        }
+    }
+}
+
+impl Held {
+    fn count(&self, listener: Listener) -> usize {
+        let connections = self.connections.iter();
+        connections.filter(|(_, c)| c.listener == listener).count()
+    }
+
+    fn remove_connection(&mut self, key: Key<ConnectionState>) -> Option<ConnectionState> {
+        let connection = self.connections.remove(key)?;
+        self.bytes -= connection.buffered;
+        Some(connection)
+    }
+}
+
+impl ConnectionState {
+    fn is_stalled(&self, now: Instant) -> bool {
+        now.duration_since(self.active) >= STALL_TIME
+    }
+
+    /// Returns the order in which connections are closed; `None` if this one stays open.
+    fn use_rank(&self, now: Instant) -> Option<(u8, Instant)> {
+        let class = match self.phase {
+            Phase::New => 0,
+            Phase::Head if self.is_stalled(now) => 1,
+            Phase::Idle if self.is_stalled(now) => 2,
+            Phase::Streaming if now.duration_since(self.active) >= STREAM_TIME => 3,
+            _ => return None,
+        };
+        Some((class, self.active))
+    }
+}
+
+impl BodyState {
+    fn is_stalled(&self, now: Instant) -> bool {
+        let age = now.duration_since(self.began);
+        let is_slow = age >= STALL_TIME && (self.held as f64) < MIN_RATE * age.as_secs_f64();
+        is_slow || now.duration_since(self.active) >= STALL_TIME
+    }
+}
+
+/// A connection in the budget; it leaves the budget when this is dropped.
+#[derive(Debug)]
+pub(crate) struct ConnectionGuard {
+    budget: Rc<ClientBudget>,
+    key: Key<ConnectionState>,
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.budget.held.borrow_mut().remove_connection(self.key);
+    }
+}
+
+impl ConnectionGuard {
+    /// Returns a handle for the requests on the connection.
+    pub(crate) fn handle(&self) -> ConnectionHandle {
+        ConnectionHandle {
+            budget: Rc::clone(&self.budget),
+            key: self.key,
+        }
+    }
+
+    /// Records that bytes were received, and how many are still to be decoded.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the budget is exhausted, or the connection was evicted.
+    pub(crate) fn receive(&self, buffered: usize) -> Result<(), Exhausted> {
+        let before = {
+            let mut held = self.budget.held.borrow_mut();
+            let connection = held.connections.get_mut(self.key).ok_or(Exhausted)?;
+            connection.active = Instant::now();
+            if matches!(connection.phase, Phase::New | Phase::Idle) {
+                connection.phase = Phase::Head;
+            }
+            connection.buffered
+        };
+        if buffered > before {
+            let limit = self.budget.limits.bytes;
+            let room = self.budget.make_room(buffered - before, limit, None);
+            room.inspect_err(|_| self.budget.record("refused", "buffer"))?;
+        }
+        let mut held = self.budget.held.borrow_mut();
+        let connection = held.connections.get_mut(self.key).ok_or(Exhausted)?;
+        connection.buffered = buffered;
+        held.bytes = held.bytes + buffered - before;
+        Ok(())
+    }
+
+    /// Records that bytes were sent.
+    pub(crate) fn send(&self) {
+        if let Some(connection) = self.budget.held.borrow_mut().connections.get_mut(self.key) {
+            connection.active = Instant::now();
+        }
+    }
+}
+
+/// Tells the budget what happens on a connection.
+#[derive(Clone, Debug)]
+pub(crate) struct ConnectionHandle {
+    budget: Rc<ClientBudget>,
+    key: Key<ConnectionState>,
+}
+
+impl ConnectionHandle {
+    /// Records that a head was decoded; its request is being handled until the guard is dropped.
+    pub(crate) fn begin_request(&self) -> RequestGuard {
+        self.set_phase(Phase::Request);
+        RequestGuard {
+            connection: self.clone(),
+            next: Phase::Idle,
+        }
+    }
+
+    fn set_phase(&self, phase: Phase) {
+        let mut held = self.budget.held.borrow_mut();
+        if let Some(connection) = held.connections.get_mut(self.key) {
+            connection.phase = phase;
+            connection.active = Instant::now();
+            let decoded = std::mem::take(&mut connection.buffered);
+            held.bytes -= decoded;
+        }
+    }
+}
+
+/// A request that is being handled.
+#[derive(Debug)]
+pub(crate) struct RequestGuard {
+    connection: ConnectionHandle,
+    next: Phase,
+}
+
+impl RequestGuard {
+    /// Ends the handling; the body of the response is sent in pieces.
+    pub(crate) fn stream(mut self) {
+        self.next = Phase::Streaming;
+    }
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.connection.set_phase(self.next);
+    }
+}
+
+/// The bytes of a body in the budget; they leave the budget when this is dropped.
+#[derive(Debug)]
+pub struct BodyGuard {
+    budget: Rc<ClientBudget>,
+    key: Key<BodyState>,
+    reader: Rc<Eviction>,
+    held: usize,
+}
+
+impl BodyGuard {
+    /// Takes further bytes, evicting stalled clients if need be.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the budget is exhausted.
+    pub(crate) fn grow(&mut self, count: usize) -> Result<(), Exhausted> {
+        let limit = if self.held + count <= SMALL_BODY {
+            self.budget.limits.bytes
+        } else {
+            (self.budget.limits.bytes as f64 * (1.0 - SMALL_SHARE)) as usize
+        };
+        let room = self.budget.make_room(count, limit, Some(self.key));
+        room.inspect_err(|_| self.budget.record("refused", "body"))?;
+        let mut held = self.budget.held.borrow_mut();
+        let body = held.arriving.get_mut(self.key).ok_or(Exhausted)?;
+        body.held += count;
+        body.active = Instant::now();
+        held.bytes += count;
+        self.held += count;
+        Ok(())
+    }
+
+    /// Records that the body is complete; it can't be evicted any more.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it was evicted.
+    pub(crate) fn complete(&mut self) -> Result<(), Exhausted> {
+        let mut held = self.budget.held.borrow_mut();
+        held.arriving.remove(self.key).map(|_| ()).ok_or(Exhausted)
+    }
+
+    /// Waits until the body is evicted.
+    pub(crate) async fn evicted(&self) {
+        while !self.reader.is_evicted.get() {
+            self.reader.notify.notified().await;
+        }
+    }
+}
+
+impl Drop for BodyGuard {
+    fn drop(&mut self) {
+        let mut held = self.budget.held.borrow_mut();
+        held.arriving.remove(self.key);
+        if !self.reader.is_evicted.get() {
+            held.bytes -= self.held;
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustard-net/src/client_filter.rs
@@ -0,0 +1,92 @@
+//! Counts what arrives on the connections of a listener, below the HTTP decoder.
+
+use std::any::{Any, TypeId};
+use std::fmt::Debug;
+use std::future::ready;
+use std::io;
+use std::rc::Rc;
+
+use ntex::SharedCfg;
+use ntex::http::body::{Body, BodySize, MessageBody};
+use ntex::http::error::{DispatchError, ResponseError};
+use ntex::http::{HttpService, Request, Response};
+use ntex::io::{FilterBuf, FilterLayer, Io};
+use ntex::service::{
+    IntoServiceFactory, ServiceFactory, apply_fn_factory, chain_factory, fn_service,
+};
+use ntex::util::BytePages;
+
+use crate::client_budget::{ClientBudget, ConnectionGuard, ConnectionHandle, Listener};
+
+/// The layer of a connection that counts its bytes.
+#[derive(Debug)]
+struct ClientFilter {
+    connection: ConnectionGuard,
+}
+
+impl FilterLayer for ClientFilter {
+    fn query(&self, id: TypeId) -> Option<Box<dyn Any>> {
+        (id == TypeId::of::<ConnectionHandle>())
+            .then(|| Box::new(self.connection.handle()) as Box<dyn Any>)
+    }
+
+    fn process_read_buf(&self, buf: &FilterBuf<'_>) -> io::Result<()> {
+        let undecoded = buf.with_read_buffers(|received, undecoded| {
+            if let Some(received) = received {
+                if undecoded.is_empty() {
+                    std::mem::swap(received, undecoded);
+                } else {
+                    undecoded.extend_from_slice(received);
+                    received.clear();
+                }
+            }
+            undecoded.len()
+        });
+        let counted = self.connection.receive(undecoded);
+        counted.map_err(|_| io::ErrorKind::OutOfMemory.into())
+    }
+
+    fn process_write_buf(&self, buf: &FilterBuf<'_>) -> io::Result<()> {
+        self.connection.send();
+        buf.with_write_buffers(BytePages::move_to);
+        Ok(())
+    }
+}
+
+/// Returns the HTTP server of a listener: connections and requests are counted in `budget`, then `service`
+/// handles them.
+pub fn http_service<S, U>(
+    budget: &Rc<ClientBudget>,
+    listener: Listener,
+    service: U,
+) -> impl ServiceFactory<Io, SharedCfg, Response = (), Error = DispatchError, InitError = ()> + use<S, U>
+where
+    U: IntoServiceFactory<S, Request, SharedCfg>,
+    S: ServiceFactory<Request, SharedCfg> + 'static,
+    S::Error: ResponseError + 'static,
+    S::InitError: Debug,
+    S::Response: Into<Response<Body>>,
+{
+    let budget = Rc::clone(budget);
+    let open = move |io: Io| {
+        let connection = budget.open(listener, io.get_ref());
+        ready(match connection {
+            Ok(connection) => Ok(io.add_filter(ClientFilter { connection })),
+            Err(_) => Err(DispatchError::Service(Rc::new(io::Error::from(
+                io::ErrorKind::OutOfMemory,
+            )))),
+        })
+    };
+    let counted = apply_fn_factory(service, async |request: Request, handler| {
+        let connection = request.io().and_then(|io| {
+            let found = io.query::<ConnectionHandle>();
+            found.as_ref().map(ConnectionHandle::begin_request)
+        });
+        let response: Response<Body> = handler.call(request).await?.into();
+        if let (Some(connection), BodySize::Stream) = (connection, response.body().size()) {
+            connection.stream();
+        }
+        Ok::<_, S::Error>(response)
+    });
+    chain_factory(fn_service(async move |io: Io| open(io).await)).and_then(HttpService::h1(counted))
+}
--- a/crates/mustard-net/src/lib.rs
+++ b/crates/mustard-net/src/lib.rs
@@ -4,6 +4,9 @@
 
 mod chunked;
 pub mod client;
+pub mod client_body;
+pub mod client_budget;
+mod client_filter;
 pub mod daemon;
 pub mod errors;
 pub mod forward;
@@ -19,5 +22,7 @@
 pub mod traffic;
 
 pub use client::MessageClient;
+pub use client_budget::{ClientBudget, ClientLimits, Listener};
+pub use client_filter::http_service;
 pub use errors::{CallError, Result};
 pub use process::Process;
--- a/crates/mustard-net/src/server.rs
+++ b/crates/mustard-net/src/server.rs
@@ -1,12 +1,14 @@
 //! The receiving side of calls between processes: decodes messages, encodes answers, and configures
 //! the HTTP server.
 
+use std::net::TcpListener;
 use std::sync::Arc;
 
 use ntex::SharedCfg;
 use ntex::http::HttpServiceConfig;
 use ntex::util::Bytes;
 use ntex::web::HttpResponse;
+use socket2::SockRef;
 
 use mustard_core::ids::Incarnation;
 use mustard_proto::timeline::{TimelineAnswer, TimelineRequest};
@@ -19,6 +21,8 @@
 /// The largest message body that a process reads, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
 
+/// The size of the buffer for received bytes of a connection, in bytes.
+const RECEIVE_BUFFER: usize = 64 * 1024;
 const MAX_HEADER_BYTES: usize = 32 * 1024;
 /// The number of header bytes that must arrive within the timeout to extend it. It has no effect,
 /// because the timeout is also given as the maximum.
@@ -37,6 +41,16 @@
     SharedCfg::new(name).add(http).into()
 }
 
+/// Limits what the operating system holds of each connection's unread bytes; connections of the listener inherit
+/// the limit.
+///
+/// # Errors
+///
+/// Returns the error of the operating system.
+pub fn limit_receive_buffers(listener: &TcpListener) -> std::io::Result<()> {
+    SockRef::from(listener).set_recv_buffer_size(RECEIVE_BUFFER)
+}
+
 /// Decodes a message, checks that it is addressed to this incarnation, and merges the clock and
 /// the newest catalogue change from its header.
 ///
