Close connections with more undecoded bytes than a head may have

Callers saw a gateway that grew by what a client sent as the extension of a chunk, 535 MB before a limit of 64 MB, and answered hardly anybody, as the decoder searched the whole of it again at each read.

The decoder keeps an incomplete line of a chunk in the connection's buffer, without a limit. The layer of the connection knows what is left undecoded. Above 64 KiB, twice the largest head, it closes the connection: reading pauses at 16 KiB while bytes of a body or of further requests wait, so that nothing else comes near it. There is nothing to answer, as the request can't be read to its end.

--- a/crates/mustard-net/src/client_budget.rs
+++ b/crates/mustard-net/src/client_budget.rs
@@ -414,6 +414,11 @@
         }
     }
 
+    /// Returns the budget that the connection belongs to.
+    pub(crate) fn budget(&self) -> &Rc<ClientBudget> {
+        &self.budget
+    }
+
     /// Records that bytes were received, and how many are still to be decoded.
     ///
     /// # Errors
--- a/crates/mustard-net/src/client_filter.rs
+++ b/crates/mustard-net/src/client_filter.rs
@@ -17,6 +17,11 @@
 use ntex::util::BytePages;
 
 use crate::client_budget::{ClientBudget, ConnectionGuard, ConnectionHandle, Listener};
+use crate::server::MAX_HEADER_BYTES;
+
+/// The most bytes that may wait to be decoded. Only an incomplete head or an endless line of a chunk exceeds
+/// it: reading pauses long before, while the bytes of a body or of further requests wait.
+const MAX_UNDECODED: usize = 2 * MAX_HEADER_BYTES;
 
 /// The layer of a connection that counts its bytes.
 #[derive(Debug)]
@@ -42,6 +47,10 @@
             }
             undecoded.len()
         });
+        if undecoded > MAX_UNDECODED {
+            self.connection.budget().record("refused", "framing");
+            return Err(io::ErrorKind::InvalidData.into());
+        }
         let counted = self.connection.receive(undecoded);
         counted.map_err(|_| io::ErrorKind::OutOfMemory.into())
     }
--- a/crates/mustard-net/src/server.rs
+++ b/crates/mustard-net/src/server.rs
@@ -23,7 +23,7 @@
 
 /// The size of the buffer for received bytes of a connection, in bytes.
 const RECEIVE_BUFFER: usize = 64 * 1024;
-const MAX_HEADER_BYTES: usize = 32 * 1024;
+pub(crate) const MAX_HEADER_BYTES: usize = 32 * 1024;
 /// The number of header bytes that must arrive within the timeout to extend it. It has no effect,
 /// because the timeout is also given as the maximum.
 const HEADER_RATE_BYTES: u32 = 256;
