Read 4 KiB at a time from a client's connection

Callers saw a gateway over its memory while clients sent bodies in chunks of a single byte: each decoded chunk takes 32 bytes of bookkeeping until its reader has it, so that one read of 16 KiB took 128 KiB, for each connection. Reads of 4 KiB take a quarter. Peak in gateway_chunks_single_bytes before a limit of 64 MB: 70 MB with the budget alone; the test passes now.

--- a/crates/mustard-net/src/server.rs
+++ b/crates/mustard-net/src/server.rs
@@ -6,6 +6,7 @@
 
 use ntex::SharedCfg;
 use ntex::http::HttpServiceConfig;
+use ntex::io::IoConfig;
 use ntex::util::Bytes;
 use ntex::web::HttpResponse;
 use socket2::SockRef;
@@ -21,6 +22,11 @@
 /// The largest message body that a process reads, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
 
+/// The size of a connection's read buffer, in bytes. Bodies in single-byte chunks take many times as much once
+/// they are decoded.
+const READ_BUFFER: usize = 4 * 1024;
+/// The number of read buffers that are kept for further connections.
+const IDLE_BUFFERS: usize = 128;
 /// The size of the buffer for received bytes of a connection, in bytes.
 const RECEIVE_BUFFER: usize = 64 * 1024;
 pub(crate) const MAX_HEADER_BYTES: usize = 32 * 1024;
@@ -38,7 +44,8 @@
         .set_headers_read_rate(HEADER_TIMEOUT, HEADER_TIMEOUT, HEADER_RATE_BYTES)
         .set_max_headers(headers)
         .set_max_buf_size(MAX_HEADER_BYTES);
-    SharedCfg::new(name).add(http).into()
+    let io = IoConfig::new().set_read_buf(READ_BUFFER, READ_BUFFER / 8, IDLE_BUFFERS);
+    SharedCfg::new(name).add(http).add(io).into()
 }
 
 /// Limits what the operating system holds of each connection's unread bytes; connections of the listener inherit
