Accept a gateway's connections within a limit that leaves room for its own

Callers got 502, and the readiness check no answer, while clients took all of a gateway's descriptors: connections to servers, store and peers compete with the listener for the last one.

The gateway accepts connections on the thread that serves them, instead of by a thread of the HTTP library that runs ahead of any limit (it reached 400 of 400 descriptors with the limit at 175).

--- a/crates/mustard-gateway/src/serve.rs
+++ b/crates/mustard-gateway/src/serve.rs
@@ -1,6 +1,5 @@
 //! Starts the listeners and tasks of the daemon, and stops them on a signal.
 
-use std::cell::RefCell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::{IpAddr, SocketAddr, TcpListener};
@@ -10,7 +9,7 @@
 
 use metrics_exporter_prometheus::PrometheusHandle;
 use ntex::http::{Method, Request, Response};
-use ntex::server::Server;
+use ntex::service::fn_service;
 use slog::{Logger, error, info, warn};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -20,7 +19,7 @@
 use mustard_net::log::{self, LogFormat, LogOptions, LogOutput};
 use mustard_net::shutdown::{self, RequestGate};
 use mustard_net::supervise::supervise;
-use mustard_net::{ClientLimits, Listener, http_service, server};
+use mustard_net::{ClientLimits, Listener, accept, server};
 use mustard_policy::hedge;
 
 use crate::app::{App, StopFlag};
@@ -42,8 +41,6 @@
 const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
 /// The most connections that wait to be accepted, for each listener.
 const LISTEN_BACKLOG: i32 = 1_024;
-/// The number of listeners.
-const LISTENERS: usize = 4;
 
 /// Options from the command line.
 #[derive(Clone, Debug)]
@@ -58,22 +55,6 @@
     pub clients: ClientLimits,
 }
 
-/// Inputs from which the serving thread creates its state.
-#[derive(Clone)]
-struct AppInputs {
-    node: NodeSettings,
-    log: Logger,
-    gate: Arc<RequestGate>,
-    stop: Arc<StopFlag>,
-    hedge: hedge::Settings,
-    clients: ClientLimits,
-}
-
-thread_local! {
-    /// The state of the serving thread, shared by all listeners.
-    static APP: RefCell<Option<Rc<App>>> = const { RefCell::new(None) };
-}
-
 /// Runs the daemon until a stop signal, then exits the process with the exit code of the stop.
 ///
 /// # Errors
@@ -89,31 +70,33 @@
         level: options.log_level.clone(),
         output: LogOutput::Stdout,
     };
-    let inputs = AppInputs {
-        log: log::root(&log_options, &node.name),
-        gate: RequestGate::new(),
-        stop: Arc::default(),
-        hedge: options.hedge,
-        clients: options.clients,
-        node,
-    };
-    let log = inputs.log.clone();
+    let log = log::root(&log_options, &node.name);
+    let gate = RequestGate::new();
+    let stop = Arc::<StopFlag>::default();
     info!(log, "hedge: Limits of second copies."; "share" => options.hedge.share,
         "rate" => options.hedge.rate, "streams" => options.hedge.streams);
-    info!(log, "gateway: Started."; "domain" => &inputs.node.domain,
-        "callers" => %inputs.node.caller_addr, "version" => env!("CARGO_PKG_VERSION"));
-    info!(log, "clients: Limits."; "limits" => %inputs.clients);
-    let _server = listen(&inputs, options, handle)?;
-    let stop = Arc::clone(&inputs.stop);
+    info!(log, "gateway: Started."; "domain" => &node.domain,
+        "callers" => %node.caller_addr, "version" => env!("CARGO_PKG_VERSION"));
+    info!(log, "clients: Limits."; "limits" => %options.clients);
+    let app = App::new(
+        node.clone(),
+        log.clone(),
+        Arc::clone(&gate),
+        Arc::clone(&stop),
+        options.hedge,
+        options.clients,
+    )
+    .await;
+    listen(&app, options, handle)?;
+    start_tasks(&app);
     let on_stop_signal = || {
         stop.set();
-        info!(log, "gateway: Draining."; "running" => inputs.gate.running());
+        info!(log, "gateway: Draining."; "running" => gate.running());
     };
-    ntex::rt::spawn(log_changed_settings(inputs.node.clone(), log.clone()));
-    let grace = inputs.node.grace.saturating_sub(EXIT_MARGIN);
-    let ending =
-        shutdown::wait_for_drain(&inputs.gate, DRAIN_NOTICE, grace, on_stop_signal).await?;
-    info!(log, "gateway: Stopped."; "stop" => ?ending, "running" => inputs.gate.running());
+    ntex::rt::spawn(log_changed_settings(node.clone(), log.clone()));
+    let grace = node.grace.saturating_sub(EXIT_MARGIN);
+    let ending = shutdown::wait_for_drain(&gate, DRAIN_NOTICE, grace, on_stop_signal).await?;
+    info!(log, "gateway: Stopped."; "stop" => ?ending, "running" => gate.running());
     // Leaves the log writer time to flush. It isn't joined: a reader of the output that has
     // stopped reading must not keep the process from exiting.
     tokio::time::sleep(EXIT_MARGIN / 4).await;
@@ -140,60 +123,47 @@
     }
 }
 
-/// Opens the listeners for callers, readiness checks, peers (the other gateways) and metrics.
-fn listen(inputs: &AppInputs, options: &Options, handle: PrometheusHandle) -> Result<Server> {
-    let node = &inputs.node;
+/// Opens the listeners for callers, readiness checks, peers (the other gateways) and metrics, and serves them on
+/// the calling thread.
+fn listen(app: &Rc<App>, options: &Options, metrics: PrometheusHandle) -> Result<()> {
+    let node = &app.node;
     let own_addr = |port| SocketAddr::new(node.ip, port);
     let metrics_addr = SocketAddr::new(IpAddr::from([0, 0, 0, 0]), options.metrics_port);
     let callers = bind(node.caller_addr)?;
     let ready = bind(node.readiness_addr)?;
-    let peers_listener = bind(own_addr(node.peer_port))?;
-    let metrics = bind(metrics_addr)?;
-    let (a, b, c, d) = (
-        inputs.clone(),
-        inputs.clone(),
-        inputs.clone(),
-        inputs.clone(),
-    );
+    let peers = bind(own_addr(node.peer_port))?;
+    let metrics_listener = bind(metrics_addr)?;
+    let state = Rc::clone(app);
+    let handle = move |r: Request| forward::handle(Rc::clone(&state), r);
+    start_listener(app, callers, Listener::main("callers"), handle);
+    let state = Rc::clone(app);
+    let handle = move |r: Request| answer_ready(Rc::clone(&state), r);
+    start_listener(app, ready, Listener::other("ready"), handle);
+    let state = Rc::clone(app);
+    let handle = move |r: Request| answer_peer(Rc::clone(&state), r);
+    start_listener(app, peers, Listener::other("peers"), handle);
+    let handle = move |_: Request| {
+        let text = metrics.render();
+        async move { Ok(Response::Ok().body(text)) }
+    };
+    start_listener(app, metrics_listener, Listener::other("metrics"), handle);
+    Ok(())
+}
+
+/// Starts the task that serves the connections of a listener.
+fn start_listener<H>(app: &Rc<App>, socket: TcpListener, listener: Listener, handle: H)
+where
+    H: AsyncFn(Request) -> std::io::Result<Response> + Clone + 'static,
+{
     let config = server::config("gateway", MAX_HEADERS);
-    let server = ntex::server::build()
-        .workers(1)
-        .backlog(LISTEN_BACKLOG)
-        .maxconn(inputs.clients.max_open(LISTENERS))
-        .disable_signals()
-        .listen("callers", callers, async move |_| {
-            let app = get_or_create_app(&a).await;
-            let clients = Rc::clone(&app.clients);
-            let handle = move |r: Request| forward::handle(Rc::clone(&app), r);
-            http_service(&clients, Listener::main("callers"), handle)
-        })?
-        .listen("ready", ready, async move |_| {
-            let app = get_or_create_app(&b).await;
-            let clients = Rc::clone(&app.clients);
-            let handle = move |r: Request| answer_ready(Rc::clone(&app), r);
-            http_service(&clients, Listener::other("ready"), handle)
-        })?
-        .listen("gossip", peers_listener, async move |_| {
-            let app = get_or_create_app(&c).await;
-            let clients = Rc::clone(&app.clients);
-            let handle = move |r: Request| answer_peer(Rc::clone(&app), r);
-            http_service(&clients, Listener::other("peers"), handle)
-        })?
-        .listen("metrics", metrics, async move |_| {
-            let app = get_or_create_app(&d).await;
-            let handle = handle.clone();
-            let scrape = move |_: Request| {
-                let text = handle.render();
-                async move { Ok::<Response, std::io::Error>(Response::Ok().body(text)) }
-            };
-            http_service(&app.clients, Listener::other("metrics"), scrape)
-        })?
-        .config("callers", config.clone())
-        .config("ready", config.clone())
-        .config("gossip", config.clone())
-        .config("metrics", config)
-        .run();
-    Ok(server)
+    let app = Rc::clone(app);
+    ntex::rt::spawn(async move {
+        let budget = Rc::clone(&app.clients);
+        let served = accept::serve(socket, budget, listener, config, fn_service(handle)).await;
+        if let (Err(e), Some(log)) = (served, app.log.logger_for(Topic::Dependency)) {
+            error!(log, "gateway: A listener failed."; "listener" => listener.name(), "error" => %e);
+        }
+    });
 }
 
 fn bind(addr: SocketAddr) -> Result<TcpListener> {
@@ -207,23 +177,6 @@
         .map_err(|source| GatewayError::Listen { addr, source })
 }
 
-/// Returns the state of this thread; creates it and starts its tasks at the first call.
-async fn get_or_create_app(inputs: &AppInputs) -> Rc<App> {
-    if let Some(app) = APP.with_borrow(Clone::clone) {
-        return app;
-    }
-    let (gate, stop) = (Arc::clone(&inputs.gate), Arc::clone(&inputs.stop));
-    let (node, log) = (inputs.node.clone(), inputs.log.clone());
-    let app = App::new(node, log, gate, stop, inputs.hedge, inputs.clients).await;
-    // Another listener may have created it during the await above.
-    if let Some(app) = APP.with_borrow(Clone::clone) {
-        return app;
-    }
-    APP.set(Some(Rc::clone(&app)));
-    start_tasks(&app);
-    app
-}
-
 fn start_tasks(app: &Rc<App>) {
     keep_running(app, "configuration", |app| {
         store_watch::run(app, FollowedTable::Operators)
--- a/crates/mustard-gateway/tests/peers.rs
+++ b/crates/mustard-gateway/tests/peers.rs
@@ -42,6 +42,7 @@
         require_fence: true,
         heartbeat_interval: Duration::from_millis(1_200),
         memory_bytes: 160 * 1024 * 1024,
+        max_sockets: 3_896,
     }
 }
 
--- /dev/null
+++ b/crates/mustard-net/src/accept.rs
@@ -0,0 +1,84 @@
+//! Accepts connections within the budget of what is held for clients.
+
+use std::convert::Infallible;
+use std::fmt::Debug;
+use std::io::{self, ErrorKind};
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ntex::SharedCfg;
+use ntex::http::Request;
+use ntex::http::Response;
+use ntex::http::body::Body;
+use ntex::http::error::ResponseError;
+use ntex::rt::from_tcp_stream;
+use ntex::service::{IntoServiceFactory, ServiceFactory};
+
+use crate::client_budget::{ClientBudget, Listener};
+use crate::client_filter::http_service;
+
+/// The result of accepting connections.
+pub type Result<T> = io::Result<T>;
+
+/// The pause after an error that a further attempt would meet again.
+const ERROR_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves the connections of a listener on the calling thread.
+///
+/// A connection is accepted only if the budget has room for it, so that descriptors are left for the process's
+/// own connections.
+///
+/// # Errors
+///
+/// Returns an error if the listener can't be used.
+pub async fn serve<S, U>(
+    socket: TcpListener,
+    budget: Rc<ClientBudget>,
+    listener: Listener,
+    config: SharedCfg,
+    service: U,
+) -> Result<Infallible>
+where
+    U: IntoServiceFactory<S, Request, SharedCfg>,
+    S: ServiceFactory<Request, SharedCfg> + 'static,
+    S::Error: ResponseError + 'static,
+    S::InitError: Debug,
+    S::Response: Into<Response<Body>>,
+{
+    socket.set_nonblocking(true)?;
+    let socket = tokio::net::TcpListener::from_std(socket)?;
+    let http = http_service(&budget, listener, service);
+    let http = http.pipeline(config.clone()).await;
+    let http = http.map_err(|()| io::Error::other("the HTTP server can't be created"))?;
+    loop {
+        let stream = match socket.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) if is_connection_error(e.kind()) => continue,
+            Err(_) => {
+                budget.record("refused", "descriptor");
+                tokio::time::sleep(ERROR_PAUSE).await;
+                continue;
+            }
+        };
+        if budget.make_room_to_open(listener).await.is_err() {
+            continue;
+        }
+        let io = stream
+            .into_std()
+            .and_then(|s| from_tcp_stream(s, config.clone()));
+        // A connection that is gone already needs no answer.
+        if let Ok(io) = io {
+            let http = http.clone();
+            ntex::rt::spawn(async move { http.call(io).await });
+        }
+    }
+}
+
+/// Returns whether an error concerns one connection only.
+fn is_connection_error(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::ConnectionRefused | ErrorKind::ConnectionAborted | ErrorKind::ConnectionReset
+    )
+}
--- a/crates/mustard-net/src/client_budget.rs
+++ b/crates/mustard-net/src/client_budget.rs
@@ -11,6 +11,8 @@
 use metrics::{counter, gauge};
 use ntex::io::IoRef;
 use slog::{Logger, warn};
+use tokio::sync::Notify;
+use tokio::time::timeout;
 
 use mustard_core::arena::{Arena, Key};
 
@@ -24,6 +26,9 @@
 const MIN_RATE: f64 = 16.0 * 1024.0;
 /// How long a response may pause before its connection can be closed for another one.
 const STREAM_TIME: Duration = Duration::from_secs(10);
+/// How long, and how often, a new connection waits for an evicted one to be closed.
+const CLOSE_WAIT: Duration = Duration::from_millis(20);
+const MAX_CLOSE_WAITS: u32 = 100;
 /// The interval of log lines about refused and evicted clients.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -72,11 +77,6 @@
         self.bytes
     }
 
-    /// Returns the limit on the connections of all `listeners`.
-    pub fn max_open(&self, listeners: usize) -> usize {
-        self.connections + (listeners - 1) * self.per_listener
-    }
-
     /// Returns the limit on the connections of a listener.
     pub fn max_connections(&self, listener: Listener) -> usize {
         if listener.is_main {
@@ -113,6 +113,11 @@
         }
     }
 
+    /// Returns the name.
+    pub fn name(&self) -> &'static str {
+        self.name
+    }
+
     /// Returns a listener for other processes or for operators.
     pub const fn other(name: &'static str) -> Self {
         Listener {
@@ -135,6 +140,8 @@
     Streaming,
     /// All requests on it were answered.
     Idle,
+    /// It was evicted and is being closed.
+    Closing,
 }
 
 struct ConnectionState {
@@ -159,7 +166,7 @@
 #[derive(Debug, Default)]
 struct Eviction {
     is_evicted: Cell<bool>,
-    notify: tokio::sync::Notify,
+    notify: Notify,
 }
 
 #[derive(Default)]
@@ -179,6 +186,8 @@
 pub struct ClientBudget {
     limits: ClientLimits,
     held: RefCell<Held>,
+    /// Wakes those who wait for a connection to be closed.
+    closed: Notify,
     log: Logger,
     logged: Cell<Option<Instant>>,
     unlogged: Cell<u64>,
@@ -199,6 +208,7 @@
         Rc::new(ClientBudget {
             limits,
             held: RefCell::default(),
+            closed: Notify::new(),
             log,
             logged: Cell::default(),
             unlogged: Cell::default(),
@@ -221,22 +231,30 @@
         gauge!("mustard_client_connections").set(self.open_connections() as f64);
     }
 
-    /// Takes a connection into the budget until the guard is dropped; closes another one if there are too many.
+    /// Waits until a listener may have one more connection; closes others if there are too many.
     ///
     /// # Errors
     ///
     /// Returns an error if the listener has as many connections as it may, and all of them are in use.
-    pub(crate) fn open(
-        self: &Rc<Self>,
-        listener: Listener,
-        io: IoRef,
-    ) -> Result<ConnectionGuard, Exhausted> {
+    pub(crate) async fn make_room_to_open(&self, listener: Listener) -> Result<(), Exhausted> {
         let limit = self.limits.max_connections(listener);
-        let count = self.held.borrow().count(listener);
-        if count >= limit && !self.evict_connection(listener) && !self.evict_body(None) {
-            self.record("refused", "connection");
-            return Err(Exhausted);
+        for _ in 0..MAX_CLOSE_WAITS {
+            if self.held.borrow().count(listener) < limit {
+                return Ok(());
+            }
+            let closed = self.closed.notified();
+            if !self.evict_connection(listener) && !self.evict_body(None) {
+                break;
+            }
+            // An evicted body is answered before its connection is closed.
+            let _ = timeout(CLOSE_WAIT, closed).await;
         }
+        self.record("refused", "connection");
+        Err(Exhausted)
+    }
+
+    /// Takes a connection into the budget until the guard is dropped.
+    pub(crate) fn open(self: &Rc<Self>, listener: Listener, io: IoRef) -> ConnectionGuard {
         let key = self.held.borrow_mut().connections.insert(ConnectionState {
             listener,
             io,
@@ -244,10 +262,10 @@
             buffered: 0,
             active: Instant::now(),
         });
-        Ok(ConnectionGuard {
+        ConnectionGuard {
             budget: Rc::clone(self),
             key,
-        })
+        }
     }
 
     /// Begins to count a body that arrives.
@@ -294,10 +312,18 @@
     }
 
     fn terminate(&self, key: Key<ConnectionState>) -> bool {
-        let Some(connection) = self.held.borrow_mut().remove_connection(key) else {
-            return false;
+        let io = {
+            let mut held = self.held.borrow_mut();
+            let Some(connection) = held.connections.get_mut(key) else {
+                return false;
+            };
+            connection.phase = Phase::Closing;
+            let undecoded = std::mem::take(&mut connection.buffered);
+            let io = connection.io.clone();
+            held.bytes -= undecoded;
+            io
         };
-        connection.io.terminate();
+        io.terminate();
         self.record("evicted", "connection");
         true
     }
@@ -359,10 +385,10 @@
         connections.filter(|(_, c)| c.listener == listener).count()
     }
 
-    fn remove_connection(&mut self, key: Key<ConnectionState>) -> Option<ConnectionState> {
-        let connection = self.connections.remove(key)?;
-        self.bytes -= connection.buffered;
-        Some(connection)
+    fn remove_connection(&mut self, key: Key<ConnectionState>) {
+        if let Some(connection) = self.connections.remove(key) {
+            self.bytes -= connection.buffered;
+        }
     }
 }
 
@@ -402,6 +428,7 @@
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
         self.budget.held.borrow_mut().remove_connection(self.key);
+        self.budget.closed.notify_waiters();
     }
 }
 
@@ -428,6 +455,9 @@
         let before = {
             let mut held = self.budget.held.borrow_mut();
             let connection = held.connections.get_mut(self.key).ok_or(Exhausted)?;
+            if connection.phase == Phase::Closing {
+                return Err(Exhausted);
+            }
             connection.active = Instant::now();
             if matches!(connection.phase, Phase::New | Phase::Idle) {
                 connection.phase = Phase::Head;
@@ -473,7 +503,8 @@
 
     fn set_phase(&self, phase: Phase) {
         let mut held = self.budget.held.borrow_mut();
-        if let Some(connection) = held.connections.get_mut(self.key) {
+        let connection = held.connections.get_mut(self.key);
+        if let Some(connection) = connection.filter(|c| c.phase != Phase::Closing) {
             connection.phase = phase;
             connection.active = Instant::now();
             let decoded = std::mem::take(&mut connection.buffered);
--- a/crates/mustard-net/src/client_filter.rs
+++ b/crates/mustard-net/src/client_filter.rs
@@ -2,7 +2,6 @@
 
 use std::any::{Any, TypeId};
 use std::fmt::Debug;
-use std::future::ready;
 use std::io;
 use std::rc::Rc;
 
@@ -11,6 +10,7 @@
 use ntex::http::error::{DispatchError, ResponseError};
 use ntex::http::{HttpService, Request, Response};
 use ntex::io::{FilterBuf, FilterLayer, Io};
+use ntex::service::boxed::{self, BoxServiceFactory};
 use ntex::service::{
     IntoServiceFactory, ServiceFactory, apply_fn_factory, chain_factory, fn_service,
 };
@@ -23,6 +23,9 @@
 /// it: reading pauses long before, while the bytes of a body or of further requests wait.
 const MAX_UNDECODED: usize = 2 * MAX_HEADER_BYTES;
 
+/// Creates the HTTP server of a listener.
+pub type HttpFactory = BoxServiceFactory<SharedCfg, Io, (), DispatchError, ()>;
+
 /// The layer of a connection that counts its bytes.
 #[derive(Debug)]
 struct ClientFilter {
@@ -64,11 +67,7 @@
 
 /// Returns the HTTP server of a listener: connections and requests are counted in `budget`, then `service`
 /// handles them.
-pub fn http_service<S, U>(
-    budget: &Rc<ClientBudget>,
-    listener: Listener,
-    service: U,
-) -> impl ServiceFactory<Io, SharedCfg, Response = (), Error = DispatchError, InitError = ()> + use<S, U>
+pub fn http_service<S, U>(budget: &Rc<ClientBudget>, listener: Listener, service: U) -> HttpFactory
 where
     U: IntoServiceFactory<S, Request, SharedCfg>,
     S: ServiceFactory<Request, SharedCfg> + 'static,
@@ -77,14 +76,9 @@
     S::Response: Into<Response<Body>>,
 {
     let budget = Rc::clone(budget);
-    let open = move |io: Io| {
+    let open = async move |io: Io| {
         let connection = budget.open(listener, io.get_ref());
-        ready(match connection {
-            Ok(connection) => Ok(io.add_filter(ClientFilter { connection })),
-            Err(_) => Err(DispatchError::Service(Rc::new(io::Error::from(
-                io::ErrorKind::OutOfMemory,
-            )))),
-        })
+        Ok::<_, DispatchError>(io.add_filter(ClientFilter { connection }))
     };
     let counted = apply_fn_factory(service, async |request: Request, handler| {
         let connection = request.io().and_then(|io| {
@@ -97,5 +91,6 @@
         }
         Ok::<_, S::Error>(response)
     });
-    chain_factory(fn_service(async move |io: Io| open(io).await)).and_then(HttpService::h1(counted))
+    let http = chain_factory(fn_service(open)).and_then(HttpService::h1(counted));
+    boxed::factory(http)
 }
--- a/crates/mustard-net/src/lib.rs
+++ b/crates/mustard-net/src/lib.rs
@@ -2,6 +2,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod accept;
 mod chunked;
 pub mod client;
 pub mod client_body;
@@ -23,6 +24,6 @@
 
 pub use client::MessageClient;
 pub use client_budget::{ClientBudget, ClientLimits, Listener};
-pub use client_filter::http_service;
+pub use client_filter::{HttpFactory, http_service};
 pub use errors::{CallError, Result};
 pub use process::Process;
