Hold what an entry process takes of clients within the budget

Callers and operators saw an entry process of 231 MB before 200 bodies of 1 MiB, just short of their end, and of 612 MB before 20 endless chunk extensions; nothing limited the sum, for callers, operators or peers.

Each worker thread accepts its connections itself and has a part of `limits.client_bytes` (64 MiB by default), shared by all paths. Connections are limited to half of the descriptors, if the settings allow more. A body is no longer copied once more when it is complete, and counts until the request has ended. What the head tells (no key, too large, stopping, no operator) is refused at once; the rest of the body is discarded in the background. A body that is evicted gets 408, one without room 503 and when to come back. Peers are told Busy.

--- a/crates/mustard-entry/src/api/access.rs
+++ b/crates/mustard-entry/src/api/access.rs
@@ -14,6 +14,7 @@
 use mustard_core::event::EventKind;
 use mustard_core::fingerprint::KeyHash;
 use mustard_core::outcome::Outcome;
+use mustard_net::client_body::ClientBody;
 use mustard_net::shutdown::RequestGuard;
 
 use super::errors::{ApiError, Result};
@@ -33,7 +34,7 @@
     /// The digest of the caller's bearer key.
     pub bearer_key: KeyHash,
     /// The whole body.
-    pub body: Vec<u8>,
+    pub body: ClientBody,
     /// Counts the request as running until it is dropped.
     pub guard: RequestGuard,
 }
@@ -51,17 +52,14 @@
     let arrived = Instant::now();
     let shared = &worker.shared;
     let limits = &shared.settings.limits;
-    let guard = shared.gate.admit().ok_or(ApiError::Draining)?;
-    let bearer_key = auth::bearer_key(request);
+    let head = check_head(worker, request);
+    let (guard, bearer_key) = head.inspect_err(|_| body::discard_rest(payload))?;
     let time_limit = Duration::from_millis(limits.body_ms);
-    // The body is read before any further refusal; unread bytes would be taken for the connection's
-    // next request.
-    let body = body::read(payload, limits.body_bytes, time_limit).await?;
+    let body = body::read(worker, payload, limits.body_bytes, time_limit).await?;
     // A body may end long after its head. What begins as late as this may be cut at the end of the grace time.
     if shared.gate.is_closed() {
         return Err(ApiError::Draining);
     }
-    let bearer_key = bearer_key?;
     Ok(ReceivedRequest {
         arrived,
         bearer_key,
@@ -70,6 +68,15 @@
     })
 }
 
+/// Refuses a request whose head already tells that it can't run.
+fn check_head(worker: &Worker, request: &HttpRequest) -> Result<(RequestGuard, KeyHash)> {
+    let shared = &worker.shared;
+    let guard = shared.gate.admit().ok_or(ApiError::Draining)?;
+    let bearer_key = auth::bearer_key(request)?;
+    body::check_announced(request, shared.settings.limits.body_bytes)?;
+    Ok((guard, bearer_key))
+}
+
 /// Checks that new work may start under the catalogue in force.
 ///
 /// # Errors
--- a/crates/mustard-entry/src/api/admin.rs
+++ b/crates/mustard-entry/src/api/admin.rs
@@ -6,6 +6,7 @@
 use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig};
 
 use mustard_catalogue::admin;
+use mustard_net::client_body::ClientBody;
 
 use super::errors::{ApiError, Result};
 use super::problem::RequestContext;
@@ -47,21 +48,32 @@
 async fn change(request: HttpRequest, mut payload: Payload, state: State) -> HttpResponse {
     let context = RequestContext::new();
     let worker = Rc::clone(&state);
-    let bytes = match read_body(&worker, &mut payload).await {
-        Ok(bytes) => bytes,
-        Err(e) => return context.refuse(&e),
-    };
-    let author = match authorize_operator(&worker, &request) {
-        Ok(author) => author,
+    let (author, body) = match receive_change(&worker, &request, &mut payload).await {
+        Ok(received) => received,
         Err(e) => return context.refuse(&e),
     };
     let store = &worker.shared.catalogue;
-    admin::change(&worker.writer, store, author, &bytes, context.request_id()).await
+    admin::change(
+        &worker.writer,
+        store,
+        author,
+        &body.bytes,
+        context.request_id(),
+    )
+    .await
 }
 
-/// Reads the body of an operator's request, with the limits of callers' requests.
-pub(super) async fn read_body(worker: &Worker, payload: &mut Payload) -> Result<Vec<u8>> {
+/// Returns the operator of a request and its body, read with the limits of callers' requests.
+pub(super) async fn receive_change<'a>(
+    worker: &'a Worker,
+    request: &HttpRequest,
+    payload: &mut Payload,
+) -> Result<(&'a str, ClientBody)> {
     let limits = &worker.shared.settings.limits;
     let time_limit = std::time::Duration::from_millis(limits.body_ms);
-    body::read(payload, limits.body_bytes, time_limit).await
+    let checked = authorize_operator(worker, request)
+        .and_then(|author| body::check_announced(request, limits.body_bytes).map(|()| author));
+    let author = checked.inspect_err(|_| body::discard_rest(payload))?;
+    let body = body::read(worker, payload, limits.body_bytes, time_limit).await?;
+    Ok((author, body))
 }
--- a/crates/mustard-entry/src/api/body.rs
+++ b/crates/mustard-entry/src/api/body.rs
@@ -1,57 +1,65 @@
-//! Reading of request bodies under limits on size and time.
+//! Reading of request bodies under limits on size, time and what is held for all clients.
 
 use std::time::Duration;
 
-use ntex::util::{BytesMut, stream_recv};
+use ntex::http::header::CONTENT_LENGTH;
+use ntex::web::HttpRequest;
 use ntex::web::types::Payload;
 use tokio::time::timeout;
 
+use mustard_net::client_body::{self, BodyError, ClientBody};
+
 use super::errors::{ApiError, Result};
+use crate::app::Worker;
 
-/// How much of a body that is too large is read and thrown away.
-const MAX_DISCARD_BYTES: usize = 16 * 1024 * 1024;
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a caller should wait if there is no room for its body.
+const ROOM_RETRY: Duration = Duration::from_secs(1);
 
 /// Reads a whole body.
 ///
 /// # Errors
 ///
-/// Returns an error if the body is too large, too slow or incomplete.
-pub async fn read(payload: &mut Payload, limit: usize, time_limit: Duration) -> Result<Vec<u8>> {
+/// Returns an error if the body is too large, too slow or incomplete, or there is no room for it.
+pub async fn read(
+    worker: &Worker,
+    payload: &mut Payload,
+    limit: usize,
+    time_limit: Duration,
+) -> Result<ClientBody> {
     let limit_ms = time_limit.as_millis() as u64;
-    match timeout(time_limit, read_within(payload, limit)).await {
-        Ok(Err(error @ ApiError::BodyTooLarge { .. })) => {
-            discard_rest(payload).await;
-            Err(error)
+    let reading = client_body::read_body(&worker.clients, payload, limit);
+    let Ok(body) = timeout(time_limit, reading).await else {
+        return Err(ApiError::BodyTimeout { limit_ms });
+    };
+    body.map_err(|error| match error {
+        BodyError::Broken => ApiError::BodyIncomplete,
+        BodyError::Stalled => ApiError::BodyStalled,
+        BodyError::TooLarge => {
+            discard_rest(payload);
+            ApiError::BodyTooLarge { limit }
         }
-        Ok(result) => result,
-        Err(_) => Err(ApiError::BodyTimeout { limit_ms }),
-    }
+        BodyError::NoRoom => {
+            discard_rest(payload);
+            ApiError::NoRoom { retry: ROOM_RETRY }
+        }
+    })
 }
 
-async fn read_within(payload: &mut Payload, limit: usize) -> Result<Vec<u8>> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = stream_recv(payload).await {
-        let chunk = chunk.map_err(|_| ApiError::BodyIncomplete)?;
-        if body.len() + chunk.len() > limit {
-            return Err(ApiError::BodyTooLarge { limit });
-        }
-        body.extend_from_slice(&chunk);
+/// Refuses a request whose head announces a body over the limit.
+///
+/// # Errors
+///
+/// Returns an error if the body is too large.
+pub fn check_announced(request: &HttpRequest, limit: usize) -> Result<()> {
+    let announced = request.headers().get(CONTENT_LENGTH);
+    let announced = announced.and_then(|v| v.to_str().ok()?.trim().parse::<u64>().ok());
+    match announced {
+        Some(size) if size > limit as u64 => Err(ApiError::BodyTooLarge { limit }),
+        _ => Ok(()),
     }
-    Ok(body.to_vec())
 }
 
-/// Reads and discards the rest of the body, up to a limit, so that a client that sends the whole
-/// body before it reads the response receives the refusal.
-async fn discard_rest(payload: &mut Payload) {
-    let reading = async {
-        let mut discarded = 0;
-        while let Some(Ok(chunk)) = stream_recv(payload).await {
-            discarded += chunk.len();
-            if discarded > MAX_DISCARD_BYTES {
-                return;
-            }
-        }
-    };
-    let _ = timeout(DISCARD_TIMEOUT, reading).await;
+/// Reads and discards the body of a request that is refused, in the background.
+pub fn discard_rest(payload: &mut Payload) {
+    client_body::discard_rest(payload.0.take());
 }
--- a/crates/mustard-entry/src/api/completions.rs
+++ b/crates/mustard-entry/src/api/completions.rs
@@ -11,6 +11,7 @@
 use mustard_core::catalogue::{Class, Entry, Target};
 use mustard_core::fingerprint::Fingerprint;
 use mustard_core::tokens;
+use mustard_net::client_budget::BodyGuard;
 use mustard_net::problem::REQUEST_ID;
 use mustard_net::shutdown::RequestGuard;
 use mustard_policy::admission::Offer;
@@ -57,6 +58,7 @@
     scope: RequestScope,
     stream: bool,
     _guard: RequestGuard,
+    _body_guard: BodyGuard,
     _permit: Permit,
 }
 
@@ -74,7 +76,7 @@
     if !catalogue.accepts_key(&received.bearer_key) {
         return Err(ApiError::NoKey);
     }
-    let body = DraftBody::parse(&received.body)?;
+    let body = DraftBody::parse(&received.body.bytes)?;
     let entry = auth::authorize(&catalogue, &received.bearer_key, &body.model)?;
     let limits = &shared.settings.limits;
     let job = build_job(context, &body, &entry, limits, received.arrived)?;
@@ -135,6 +137,7 @@
         job,
         stream: body.stream,
         _guard: received.guard,
+        _body_guard: received.body.guard,
         _permit: permit,
     }
 }
--- a/crates/mustard-entry/src/api/errors.rs
+++ b/crates/mustard-entry/src/api/errors.rs
@@ -38,6 +38,15 @@
         /// The limit, in milliseconds.
         limit_ms: u64,
     },
+    /// The body made no progress while others needed the room that it takes.
+    #[error("the body stalled")]
+    BodyStalled,
+    /// There is no room for the body.
+    #[error("there is no room for the body now")]
+    NoRoom {
+        /// How long the caller should wait before it retries.
+        retry: Duration,
+    },
     /// The body ended early or could not be decoded.
     #[error("the body is not whole")]
     BodyIncomplete,
@@ -190,6 +199,8 @@
             ApiError::Malformed { .. } => (400, "malformed", "Request is malformed"),
             ApiError::BodyTooLarge { .. } => (413, "body-too-large", "Body is too large"),
             ApiError::BodyTimeout { .. } => (408, "body-slow", "Body arrives too slowly"),
+            ApiError::BodyStalled => (408, "body-stalled", "Body makes no progress"),
+            ApiError::NoRoom { .. } => (503, "no-room", "No room for the body"),
             ApiError::BodyIncomplete => (400, "body-cut", "Body is not whole"),
             ApiError::NoKey => (401, "no-key", "Bearer key is missing or unknown"),
             ApiError::KeyNotAllowed { .. } => (403, "foreign-key", "Key does not open the entry"),
@@ -224,6 +235,7 @@
             ApiError::LimitUsed { retry, .. }
             | ApiError::Overloaded { retry, .. }
             | ApiError::UnconfirmedCatalogue { retry }
+            | ApiError::NoRoom { retry }
             | ApiError::Unavailable { retry, .. } => Some(*retry),
             ApiError::Draining => Some(DRAINING_RETRY),
             _ => None,
--- a/crates/mustard-entry/src/api/operations.rs
+++ b/crates/mustard-entry/src/api/operations.rs
@@ -21,7 +21,7 @@
 use mustard_proto::agent::{AgentInfo, SetDraining, VoidAnswer, VoidKey};
 
 use super::State;
-use super::admin::{authorize_operator, read_body};
+use super::admin::{authorize_operator, receive_change};
 use super::errors::{ApiError, Result};
 use super::problem::RequestContext;
 use crate::app::Worker;
@@ -123,9 +123,8 @@
     request: &HttpRequest,
     payload: &mut Payload,
 ) -> Result<AgentInfo> {
-    let body = read_body(worker, payload).await?;
-    let operator_name = authorize_operator(worker, request)?;
-    let drain_request: DrainRequest = parse_json(&body)?;
+    let (operator_name, body) = receive_change(worker, request, payload).await?;
+    let drain_request: DrainRequest = parse_json(&body.bytes)?;
     let name = request.match_info().get("vm").unwrap_or_default();
     let shared = &worker.shared;
     let record = shared.servers.agent(name).ok_or(ApiError::NotFound {
@@ -159,9 +158,8 @@
     request: &HttpRequest,
     payload: &mut Payload,
 ) -> Result<SettleAnswer> {
-    let body = read_body(worker, payload).await?;
-    authorize_operator(worker, request)?;
-    let settle_request: SettleRequest = parse_json(&body)?;
+    let (_, body) = receive_change(worker, request, payload).await?;
+    let settle_request: SettleRequest = parse_json(&body.bytes)?;
     let shared = &worker.shared;
     let fleet = shared.servers.view();
     let now = shared.process.now();
--- a/crates/mustard-entry/src/api/peers.rs
+++ b/crates/mustard-entry/src/api/peers.rs
@@ -42,8 +42,8 @@
 ) -> HttpResponse {
     let worker = Rc::clone(&state);
     let process = &worker.shared.process;
-    let result = match body::read(&mut payload, MAX_MESSAGE_BYTES, BODY_TIMEOUT).await {
-        Ok(body) => server::receive::<M>(process, &body).map(|e| handler(&worker, e.message)),
+    let result = match body::read(&worker, &mut payload, MAX_MESSAGE_BYTES, BODY_TIMEOUT).await {
+        Ok(body) => server::receive::<M>(process, &body.bytes).map(|e| handler(&worker, e.message)),
         Err(error) => Err(body_refusal(&error)),
     };
     server::reply::<M>(process, result)
@@ -54,6 +54,9 @@
         ApiError::BodyTooLarge { limit } => Refusal::TooLarge {
             limit: *limit as u64,
         },
+        ApiError::NoRoom { retry } => Refusal::Busy {
+            retry_ms: retry.as_millis() as u64,
+        },
         other => Refusal::Malformed {
             detail: other.to_string(),
         },
--- a/crates/mustard-entry/src/api/services.rs
+++ b/crates/mustard-entry/src/api/services.rs
@@ -58,7 +58,7 @@
         shared.settings.limits.deadline_ms,
         &entry.limits,
     )?;
-    let call = build_call(context, request, &entry, &received.body, time_ms)?;
+    let call = build_call(context, request, &entry, &received.body.bytes, time_ms)?;
     let _permit = quotas::acquire_permit(worker, &entry).await?;
     record_accepted(worker, context, &entry);
     let deadline = received.arrived + Duration::from_millis(time_ms);
--- a/crates/mustard-entry/src/app.rs
+++ b/crates/mustard-entry/src/app.rs
@@ -13,6 +13,7 @@
 use mustard_catalogue::confirmation::ConfirmationState;
 use mustard_catalogue::{CatalogueStore, Writer};
 use mustard_core::fingerprint::KeyHash;
+use mustard_net::ClientBudget;
 use mustard_net::shutdown::RequestGate;
 use mustard_net::{MessageClient, Process};
 use mustard_platform::http::HttpService;
@@ -167,6 +168,8 @@
     pub shared: Arc<Shared>,
     /// The client that holds this thread's connections.
     pub client: MessageClient,
+    /// What the thread holds for clients.
+    pub clients: Rc<ClientBudget>,
     /// Writes catalogue changes to the table.
     pub writer: Writer<HttpService, HttpService>,
 }
@@ -179,6 +182,7 @@
         let store = Arc::clone(&shared.catalogue);
         Rc::new(Worker {
             writer: Writer::new(platform.table, platform.objects, store),
+            clients: ClientBudget::new(shared.settings.client_limits(), shared.log.clone()),
             client,
             shared,
         })
--- a/crates/mustard-entry/src/main.rs
+++ b/crates/mustard-entry/src/main.rs
@@ -44,6 +44,10 @@
     };
     if args.check {
         println!("{}: settings are valid", args.config.display());
+        println!(
+            "held for clients by each thread: {}",
+            settings.client_limits()
+        );
         return Ok(ExitCode::SUCCESS);
     }
     let metrics = metric::install().context("can't start the metrics recorder")?;
--- a/crates/mustard-entry/src/serve.rs
+++ b/crates/mustard-entry/src/serve.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use metrics_exporter_prometheus::PrometheusHandle;
-use ntex::server::Server;
-use ntex::web::{self, App, HttpServer};
+use ntex::web::{self, App};
+use slog::{error, info};
 
 use mustard_catalogue::{HttpPeers, SyncOptions, Syncer};
 use mustard_net::daemon::Daemon;
-use mustard_net::{Process, log, server};
+use mustard_net::{Listener, Process, accept, log, server};
 
 use crate::api;
 use crate::app::{PlatformClients, Shared, Worker};
@@ -37,7 +37,7 @@
     let daemon = Daemon::new(process, Arc::clone(&shared.gate), shared.log.clone());
     let (daemon, listener) = daemon.bind(shared.settings.listen)?;
     shared.set_addr(daemon.addr());
-    let http_server = start_server(&shared, listener)?;
+    start_workers(&shared, &listener)?;
     start_tasks(&shared).await;
     let drain = &shared.settings.drain;
     let notice = Duration::from_millis(drain.notice_ms);
@@ -45,26 +45,32 @@
     let stopped = daemon
         .drain(notice, grace, || shared.set_draining())
         .await?;
-    Ok(stopped.finish(http_server.stop(true)).await)
+    Ok(stopped.finish(accept::flush_responses()).await)
 }
 
-fn start_server(shared: &Arc<Shared>, listener: TcpListener) -> Result<Server> {
-    let limits = &shared.settings.limits;
-    let state = Arc::clone(shared);
-    let factory = async move || {
-        App::new()
-            .state(Worker::new(Arc::clone(&state)).await)
-            .configure(api::routes)
-            .default_service(web::to(api::not_found))
-    };
-    let server = HttpServer::new(factory)
-        .workers(shared.settings.workers)
-        .maxconn(limits.connections)
-        .disable_signals()
-        .config(server::config("entry", limits.headers))
-        .listen(listener)?
-        .run();
-    Ok(server)
+/// Starts the worker threads, which serve the connections of the listener.
+fn start_workers(shared: &Arc<Shared>, listener: &TcpListener) -> Result<()> {
+    let limits = shared.settings.client_limits();
+    info!(shared.log, "clients: Limits of each thread."; "limits" => %limits);
+    let shared = Arc::clone(shared);
+    let workers = shared.settings.workers;
+    accept::start_workers(workers, listener, move |socket| {
+        serve_connections(Arc::clone(&shared), socket)
+    })?;
+    Ok(())
+}
+
+async fn serve_connections(shared: Arc<Shared>, socket: TcpListener) {
+    let worker = Worker::new(Arc::clone(&shared)).await;
+    let clients = Rc::clone(&worker.clients);
+    ntex::rt::spawn(Rc::clone(&clients).keep_gauges());
+    let app = App::new()
+        .state(worker)
+        .configure(api::routes)
+        .default_service(web::to(api::not_found));
+    let config = server::config("entry", shared.settings.limits.headers);
+    let Err(e) = accept::serve(socket, clients, Listener::main("entry"), config, app).await;
+    error!(shared.log, "serve: A worker thread stopped serving."; "error" => %e);
 }
 
 /// Starts the background tasks, all on the calling thread.
--- a/crates/mustard-entry/src/settings.rs
+++ b/crates/mustard-entry/src/settings.rs
@@ -5,8 +5,10 @@
 use serde::Deserialize;
 
 use mustard_core::fingerprint::KeyHash;
+use mustard_net::ClientLimits;
 use mustard_net::log::LogOptions;
-use mustard_net::settings::{self, Field, ValueKind};
+use mustard_net::server::MAX_MESSAGE_BYTES;
+use mustard_net::settings::{self, Field, KeyError, ValueKind};
 
 use crate::errors::{EntryError, Result};
 
@@ -91,8 +93,11 @@
     pub prompt_tokens: usize,
     /// The deadline of a request that names none, in milliseconds.
     pub deadline_ms: u64,
-    /// The maximum number of connections per worker thread.
+    /// The maximum number of connections per worker thread; at most half of the descriptors of the process.
     pub connections: usize,
+    /// The most bytes that all worker threads together hold for clients, in equal parts: bodies and what is
+    /// still to be decoded.
+    pub client_bytes: usize,
     /// The maximum number of header fields of one request.
     pub headers: usize,
 }
@@ -105,6 +110,7 @@
             prompt_tokens: 16_384,
             deadline_ms: 30_000,
             connections: 10_000,
+            client_bytes: 64 * 1024 * 1024,
             headers: 64,
         }
     }
@@ -262,6 +268,7 @@
         Field::optional("limits.prompt_tokens", ValueKind::Int(1, 1_000_000)),
         Field::optional("limits.deadline_ms", ValueKind::Int(10, MAX_MS)),
         Field::optional("limits.connections", ValueKind::Int(1, 100_000)),
+        Field::optional("limits.client_bytes", ValueKind::Int(1 << 20, 1 << 36)),
         Field::optional("limits.headers", ValueKind::Int(8, 96)),
         Field::optional("drive.step_ms", ValueKind::Int(10, MAX_MS)),
         Field::optional("drive.prefill_ms", ValueKind::Int(10, MAX_MS)),
@@ -288,9 +295,29 @@
             ValueKind::OneOf(&["error", "warning", "info", "debug"]),
         ),
     ];
+
+    fn check(&self) -> Vec<KeyError> {
+        let largest = self.limits.body_bytes.max(MAX_MESSAGE_BYTES);
+        if self.client_limits().largest_body() >= largest {
+            return Vec::new();
+        }
+        vec![KeyError::InvalidValue {
+            key: "limits.client_bytes".to_owned(),
+            read: self.limits.client_bytes.to_string(),
+            allowed: format!(
+                "room for a body of {largest} bytes in three quarters of each thread's part"
+            ),
+        }]
+    }
 }
 
 impl Settings {
+    /// Returns what each worker thread may hold for clients.
+    pub fn client_limits(&self) -> ClientLimits {
+        let limits = &self.limits;
+        ClientLimits::per_worker(limits.client_bytes, limits.connections, self.workers)
+    }
+
     /// Returns the operators' names with the digests of their keys.
     ///
     /// # Errors
--- a/crates/mustard-net/src/accept.rs
+++ b/crates/mustard-net/src/accept.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::fmt::Debug;
+use std::future::Future;
 use std::io::{self, ErrorKind};
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -12,7 +13,7 @@
 use ntex::http::Response;
 use ntex::http::body::Body;
 use ntex::http::error::ResponseError;
-use ntex::rt::from_tcp_stream;
+use ntex::rt::{Arbiter, from_tcp_stream};
 use ntex::service::{IntoServiceFactory, ServiceFactory};
 
 use crate::client_budget::{ClientBudget, Listener};
@@ -23,6 +24,8 @@
 
 /// The pause after an error that a further attempt would meet again.
 const ERROR_PAUSE: Duration = Duration::from_millis(50);
+/// How long the connections of a process that ends may take to send what they hold.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
 
 /// Serves the connections of a listener on the calling thread.
 ///
@@ -75,6 +78,33 @@
     }
 }
 
+/// Runs `serve` on `count` threads, each with the same listener; each creates its own state.
+///
+/// # Errors
+///
+/// Returns an error if the listener can't be shared.
+pub fn start_workers<F, T>(count: usize, socket: &TcpListener, serve: F) -> Result<()>
+where
+    F: Fn(TcpListener) -> T + Clone + Send + 'static,
+    T: Future<Output = ()> + 'static,
+{
+    for _ in 0..count {
+        let socket = socket.try_clone()?;
+        let serve = serve.clone();
+        // The future of a worker can't change threads, so that it is created on its own.
+        let start = async move {
+            ntex::rt::spawn(serve(socket));
+        };
+        Arbiter::new().handle().spawn(start);
+    }
+    Ok(())
+}
+
+/// Waits until the last responses of a process that is about to end are sent.
+pub async fn flush_responses() {
+    tokio::time::sleep(FLUSH_TIME).await;
+}
+
 /// Returns whether an error concerns one connection only.
 fn is_connection_error(kind: ErrorKind) -> bool {
     matches!(
--- a/crates/mustard-net/src/client_budget.rs
+++ b/crates/mustard-net/src/client_budget.rs
@@ -10,9 +10,10 @@
 
 use metrics::{counter, gauge};
 use ntex::io::IoRef;
+use rustix::process::{Resource, getrlimit};
 use slog::{Logger, warn};
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use mustard_core::arena::{Arena, Key};
 
@@ -29,6 +30,8 @@
 /// How long, and how often, a new connection waits for an evicted one to be closed.
 const CLOSE_WAIT: Duration = Duration::from_millis(20);
 const MAX_CLOSE_WAITS: u32 = 100;
+/// The interval of updates of the gauges.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
 /// The interval of log lines about refused and evicted clients.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -72,6 +75,21 @@
         self
     }
 
+    /// Returns the limits of one of `workers` threads that divide what a process with one listener may hold. At
+    /// most half of its descriptors are for clients.
+    pub fn per_worker(bytes: usize, connections: usize, workers: usize) -> Self {
+        let descriptors = getrlimit(Resource::Nofile).current;
+        let descriptors = descriptors.map_or(usize::MAX, |d| d as usize) / 2 / workers;
+        ClientLimits::default()
+            .bytes(bytes / workers)
+            .connections(connections.min(descriptors))
+    }
+
+    /// Returns the largest body for which there is room.
+    pub fn largest_body(&self) -> usize {
+        (self.bytes as f64 * (1.0 - SMALL_SHARE)) as usize
+    }
+
     /// Returns the limit on the bytes held for all clients together.
     pub fn max_bytes(&self) -> usize {
         self.bytes
@@ -188,6 +206,8 @@
     held: RefCell<Held>,
     /// Wakes those who wait for a connection to be closed.
     closed: Notify,
+    /// The bytes and connections that the gauges show for this thread.
+    published: Cell<(f64, f64)>,
     log: Logger,
     logged: Cell<Option<Instant>>,
     unlogged: Cell<u64>,
@@ -209,6 +229,7 @@
             limits,
             held: RefCell::default(),
             closed: Notify::new(),
+            published: Cell::default(),
             log,
             logged: Cell::default(),
             unlogged: Cell::default(),
@@ -225,10 +246,20 @@
         self.held.borrow().connections.len()
     }
 
-    /// Sets the gauges of what is held.
-    pub fn set_gauges(&self) {
-        gauge!("mustard_client_bytes").set(self.held_bytes() as f64);
-        gauge!("mustard_client_connections").set(self.open_connections() as f64);
+    /// Updates the gauges of what the process holds, which are sums over its threads.
+    pub fn update_gauges(&self) {
+        let now = (self.held_bytes() as f64, self.open_connections() as f64);
+        let before = self.published.replace(now);
+        gauge!("mustard_client_bytes").increment(now.0 - before.0);
+        gauge!("mustard_client_connections").increment(now.1 - before.1);
+    }
+
+    /// Updates the gauges regularly.
+    pub async fn keep_gauges(self: Rc<Self>) {
+        loop {
+            sleep(GAUGE_INTERVAL).await;
+            self.update_gauges();
+        }
     }
 
     /// Waits until a listener may have one more connection; closes others if there are too many.
@@ -552,7 +583,7 @@
         let limit = if self.held + count <= SMALL_BODY {
             self.budget.limits.bytes
         } else {
-            (self.budget.limits.bytes as f64 * (1.0 - SMALL_SHARE)) as usize
+            self.budget.limits.largest_body()
         };
         let room = self.budget.make_room(count, limit, Some(self.key));
         room.inspect_err(|_| self.budget.record("refused", "body"))?;
--- a/crates/mustard-net/src/daemon.rs
+++ b/crates/mustard-net/src/daemon.rs
@@ -13,6 +13,7 @@
 use mustard_core::event::EventKind;
 
 use crate::process::Process;
+use crate::server;
 use crate::shutdown::{self, RequestGate, ShutdownOutcome};
 
 /// State of a daemon that doesn't listen yet.
@@ -53,6 +54,7 @@
     /// Binds the port; port zero lets the operating system choose one.
     pub fn bind(self, addr: SocketAddr) -> std::io::Result<(Daemon<Serving>, TcpListener)> {
         let listener = TcpListener::bind(addr)?;
+        server::limit_receive_buffers(&listener)?;
         let addr = listener.local_addr()?;
         info!(self.log, "daemon: Listening."; "addr" => %addr);
         println!("listening {addr}");
