Hold what an agent takes of clients within the budget

Agents grew with each sender that stopped just short of the end of a message of up to 4 MiB: 60 of them took an agent beyond 160 MB, 20 endless chunk extensions to 90 MB.

The same budget: `clients.bytes` (48 MiB by default, divided by the threads) and `clients.connections`. A message counts until its handler has ended, as its decoded form takes as much. Without room the answer is Busy, which means not run. `--check` checks the settings, as the other daemons do, and prints what a thread may hold.

--- a/crates/mustard-agent/src/main.rs
+++ b/crates/mustard-agent/src/main.rs
@@ -19,6 +19,9 @@
     /// The settings file, in TOML.
     #[arg(long, value_name = "FILE")]
     config: PathBuf,
+    /// Checks the settings file and exits.
+    #[arg(long)]
+    check: bool,
 }
 
 /// The exit code if the settings can't be loaded.
@@ -34,6 +37,14 @@
             return Ok(ExitCode::from(EXIT_SETTINGS));
         }
     };
+    if options.check {
+        println!("{}: settings are valid", options.config.display());
+        println!(
+            "held for clients by each thread: {}",
+            settings.client_limits()
+        );
+        return Ok(ExitCode::SUCCESS);
+    }
     let code = run::run(settings).await?;
     Ok(ExitCode::from(code))
 }
--- a/crates/mustard-agent/src/run.rs
+++ b/crates/mustard-agent/src/run.rs
@@ -1,16 +1,17 @@
 //! Starts the agent, runs its HTTP server and stops it.
 
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use metrics_exporter_prometheus::PrometheusHandle;
-use ntex::server::Server;
-use ntex::web::{self, App};
+use ntex::web::App;
+use slog::{error, info};
 
 use mustard_net::daemon::Daemon;
 use mustard_net::shutdown::RequestGate;
-use mustard_net::{Process, http, log, metric};
+use mustard_net::{Listener, Process, accept, http, log, metric};
 use mustard_platform::http::HttpService;
 
 use crate::background_tasks;
@@ -63,13 +64,9 @@
             source,
         })?;
     shared.claims.set_address(daemon.addr());
-    let http_server = start_http_server(&shared, &metrics_handle, listener)?;
+    start_workers(&shared, &metrics_handle, &listener)?;
     let drained_daemon = daemon.drain(notice, grace, || shared.begin_stop()).await?;
-    let code = drained_daemon
-        .finish(async {
-            http_server.stop(true).await;
-        })
-        .await;
+    let code = drained_daemon.finish(accept::flush_responses()).await;
     Ok(code)
 }
 
@@ -86,25 +83,36 @@
     }
 }
 
-fn start_http_server(
+/// Starts the threads that handle messages.
+fn start_workers(
     shared: &Arc<Shared>,
     metrics_handle: &PrometheusHandle,
-    listener: std::net::TcpListener,
-) -> Result<Server> {
+    listener: &TcpListener,
+) -> Result<()> {
+    let limits = shared.settings.client_limits();
+    info!(shared.log, "clients: Limits of each thread."; "limits" => %limits);
     let workers = shared.settings.workers;
     let shared = Arc::clone(shared);
     let metrics_handle = metrics_handle.clone();
-    let http_server = web::HttpServer::new(async move || {
-        let worker = Worker::new(Arc::clone(&shared)).await;
-        App::new()
-            .state(worker)
-            .state(metrics_handle.clone())
-            .configure(server::configure)
-    })
-    .workers(workers)
-    .disable_signals()
-    .config(mustard_net::server::config("agent", MAX_HEADERS))
-    .listen(listener)?
-    .run();
-    Ok(http_server)
+    accept::start_workers(workers, listener, move |socket| {
+        serve_connections(Arc::clone(&shared), metrics_handle.clone(), socket)
+    })?;
+    Ok(())
+}
+
+async fn serve_connections(
+    shared: Arc<Shared>,
+    metrics_handle: PrometheusHandle,
+    socket: TcpListener,
+) {
+    let worker = Worker::new(Arc::clone(&shared)).await;
+    let clients = Rc::clone(&worker.clients);
+    ntex::rt::spawn(Rc::clone(&clients).keep_gauges());
+    let app = App::new()
+        .state(worker)
+        .state(metrics_handle)
+        .configure(server::configure);
+    let config = mustard_net::server::config("agent", MAX_HEADERS);
+    let Err(e) = accept::serve(socket, clients, Listener::main("agent"), config, app).await;
+    error!(shared.log, "agent: A thread stopped serving."; "error" => %e);
 }
--- a/crates/mustard-agent/src/server/routes.rs
+++ b/crates/mustard-agent/src/server/routes.rs
@@ -5,6 +5,7 @@
 use ntex::web::types::{Payload, State};
 use ntex::web::{self, HttpResponse, ServiceConfig};
 
+use mustard_net::client_budget::BodyGuard;
 use mustard_net::{metric, server};
 use mustard_proto::agent::{Call, Heartbeat, LoadLayers, SetDraining, SettleKey, VoidKey};
 use mustard_proto::step::{Cancel, Step};
@@ -33,11 +34,21 @@
         .route("/healthz", web::get().to(handle_health));
 }
 
-type EnvelopeResult<M> = Result<Envelope<M>, Refusal>;
+/// A message, counted as held for its sender until it is dropped.
+struct Received<M> {
+    envelope: Envelope<M>,
+    _guard: BodyGuard,
+}
+
+type ReceivedResult<M> = Result<Received<M>, Refusal>;
 
-async fn receive_message<M: Message>(worker: &Worker, payload: Payload) -> EnvelopeResult<M> {
-    let body = body::read_body(payload).await?;
-    server::receive::<M>(&worker.shared.process, &body)
+async fn receive_message<M: Message>(worker: &Worker, payload: Payload) -> ReceivedResult<M> {
+    let body = body::read_body(worker, payload).await?;
+    let envelope = server::receive::<M>(&worker.shared.process, &body.bytes)?;
+    Ok(Received {
+        envelope,
+        _guard: body.guard,
+    })
 }
 
 fn reply<M: Message>(worker: &Worker, result: Result<M::Answer, Refusal>) -> HttpResponse {
@@ -49,7 +60,7 @@
 
 async fn handle_step(worker: State<Worker>, payload: Payload) -> HttpResponse {
     let result = match receive_message::<Step>(&worker, payload).await {
-        Ok(e) => stage::run_step(&worker, e.head.seq, e.message).await,
+        Ok(r) => stage::run_step(&worker, r.envelope.head.seq, r.envelope.message).await,
         Err(r) => Err(r),
     };
     reply::<Step>(&worker, result)
@@ -57,7 +68,7 @@
 
 async fn handle_cancel(worker: State<Worker>, payload: Payload) -> HttpResponse {
     let result = receive_message::<Cancel>(&worker, payload).await;
-    let result = result.map(|e| stage::cancel_attempts(&worker, &e.message));
+    let result = result.map(|r| stage::cancel_attempts(&worker, &r.envelope.message));
     reply::<Cancel>(&worker, result)
 }
 
@@ -69,7 +80,7 @@
 
 async fn handle_call(worker: State<Worker>, payload: Payload) -> HttpResponse {
     let result = match receive_message::<Call>(&worker, payload).await {
-        Ok(e) => calls::call(&worker, e.head.seq, e.message).await,
+        Ok(r) => calls::call(&worker, r.envelope.head.seq, r.envelope.message).await,
         Err(r) => Err(r),
     };
     reply::<Call>(&worker, result)
@@ -77,7 +88,7 @@
 
 async fn handle_void(worker: State<Worker>, payload: Payload) -> HttpResponse {
     let result = match receive_message::<VoidKey>(&worker, payload).await {
-        Ok(e) => calls::void(&worker, &e.message).await,
+        Ok(r) => calls::void(&worker, &r.envelope.message).await,
         Err(r) => Err(r),
     };
     reply::<VoidKey>(&worker, result)
@@ -85,11 +96,11 @@
 
 async fn handle_settle(worker: State<Worker>, payload: Payload) -> HttpResponse {
     let result = match receive_message::<SettleKey>(&worker, payload).await {
-        Ok(e) => {
+        Ok(r) => {
             worker
                 .shared
                 .claims
-                .settle(&worker.server, &e.message)
+                .settle(&worker.server, &r.envelope.message)
                 .await
         }
         Err(r) => Err(r),
@@ -99,7 +110,7 @@
 
 async fn handle_order(worker: State<Worker>, payload: Payload) -> HttpResponse {
     let result = match receive_message::<LoadLayers>(&worker, payload).await {
-        Ok(e) => stage::execute_order(&worker, e.message).await,
+        Ok(r) => stage::execute_order(&worker, r.envelope.message).await,
         Err(r) => Err(r),
     };
     reply::<LoadLayers>(&worker, result)
@@ -107,16 +118,16 @@
 
 async fn handle_drain(worker: State<Worker>, payload: Payload) -> HttpResponse {
     let result = receive_message::<SetDraining>(&worker, payload).await;
-    let result = result.map(|e| {
-        worker.shared.set_draining(e.message.leave);
+    let result = result.map(|r| {
+        worker.shared.set_draining(r.envelope.message.leave);
         worker.shared.info()
     });
     reply::<SetDraining>(&worker, result)
 }
 
 async fn handle_timeline(worker: State<Worker>, payload: Payload) -> HttpResponse {
-    match body::read_body(payload).await {
-        Ok(body) => server::timeline(&worker.shared.process, &body),
+    match body::read_body(&worker, payload).await {
+        Ok(body) => server::timeline(&worker.shared.process, &body.bytes),
         Err(r) => reply::<TimelineRequest>(&worker, Err(r)),
     }
 }
--- a/crates/mustard-agent/src/settings.rs
+++ b/crates/mustard-agent/src/settings.rs
@@ -5,7 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use mustard_net::ClientLimits;
 use mustard_net::log::LogOptions;
+use mustard_net::server::MAX_MESSAGE_BYTES;
 use mustard_net::settings::{Field, KeyError, Settings, ValueKind};
 
 const SECOND_MS: i64 = 1_000;
@@ -55,11 +57,33 @@
     /// Limits of calls with an idempotency key.
     #[serde(default)]
     pub claims: ClaimSettings,
+    /// What is held for clients.
+    #[serde(default)]
+    pub clients: ClientSettings,
     /// The level and format of the log.
     #[serde(default)]
     pub log: LogOptions,
 }
 
+/// What all threads together hold for clients, in equal parts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ClientSettings {
+    /// The most bytes: messages and what is still to be decoded.
+    pub bytes: usize,
+    /// The most connections; at most half of the descriptors of the process.
+    pub connections: usize,
+}
+
+impl Default for ClientSettings {
+    fn default() -> Self {
+        ClientSettings {
+            bytes: 48 * 1024 * 1024,
+            connections: 8_192,
+        }
+    }
+}
+
 mod defaults {
     pub(super) fn workers() -> usize {
         2
@@ -178,6 +202,8 @@
             ValueKind::Int(60 * SECOND_MS, 400 * DAY_MS),
         ),
         Field::optional("claims.sweep_ms", ValueKind::Int(SECOND_MS, 30 * DAY_MS)),
+        Field::optional("clients.bytes", ValueKind::Int(1 << 20, 1 << 36)),
+        Field::optional("clients.connections", ValueKind::Int(8, 1 << 20)),
         Field::optional("log.format", ValueKind::OneOf(&["terminal", "json"])),
         Field::optional(
             "log.level",
@@ -186,6 +212,15 @@
     ];
 
     fn check(&self) -> Vec<KeyError> {
+        if self.client_limits().largest_body() < MAX_MESSAGE_BYTES {
+            return vec![KeyError::InvalidValue {
+                key: "clients.bytes".to_owned(),
+                read: self.clients.bytes.to_string(),
+                allowed: format!(
+                    "room for a message of {MAX_MESSAGE_BYTES} bytes in three quarters of each thread's part"
+                ),
+            }];
+        }
         let has_service = self.service.is_some();
         match self.kind {
             ServerKind::Service if !has_service => vec![KeyError::Missing {
@@ -208,6 +243,13 @@
         Duration::from_millis(self.drain.notice_ms)
     }
 
+    /// Returns what each thread may hold for clients.
+    pub fn client_limits(&self) -> ClientLimits {
+        let clients = &self.clients;
+        let connections = clients.connections / self.workers;
+        ClientLimits::per_worker(clients.bytes, connections, self.workers)
+    }
+
     /// Returns the time after which the process ends although work is still running.
     pub fn grace(&self) -> Duration {
         Duration::from_millis(self.drain.grace_ms)
--- a/crates/mustard-agent/src/worker.rs
+++ b/crates/mustard-agent/src/worker.rs
@@ -11,6 +11,7 @@
 use mustard_backend::http::HttpBackend;
 use mustard_core::event::EventKind;
 use mustard_core::ids::Incarnation;
+use mustard_net::ClientBudget;
 use mustard_net::http::new_client;
 use mustard_net::{CallError, MessageClient};
 use mustard_platform::http::HttpService;
@@ -34,6 +35,8 @@
     pub server: HttpBackend,
     /// The client of the platform's table.
     pub table: HttpService,
+    /// What the thread holds for clients.
+    pub clients: Rc<ClientBudget>,
 }
 
 impl Worker {
@@ -45,7 +48,9 @@
         let server = HttpBackend::new(Rc::clone(&http), unpooled, shared.settings.server);
         let timeout = Duration::from_millis(shared.settings.claims.table_ms);
         let table = HttpService::new(http, shared.settings.table, timeout, "table");
+        let clients = ClientBudget::new(shared.settings.client_limits(), shared.log.clone());
         Worker {
+            clients,
             shared,
             client,
             server,
--- a/crates/mustard-gateway/src/serve.rs
+++ b/crates/mustard-gateway/src/serve.rs
@@ -225,7 +225,7 @@
         metric::set_servers(usable, known);
         metric::set_ejected_servers(ejected);
         metric::set_running_requests(app.gate.running());
-        app.clients.set_gauges();
+        app.clients.update_gauges();
     }
 }
 
