Limit what an answer's connection holds before it is decoded

A server that sent the extension of a chunk without an end made a process keep all of it until the call's time limit: the HTTP client for reports, the store, peers and engines has no limit there, although docs/PROMISES.md says so. The test left this case out, as it took the bytes for skipped.

The connections of that client get the layer that those of callers have: above 64 KiB that wait to be decoded they are closed. exchange_endless has no exception any more (more than 16 MiB taken before, red; passes now).

--- a/crates/mustard-net/src/client_filter.rs
+++ b/crates/mustard-net/src/client_filter.rs
@@ -14,14 +14,9 @@
 use ntex::service::{
     IntoServiceFactory, ServiceFactory, apply_fn_factory, chain_factory, fn_service,
 };
-use ntex::util::BytePages;
 
 use crate::client_budget::{ClientBudget, ConnectionGuard, ConnectionHandle, Listener};
-use crate::server::MAX_HEADER_BYTES;
-
-/// The most bytes that may wait to be decoded. Only an incomplete head or an endless line of a chunk exceeds
-/// it: reading pauses long before, while the bytes of a body or of further requests wait.
-const MAX_UNDECODED: usize = 2 * MAX_HEADER_BYTES;
+use crate::undecoded::{MAX_UNDECODED, pass_received, pass_written};
 
 /// Creates the HTTP server of a listener.
 pub type HttpFactory = BoxServiceFactory<SharedCfg, Io, (), DispatchError, ()>;
@@ -39,17 +34,7 @@
     }
 
     fn process_read_buf(&self, buf: &FilterBuf<'_>) -> io::Result<()> {
-        let undecoded = buf.with_read_buffers(|received, undecoded| {
-            if let Some(received) = received {
-                if undecoded.is_empty() {
-                    std::mem::swap(received, undecoded);
-                } else {
-                    undecoded.extend_from_slice(received);
-                    received.clear();
-                }
-            }
-            undecoded.len()
-        });
+        let undecoded = pass_received(buf);
         if undecoded > MAX_UNDECODED {
             self.connection.budget().record("refused", "framing");
             return Err(io::ErrorKind::InvalidData.into());
@@ -60,7 +45,7 @@
 
     fn process_write_buf(&self, buf: &FilterBuf<'_>) -> io::Result<()> {
         self.connection.send();
-        buf.with_write_buffers(BytePages::move_to);
+        pass_written(buf);
         Ok(())
     }
 }
--- a/crates/mustard-net/src/http.rs
+++ b/crates/mustard-net/src/http.rs
@@ -11,13 +11,15 @@
 use ntex::client::{Client as HttpClient, ClientResponse, Connector};
 use ntex::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use ntex::http::{HeaderMap, Method, StatusCode};
-use ntex::io::IoConfig;
+use ntex::io::{Io, IoConfig};
+use ntex::service::ServiceFactory;
 use ntex::time::{Millis, Seconds};
 use ntex::util::Bytes;
 use tokio::time::Instant;
 
 use crate::errors::{CallError, Result};
 use crate::forward;
+use crate::undecoded::UndecodedLimit;
 
 /// The largest answer body that a client reads, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
@@ -83,7 +85,9 @@
 }
 
 async fn build_client(shared: SharedCfg, max_bytes: usize) -> HttpClient {
+    let tcp = ntex::connect::Connector::new().map(|io: Io| io.add_filter(UndecodedLimit));
     let connector = Connector::new()
+        .connector(tcp)
         .limit(MAX_CONNECTIONS)
         .keep_alive(CLIENT_KEEP_ALIVE)
         .lifetime(CONNECTION_LIFETIME);
--- a/crates/mustard-net/src/lib.rs
+++ b/crates/mustard-net/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod shutdown;
 pub mod supervise;
 pub mod traffic;
+mod undecoded;
 
 pub use client::MessageClient;
 pub use client_budget::{ClientBudget, ClientLimits, Listener};
--- a/crates/mustard-net/tests/unframed.rs
+++ b/crates/mustard-net/tests/unframed.rs
@@ -208,9 +208,7 @@
                 result => break result,
             }
         };
-        // The extension of a chunk's size isn't kept, and the time limit ends the call.
-        let is_skipped = begin.ends_with("1;");
-        let is_bounded = written.is_ok_and(|w| is_skipped || w < 16 * 1_024 * 1_024);
+        let is_bounded = written.is_ok_and(|w| w < 16 * 1_024 * 1_024);
         assert!(is_bounded, "{begin}: {written:?} bytes");
     }
 }
