Cancel an engine's sequence once more after a second

An agent whose sender went away left a sequence open at its engine: step_sender_gone_cancels_sequence timed out waiting for the engine to close it.

The step and its cancellation go to the engine on two connections, and the cancellation, on one that is kept, may arrive first; the step then opens the sequence.

--- a/crates/mustard-agent/src/worker.rs
+++ b/crates/mustard-agent/src/worker.rs
@@ -22,6 +22,8 @@
 use crate::session::EndedSession;
 use crate::shared::Shared;
 
+/// How long a step that was being sent may take to arrive at the engine.
+const CANCEL_AGAIN: Duration = Duration::from_secs(1);
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The connections of one thread and the state shared with the others.
@@ -83,6 +85,9 @@
         tokio::task::spawn_local(async move {
             // If the engine does not answer, it keeps the sequence at most until it dies.
             let _ = server.cancel(seq).await;
+            // A step that was being sent on another connection may arrive after the cancellation.
+            tokio::time::sleep(CANCEL_AGAIN).await;
+            let _ = server.cancel(seq).await;
         });
     }
 }
