--- a/crates/mustard-tests/tests/client_crowds/agent.rs
+++ b/crates/mustard-tests/tests/client_crowds/agent.rs
@@ -4,7 +4,8 @@
 use mustard_tests::{Cluster, Plan, wait_for};
 
 use super::crowd::{
-    Body, Crowd, SMALLEST_MACHINE, Sent, lock_crowds, open_descriptors, peak_memory,
+    Body, Crowd, LowDescriptors, SMALLEST_MACHINE, Sent, assert_descriptors_left, lock_crowds,
+    open_descriptors, peak_memory,
 };
 
 /// The largest message that an agent reads.
@@ -85,3 +86,37 @@
     };
     withstand("/x/v1/step", 2 * CLIENTS, body);
 }
+
+const FEW_DESCRIPTORS: u64 = 400;
+
+fn withstand_connections(bytes: &[u8]) {
+    let _lock = lock_crowds();
+    let low = LowDescriptors::set(FEW_DESCRIPTORS);
+    let mut cluster = Cluster::start(&Plan::new().entries(1).services(0)).unwrap();
+    drop(low);
+    let to = cluster.stages[0].agent.addr();
+    let crowd = Crowd::connect(to, 2 * FEW_DESCRIPTORS as usize, bytes);
+    assert_descriptors_left(cluster.stages[0].agent.id(), FEW_DESCRIPTORS);
+    assert_serves(&cluster);
+    assert_bounded(&mut cluster);
+    drop(crowd);
+    assert_serves(&cluster);
+}
+
+#[test]
+fn agent_connections_silent() {
+    withstand_connections(b"");
+}
+
+#[test]
+fn agent_connections_half_heads() {
+    let mut bytes = b"POST /x/v1/heartbeat HTTP/1.1\r\nhost: x\r\nx-fill: ".to_vec();
+    bytes.resize(15_000, b'x');
+    withstand_connections(&bytes);
+}
+
+#[test]
+fn agent_connections_half_bodies() {
+    let head = "POST /x/v1/heartbeat HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\nhalf";
+    withstand_connections(head.as_bytes());
+}
--- a/crates/mustard-tests/tests/client_crowds/crowd.rs
+++ b/crates/mustard-tests/tests/client_crowds/crowd.rs
@@ -7,6 +7,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
+
 /// The memory of the smallest machine that runs a process of the system, in bytes.
 pub(crate) const SMALLEST_MACHINE: u64 = 160_000_000;
 /// How long a client tries to send; only clients that the process no longer reads need so long.
@@ -191,3 +193,36 @@
     let dir: PathBuf = format!("/proc/{pid}/fd").into();
     std::fs::read_dir(dir).unwrap().count()
 }
+
+/// Lowers the limit on descriptors for the processes that are started until it is dropped.
+pub(crate) struct LowDescriptors {
+    before: Rlimit,
+}
+
+impl LowDescriptors {
+    pub(crate) fn set(limit: u64) -> Self {
+        let before = getrlimit(Resource::Nofile);
+        let current = Some(limit);
+        setrlimit(Resource::Nofile, Rlimit { current, ..before }).unwrap();
+        LowDescriptors { before }
+    }
+}
+
+impl Drop for LowDescriptors {
+    fn drop(&mut self) {
+        setrlimit(Resource::Nofile, self.before).unwrap();
+    }
+}
+
+/// The part of its descriptors that a process gives to clients; the rest is for connections of its own.
+pub(crate) const CLIENT_SHARE: f64 = 0.75;
+
+/// Checks that a crowd of connections leaves descriptors to the process.
+pub(crate) fn assert_descriptors_left(pid: u32, limit: u64) {
+    let open = open_descriptors(pid);
+    println!("{open} descriptors beside the crowd");
+    assert!(
+        open as f64 <= CLIENT_SHARE * limit as f64,
+        "{open} descriptors"
+    );
+}
--- a/crates/mustard-tests/tests/client_crowds/entry.rs
+++ b/crates/mustard-tests/tests/client_crowds/entry.rs
@@ -6,7 +6,8 @@
 use mustard_tests::{Cluster, Plan, wait_for};
 
 use super::crowd::{
-    Body, Crowd, SMALLEST_MACHINE, Sent, lock_crowds, open_descriptors, peak_memory,
+    Body, Crowd, LowDescriptors, SMALLEST_MACHINE, Sent, assert_descriptors_left, lock_crowds,
+    open_descriptors, peak_memory,
 };
 
 const BODY_LIMIT: usize = 1024 * 1024;
@@ -120,3 +121,37 @@
     };
     withstand("/v1/completions", body);
 }
+
+const FEW_DESCRIPTORS: u64 = 400;
+
+fn withstand_connections(bytes: &[u8]) {
+    let _lock = lock_crowds();
+    let low = LowDescriptors::set(FEW_DESCRIPTORS);
+    let mut cluster = Cluster::start(&Plan::new().entries(1).services(0)).unwrap();
+    drop(low);
+    let to = cluster.entries[0].addr();
+    let crowd = Crowd::connect(to, 2 * FEW_DESCRIPTORS as usize, bytes);
+    assert_descriptors_left(cluster.entries[0].id(), FEW_DESCRIPTORS);
+    assert_serves(&cluster);
+    assert_bounded(&mut cluster);
+    drop(crowd);
+    assert_serves(&cluster);
+}
+
+#[test]
+fn entry_connections_silent() {
+    withstand_connections(b"");
+}
+
+#[test]
+fn entry_connections_half_heads() {
+    let mut bytes = b"POST /x/v1/heartbeat HTTP/1.1\r\nhost: x\r\nx-fill: ".to_vec();
+    bytes.resize(15_000, b'x');
+    withstand_connections(&bytes);
+}
+
+#[test]
+fn entry_connections_half_bodies() {
+    let head = "POST /x/v1/heartbeat HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\nhalf";
+    withstand_connections(head.as_bytes());
+}
--- a/crates/mustard-tests/tests/client_crowds/gateway.rs
+++ b/crates/mustard-tests/tests/client_crowds/gateway.rs
@@ -15,7 +15,9 @@
 use mustard_tests::ports::free_port;
 use mustard_tests::wait_for;
 
-use super::crowd::{Body, Crowd, Sent, lock_crowds, open_descriptors, peak_memory};
+use super::crowd::{
+    Body, Crowd, Sent, assert_descriptors_left, lock_crowds, open_descriptors, peak_memory,
+};
 
 const MEMORY_MB: u64 = 64;
 const DESCRIPTORS: u64 = 1_000;
@@ -296,8 +298,6 @@
 
 /// The number of descriptors of a gateway before a crowd of connections; 200 of them aren't for sockets.
 const FEW_DESCRIPTORS: u64 = 400;
-/// The part of them that clients may take; the rest is for connections of the gateway's own.
-const CLIENT_SHARE: f64 = 0.75;
 
 fn withstand_connections(bytes: &[u8]) {
     let mut gateway = Gateway::start_with(FEW_DESCRIPTORS);
@@ -309,10 +309,7 @@
     ];
     for to in listeners {
         let crowd = Crowd::connect(to, 2 * FEW_DESCRIPTORS as usize, bytes);
-        let open = open_descriptors(gateway.child.id());
-        println!("{open} descriptors beside the crowd");
-        let most = CLIENT_SHARE * FEW_DESCRIPTORS as f64;
-        assert!(open as f64 <= most, "{open} descriptors");
+        assert_descriptors_left(gateway.child.id(), FEW_DESCRIPTORS);
         gateway.assert_serves();
         gateway.assert_bounded();
         drop(crowd);
