Count a connection as soon as it is accepted

Processes still had 376 to 400 of 400 descriptors in use by clients in release builds: a connection was counted only when its task ran first, and up to 128 can be accepted before. It is counted before the next one is accepted now.

--- a/crates/mustard-net/src/accept.rs
+++ b/crates/mustard-net/src/accept.rs
@@ -17,7 +17,7 @@
 use ntex::service::{IntoServiceFactory, ServiceFactory};
 
 use crate::client_budget::{ClientBudget, Listener};
-use crate::client_filter::http_service;
+use crate::client_filter::{count_connection, http_service};
 
 /// The result of accepting connections.
 pub type Result<T> = io::Result<T>;
@@ -51,8 +51,7 @@
 {
     socket.set_nonblocking(true)?;
     let socket = tokio::net::TcpListener::from_std(socket)?;
-    let http = http_service(&budget, listener, service);
-    let http = http.pipeline(config.clone()).await;
+    let http = http_service(service).pipeline(config.clone()).await;
     let http = http.map_err(|()| io::Error::other("the HTTP server can't be created"))?;
     loop {
         let stream = match socket.accept().await {
@@ -72,6 +71,7 @@
             .and_then(|s| from_tcp_stream(s, config.clone()));
         // A connection that is gone already needs no answer.
         if let Ok(io) = io {
+            let io = count_connection(io, &budget, listener);
             let http = http.clone();
             ntex::rt::spawn(async move { http.call(io).await });
         }
--- a/crates/mustard-net/src/client_filter.rs
+++ b/crates/mustard-net/src/client_filter.rs
@@ -9,21 +9,21 @@
 use ntex::http::body::{Body, BodySize, MessageBody};
 use ntex::http::error::{DispatchError, ResponseError};
 use ntex::http::{HttpService, Request, Response};
-use ntex::io::{FilterBuf, FilterLayer, Io};
+use ntex::io::{FilterBuf, FilterLayer, Io, Layer};
 use ntex::service::boxed::{self, BoxServiceFactory};
-use ntex::service::{
-    IntoServiceFactory, ServiceFactory, apply_fn_factory, chain_factory, fn_service,
-};
+use ntex::service::{IntoServiceFactory, ServiceFactory, apply_fn_factory};
 
 use crate::client_budget::{ClientBudget, ConnectionGuard, ConnectionHandle, Listener};
 use crate::undecoded::{MAX_UNDECODED, pass_received, pass_written};
 
+/// A connection whose bytes are counted.
+pub(crate) type ClientIo = Io<Layer<ClientFilter>>;
 /// Creates the HTTP server of a listener.
-pub type HttpFactory = BoxServiceFactory<SharedCfg, Io, (), DispatchError, ()>;
+pub(crate) type HttpFactory = BoxServiceFactory<SharedCfg, ClientIo, (), DispatchError, ()>;
 
 /// The layer of a connection that counts its bytes.
 #[derive(Debug)]
-struct ClientFilter {
+pub(crate) struct ClientFilter {
     connection: ConnectionGuard,
 }
 
@@ -50,9 +50,14 @@
     }
 }
 
-/// Returns the HTTP server of a listener: connections and requests are counted in `budget`, then `service`
-/// handles them.
-pub fn http_service<S, U>(budget: &Rc<ClientBudget>, listener: Listener, service: U) -> HttpFactory
+/// Counts a connection and its bytes in `budget` until it is closed.
+pub(crate) fn count_connection(io: Io, budget: &Rc<ClientBudget>, listener: Listener) -> ClientIo {
+    let connection = budget.open(listener, io.get_ref());
+    io.add_filter(ClientFilter { connection })
+}
+
+/// Returns the HTTP server of a listener, which tells the budget when requests begin and end.
+pub(crate) fn http_service<S, U>(service: U) -> HttpFactory
 where
     U: IntoServiceFactory<S, Request, SharedCfg>,
     S: ServiceFactory<Request, SharedCfg> + 'static,
@@ -60,11 +65,6 @@
     S::InitError: Debug,
     S::Response: Into<Response<Body>>,
 {
-    let budget = Rc::clone(budget);
-    let open = async move |io: Io| {
-        let connection = budget.open(listener, io.get_ref());
-        Ok::<_, DispatchError>(io.add_filter(ClientFilter { connection }))
-    };
     let counted = apply_fn_factory(service, async |request: Request, handler| {
         let connection = request.io().and_then(|io| {
             let found = io.query::<ConnectionHandle>();
@@ -76,6 +76,5 @@
         }
         Ok::<_, S::Error>(response)
     });
-    let http = chain_factory(fn_service(open)).and_then(HttpService::h1(counted));
-    boxed::factory(http)
+    boxed::factory(HttpService::h1(counted))
 }
--- a/crates/mustard-net/src/lib.rs
+++ b/crates/mustard-net/src/lib.rs
@@ -25,6 +25,5 @@
 
 pub use client::MessageClient;
 pub use client_budget::{ClientBudget, ClientLimits, Listener};
-pub use client_filter::{HttpFactory, http_service};
 pub use errors::{CallError, Result};
 pub use process::Process;
