--- a/crates/mustard-gateway/src/main.rs
+++ b/crates/mustard-gateway/src/main.rs
@@ -15,6 +15,8 @@
 use mustard_policy::hedge;
 
 const EXIT_BAD_SETTINGS: u8 = 2;
+/// The least connections of a listener.
+const MIN_CONNECTIONS: usize = 8;
 
 /// Forwards requests from callers to backend servers that run their own model pipelines.
 #[derive(Debug, Parser)]
@@ -113,7 +115,7 @@
     };
     let connections = match args.client_connections {
         Some(count) => count as usize,
-        None => node.max_sockets / 2,
+        None => (node.max_sockets / 2).max(MIN_CONNECTIONS),
     };
     ensure!(
         bytes < node.memory_bytes,
@@ -121,12 +123,12 @@
         node.memory_bytes
     );
     ensure!(
-        connections < node.max_sockets,
+        connections <= node.max_sockets.max(MIN_CONNECTIONS),
         "--client-connections: the process has {}",
         node.max_sockets
     );
     Ok(ClientLimits::default()
         .bytes(bytes as usize)
         .connections(connections)
-        .per_listener(node.max_sockets / 8))
+        .per_listener((node.max_sockets / 8).max(MIN_CONNECTIONS)))
 }
