--- a/crates/mustard-tests/tests/client_crowds/entry.rs
+++ b/crates/mustard-tests/tests/client_crowds/entry.rs
@@ -1,54 +1,20 @@
 //! Crowds before an entry process.
 
-use std::net::SocketAddr;
+use mustard_tests::plan::CUSTOMER_KEY;
 
-use mustard_tests::plan::{CUSTOMER_KEY, MODEL};
-use mustard_tests::{Cluster, Plan, wait_for};
-
-use super::crowd::{
-    Body, Crowd, LowDescriptors, SMALLEST_MACHINE, Sent, assert_descriptors_left, lock_crowds,
-    open_descriptors, peak_memory,
-};
+use super::cluster::{Target, plan};
+use super::crowd::{Body, Sent};
 
 const BODY_LIMIT: usize = 1024 * 1024;
 const CLIENTS: usize = 200;
-const DESCRIPTORS: usize = 1_000;
-
-fn assert_serves(cluster: &Cluster) {
-    let caller = cluster.caller(0);
-    let draft = || {
-        let draft = caller.stream(MODEL, &[1], 1).ok()?;
-        draft.is_whole().then_some(())
-    };
-    wait_for("an ordinary draft is served", draft).unwrap();
-}
-
-fn assert_bounded(cluster: &mut Cluster) {
-    let entry = &mut cluster.entries[0];
-    assert!(entry.is_running(), "the process ended");
-    let peak = peak_memory(entry.id());
-    let open = open_descriptors(entry.id());
-    println!("peak memory {peak} bytes, {open} descriptors");
-    assert!(peak <= SMALLEST_MACHINE, "peak memory {peak} bytes");
-    assert!(open <= DESCRIPTORS, "{open} descriptors");
-}
 
 fn withstand(path: &str, body: Body) {
-    let _lock = lock_crowds();
-    let limits = "[limits]\nbody_ms = 60000\n";
-    let plan = Plan::new().entries(1).services(0).entry_settings(limits);
-    let mut cluster = Cluster::start(&plan).unwrap();
-    let to: SocketAddr = cluster.entries[0].addr();
+    let plan = plan().entry_settings("[limits]\nbody_ms = 60000\n");
     let head = format!(
         "POST {path} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {CUSTOMER_KEY}\r\n\
          content-type: application/json\r\n"
     );
-    let crowd = Crowd::send(to, CLIENTS, &Sent::new(&head, body));
-    assert_serves(&cluster);
-    assert_bounded(&mut cluster);
-    drop(crowd);
-    assert_serves(&cluster);
-    assert_bounded(&mut cluster);
+    Target::Entry.withstand(&plan, CLIENTS, &Sent::new(&head, body));
 }
 
 #[test]
@@ -122,36 +88,20 @@
     withstand("/v1/completions", body);
 }
 
-const FEW_DESCRIPTORS: u64 = 400;
-
-fn withstand_connections(bytes: &[u8]) {
-    let _lock = lock_crowds();
-    let low = LowDescriptors::set(FEW_DESCRIPTORS);
-    let mut cluster = Cluster::start(&Plan::new().entries(1).services(0)).unwrap();
-    drop(low);
-    let to = cluster.entries[0].addr();
-    let crowd = Crowd::connect(to, 2 * FEW_DESCRIPTORS as usize, bytes);
-    assert_descriptors_left(cluster.entries[0].id(), FEW_DESCRIPTORS);
-    assert_serves(&cluster);
-    assert_bounded(&mut cluster);
-    drop(crowd);
-    assert_serves(&cluster);
-}
-
 #[test]
 fn entry_connections_silent() {
-    withstand_connections(b"");
+    Target::Entry.withstand_connections(b"");
 }
 
 #[test]
 fn entry_connections_half_heads() {
     let mut bytes = b"POST /x/v1/heartbeat HTTP/1.1\r\nhost: x\r\nx-fill: ".to_vec();
     bytes.resize(15_000, b'x');
-    withstand_connections(&bytes);
+    Target::Entry.withstand_connections(&bytes);
 }
 
 #[test]
 fn entry_connections_half_bodies() {
     let head = "POST /x/v1/heartbeat HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\nhalf";
-    withstand_connections(head.as_bytes());
+    Target::Entry.withstand_connections(head.as_bytes());
 }
--- a/crates/mustard-tests/tests/client_crowds/main.rs
+++ b/crates/mustard-tests/tests/client_crowds/main.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod agent;
+mod cluster;
 mod crowd;
 mod entry;
 mod gateway;
