--- a/crates/mustard-gateway/src/forward/mod.rs
+++ b/crates/mustard-gateway/src/forward/mod.rs
@@ -236,7 +236,7 @@
     if announced.is_some_and(|size| size > body_limit(app) as u64) {
         return Err(large_body().for_request(&params));
     }
-    // An older configuration may lack a route or a key, so the refusal waits until the body has arrived.
+    // Unless the configuration is confirmed, a newer one may have the route or the key; it may come with the body.
     if let Some(config) = app.config().filter(|_| app.is_config_confirmed()) {
         authorize(app, &config, request.uri().path(), &params)?;
     }
--- a/crates/mustard-net/src/client_budget.rs
+++ b/crates/mustard-net/src/client_budget.rs
@@ -177,7 +177,7 @@
     began: Instant,
     /// When bytes were last received.
     active: Instant,
-    /// Wakes the reader; taken when the body is evicted.
+    /// Tells the reader that the body is evicted.
     reader: Rc<Eviction>,
 }
 
