--- a/crates/mustard-tests/tests/client_crowds/crowd.rs
+++ b/crates/mustard-tests/tests/client_crowds/crowd.rs
@@ -1,6 +1,6 @@
 //! Clients that hold on to connections, and the footprint of the process that they press.
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -9,6 +9,8 @@
 
 use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 
+use mustard_tests::wait::WAIT_LIMIT;
+
 /// The memory of the smallest machine that runs a process of the system, in bytes.
 pub(crate) const SMALLEST_MACHINE: u64 = 160_000_000;
 /// How long a client tries to send; only clients that the process no longer reads need so long.
@@ -226,3 +228,30 @@
         "{open} descriptors"
     );
 }
+
+/// Returns a whole request: a body with a length, or in chunks of the given size.
+pub(crate) fn frame_whole(head: &str, body: &[u8], chunk: Option<usize>) -> Vec<u8> {
+    let Some(size) = chunk else {
+        let mut bytes = format!("{head}content-length: {}\r\n\r\n", body.len()).into_bytes();
+        bytes.extend_from_slice(body);
+        return bytes;
+    };
+    let mut bytes = format!("{head}transfer-encoding: chunked\r\n\r\n").into_bytes();
+    for part in body.chunks(size) {
+        bytes.extend_from_slice(format!("{:x}\r\n", part.len()).as_bytes());
+        bytes.extend_from_slice(part);
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes.extend_from_slice(b"0\r\n\r\n");
+    bytes
+}
+
+/// Sends bytes and returns the beginning of the answer.
+pub(crate) fn send_whole(to: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(to).unwrap();
+    stream.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
+    stream.write_all(bytes).unwrap();
+    let mut buffer = [0; 256];
+    let count = stream.read(&mut buffer).unwrap();
+    String::from_utf8_lossy(&buffer[..count]).into_owned()
+}
--- a/crates/mustard-tests/tests/client_crowds/entry.rs
+++ b/crates/mustard-tests/tests/client_crowds/entry.rs
@@ -1,9 +1,10 @@
 //! Crowds before an entry process.
 
-use mustard_tests::plan::CUSTOMER_KEY;
+use mustard_tests::Cluster;
+use mustard_tests::plan::{CUSTOMER_KEY, MODEL};
 
 use super::cluster::{Target, plan};
-use super::crowd::{Body, Sent};
+use super::crowd::{Body, Sent, frame_whole, lock_crowds, send_whole};
 
 const BODY_LIMIT: usize = 1024 * 1024;
 const CLIENTS: usize = 200;
@@ -105,3 +106,22 @@
     let head = "POST /x/v1/heartbeat HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\nhalf";
     Target::Entry.withstand_connections(head.as_bytes());
 }
+
+/// A body of the full size is served if no one else asks for anything.
+#[test]
+fn entry_single_full_body() {
+    let _lock = lock_crowds();
+    let cluster = Cluster::start(&plan()).unwrap();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {CUSTOMER_KEY}\r\n\
+         content-type: application/json\r\nconnection: close\r\n"
+    );
+    let mut body =
+        format!("{{\"model\":\"{MODEL}\",\"prompt\":[1],\"max_tokens\":1}}").into_bytes();
+    body.resize(BODY_LIMIT, b' ');
+    for chunk in [None, Some(65_536), Some(100)] {
+        let bytes = frame_whole(&head, &body, chunk);
+        let answer = send_whole(cluster.entries[0].addr(), &bytes);
+        assert!(answer.starts_with("HTTP/1.1 200"), "{chunk:?}: {answer}");
+    }
+}
--- a/crates/mustard-tests/tests/client_crowds/gateway.rs
+++ b/crates/mustard-tests/tests/client_crowds/gateway.rs
@@ -16,7 +16,8 @@
 use mustard_tests::wait_for;
 
 use super::crowd::{
-    Body, Crowd, Sent, assert_descriptors_left, lock_crowds, open_descriptors, peak_memory,
+    Body, Crowd, Sent, assert_descriptors_left, frame_whole, lock_crowds, open_descriptors,
+    peak_memory, send_whole,
 };
 
 const MEMORY_MB: u64 = 64;
@@ -341,48 +342,16 @@
 #[test]
 fn gateway_single_full_body() {
     let mut gateway = Gateway::start();
-    let framings = [
-        ("content-length", BODY_LIMIT),
-        ("chunked", 65_536),
-        ("chunked", 100),
-        ("chunked", 1),
-    ];
-    for (n, (framing, chunk)) in framings.into_iter().enumerate() {
+    let body = vec![b'x'; BODY_LIMIT];
+    for (n, chunk) in [None, Some(65_536), Some(100), Some(1)]
+        .into_iter()
+        .enumerate()
+    {
         let head = booking(Body::just_short(BODY_LIMIT)).head;
         let head = head.replace("{id}", &format!("full-{n}"));
-        let mut bytes = match framing {
-            "chunked" => format!("{head}transfer-encoding: chunked\r\n\r\n"),
-            _ => format!("{head}content-length: {BODY_LIMIT}\r\n\r\n"),
-        }
-        .into_bytes();
-        let body = vec![b'x'; BODY_LIMIT];
-        if framing == "chunked" {
-            for part in body.chunks(chunk) {
-                bytes.extend_from_slice(format!("{:x}\r\n", part.len()).as_bytes());
-                bytes.extend_from_slice(part);
-                bytes.extend_from_slice(b"\r\n");
-            }
-            bytes.extend_from_slice(b"0\r\n\r\n");
-        } else {
-            bytes.extend_from_slice(&body);
-        }
+        let bytes = frame_whole(&head, &body, chunk);
         let answer = send_whole(gateway.callers, &bytes);
-        assert!(
-            answer.starts_with("HTTP/1.1 200"),
-            "{framing} {chunk}: {answer}"
-        );
+        assert!(answer.starts_with("HTTP/1.1 200"), "{chunk:?}: {answer}");
     }
     gateway.assert_bounded();
 }
-
-/// Sends bytes and returns the beginning of the answer.
-fn send_whole(to: SocketAddr, bytes: &[u8]) -> String {
-    use std::io::{Read, Write};
-    let mut stream = std::net::TcpStream::connect(to).unwrap();
-    let limit = mustard_tests::wait::WAIT_LIMIT;
-    stream.set_read_timeout(Some(limit)).unwrap();
-    stream.write_all(bytes).unwrap();
-    let mut buffer = [0; 256];
-    let count = stream.read(&mut buffer).unwrap();
-    String::from_utf8_lossy(&buffer[..count]).into_owned()
-}
