--- a/crates/mustard-fakes/src/site/mod.rs
+++ b/crates/mustard-fakes/src/site/mod.rs
@@ -63,6 +63,8 @@
     pub pipe_mbps: f64,
     /// The largest body that callers may send, in bytes.
     pub body_limit: usize,
+    /// The least size of an answer of the plain service, in bytes; shorter ones are filled up.
+    pub answer_bytes: usize,
 }
 
 impl Default for SiteOptions {
@@ -78,6 +80,7 @@
             stream_limit: usize::MAX,
             pipe_mbps: 1_000.0,
             body_limit: 65_536,
+            answer_bytes: 0,
         }
     }
 }
--- a/crates/mustard-fakes/src/site/plain.rs
+++ b/crates/mustard-fakes/src/site/plain.rs
@@ -92,7 +92,9 @@
             let mut out = Response::Ok();
             out.header("attempt-id", id.clone());
             out.header("response-seal", format!("seal-{id}"));
-            out.body(Bytes::from(format!("done {id}")))
+            let mut body = format!("done {id}").into_bytes();
+            body.resize(body.len().max(site.lock().options.answer_bytes), b'.');
+            out.body(Bytes::from(body))
         }
     }
 }
--- a/crates/mustard-tests/tests/client_crowds/agent.rs
+++ b/crates/mustard-tests/tests/client_crowds/agent.rs
@@ -1,7 +1,12 @@
 //! Crowds before an agent.
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+use mustard_tests::Cluster;
+
 use super::cluster::{Target, plan};
-use super::crowd::{Body, Sent};
+use super::crowd::{Body, Sent, frame_whole, lock_crowds};
 
 /// The largest message that an agent reads.
 const MESSAGE_LIMIT: usize = 4 * 1024 * 1024;
@@ -31,6 +36,58 @@
     withstand("/x/v1/heartbeat", CLIENTS, body);
 }
 
+#[test]
+fn agent_chunks_small() {
+    let body = Body::Chunks {
+        chunk: 64,
+        sent: MESSAGE_LIMIT - 64,
+    };
+    withstand("/x/v1/step", CLIENTS, body);
+}
+
+#[test]
+fn agent_chunks_single_bytes() {
+    let body = Body::Chunks {
+        chunk: 1,
+        sent: MESSAGE_LIMIT / 32,
+    };
+    withstand("/x/v1/step", 2 * CLIENTS, body);
+}
+
+#[test]
+fn agent_trailers_without_end() {
+    let body = Body::Trailers {
+        sent: MESSAGE_LIMIT / 2,
+    };
+    withstand("/x/v1/step", 2 * CLIENTS, body);
+}
+
+#[test]
+fn agent_pipelined_bodies() {
+    let head = "POST /x/v1/step HTTP/1.1\r\nhost: x\r\n";
+    let mut request = Sent::new(head, Body::just_short(MESSAGE_LIMIT));
+    request.pipelined = (4, MESSAGE_LIMIT);
+    Target::Agent.withstand(&plan(), CLIENTS, &request);
+}
+
+/// A message of the full size is read if no one else sends anything; what it says is refused in an answer.
+#[test]
+fn agent_single_full_message() {
+    let _lock = lock_crowds();
+    let cluster = Cluster::start(&plan()).unwrap();
+    let body = vec![0xc1; MESSAGE_LIMIT];
+    for chunk in [None, Some(65_536), Some(100)] {
+        let head = "POST /x/v1/step HTTP/1.1\r\nhost: x\r\nconnection: close\r\n";
+        let bytes = frame_whole(head, &body, chunk);
+        let mut stream = TcpStream::connect(cluster.stages[0].agent.addr()).unwrap();
+        stream.write_all(&bytes).unwrap();
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).unwrap();
+        let answer = String::from_utf8_lossy(&answer);
+        assert!(answer.contains("Malformed"), "{chunk:?}: {answer}");
+    }
+}
+
 #[test]
 fn agent_announced_over_limit() {
     let body = Body::Length {
--- a/crates/mustard-tests/tests/client_crowds/crowd.rs
+++ b/crates/mustard-tests/tests/client_crowds/crowd.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
+use socket2::{Domain, Socket, Type};
 
 use mustard_tests::wait::WAIT_LIMIT;
 
@@ -176,6 +177,24 @@
     }
 }
 
+/// Connects a client that sends `bytes` again and again until the receiver takes no more, and reads nothing.
+pub(crate) fn flood(to: SocketAddr, bytes: &[u8]) -> Option<TcpStream> {
+    let socket = Socket::new(Domain::for_address(to), Type::STREAM, None).unwrap();
+    // The receiver soon has to hold the answers.
+    socket.set_recv_buffer_size(4_096).unwrap();
+    socket.connect_timeout(&to.into(), CONNECT_LIMIT).ok()?;
+    let mut stream = TcpStream::from(socket);
+    stream.set_nonblocking(true).unwrap();
+    while stream.write(bytes).is_ok_and(|count| count > 0) {}
+    Some(stream)
+}
+
+/// Waits until the answer on a connection has begun, and reads none of it; the connection may be closed instead.
+pub(crate) fn wait_for_answer(stream: &TcpStream) {
+    stream.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
+    let _ = stream.peek(&mut [0; 16]);
+}
+
 fn connect(to: SocketAddr) -> Option<TcpStream> {
     let stream = TcpStream::connect_timeout(&to, CONNECT_LIMIT).ok()?;
     stream.set_write_timeout(Some(SEND_LIMIT)).unwrap();
@@ -184,12 +203,35 @@
 
 /// Returns the highest resident memory of a process so far, in bytes.
 pub(crate) fn peak_memory(pid: u32) -> u64 {
+    memory_of(pid, "VmHWM:")
+}
+
+/// Returns the resident memory of a process, in bytes.
+pub(crate) fn resident_memory(pid: u32) -> u64 {
+    memory_of(pid, "VmRSS:")
+}
+
+fn memory_of(pid: u32, field: &str) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
-    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+    let line = status.lines().find_map(|l| l.strip_prefix(field));
     let kib = line.and_then(|l| l.split_whitespace().next()?.parse::<u64>().ok());
     kib.unwrap() * 1_024
 }
 
+/// Returns the bytes that connections to a port of this machine have received and that their process hasn't read.
+pub(crate) fn unread_bytes(port: u16) -> u64 {
+    const ESTABLISHED: &str = "01";
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let unread = table.lines().skip(1).filter_map(|line| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let (_, local_port) = fields[1].split_once(':')?;
+        let is_meant = fields[3] == ESTABLISHED && local_port == format!("{port:04X}");
+        let (_, queued) = fields[4].split_once(':')?;
+        is_meant.then(|| u64::from_str_radix(queued, 16).unwrap())
+    });
+    unread.sum()
+}
+
 /// Returns the number of open descriptors of a process.
 pub(crate) fn open_descriptors(pid: u32) -> usize {
     let dir: PathBuf = format!("/proc/{pid}/fd").into();
--- a/crates/mustard-tests/tests/client_crowds/entry.rs
+++ b/crates/mustard-tests/tests/client_crowds/entry.rs
@@ -10,12 +10,19 @@
 const CLIENTS: usize = 200;
 
 fn withstand(path: &str, body: Body) {
+    withstand_pipelined(path, (0, 0), body);
+}
+
+/// Sends complete requests, given by their number and the size of their bodies, before the one with `body`.
+fn withstand_pipelined(path: &str, pipelined: (usize, usize), body: Body) {
     let plan = plan().entry_settings("[limits]\nbody_ms = 60000\n");
     let head = format!(
         "POST {path} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {CUSTOMER_KEY}\r\n\
          content-type: application/json\r\n"
     );
-    Target::Entry.withstand(&plan, CLIENTS, &Sent::new(&head, body));
+    let mut request = Sent::new(&head, body);
+    request.pipelined = pipelined;
+    Target::Entry.withstand(&plan, CLIENTS, &request);
 }
 
 #[test]
@@ -23,6 +30,34 @@
     withstand("/v1/completions", Body::just_short(BODY_LIMIT));
 }
 
+#[test]
+fn entry_bodies_in_pieces() {
+    withstand("/v1/completions", Body::in_pieces(BODY_LIMIT, 1_000));
+}
+
+#[test]
+fn entry_pipelined_bodies() {
+    let body = Body::just_short(BODY_LIMIT);
+    withstand_pipelined("/v1/completions", (4, BODY_LIMIT), body);
+}
+
+#[test]
+fn entry_chunks_single_bytes() {
+    let body = Body::Chunks {
+        chunk: 1,
+        sent: BODY_LIMIT / 8,
+    };
+    withstand("/v1/completions", body);
+}
+
+#[test]
+fn entry_trailers_without_end() {
+    let body = Body::Trailers {
+        sent: 2 * BODY_LIMIT,
+    };
+    withstand("/v1/completions", body);
+}
+
 #[test]
 fn entry_chunks_large() {
     let body = Body::Chunks {
--- a/crates/mustard-tests/tests/client_crowds/gateway.rs
+++ b/crates/mustard-tests/tests/client_crowds/gateway.rs
@@ -1,10 +1,13 @@
 //! Crowds before a gateway.
 
 use std::fs::File;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::io::Write;
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::MutexGuard;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
 
 use rustix::process::{Pid, Resource, Rlimit, prlimit};
 use serde_json::json;
@@ -16,8 +19,8 @@
 use mustard_tests::wait_for;
 
 use super::crowd::{
-    Body, Crowd, Sent, assert_descriptors_left, frame_whole, lock_crowds, open_descriptors,
-    peak_memory, send_whole,
+    Body, Crowd, Sent, assert_descriptors_left, flood, frame_whole, lock_crowds, open_descriptors,
+    peak_memory, resident_memory, send_whole, unread_bytes, wait_for_answer,
 };
 
 const MEMORY_MB: u64 = 64;
@@ -59,12 +62,16 @@
     }
 
     fn start_with(descriptors: u64) -> Self {
-        let lock = lock_crowds();
-        let site = Site::start(SiteOptions {
+        let options = SiteOptions {
             body_limit: BODY_LIMIT,
             ..SiteOptions::default()
-        })
-        .unwrap();
+        };
+        Gateway::start_at(options, descriptors)
+    }
+
+    fn start_at(options: SiteOptions, descriptors: u64) -> Self {
+        let lock = lock_crowds();
+        let site = Site::start(options).unwrap();
         site.write_config(1, &[API_KEY]);
         let ip = Ipv4Addr::LOCALHOST;
         let ports = [0; 4].map(|_| free_port().unwrap());
@@ -124,6 +131,14 @@
         wait_for("the readiness check is answered", is_ready).unwrap();
     }
 
+    /// Returns the number of requests that servers have answered.
+    fn served_requests(&self) -> u64 {
+        let metrics = HttpRequest::get(self.metrics, "/metrics").send().unwrap();
+        let line = "mustard_requests_total{kind=\"plain\",outcome=\"served\"} ";
+        let count = metrics.body.lines().find_map(|l| l.strip_prefix(line));
+        count.map_or(0, |c| c.parse().unwrap())
+    }
+
     /// Checks that the process lives and holds no more than its machine has.
     fn assert_bounded(&mut self) {
         assert!(
@@ -139,6 +154,11 @@
 
     fn assert_withstands(&mut self, to: SocketAddr, count: usize, request: &Sent) {
         let crowd = Crowd::send(to, count, request);
+        self.assert_serves_beside(crowd);
+    }
+
+    /// Checks the process beside a crowd, and after the crowd has left.
+    fn assert_serves_beside<T>(&mut self, crowd: T) {
         self.assert_serves();
         self.assert_bounded();
         drop(crowd);
@@ -297,6 +317,92 @@
     }
 }
 
+/// Crowds one after the other leave no more behind than one.
+#[test]
+fn gateway_bodies_repeated() {
+    let mut gateway = Gateway::start();
+    for _ in 0..3 {
+        for body in [
+            Body::just_short(BODY_LIMIT),
+            Body::Chunks {
+                chunk: 1_000,
+                sent: BODY_LIMIT - 1_000,
+            },
+            Body::in_pieces(BODY_LIMIT / 4, 10_000),
+        ] {
+            gateway.assert_withstands(gateway.callers, CLIENTS, &booking(body));
+        }
+    }
+}
+
+/// A request with a small body whose answer its client doesn't read.
+fn small_booking(id: usize) -> Vec<u8> {
+    let head = booking(Body::just_short(BODY_LIMIT)).head;
+    let head = head.replace("{id}", &format!("unread-{id}"));
+    format!("{head}content-length: 2\r\n\r\n{{}}").into_bytes()
+}
+
+/// Clients that ask for large answers and read none, which the gateway has to hold.
+#[test]
+fn gateway_answers_unread() {
+    let options = SiteOptions {
+        body_limit: BODY_LIMIT,
+        answer_bytes: 8 * BODY_LIMIT,
+        ..SiteOptions::default()
+    };
+    let mut gateway = Gateway::start_at(options, DESCRIPTORS);
+    let client = |n| {
+        let mut stream = TcpStream::connect(gateway.callers).unwrap();
+        stream.write_all(&small_booking(n)).unwrap();
+        wait_for_answer(&stream);
+        stream
+    };
+    let clients: Vec<TcpStream> = (0..40).map(client).collect();
+    gateway.assert_serves_beside(clients);
+}
+
+/// Clients that send requests ahead and read none of the short answers.
+#[test]
+fn gateway_short_answers_unread() {
+    let options = SiteOptions {
+        body_limit: BODY_LIMIT,
+        answer_bytes: 300,
+        ..SiteOptions::default()
+    };
+    let mut gateway = Gateway::start_at(options, DESCRIPTORS);
+    let client = |n| flood(gateway.callers, &small_booking(n).repeat(100));
+    let clients: Vec<TcpStream> = (0..2 * CLIENTS).filter_map(client).collect();
+    // Until the gateway passes on no more requests, as their answers find no way out.
+    let mut served = 0;
+    loop {
+        thread::sleep(Duration::from_millis(500));
+        let before = std::mem::replace(&mut served, gateway.served_requests());
+        if served == before {
+            break;
+        }
+    }
+    gateway.assert_serves_beside(clients);
+}
+
+/// Clients that send requests ahead on each connection: what has arrived and isn't read counts as the machine's memory.
+#[test]
+fn gateway_bytes_unread() {
+    // As many for each byte of memory as the smallest machine has: 4,100 beside 160 MB.
+    let mut gateway = Gateway::start_with(1_640);
+    let mut clients = Vec::new();
+    let mut most = 0;
+    for n in 0..800 {
+        clients.extend(flood(gateway.callers, &small_booking(n).repeat(100)));
+        if n % 50 == 49 {
+            let unread = unread_bytes(gateway.callers.port());
+            most = most.max(unread + resident_memory(gateway.child.id()));
+        }
+    }
+    println!("at most {most} bytes, resident and unread");
+    assert!(most <= MEMORY_MB * 1_000_000, "{most} bytes");
+    gateway.assert_serves_beside(clients);
+}
+
 /// The number of descriptors of a gateway before a crowd of connections; 200 of them aren't for sockets.
 const FEW_DESCRIPTORS: u64 = 400;
 
