Hold arriving bodies in pieces of one size

What was seen: crowds of bodies one after the other made a gateway larger each time.

Cause: the buffer of a body doubles as it grows. Each step leaves memory of another size behind, which the allocator can't use for the next body, and half of the last buffer is never used.

Fix: bytes are held in pieces of 64 KiB and joined once, when the body is complete.

--- a/crates/mustard-net/src/client_body.rs
+++ b/crates/mustard-net/src/client_body.rs
@@ -5,10 +5,11 @@
 
 use ntex::http::Payload;
 use ntex::http::error::PayloadError;
-use ntex::util::{Bytes, BytesMut, Stream, stream_recv};
+use ntex::util::{Bytes, Stream, stream_recv};
 use tokio::time::timeout;
 
 use crate::client_budget::{BodyGuard, ClientBudget, Exhausted};
+use crate::pieces::Pieces;
 
 /// The result of reading a body.
 pub type Result<T> = std::result::Result<T, BodyError>;
@@ -54,7 +55,7 @@
     P: Stream<Item = std::result::Result<Bytes, PayloadError>> + Unpin,
 {
     let mut guard = budget.begin_body();
-    let mut bytes = BytesMut::new();
+    let mut pieces = Pieces::default();
     loop {
         let chunk = tokio::select! {
             biased;
@@ -65,15 +66,15 @@
             break;
         };
         let chunk = chunk.map_err(|_| BodyError::Broken)?;
-        if bytes.len() + chunk.len() > limit {
+        if pieces.len() + chunk.len() > limit {
             return Err(BodyError::TooLarge);
         }
         guard.grow(chunk.len())?;
-        bytes.extend_from_slice(&chunk);
+        pieces.push(&chunk);
     }
     guard.complete()?;
     Ok(ClientBody {
-        bytes: bytes.freeze(),
+        bytes: pieces.join(),
         guard,
     })
 }
--- a/crates/mustard-net/src/lib.rs
+++ b/crates/mustard-net/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod http;
 pub mod log;
 pub mod metric;
+pub mod pieces;
 pub mod problem;
 pub mod process;
 pub mod server;
--- a/crates/mustard-net/tests/client_budget.rs
+++ b/crates/mustard-net/tests/client_budget.rs
@@ -80,6 +80,40 @@
     assert_eq!(budget.held_bytes(), 0);
 }
 
+/// A body is the same whatever the sizes in which it arrives.
+#[ntex::test]
+async fn read_body_pieces_in_order() {
+    let budget = new_budget(6 * MIB);
+    for sizes in [&[1, 65_535, 1][..], &[65_536, 65_536], &[200_000, 7], &[3]] {
+        let mut next = 0u8;
+        let pieces = sizes.iter().map(|size| {
+            let fill = || {
+                next = next.wrapping_add(7);
+                next
+            };
+            Bytes::from(
+                std::iter::repeat_with(fill)
+                    .take(*size)
+                    .collect::<Vec<u8>>(),
+            )
+        });
+        let pieces: VecDeque<Bytes> = pieces.collect();
+        let expected = pieces.iter().flat_map(|p| p.iter().copied());
+        let expected: Vec<u8> = expected.collect();
+        let is_complete = true;
+        let body = read(
+            &budget,
+            Pieces {
+                pieces,
+                is_complete,
+            },
+        )
+        .await
+        .unwrap();
+        assert!(body.bytes == expected, "{sizes:?}");
+    }
+}
+
 /// A body counts until its request has ended, also when its bytes were passed on.
 #[ntex::test]
 async fn read_body_held_until_dropped() {
