Divide the receive buffers among the connections of a listener

The operating system holds up to twice the size that is set, so that 64 KiB were up to 110 KB.

Cause: the size was the same for each connection, so that their sum grew with the number of connections.

Fix: the listener's size is a quarter of the budget's bytes, divided by the number of open connections, between 4 and 64 KiB. The i-th oldest connection then has at most the i-th part, and the sum grows with the logarithm of their number.

--- a/crates/mustard-net/src/accept.rs
+++ b/crates/mustard-net/src/accept.rs
@@ -15,6 +15,7 @@
 use ntex::http::error::ResponseError;
 use ntex::rt::{Arbiter, from_tcp_stream};
 use ntex::service::{IntoServiceFactory, ServiceFactory};
+use socket2::SockRef;
 
 use crate::client_budget::{ClientBudget, Listener};
 use crate::client_filter::{count_connection, http_service};
@@ -53,7 +54,14 @@
     let socket = tokio::net::TcpListener::from_std(socket)?;
     let http = http_service(service).pipeline(config.clone()).await;
     let http = http.map_err(|()| io::Error::other("the HTTP server can't be created"))?;
+    let mut receive_buffer = 0;
     loop {
+        let size = budget.receive_buffer();
+        if size != receive_buffer {
+            // Connections inherit the size when they are opened, before they are accepted.
+            SockRef::from(&socket).set_recv_buffer_size(size)?;
+            receive_buffer = size;
+        }
         let stream = match socket.accept().await {
             Ok((stream, _)) => stream,
             Err(e) if is_connection_error(e.kind()) => continue,
--- a/crates/mustard-net/src/client_budget.rs
+++ b/crates/mustard-net/src/client_budget.rs
@@ -17,6 +17,9 @@
 
 use mustard_core::arena::{Arena, Key};
 
+/// The largest and the smallest size of the buffer for received bytes of a connection, in bytes.
+pub(crate) const MAX_RECEIVE_BUFFER: usize = 64 * 1024;
+const MIN_RECEIVE_BUFFER: usize = 4 * 1024;
 /// The part of the budget that only requests with small bodies may use.
 const SMALL_SHARE: f64 = 0.25;
 /// The largest body that may use it, in bytes.
@@ -90,9 +93,15 @@
         (self.bytes as f64 * (1.0 - SMALL_SHARE)) as usize
     }
 
-    /// Returns the limit on the bytes held for all clients together.
-    pub fn max_bytes(&self) -> usize {
-        self.bytes
+    /// Returns the size of the buffer for received bytes of one more connection beside `open` others, in bytes.
+    ///
+    /// The operating system holds what arrived and isn't read, up to twice this size. The buffers shrink with the
+    /// number of connections, so that their sum grows with its logarithm only.
+    pub fn receive_buffer(&self, open: usize) -> usize {
+        let part = self.bytes / 4 / (open + 1);
+        let part = part.clamp(MIN_RECEIVE_BUFFER, MAX_RECEIVE_BUFFER);
+        // Few different sizes: a listener is told each new one.
+        1 << part.ilog2()
     }
 
     /// Returns the limit on the connections of a listener.
@@ -246,6 +255,11 @@
         self.held.borrow().connections.len()
     }
 
+    /// Returns the size of the buffer for received bytes of the next connection, in bytes.
+    pub(crate) fn receive_buffer(&self) -> usize {
+        self.limits.receive_buffer(self.open_connections())
+    }
+
     /// Updates the gauges of what the process holds, which are sums over its threads.
     pub fn update_gauges(&self) {
         let now = (self.held_bytes() as f64, self.open_connections() as f64);
--- a/crates/mustard-net/src/server.rs
+++ b/crates/mustard-net/src/server.rs
@@ -15,6 +15,7 @@
 use mustard_proto::timeline::{TimelineAnswer, TimelineRequest};
 use mustard_proto::{Envelope, Message, ProtoError, Refusal, Reply, codec};
 
+use crate::client_budget::MAX_RECEIVE_BUFFER;
 use crate::http::{HEADER_TIMEOUT, SERVER_KEEP_ALIVE};
 use crate::process::Process;
 use crate::traffic;
@@ -27,8 +28,6 @@
 const READ_BUFFER: usize = 4 * 1024;
 /// The number of read buffers that are kept for further connections.
 const IDLE_BUFFERS: usize = 128;
-/// The size of the buffer for received bytes of a connection, in bytes.
-const RECEIVE_BUFFER: usize = 64 * 1024;
 pub(crate) const MAX_HEADER_BYTES: usize = 32 * 1024;
 /// The number of header bytes that must arrive within the timeout to extend it. It has no effect,
 /// because the timeout is also given as the maximum.
@@ -49,13 +48,13 @@
 }
 
 /// Limits what the operating system holds of each connection's unread bytes; connections of the listener inherit
-/// the limit.
+/// the limit. [`crate::accept::serve`] lowers it when there are many.
 ///
 /// # Errors
 ///
 /// Returns the error of the operating system.
 pub fn limit_receive_buffers(listener: &TcpListener) -> std::io::Result<()> {
-    SockRef::from(listener).set_recv_buffer_size(RECEIVE_BUFFER)
+    SockRef::from(listener).set_recv_buffer_size(MAX_RECEIVE_BUFFER)
 }
 
 /// Decodes a message, checks that it is addressed to this incarnation, and merges the clock and
