Count answers that clients don't read in the budget

Cause: an answer counted only while it was read from the server, against a limit of its own of 48 MiB. Passed on, it waited for its client without any limit; the operating system held megabytes more.

Fix: an answer counts in the budget while it is read, and what its client hasn't taken counts at the connection, below the HTTP encoder and so at each listener of each process. When room is needed, the client that has taken least is closed; it must take 16 KiB/s or have stalled for less than a second. A large answer without room is lost or closes its connection, as it has run; answers up to 64 KiB always find room. A connection's send buffer is limited to 64 KiB, so that what is held is counted.

--- a/crates/mustard-core/src/arena.rs
+++ b/crates/mustard-core/src/arena.rs
@@ -166,6 +166,11 @@
         self.len() == 0
     }
 
+    /// Returns an iterator over mutable references to all values, in slot order.
+    pub fn values_mut(&mut self) -> impl Iterator<Item = &mut T> {
+        self.slots.iter_mut().filter_map(|s| s.value.as_mut())
+    }
+
     /// Returns an iterator over all values and their keys, in slot order.
     pub fn iter(&self) -> impl Iterator<Item = (Key<M>, &T)> {
         self.slots.iter().enumerate().filter_map(|(i, slot)| {
--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -138,8 +138,6 @@
     pub list_confirmed: Cell<Moment>,
     /// Whether the list of servers has been read in full once.
     pub list_read: Cell<bool>,
-    /// The bytes of the response bodies that are being read.
-    pub buffered_bytes: Cell<usize>,
     /// The streams in flight.
     pub streams: RefCell<ActiveStreams>,
     /// How late the timers of this process fire.
@@ -228,7 +226,6 @@
             last_config: Cell::new(Fingerprint(0)),
             fleet: RefCell::default(),
             list_read: Cell::new(false),
-            buffered_bytes: Cell::default(),
             streams: RefCell::default(),
             list_confirmed: Cell::default(),
             lateness: RefCell::default(),
--- a/crates/mustard-gateway/src/forward/send.rs
+++ b/crates/mustard-gateway/src/forward/send.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ntex::http::HeaderMap;
-use ntex::util::{Bytes, BytesMut};
+use ntex::util::Bytes;
 use slog::info;
 use tokio::time::timeout;
 
@@ -15,6 +15,7 @@
 use mustard_net::CallError;
 use mustard_net::forward::{ForwardedRequest, ForwardedResponse, ResponseBody, forward_request};
 use mustard_net::http::MAX_ANSWER_BYTES;
+use mustard_net::pieces::Pieces;
 
 use crate::app::{App, CONNECT_TIMEOUT};
 use crate::fleet::ServerProcess;
@@ -27,36 +28,6 @@
 /// The time within which a body ends whose head doesn't say how long it is; that of a stream isn't
 /// read at once.
 pub(super) const BODY_TIMEOUT: Duration = Duration::from_secs(3);
-/// The most bytes of all bodies that are being read.
-const MAX_BUFFERED_BYTES: usize = 48 * 1024 * 1024;
-
-/// Counts the bytes of a body that is being read until it is dropped.
-struct BufferGuard<'a> {
-    app: &'a App,
-    bytes: usize,
-}
-
-impl<'a> BufferGuard<'a> {
-    fn new(app: &'a App) -> Self {
-        BufferGuard { app, bytes: 0 }
-    }
-
-    /// Counts further bytes; returns the number of those of all bodies.
-    fn add(&mut self, bytes: usize) -> usize {
-        self.bytes += bytes;
-        let total = self.app.buffered_bytes.get() + bytes;
-        self.app.buffered_bytes.set(total);
-        total
-    }
-}
-
-impl Drop for BufferGuard<'_> {
-    fn drop(&mut self) {
-        let total = self.app.buffered_bytes.get();
-        self.app.buffered_bytes.set(total - self.bytes);
-    }
-}
-
 /// A server that a request is sent to.
 #[derive(Clone, Debug)]
 pub(super) struct Target {
@@ -225,9 +196,9 @@
         }
     }
 
-    /// Reads the rest of the body. It counts as lost if it has more than [`MAX_ANSWER_BYTES`], if all
-    /// bodies that are being read have more than [`MAX_BUFFERED_BYTES`], or if its head doesn't say how
-    /// long it is and it doesn't end within [`BODY_TIMEOUT`].
+    /// Reads the rest of the body. It counts as lost if it has more than [`MAX_ANSWER_BYTES`] or finds no room in
+    /// the budget of what is held for clients, or if its head doesn't say how long it is and it doesn't end within
+    /// [`BODY_TIMEOUT`].
     pub(super) async fn read_body(&mut self, app: &Rc<App>) -> Result<Bytes, SendError> {
         let limit = if self.body.has_length() {
             Duration::MAX
@@ -239,18 +210,17 @@
     }
 
     async fn read_buffered(&mut self, app: &Rc<App>) -> Result<Bytes, SendError> {
-        let mut body = BytesMut::new();
-        let mut buffered = BufferGuard::new(app);
+        let mut body = Pieces::default();
+        let mut guard = app.clients.begin_answer();
         loop {
             match self.next_chunk().await {
                 BodyChunk::Bytes(bytes) => {
-                    body.extend_from_slice(&bytes);
-                    let total = buffered.add(bytes.len());
-                    if body.len() > MAX_ANSWER_BYTES || total > MAX_BUFFERED_BYTES {
+                    body.push(&bytes);
+                    if body.len() > MAX_ANSWER_BYTES || guard.grow(bytes.len()).is_err() {
                         return Err(SendError::Lost);
                     }
                 }
-                BodyChunk::End => return Ok(body.freeze()),
+                BodyChunk::End => return Ok(body.join()),
                 BodyChunk::Failed => return Err(SendError::Lost),
             }
         }
--- a/crates/mustard-gateway/src/serve.rs
+++ b/crates/mustard-gateway/src/serve.rs
@@ -171,7 +171,7 @@
         .and_then(|list| {
             let first = list.into_iter().next();
             let listener = first.ok_or(std::io::ErrorKind::Other)?;
-            server::limit_receive_buffers(&listener)?;
+            server::limit_buffers(&listener)?;
             Ok(listener)
         })
         .map_err(|source| GatewayError::Listen { addr, source })
--- a/crates/mustard-net/src/client_budget.rs
+++ b/crates/mustard-net/src/client_budget.rs
@@ -26,7 +26,8 @@
 const SMALL_BODY: usize = 64 * 1024;
 /// How long a client may send nothing before it can be evicted.
 const STALL_TIME: Duration = Duration::from_secs(1);
-/// The rate below which a body can be evicted, in bytes per second, over the time since it began.
+/// The rate below which a body can be evicted, in bytes per second, over the time since it began, and the client of
+/// an answer, over the time since it last made progress.
 const MIN_RATE: f64 = 16.0 * 1024.0;
 /// How long a response may pause before its connection can be closed for another one.
 const STREAM_TIME: Duration = Duration::from_secs(10);
@@ -177,7 +178,11 @@
     phase: Phase,
     /// The bytes that were received and not yet decoded.
     buffered: usize,
-    /// When something was last received, or the last answer was given.
+    /// The bytes of answers that the client hasn't taken.
+    unsent: usize,
+    /// Their number when the client was last seen to make progress.
+    unsent_mark: usize,
+    /// When something was last received or sent, or the last answer was given.
     active: Instant,
 }
 
@@ -201,7 +206,7 @@
     connections: Arena<ConnectionState>,
     /// The bodies that are still arriving.
     arriving: Arena<BodyState>,
-    /// The bytes of all bodies and buffers.
+    /// The bytes of all bodies, buffers and answers.
     bytes: usize,
 }
 
@@ -262,6 +267,7 @@
 
     /// Updates the gauges of what the process holds, which are sums over its threads.
     pub fn update_gauges(&self) {
+        self.held.borrow_mut().update_unsent();
         let now = (self.held_bytes() as f64, self.open_connections() as f64);
         let before = self.published.replace(now);
         gauge!("mustard_client_bytes").increment(now.0 - before.0);
@@ -305,6 +311,8 @@
             io,
             phase: Phase::New,
             buffered: 0,
+            unsent: 0,
+            unsent_mark: 0,
             active: Instant::now(),
         });
         ConnectionGuard {
@@ -331,6 +339,14 @@
         }
     }
 
+    /// Begins to count an answer that is being read for a client.
+    pub fn begin_answer(self: &Rc<Self>) -> AnswerGuard {
+        AnswerGuard {
+            budget: Rc::clone(self),
+            held: 0,
+        }
+    }
+
     /// Closes the connection of a listener that is of the least use; returns whether there is one.
     fn evict_connection(&self, listener: Listener) -> bool {
         let now = Instant::now();
@@ -346,12 +362,23 @@
 
     /// Closes the connection with the part of a head that has stalled longest; returns whether there is one.
     fn evict_head(&self) -> bool {
+        self.evict_stalled(|c| c.phase == Phase::Head)
+    }
+
+    /// Closes the connection whose client has taken nothing of an answer for longest; returns whether there is one.
+    fn evict_reader(&self) -> bool {
+        self.evict_stalled(|c| c.unsent > 0)
+    }
+
+    /// Closes the connection that has stalled longest among those that `is_meant` names; returns whether there is one.
+    fn evict_stalled(&self, is_meant: impl Fn(&ConnectionState) -> bool) -> bool {
         let now = Instant::now();
         let victim = {
             let held = self.held.borrow();
-            let heads = held.connections.iter();
-            let heads = heads.filter(|(_, c)| c.phase == Phase::Head && c.is_stalled(now));
-            heads.min_by_key(|(_, c)| c.active).map(|(key, _)| key)
+            let connections = held.connections.iter();
+            let stalled = connections
+                .filter(|(_, c)| c.phase != Phase::Closing && c.is_stalled(now) && is_meant(c));
+            stalled.min_by_key(|(_, c)| c.active).map(|(key, _)| key)
         };
         victim.is_some_and(|key| self.terminate(key))
     }
@@ -363,9 +390,9 @@
                 return false;
             };
             connection.phase = Phase::Closing;
-            let undecoded = std::mem::take(&mut connection.buffered);
+            let released = connection.take_bytes();
             let io = connection.io.clone();
-            held.bytes -= undecoded;
+            held.bytes -= released;
             io
         };
         io.terminate();
@@ -399,8 +426,11 @@
         limit: usize,
         claimant: Option<Key<BodyState>>,
     ) -> Result<(), Exhausted> {
+        if self.held_bytes() + count > limit {
+            self.held.borrow_mut().update_unsent();
+        }
         while self.held_bytes() + count > limit {
-            if !self.evict_body(claimant) && !self.evict_head() {
+            if !self.evict_body(claimant) && !self.evict_head() && !self.evict_reader() {
                 return Err(Exhausted);
             }
         }
@@ -431,13 +461,38 @@
     }
 
     fn remove_connection(&mut self, key: Key<ConnectionState>) {
-        if let Some(connection) = self.connections.remove(key) {
-            self.bytes -= connection.buffered;
+        if let Some(mut connection) = self.connections.remove(key) {
+            self.bytes -= connection.take_bytes();
+        }
+    }
+
+    /// Finds out what clients have taken of their answers meanwhile.
+    fn update_unsent(&mut self) {
+        let now = Instant::now();
+        for connection in self.connections.values_mut() {
+            if connection.unsent == 0 {
+                continue;
+            }
+            let left = connection.io.with_write_dst_buf(|b| b.len());
+            let taken = connection.unsent.saturating_sub(left);
+            self.bytes -= taken;
+            connection.unsent -= taken;
+            let since = now.duration_since(connection.active).as_secs_f64();
+            let taken = connection.unsent_mark.saturating_sub(left);
+            if taken > 0 && taken as f64 >= MIN_RATE * since {
+                connection.unsent_mark = left;
+                connection.active = now;
+            }
         }
     }
 }
 
 impl ConnectionState {
+    /// Takes all bytes that the connection holds out of its counts.
+    fn take_bytes(&mut self) -> usize {
+        std::mem::take(&mut self.buffered) + std::mem::take(&mut self.unsent)
+    }
+
     fn is_stalled(&self, now: Instant) -> bool {
         now.duration_since(self.active) >= STALL_TIME
     }
@@ -521,11 +576,28 @@
         Ok(())
     }
 
-    /// Records that bytes were sent.
-    pub(crate) fn send(&self) {
-        if let Some(connection) = self.budget.held.borrow_mut().connections.get_mut(self.key) {
+    /// Records how many bytes of answers the client is still to take.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a large answer finds no room, or the connection was evicted.
+    pub(crate) fn send(&self, unsent: usize) -> Result<(), Exhausted> {
+        {
+            let mut held = self.budget.held.borrow_mut();
+            let connection = held.connections.get_mut(self.key).ok_or(Exhausted)?;
+            if connection.phase == Phase::Closing {
+                return Err(Exhausted);
+            }
             connection.active = Instant::now();
+            connection.unsent_mark = unsent;
+            let before = std::mem::replace(&mut connection.unsent, unsent);
+            held.bytes = held.bytes + unsent - before;
         }
+        if unsent <= SMALL_BODY {
+            return Ok(());
+        }
+        let room = self.budget.make_room(0, self.budget.limits.bytes, None);
+        room.inspect_err(|_| self.budget.record("refused", "answer"))
     }
 }
 
@@ -637,3 +709,36 @@
         }
     }
 }
+
+/// An answer that is being read for a client; it leaves the budget when this is dropped. What the client hasn't taken
+/// of it by then counts at its connection.
+#[derive(Debug)]
+pub struct AnswerGuard {
+    budget: Rc<ClientBudget>,
+    held: usize,
+}
+
+impl AnswerGuard {
+    /// Takes further bytes, evicting stalled clients if need be. Short answers always find room.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the budget is exhausted.
+    pub fn grow(&mut self, count: usize) -> Result<(), Exhausted> {
+        if self.held + count > SMALL_BODY {
+            let room = self
+                .budget
+                .make_room(count, self.budget.limits.largest_body(), None);
+            room.inspect_err(|_| self.budget.record("refused", "answer"))?;
+        }
+        self.held += count;
+        self.budget.held.borrow_mut().bytes += count;
+        Ok(())
+    }
+}
+
+impl Drop for AnswerGuard {
+    fn drop(&mut self) {
+        self.budget.held.borrow_mut().bytes -= self.held;
+    }
+}
--- a/crates/mustard-net/src/client_filter.rs
+++ b/crates/mustard-net/src/client_filter.rs
@@ -44,9 +44,8 @@
     }
 
     fn process_write_buf(&self, buf: &FilterBuf<'_>) -> io::Result<()> {
-        self.connection.send();
-        pass_written(buf);
-        Ok(())
+        let sent = self.connection.send(pass_written(buf));
+        sent.map_err(|_| io::ErrorKind::OutOfMemory.into())
     }
 }
 
--- a/crates/mustard-net/src/daemon.rs
+++ b/crates/mustard-net/src/daemon.rs
@@ -54,7 +54,7 @@
     /// Binds the port; port zero lets the operating system choose one.
     pub fn bind(self, addr: SocketAddr) -> std::io::Result<(Daemon<Serving>, TcpListener)> {
         let listener = TcpListener::bind(addr)?;
-        server::limit_receive_buffers(&listener)?;
+        server::limit_buffers(&listener)?;
         let addr = listener.local_addr()?;
         info!(self.log, "daemon: Listening."; "addr" => %addr);
         println!("listening {addr}");
--- a/crates/mustard-net/src/server.rs
+++ b/crates/mustard-net/src/server.rs
@@ -28,6 +28,8 @@
 const READ_BUFFER: usize = 4 * 1024;
 /// The number of read buffers that are kept for further connections.
 const IDLE_BUFFERS: usize = 128;
+/// The size of the buffer for unsent bytes of a connection, in bytes.
+const SEND_BUFFER: usize = 64 * 1024;
 pub(crate) const MAX_HEADER_BYTES: usize = 32 * 1024;
 /// The number of header bytes that must arrive within the timeout to extend it. It has no effect,
 /// because the timeout is also given as the maximum.
@@ -47,14 +49,16 @@
     SharedCfg::new(name).add(http).add(io).into()
 }
 
-/// Limits what the operating system holds of each connection's unread bytes; connections of the listener inherit
-/// the limit. [`crate::accept::serve`] lowers it when there are many.
+/// Limits what the operating system holds of each connection's bytes, unread and unsent; connections of the listener
+/// inherit the limits. [`crate::accept::serve`] lowers the first one when there are many.
 ///
 /// # Errors
 ///
 /// Returns the error of the operating system.
-pub fn limit_receive_buffers(listener: &TcpListener) -> std::io::Result<()> {
-    SockRef::from(listener).set_recv_buffer_size(MAX_RECEIVE_BUFFER)
+pub fn limit_buffers(listener: &TcpListener) -> std::io::Result<()> {
+    let socket = SockRef::from(listener);
+    socket.set_recv_buffer_size(MAX_RECEIVE_BUFFER)?;
+    socket.set_send_buffer_size(SEND_BUFFER)
 }
 
 /// Decodes a message, checks that it is addressed to this incarnation, and merges the clock and
--- a/crates/mustard-net/src/undecoded.rs
+++ b/crates/mustard-net/src/undecoded.rs
@@ -44,7 +44,10 @@
     })
 }
 
-/// Passes written bytes on to the connection.
-pub(crate) fn pass_written(buf: &FilterBuf<'_>) {
-    buf.with_write_buffers(BytePages::move_to);
+/// Passes written bytes on to the connection and returns the number of those that wait to be sent.
+pub(crate) fn pass_written(buf: &FilterBuf<'_>) -> usize {
+    buf.with_write_buffers(|written, unsent| {
+        BytePages::move_to(written, unsent);
+        unsent.len()
+    })
 }
