Fill the pages of a connection's output with short answers

What was seen: clients that send requests ahead and read none of the short answers.

Cause: the layer that counts a connection's bytes moved each answer to the output with the page of 16 KiB that it stood on. Up to 16 KiB of answers wait at a connection, counted by their length: 64 answers of 250 bytes held 1 MiB.

Fix: short answers are appended, which copies up to 4 KiB into the page that is there, and a page has 4 KiB.

--- a/crates/mustard-net/src/server.rs
+++ b/crates/mustard-net/src/server.rs
@@ -7,7 +7,7 @@
 use ntex::SharedCfg;
 use ntex::http::HttpServiceConfig;
 use ntex::io::IoConfig;
-use ntex::util::Bytes;
+use ntex::util::{BytePageSize, Bytes};
 use ntex::web::HttpResponse;
 use socket2::SockRef;
 
@@ -45,7 +45,9 @@
         .set_headers_read_rate(HEADER_TIMEOUT, HEADER_TIMEOUT, HEADER_RATE_BYTES)
         .set_max_headers(headers)
         .set_max_buf_size(MAX_HEADER_BYTES);
-    let io = IoConfig::new().set_read_buf(READ_BUFFER, READ_BUFFER / 8, IDLE_BUFFERS);
+    let io = IoConfig::new()
+        .set_read_buf(READ_BUFFER, READ_BUFFER / 8, IDLE_BUFFERS)
+        .set_write_page_size(BytePageSize::Size4);
     SharedCfg::new(name).add(http).add(io).into()
 }
 
--- a/crates/mustard-net/src/undecoded.rs
+++ b/crates/mustard-net/src/undecoded.rs
@@ -3,7 +3,6 @@
 use std::io;
 
 use ntex::io::{FilterBuf, FilterLayer};
-use ntex::util::BytePages;
 
 use crate::server::MAX_HEADER_BYTES;
 
@@ -47,7 +46,10 @@
 /// Passes written bytes on to the connection and returns the number of those that wait to be sent.
 pub(crate) fn pass_written(buf: &FilterBuf<'_>) -> usize {
     buf.with_write_buffers(|written, unsent| {
-        BytePages::move_to(written, unsent);
+        // Appending fills pages up with short answers, where moving would leave a page to each of them.
+        while let Some(page) = written.take() {
+            unsent.append(page);
+        }
         unsent.len()
     })
 }
