Refuse a request by a limit only after the grantor could count it

Cause: a holder asks for as many requests as it expects and at most every 20 ms. Four bookings that come together just after an ask find too few. The next ask is made up to 20 ms later, and a request was refused 25 ms after it came, also if the answer was still on its way from another process.

Fix: a request is refused once an ask made since it came was answered, or couldn't be, and not before 25 ms; after 400 ms at the latest, as for a first grant. If the grantor has nothing, it is refused as soon as before.

--- a/crates/mustard-entry/src/quotas.rs
+++ b/crates/mustard-entry/src/quotas.rs
@@ -10,7 +10,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use mustard_core::catalogue::{Catalogue, Entry};
 use mustard_core::clock::Moment;
@@ -18,7 +18,8 @@
 use mustard_core::ids::{Incarnation, Seq};
 use mustard_platform::vms::Vm;
 use mustard_policy::limits::{
-    Demand, Denied, Grant as PolicyGrant, GrantLimits, Grantor, Permit, SharedHolder, grantor_of,
+    Demand, Denied, FIRST_GRANT_WAIT, Grant as PolicyGrant, GrantLimits, Grantor, Permit,
+    SharedHolder, grantor_of,
 };
 use mustard_proto::limits::{Grant, GrantRequest};
 
@@ -27,10 +28,6 @@
 
 /// The timeout of one request for a grant.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(150);
-/// How long a caller's request waits for the first grant.
-const FIRST_GRANT_WAIT: Duration = Duration::from_millis(400);
-/// How long a caller's request waits for a further grant before it is refused.
-const NEXT_GRANT_WAIT: Duration = Duration::from_millis(25);
 /// The pause before a caller's request tries again to get a permit.
 const RETRY_PAUSE: Duration = Duration::from_millis(3);
 /// How often grantors are checked while the catalogue does not change.
@@ -130,17 +127,14 @@
 pub async fn acquire_permit(worker: &Rc<Worker>, entry: &Entry) -> Result<Permit> {
     let shared = &worker.shared;
     let holder = shared.quotas.holder(entry);
-    let started = Instant::now();
+    let arrived = shared.process.now();
     loop {
-        let denied = match holder.acquire(shared.process.now()) {
+        let now = shared.process.now();
+        let denied = match holder.acquire(now) {
             Ok(permit) => return Ok(permit),
             Err(denied) => denied,
         };
-        let max_wait = match denied {
-            Denied::NoGrant => FIRST_GRANT_WAIT,
-            _ => NEXT_GRANT_WAIT,
-        };
-        if started.elapsed() >= max_wait {
+        if !holder.with(|h| h.should_wait(denied, arrived, now)) {
             return Err(limit_error(denied));
         }
         renew(worker, &entry.name, &holder).await;
--- a/crates/mustard-policy/src/limits/holder.rs
+++ b/crates/mustard-policy/src/limits/holder.rs
@@ -14,6 +14,10 @@
 const RENEW_DIVISOR: u32 = 3;
 /// The least time between two asks of a holder that needs a grant.
 const MIN_ASK_INTERVAL: Duration = Duration::from_millis(20);
+/// How long a request waits for the first grant.
+pub const FIRST_GRANT_WAIT: Duration = Duration::from_millis(400);
+/// How long a request waits for a further grant, if an ask made since it arrived was answered.
+const NEXT_GRANT_WAIT: Duration = Duration::from_millis(25);
 /// The weight of the newest count of arrivals when it is below the expected number.
 const ARRIVALS_WEIGHT: f64 = 0.3;
 
@@ -66,6 +70,8 @@
     /// The requests expected between two asks: rises at once to the last count and falls slowly.
     expected_arrivals: f64,
     last_ask: Option<Moment>,
+    /// The newest ask that was answered, or couldn't be.
+    answered_ask: Option<Moment>,
     /// The bucket for an even part of the rate, used while the grantor is unreachable.
     fallback: Option<TokenBucket>,
 }
@@ -83,6 +89,7 @@
             arrivals: 0,
             expected_arrivals: 0.0,
             last_ask: None,
+            answered_ask: None,
             fallback: None,
         }
     }
@@ -117,6 +124,20 @@
         Ok(())
     }
 
+    /// Returns whether a request that arrived at `arrived` and was denied a permit should try again.
+    ///
+    /// A request is refused only after the grantor has answered an ask that could count it, however long that
+    /// takes within the wait for a first grant.
+    pub fn should_wait(&self, denied: Denied, arrived: Moment, now: Moment) -> bool {
+        let is_answered = self.answered_ask.is_some_and(|asked| asked >= arrived);
+        let limit = if is_answered && denied != Denied::NoGrant {
+            NEXT_GRANT_WAIT
+        } else {
+            FIRST_GRANT_WAIT
+        };
+        now.since(arrived) < limit
+    }
+
     /// Returns a permit to the holder.
     pub fn release(&mut self) {
         self.running = self.running.saturating_sub(1);
@@ -162,12 +183,14 @@
         self.slots = grant.slots;
         self.valid_until = self.valid_until.max(until);
         self.retry_delay = grant.retry_after;
+        self.answered_ask = self.answered_ask.max(Some(asked));
         self.fallback = None;
     }
 
     /// Uses an even part of the limits, since the grantor could not be reached; `live` is the
     /// number of live entry processes. Does nothing until the last grant has expired.
     pub fn use_fallback(&mut self, now: Moment, live: u32) {
+        self.answered_ask = self.last_ask;
         if now < self.valid_until && self.fallback.is_none() {
             return;
         }
--- a/crates/mustard-policy/src/limits/mod.rs
+++ b/crates/mustard-policy/src/limits/mod.rs
@@ -23,7 +23,7 @@
 use crate::subset::first_by_hash;
 
 pub use grantor::Grantor;
-pub use holder::{Demand, Denied, Holder, Permit, Result, SharedHolder};
+pub use holder::{Demand, Denied, FIRST_GRANT_WAIT, Holder, Permit, Result, SharedHolder};
 
 /// How long a grant is valid.
 pub const GRANT_TTL: Duration = Duration::from_millis(1_000);
