--- a/crates/mustard-net/src/accept.rs
+++ b/crates/mustard-net/src/accept.rs
@@ -17,8 +17,9 @@
 use ntex::service::{IntoServiceFactory, ServiceFactory};
 use socket2::SockRef;
 
-use crate::client_budget::{ClientBudget, Listener};
+use crate::client_budget::ClientBudget;
 use crate::client_filter::{count_connection, http_service};
+use crate::client_limits::Listener;
 
 /// The result of accepting connections.
 pub type Result<T> = io::Result<T>;
--- a/crates/mustard-net/src/client_filter.rs
+++ b/crates/mustard-net/src/client_filter.rs
@@ -13,7 +13,8 @@
 use ntex::service::boxed::{self, BoxServiceFactory};
 use ntex::service::{IntoServiceFactory, ServiceFactory, apply_fn_factory};
 
-use crate::client_budget::{ClientBudget, ConnectionGuard, ConnectionHandle, Listener};
+use crate::client_budget::{ClientBudget, ConnectionGuard, ConnectionHandle};
+use crate::client_limits::Listener;
 use crate::undecoded::{MAX_UNDECODED, pass_received, pass_written};
 
 /// A connection whose bytes are counted.
--- a/crates/mustard-net/src/lib.rs
+++ b/crates/mustard-net/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod client_body;
 pub mod client_budget;
 mod client_filter;
+pub mod client_limits;
 pub mod daemon;
 pub mod errors;
 pub mod forward;
@@ -25,6 +26,7 @@
 mod undecoded;
 
 pub use client::MessageClient;
-pub use client_budget::{ClientBudget, ClientLimits, Listener};
+pub use client_budget::ClientBudget;
+pub use client_limits::{ClientLimits, Listener};
 pub use errors::{CallError, Result};
 pub use process::Process;
--- a/crates/mustard-net/src/server.rs
+++ b/crates/mustard-net/src/server.rs
@@ -15,7 +15,7 @@
 use mustard_proto::timeline::{TimelineAnswer, TimelineRequest};
 use mustard_proto::{Envelope, Message, ProtoError, Refusal, Reply, codec};
 
-use crate::client_budget::MAX_RECEIVE_BUFFER;
+use crate::client_limits::MAX_RECEIVE_BUFFER;
 use crate::http::{HEADER_TIMEOUT, SERVER_KEEP_ALIVE};
 use crate::process::Process;
 use crate::traffic;
