Give others a turn after 16 KB of a body

Cause, as read and not shown by itself: since connections are accepted on the serving thread, a request on a new connection waits for one more round of the other tasks. A round is long if each task may work on 64 KB of a body.

Fix: a body gives way after 16 KB, which is one read.

--- a/crates/mustard-net/src/forward.rs
+++ b/crates/mustard-net/src/forward.rs
@@ -35,7 +35,7 @@
 /// The most bytes that one read takes off the connection.
 const READ_BYTES: usize = 16 * 1024;
 /// After so many bytes of a body other tasks have a turn, though more may be there already.
-const TURN_BYTES: usize = 64 * 1024;
+const TURN_BYTES: usize = 16 * 1024;
 
 /// A request of a remote client that is forwarded.
 #[derive(Clone, Debug)]
