--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,8 +1,11 @@
 //! The cases of the second review that are scripts; the argument is the number of the case, the second one the
 //! folder for its record. `TROUBLE=0` leaves out the disruption.
 
+mod crashing;
 mod json;
 mod net;
+mod poison_query;
+mod poison_release;
 mod refused_body;
 mod site;
 mod stop_large_answer;
@@ -24,6 +27,8 @@
     let result = match case.as_str() {
         "unframed-reset" => unframed_reset::run(&record, trouble),
         "stop-large-answer" => stop_large_answer::run(&record, trouble),
+        "poison-query" => poison_query::run(&record, trouble),
+        "poison-release" => poison_release::run(&record, trouble),
         "refused-body" => refused_body::run(&record, trouble),
         other => Err(format!("no case {other:?}")),
     };
--- a/review/standin-2/refused_body.rs
+++ b/review/standin-2/refused_body.rs
@@ -17,7 +17,7 @@
 /// The size of the uploaded text, far below the limit of 4 MiB.
 const BODY_BYTES: usize = 4_000;
 /// The pause between two records of the text, each of which is written by itself.
-const RECORD_PAUSE: Duration = Duration::from_millis(2);
+const RECORD_PAUSE: Duration = Duration::from_millis(10);
 const ROUNDS: usize = 3;
 
 pub fn run(record: &Record, trouble: bool) -> Result<Verdict, String> {
--- a/review/standin-2/stop_large_answer.rs
+++ b/review/standin-2/stop_large_answer.rs
@@ -11,10 +11,10 @@
 };
 use crate::store::Store;
 
-const ANSWER_BYTES: usize = 4_000_000;
+const ANSWER_BYTES: usize = 8_000_000;
 /// A requester takes so many bytes each 50 ms, which is 12.8 Mbit/s.
 const PIECE_BYTES: usize = 80_000;
-const REQUESTERS: usize = 6;
+const REQUESTERS: usize = 4;
 /// When the requests are sent after the SIGTERM; the platform may still pass on channels then.
 const SENT_AFTER: Duration = Duration::from_millis(1_000);
 const GRACE: Duration = Duration::from_secs(8);
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -46,6 +46,14 @@
         state.set(table, key, Some(value));
         self.state.1.notify_all();
     }
+
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut state = self.state.0.lock().unwrap();
+        state.version += 1;
+        state.set(table, key, None);
+        self.state.1.notify_all();
+    }
 }
 
 impl State {
