--- a/review/standin-2/poison_query.rs
+++ b/review/standin-2/poison_query.rs
@@ -101,7 +101,7 @@
 }
 
 /// Reads pages of the list until a time, and counts the statuses.
-fn read_list(front: SocketAddr, reader: usize, until: Instant) -> BTreeMap<u16, usize> {
+pub fn read_list(front: SocketAddr, reader: usize, until: Instant) -> BTreeMap<u16, usize> {
     let mut statuses = BTreeMap::new();
     let mut page = 0;
     while Instant::now() < until {
--- a/review/standin-2/poison_release.rs
+++ b/review/standin-2/poison_release.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::crashing::{Seen, Server, read};
+use crate::poison_query::read_list;
 use crate::site::{DESK, Gateway, Record, Route, Verdict, put_config, settle};
 use crate::store::Store;
 
@@ -17,6 +18,8 @@
 const READS_BEFORE: usize = 5;
 /// How long reads are sent after the last server with the former software has left.
 const LENGTH_AFTER: Duration = Duration::from_secs(45);
+/// How long another requester sends sound reads.
+const LENGTH_READER: Duration = Duration::from_secs(50);
 const REPORT: &str = "/read/report";
 
 pub fn run(record: &Record, trouble: bool) -> Result<Verdict, String> {
@@ -54,6 +57,10 @@
             return Err("the read wasn't served before the release".to_owned());
         }
     }
+    // Another requester reads something else, which no server crashes on.
+    let front = gateway.front;
+    let until = Instant::now() + LENGTH_READER;
+    let reader = thread::spawn(move || read_list(front, 1, until));
     let (store_2, record_2, seen_2) = (store.clone(), record.clone(), Arc::clone(&seen));
     let release = thread::spawn(move || -> Result<(), String> {
         for (i, server) in former.iter().enumerate().filter(|_| trouble) {
@@ -73,6 +80,10 @@
     while released.elapsed() < LENGTH_AFTER {
         send();
     }
+    let statuses = reader.join().unwrap_or_default();
+    record.line(format!(
+        "sound reads of another requester by status (0: no answer): {statuses:?}"
+    ));
     let seen = seen.lock().unwrap();
     record.line(format!(
         "{sent} reads, {} crashes, {} arrivals at servers that they crash",
