--- a/review/standin-2/net.rs
+++ b/review/standin-2/net.rs
@@ -2,9 +2,14 @@
 
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::sync::Arc;
 use std::thread;
 
+unsafe extern "C" {
+    fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, size: u32) -> i32;
+}
+
 /// A request or response head: the first line and the headers, names in lower case.
 #[derive(Clone, Debug, Default)]
 pub struct Head {
@@ -50,6 +55,15 @@
         }
     }
 
+    /// Limits what the system holds of received bytes.
+    pub fn limit_receive_buffer(&self, bytes: i32) {
+        const SOL_SOCKET: i32 = 1;
+        const SO_RCVBUF: i32 = 8;
+        let size = size_of::<i32>() as u32;
+        // SAFETY: the descriptor is open, and the value is an integer of the given size.
+        unsafe { setsockopt(self.stream.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &bytes, size) };
+    }
+
     pub fn connect(to: SocketAddr) -> io::Result<Self> {
         Ok(Conn::new(TcpStream::connect(to)?))
     }
--- a/review/standin-2/refused_body.rs
+++ b/review/standin-2/refused_body.rs
@@ -15,7 +15,7 @@
 /// The id that only the uploaded text contains; no requester sends a request with it.
 const INNER_ID: &str = "5555555555555555";
 /// The size of the uploaded text, far below the limit of 4 MiB.
-const BODY_BYTES: usize = 4_000;
+const BODY_BYTES: usize = 3_600;
 /// The pause between two records of the text, each of which is written by itself.
 const RECORD_PAUSE: Duration = Duration::from_millis(10);
 const ROUNDS: usize = 3;
--- a/review/standin-2/stop_large_answer.rs
+++ b/review/standin-2/stop_large_answer.rs
@@ -11,10 +11,11 @@
 };
 use crate::store::Store;
 
-const ANSWER_BYTES: usize = 8_000_000;
-/// A requester takes so many bytes each 50 ms, which is 12.8 Mbit/s.
-const PIECE_BYTES: usize = 80_000;
-const REQUESTERS: usize = 4;
+const ANSWER_BYTES: usize = 1_500_000;
+/// A requester takes so many bytes each 50 ms, which is 2.6 Mbit/s, and its system holds little more.
+const PIECE_BYTES: usize = 16_000;
+const RECEIVE_BUFFER: i32 = 64 * 1024;
+const REQUESTERS: usize = 6;
 /// When the requests are sent after the SIGTERM; the platform may still pass on channels then.
 const SENT_AFTER: Duration = Duration::from_millis(1_000);
 const GRACE: Duration = Duration::from_secs(8);
@@ -46,7 +47,9 @@
     // Each requester has a kept channel, on which it was served before.
     let mut channels = Vec::new();
     for _ in 0..REQUESTERS {
-        channels.push(Conn::connect(gateway.front).map_err(|e| e.to_string())?);
+        let conn = Conn::connect(gateway.front).map_err(|e| e.to_string())?;
+        conn.limit_receive_buffer(RECEIVE_BUFFER);
+        channels.push(conn);
     }
     for (i, conn) in channels.iter_mut().enumerate() {
         let id = format!("a{i:015x}");
