Keep a connection for further requests only once a body has ended

Cause: the HTTP library goes over to the next request as soon as any piece of an unread body was read, and handlers handed the rest of a refused body to a task that read it, on a kept connection. Each handler had to keep the rule.

Fix: below the handlers of all listeners, the HTTP server hears of the end of an answer only once the body of its request has ended.

--- a/crates/mustard-agent/src/server/body.rs
+++ b/crates/mustard-agent/src/server/body.rs
@@ -5,7 +5,7 @@
 use ntex::web::types::Payload;
 use tokio::time;
 
-use mustard_net::client_body::{self, BodyError, ClientBody, discard_rest};
+use mustard_net::client_body::{self, BodyError, ClientBody};
 use mustard_net::server::MAX_MESSAGE_BYTES;
 use mustard_proto::Refusal;
 
@@ -34,18 +34,14 @@
     let Ok(body) = time::timeout(BODY_TIMEOUT, reading).await else {
         return Err(malformed("body came too slowly"));
     };
-    body.map_err(|error| {
-        let refusal = match error {
-            BodyError::TooLarge => Refusal::TooLarge {
-                limit: MAX_MESSAGE_BYTES as u64,
-            },
-            BodyError::Broken => malformed("body is not whole"),
-            BodyError::Stalled => malformed("body stalled"),
-            BodyError::NoRoom => Refusal::Busy {
-                retry_ms: ROOM_RETRY_MS,
-            },
-        };
-        discard_rest(payload.0.take());
-        refusal
+    body.map_err(|error| match error {
+        BodyError::TooLarge => Refusal::TooLarge {
+            limit: MAX_MESSAGE_BYTES as u64,
+        },
+        BodyError::Broken => malformed("body is not whole"),
+        BodyError::Stalled => malformed("body stalled"),
+        BodyError::NoRoom => Refusal::Busy {
+            retry_ms: ROOM_RETRY_MS,
+        },
     })
 }
--- a/crates/mustard-entry/src/api/access.rs
+++ b/crates/mustard-entry/src/api/access.rs
@@ -52,8 +52,7 @@
     let arrived = Instant::now();
     let shared = &worker.shared;
     let limits = &shared.settings.limits;
-    let head = check_head(worker, request);
-    let (guard, bearer_key) = head.inspect_err(|_| body::discard_rest(payload))?;
+    let (guard, bearer_key) = check_head(worker, request)?;
     let time_limit = Duration::from_millis(limits.body_ms);
     let body = body::read(worker, payload, limits.body_bytes, time_limit).await?;
     // A body may end long after its head. What begins as late as this may be cut at the end of the grace time.
--- a/crates/mustard-entry/src/api/admin.rs
+++ b/crates/mustard-entry/src/api/admin.rs
@@ -71,9 +71,8 @@
 ) -> Result<(&'a str, ClientBody)> {
     let limits = &worker.shared.settings.limits;
     let time_limit = std::time::Duration::from_millis(limits.body_ms);
-    let checked = authorize_operator(worker, request)
-        .and_then(|author| body::check_announced(request, limits.body_bytes).map(|()| author));
-    let author = checked.inspect_err(|_| body::discard_rest(payload))?;
+    let author = authorize_operator(worker, request)?;
+    body::check_announced(request, limits.body_bytes)?;
     let body = body::read(worker, payload, limits.body_bytes, time_limit).await?;
     Ok((author, body))
 }
--- a/crates/mustard-entry/src/api/body.rs
+++ b/crates/mustard-entry/src/api/body.rs
@@ -34,14 +34,8 @@
     body.map_err(|error| match error {
         BodyError::Broken => ApiError::BodyIncomplete,
         BodyError::Stalled => ApiError::BodyStalled,
-        BodyError::TooLarge => {
-            discard_rest(payload);
-            ApiError::BodyTooLarge { limit }
-        }
-        BodyError::NoRoom => {
-            discard_rest(payload);
-            ApiError::NoRoom { retry: ROOM_RETRY }
-        }
+        BodyError::TooLarge => ApiError::BodyTooLarge { limit },
+        BodyError::NoRoom => ApiError::NoRoom { retry: ROOM_RETRY },
     })
 }
 
@@ -58,8 +52,3 @@
         _ => Ok(()),
     }
 }
-
-/// Reads and discards the body of a request that is refused, in the background.
-pub fn discard_rest(payload: &mut Payload) {
-    client_body::discard_rest(payload.0.take());
-}
--- a/crates/mustard-gateway/src/forward/mod.rs
+++ b/crates/mustard-gateway/src/forward/mod.rs
@@ -30,7 +30,7 @@
 use mustard_core::clock::Moment;
 use mustard_core::deployment::{Config, PathPart, Route, RouteKind, ServerKey, Service};
 use mustard_core::fingerprint::Fingerprint;
-use mustard_net::client_body::{BodyError, ClientBody, discard_rest, read_body};
+use mustard_net::client_body::{BodyError, ClientBody, read_body};
 use mustard_net::client_budget::BodyGuard;
 use mustard_net::shutdown::RequestGuard;
 use mustard_policy::pipeline::RequestDemand;
@@ -156,13 +156,7 @@
     arrived: Moment,
 ) -> Result<AdmittedRequest, GatewayResponse> {
     let headers = request.headers();
-    let (guard, params) = match check_head(app, request) {
-        Ok(checked) => checked,
-        Err(response) => {
-            discard_rest(payload);
-            return Err(response);
-        }
-    };
+    let (guard, params) = check_head(app, request)?;
     let body = receive_body(app, payload, &params).await;
     let body = body.map_err(|r| r.for_request(&params))?;
     let not_run =
@@ -335,14 +329,8 @@
     body.map_err(|error| match error {
         BodyError::Broken => GatewayResponse::new("broken body", 400),
         BodyError::Stalled => GatewayResponse::new("stalled body", 408),
-        BodyError::TooLarge => {
-            discard_rest(payload);
-            large_body()
-        }
-        BodyError::NoRoom => {
-            discard_rest(payload);
-            GatewayResponse::not_run("no room for the body", ROOM_RETRY_AFTER)
-        }
+        BodyError::TooLarge => large_body(),
+        BodyError::NoRoom => GatewayResponse::not_run("no room for the body", ROOM_RETRY_AFTER),
     })
 }
 
--- a/crates/mustard-gateway/src/serve.rs
+++ b/crates/mustard-gateway/src/serve.rs
@@ -15,7 +15,7 @@
 
 use mustard_adapter::NodeSettings;
 use mustard_adapter::store::FollowedTable;
-use mustard_net::client_body::{BodyError, discard_rest, read_body};
+use mustard_net::client_body::{BodyError, read_body};
 use mustard_net::log::{self, LogFormat, LogOptions, LogOutput};
 use mustard_net::shutdown::{self, RequestGate};
 use mustard_net::supervise::supervise;
@@ -248,7 +248,6 @@
     let received = match received.await {
         Ok(received) => received,
         Err(error) => {
-            discard_rest(payload);
             return Ok(match error {
                 BodyError::TooLarge => Response::PayloadTooLarge().finish(),
                 BodyError::Broken => Response::BadRequest().finish(),
--- a/crates/mustard-gateway/tests/gateway/harness.rs
+++ b/crates/mustard-gateway/tests/gateway/harness.rs
@@ -28,6 +28,7 @@
     settings: PathBuf,
     pub(crate) caller_addr: SocketAddr,
     pub(crate) ready_addr: SocketAddr,
+    pub(crate) peer_addr: SocketAddr,
 }
 
 impl Drop for Gateway {
@@ -85,8 +86,13 @@
         );
         let settings = std::env::temp_dir().join(name);
         std::fs::write(&settings, text).unwrap();
+        let metrics_port: &[&str] = if options.contains(&"--metrics-port") {
+            &[]
+        } else {
+            &["--metrics-port", "0"]
+        };
         let child = Command::new(env!("CARGO_BIN_EXE_mustard-gateway"))
-            .args(["--metrics-port", "0"])
+            .args(metrics_port)
             .args(options)
             .env("MUSTARDFIELD_BOOT", &settings)
             .stdout(log)
@@ -97,6 +103,7 @@
             settings,
             caller_addr: SocketAddr::from((ip, ports[0])),
             ready_addr: SocketAddr::from((ip, ports[1])),
+            peer_addr: SocketAddr::from((ip, ports[2])),
         }
     }
 
--- a/crates/mustard-gateway/tests/gateway/main.rs
+++ b/crates/mustard-gateway/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod peer_messages;
 mod poison;
 mod priorities;
+mod refused_body;
 mod restored;
 mod retry_budget;
 mod reused_addresses;
--- a/crates/mustard-net/src/client_body.rs
+++ b/crates/mustard-net/src/client_body.rs
@@ -1,12 +1,9 @@
 //! Reads the bodies of requests into the budget of what is held for clients.
 
 use std::rc::Rc;
-use std::time::Duration;
 
-use ntex::http::Payload;
 use ntex::http::error::PayloadError;
 use ntex::util::{Bytes, Stream, stream_recv};
-use tokio::time::timeout;
 
 use crate::client_budget::{BodyGuard, ClientBudget, Exhausted};
 use crate::pieces::Pieces;
@@ -14,11 +11,6 @@
 /// The result of reading a body.
 pub type Result<T> = std::result::Result<T, BodyError>;
 
-/// How long, and how much of, the rest of a refused body is read and discarded: closing a connection with unread
-/// bytes resets it, and the client would never see the response.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
-const MAX_DISCARD_BYTES: usize = 16 * 1024 * 1024;
-
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyError {
@@ -84,19 +76,3 @@
         BodyError::NoRoom
     }
 }
-
-/// Reads and discards the rest of a body, up to a limit, while its refusal is sent.
-pub fn discard_rest(mut payload: Payload) {
-    let reading = async move {
-        let mut discarded = 0;
-        while let Some(Ok(chunk)) = stream_recv(&mut payload).await {
-            discarded += chunk.len();
-            if discarded > MAX_DISCARD_BYTES {
-                return;
-            }
-        }
-    };
-    ntex::rt::spawn(async move {
-        let _ = timeout(DISCARD_TIMEOUT, reading).await;
-    });
-}
--- a/crates/mustard-net/src/client_budget.rs
+++ b/crates/mustard-net/src/client_budget.rs
@@ -48,6 +48,8 @@
     Request,
     /// The body of a response is sent in pieces.
     Streaming,
+    /// The last request on it was answered before its body ended.
+    Discarding,
     /// All requests on it were answered.
     Idle,
     /// It was evicted and is being closed.
@@ -58,6 +60,8 @@
     listener: Listener,
     io: IoRef,
     phase: Phase,
+    /// Whether an answer announced that the connection carries no further request.
+    is_last: bool,
     /// The bytes that were received and not yet decoded.
     buffered: usize,
     /// The bytes of answers that the client hasn't taken.
@@ -192,6 +196,7 @@
             listener,
             io,
             phase: Phase::New,
+            is_last: false,
             buffered: 0,
             unsent: 0,
             unsent_mark: 0,
@@ -382,10 +387,11 @@
     /// Returns the order in which connections are closed; `None` if this one stays open.
     fn use_rank(&self, now: Instant) -> Option<(u8, Instant)> {
         let class = match self.phase {
-            Phase::New => 0,
-            Phase::Head if self.is_stalled(now) => 1,
-            Phase::Idle if self.is_stalled(now) => 2,
-            Phase::Streaming if now.duration_since(self.active) >= STREAM_TIME => 3,
+            Phase::Discarding => 0,
+            Phase::New => 1,
+            Phase::Head if self.is_stalled(now) => 2,
+            Phase::Idle if self.is_stalled(now) => 3,
+            Phase::Streaming if now.duration_since(self.active) >= STREAM_TIME => 4,
             _ => return None,
         };
         Some((class, self.active))
@@ -502,6 +508,12 @@
         }
     }
 
+    /// Returns whether an answer announced that the connection carries no further request.
+    pub(crate) fn is_last(&self) -> bool {
+        let held = self.budget.held.borrow();
+        held.connections.get(self.key).is_some_and(|c| c.is_last)
+    }
+
     fn set_phase(&self, phase: Phase) {
         let mut held = self.budget.held.borrow_mut();
         let connection = held.connections.get_mut(self.key);
@@ -526,6 +538,19 @@
     pub(crate) fn stream(mut self) {
         self.next = Phase::Streaming;
     }
+
+    /// Records that the connection carries no further request.
+    pub(crate) fn set_last(&self) {
+        let mut held = self.connection.budget.held.borrow_mut();
+        if let Some(connection) = held.connections.get_mut(self.connection.key) {
+            connection.is_last = true;
+        }
+    }
+
+    /// Records that the request was answered, and the rest of its body is discarded.
+    pub(crate) fn set_discarding(&self) {
+        self.connection.set_phase(Phase::Discarding);
+    }
 }
 
 impl Drop for RequestGuard {
--- a/crates/mustard-net/src/client_filter.rs
+++ b/crates/mustard-net/src/client_filter.rs
@@ -8,13 +8,14 @@
 use ntex::SharedCfg;
 use ntex::http::body::{Body, BodySize, MessageBody};
 use ntex::http::error::{DispatchError, ResponseError};
-use ntex::http::{HttpService, Request, Response};
-use ntex::io::{FilterBuf, FilterLayer, Io, Layer};
+use ntex::http::{HttpService, Request, Response, StatusCode};
+use ntex::io::{FilterBuf, FilterLayer, Io, IoRef, Layer};
 use ntex::service::boxed::{self, BoxServiceFactory};
 use ntex::service::{IntoServiceFactory, ServiceFactory, apply_fn_factory};
 
-use crate::client_budget::{ClientBudget, ConnectionGuard, ConnectionHandle};
+use crate::client_budget::{ClientBudget, ConnectionGuard, ConnectionHandle, RequestGuard};
 use crate::client_limits::Listener;
+use crate::request_body::RequestBody;
 use crate::undecoded::{MAX_UNDECODED, pass_received, pass_written};
 
 /// A connection whose bytes are counted.
@@ -56,7 +57,23 @@
     io.add_filter(ClientFilter { connection })
 }
 
-/// Returns the HTTP server of a listener, which tells the budget when requests begin and end.
+/// A request came on a connection after an answer had announced its end.
+struct ConnectionEnded;
+
+/// Begins a request on a connection, if it may carry one; `None` if the connection isn't counted.
+fn begin_request(io: &IoRef) -> Option<Result<RequestGuard, ConnectionEnded>> {
+    let found = io.query::<ConnectionHandle>();
+    let connection: &ConnectionHandle = found.as_ref()?;
+    if connection.is_last() {
+        // What is answered on a closed connection isn't sent.
+        io.close();
+        return Some(Err(ConnectionEnded));
+    }
+    Some(Ok(connection.begin_request()))
+}
+
+/// Returns the HTTP server of a listener, which tells the budget when requests begin and end, and keeps the bodies of
+/// requests apart from further requests.
 pub(crate) fn http_service<S, U>(service: U) -> HttpFactory
 where
     U: IntoServiceFactory<S, Request, SharedCfg>,
@@ -65,16 +82,25 @@
     S::InitError: Debug,
     S::Response: Into<Response<Body>>,
 {
-    let counted = apply_fn_factory(service, async |request: Request, handler| {
-        let connection = request.io().and_then(|io| {
-            let found = io.query::<ConnectionHandle>();
-            found.as_ref().map(ConnectionHandle::begin_request)
-        });
-        let response: Response<Body> = handler.call(request).await?.into();
-        if let (Some(connection), BodySize::Stream) = (connection, response.body().size()) {
-            connection.stream();
+    let counted = apply_fn_factory(service, async |mut request: Request, handler| {
+        let guard = match request.io().and_then(begin_request) {
+            Some(Err(ConnectionEnded)) => return Ok(Response::new(StatusCode::BAD_REQUEST)),
+            Some(Ok(guard)) => Some(guard),
+            None => None,
+        };
+        let body = RequestBody::share(&mut request);
+        let answer: Response<Body> = handler.call(request).await?.into();
+        let unread = match body {
+            Some(body) => body.into_unread().await,
+            None => None,
+        };
+        if let Some(unread) = unread {
+            return Ok(unread.discard_after(answer, guard));
+        }
+        if let (Some(guard), BodySize::Stream) = (guard, answer.body().size()) {
+            guard.stream();
         }
-        Ok::<_, S::Error>(response)
+        Ok::<_, S::Error>(answer)
     });
     boxed::factory(HttpService::h1(counted))
 }
--- a/crates/mustard-net/src/lib.rs
+++ b/crates/mustard-net/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod pieces;
 pub mod problem;
 pub mod process;
+mod request_body;
 pub mod server;
 pub mod settings;
 pub mod shutdown;
--- a/crates/mustard-tests/src/lib.rs
+++ b/crates/mustard-tests/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod recovery;
 pub mod site_soak;
 pub mod soak;
+pub mod upload;
 pub mod wait;
 
 pub use caller::Caller;
