Tell requests apart that share a content when servers end under them

Cause: one digest, without method and query, said both which requests may be to blame for an end and which requests a success speaks for. So each sound read cleared the bad one, and its ends counted against them.

Fix: a content has variants, which differ in method and query. A variant is refused after three ends under it, and only its own success clears it. All variants are refused after three ends that no single variant explains, unless one of them ran well within the last minute, so that a request with another query each time is still stopped. Strikes and clearances name the variant, in messages (a new field; by position it is left out) and in rows; without one they count for all.

--- a/crates/mustard-entry/src/suspects.rs
+++ b/crates/mustard-entry/src/suspects.rs
@@ -104,7 +104,7 @@
     /// Returns the number of servers that died while they ran a content.
     pub fn death_count(&self, now: Moment, fingerprint: Fingerprint) -> usize {
         let strikes = self.lock().quarantine.strikes(now);
-        let same_content = |strike: &&Strike| strike.fingerprint == fingerprint;
+        let same_content = |strike: &&Strike| strike.content.fingerprint == fingerprint;
         strikes.iter().filter(same_content).count()
     }
 
@@ -160,7 +160,9 @@
         let quarantined = strikes
             .iter()
             .filter(|strike| state.quarantine.record_strike(now, strike));
-        quarantined.map(|strike| strike.fingerprint).collect()
+        quarantined
+            .map(|strike| strike.content.fingerprint)
+            .collect()
     }
 
     /// Clears a content that ran to its end or that an operator released; returns whether it had
@@ -254,7 +256,7 @@
 pub fn receive_strikes(worker: &Worker, message: Strikes) {
     let now = worker.shared.process.now();
     let cleared = message.cleared.into_iter().map(|c| Clearance {
-        fingerprint: c.fingerprint,
+        content: c.fingerprint.into(),
         at: now - Duration::from_millis(c.age_ms),
     });
     worker.shared.suspects.record_clearances(now, cleared);
@@ -283,7 +285,7 @@
 
 fn strikes_message(now: Moment, strikes: &[Strike], cleared: &[Clearance]) -> Strikes {
     let cleared = cleared.iter().map(|c| ClearedContent {
-        fingerprint: c.fingerprint,
+        fingerprint: c.content.fingerprint,
         age_ms: now.ms_since(c.at),
     });
     Strikes {
@@ -295,7 +297,7 @@
 fn strike_to_wire(now: Moment, strike: &Strike) -> WireStrike {
     WireStrike {
         age_ms: now.ms_since(strike.at),
-        fingerprint: strike.fingerprint,
+        fingerprint: strike.content.fingerprint,
         vm: strike.vm.clone(),
         shared: strike.shared,
     }
@@ -305,7 +307,7 @@
 fn strike_from_wire(now: Moment, wire: WireStrike) -> Strike {
     Strike {
         at: now - Duration::from_millis(wire.age_ms),
-        fingerprint: wire.fingerprint,
+        content: wire.fingerprint.into(),
         vm: wire.vm,
         shared: wire.shared,
     }
--- a/crates/mustard-fakes/src/site/http.rs
+++ b/crates/mustard-fakes/src/site/http.rs
@@ -49,7 +49,12 @@
 
     /// Tells whether the content ends the servers that run it.
     pub(super) fn is_poison(&self) -> bool {
-        self.path.contains(super::POISON) || self.has_poison_prompt()
+        let text = [&self.path, &self.query];
+        let body = self.body.windows(super::POISON.len());
+        text.iter().any(|t| t.contains(super::POISON))
+            || body.into_iter().any(|w| w == super::POISON.as_bytes())
+            || self.method == super::POISON_METHOD
+            || self.has_poison_prompt()
     }
 
     /// Tells whether the last segment of the prompt, which no other prompt has, is poison.
--- a/crates/mustard-fakes/src/site/mod.rs
+++ b/crates/mustard-fakes/src/site/mod.rs
@@ -122,8 +122,8 @@
     LargeEvents,
 }
 
-/// Which servers a poison content ends; it is any content whose path contains [`POISON`], or whose prompt
-/// has a last segment with an id that begins with [`POISON_SEGMENT`].
+/// Which servers a poison content ends; it is any content whose path, query or body contains [`POISON`], whose method
+/// is [`POISON_METHOD`], or whose prompt has a last segment with an id that begins with [`POISON_SEGMENT`].
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum PoisonTarget {
     /// The server that receives the request.
@@ -133,9 +133,12 @@
     Last,
 }
 
-/// The part of a path that makes a content poison.
+/// The part of a path, query or body that makes a content poison.
 pub const POISON: &str = "poison";
 
+/// The method that makes a content poison.
+pub const POISON_METHOD: &str = "DELETE";
+
 /// The header of a request that lists the segments of its prompt.
 pub const SEGMENTS_HEADER: &str = "prompt-prefix";
 /// What the ids of poison segments begin with. A prompt with one of them, unless it is the last one,
--- a/crates/mustard-gateway/src/active_streams.rs
+++ b/crates/mustard-gateway/src/active_streams.rs
@@ -11,6 +11,7 @@
 use mustard_core::deployment::{PathPart, ServerKey};
 use mustard_core::fingerprint::Fingerprint;
 use mustard_policy::pipeline::RequestDemand;
+use mustard_policy::quarantine::Content;
 use mustard_policy::segments::PROOF_WRITTEN;
 use mustard_policy::stall::Progress;
 
@@ -37,7 +38,7 @@
     /// The server processes of the path.
     pub processes: Vec<ServerProcess>,
     /// The digest of the request's content, its prompt included.
-    pub content: Fingerprint,
+    pub content: Content,
     /// The segments of its prompt that other prompts may share.
     pub segments: Rc<[Fingerprint]>,
     /// The number of more urgent priorities that requests to its service may have.
--- a/crates/mustard-gateway/src/forward/mod.rs
+++ b/crates/mustard-gateway/src/forward/mod.rs
@@ -34,6 +34,7 @@
 use mustard_net::client_budget::BodyGuard;
 use mustard_net::shutdown::RequestGuard;
 use mustard_policy::pipeline::RequestDemand;
+use mustard_policy::quarantine::Content;
 
 use crate::app::App;
 use crate::log_limit::Topic;
@@ -83,8 +84,9 @@
     pub customer: Option<String>,
     /// The priority; `None` if requests to the service aren't admitted by priority.
     pub priority: Option<RequestPriority>,
-    /// The digest of key, host, path, body and prompt, by which a repeated request is recognized.
-    pub content: Fingerprint,
+    /// What a repeated request is recognized by: the digest of key, host, path, body and prompt, and as its variant
+    /// that of these, the method and the query.
+    pub content: Content,
     /// What other requests may share: all segments of the prompt but the last one, and the content without
     /// its prompt. Empty without a prompt.
     pub segments: Rc<[Fingerprint]>,
@@ -185,6 +187,10 @@
         }
         None => (fingerprint, Rc::clone(&params.segments)),
     };
+    let content = Content {
+        fingerprint: content,
+        variant: Some(compute_variant(content, request)),
+    };
     if is_quarantined(app, content) {
         return Err(not_run(ENDS_SERVERS, QUARANTINE_RETRY_AFTER));
     }
@@ -302,6 +308,16 @@
     Fingerprint::of(&[&key, params.host.as_bytes(), path.as_bytes(), body])
 }
 
+/// Returns the digest by which requests with the same content are told apart.
+fn compute_variant(content: Fingerprint, request: &Request) -> Fingerprint {
+    let query = request.uri().query().unwrap_or_default();
+    Fingerprint::of(&[
+        &content.0.to_le_bytes(),
+        request.method().as_str().as_bytes(),
+        query.as_bytes(),
+    ])
+}
+
 /// Chooses a service at random by the weights of the route's services.
 fn choose_service<'a>(app: &App, config: &'a Config, route: &Route) -> Option<&'a Service> {
     let total: f64 = route.services.iter().map(|s| s.weight).sum();
--- a/crates/mustard-gateway/src/moves.rs
+++ b/crates/mustard-gateway/src/moves.rs
@@ -20,6 +20,7 @@
     LayerHolder, MovePlan, MovingStream, Path, PrefillView, RequestDemand, move_order, plan_move,
     replan_path,
 };
+use mustard_policy::quarantine::Content;
 
 use crate::active_streams::{ActiveStream, ActiveStreamKey};
 use crate::app::App;
@@ -95,7 +96,7 @@
 /// The move of one stream.
 struct StreamMove {
     key: ActiveStreamKey,
-    content: Fingerprint,
+    content: Content,
     segments: Rc<[Fingerprint]>,
     /// The servers that the new path avoids.
     faulty: Vec<ServerKey>,
--- a/crates/mustard-gateway/src/outliers.rs
+++ b/crates/mustard-gateway/src/outliers.rs
@@ -82,7 +82,7 @@
     let attempt = FailedAttempt {
         began,
         path,
-        content: request.content,
+        content: request.content.fingerprint,
         failure,
         lateness: lateness(app, now, began),
     };
--- a/crates/mustard-gateway/src/own_rows.rs
+++ b/crates/mustard-gateway/src/own_rows.rs
@@ -12,12 +12,12 @@
 use slog::{info, warn};
 use tokio::time::sleep;
 
-use mustard_core::clock::Clock;
+use mustard_core::clock::{Clock, Moment};
 use mustard_core::collections::Set;
 use mustard_core::fingerprint::Fingerprint;
 use mustard_platform::Result;
 use mustard_platform::table::{Row, Table, Txn};
-use mustard_policy::quarantine::Strike;
+use mustard_policy::quarantine::{Content, Quarantine, Strike};
 use mustard_policy::segments::SegmentStrike;
 
 use crate::app::App;
@@ -50,6 +50,9 @@
 /// A strike in a row.
 #[derive(Debug, Serialize, Deserialize)]
 struct StrikeRow {
+    /// The variant of the content; absent in rows of older versions, which don't tell them apart.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    variant: Option<Fingerprint>,
     process: String,
     shared: u32,
     /// When the process ended, in milliseconds since the Unix epoch.
@@ -109,6 +112,8 @@
                 Some(content) if adopt_quarantine(app, content, &row.value) => {
                     listed.insert(content);
                 }
+                // It is written again with more strikes.
+                Some(content) if is_quarantined(&app.quarantine.borrow(), app.now(), content) => {}
                 _ => obsolete.push(row.key.clone()),
             }
         } else if let Some(segment) = row.key.strip_prefix(SEGMENT_PREFIX) {
@@ -158,18 +163,22 @@
     }
 }
 
-/// Records the strikes of a row; returns whether the content is quarantined by them. It isn't if they
-/// have expired or the content was cleared since.
+/// Records the strikes of a row; returns whether the row is to stay as it is: the content is quarantined, and the row
+/// holds the strikes against it.
 fn adopt_quarantine(app: &App, content: Fingerprint, value: &str) -> bool {
     let Ok(row) = serde_json::from_str::<QuarantineRow>(value) else {
         return false;
     };
     let (now, wall_ms) = (app.now(), app.clock.wall_ms());
     let mut quarantine = app.quarantine.borrow_mut();
+    let row_strikes = row.strikes.len();
     for strike in row.strikes {
         let age = Duration::from_millis(wall_ms.saturating_sub(strike.at_ms));
         let strike = Strike {
-            fingerprint: content,
+            content: Content {
+                fingerprint: content,
+                variant: strike.variant,
+            },
             vm: strike.process,
             shared: strike.shared,
             at: now - age,
@@ -178,9 +187,14 @@
             metric::count_strike("row");
         }
     }
-    quarantine
-        .quarantined(now)
-        .any(|(known, _)| known == content)
+    is_quarantined(&quarantine, now, content)
+        && row_strikes >= quarantine.strikes_of(content).count()
+}
+
+/// Returns whether any variant of a content is quarantined.
+fn is_quarantined(quarantine: &Quarantine, now: Moment, content: Fingerprint) -> bool {
+    let mut quarantined = quarantine.quarantined(now);
+    quarantined.any(|(known, _)| known == content)
 }
 
 /// Returns the rows of the quarantined contents that aren't in `listed`.
@@ -195,6 +209,7 @@
         .collect();
     let encode = |content: Fingerprint| {
         let strikes = quarantine.strikes_of(content).map(|s| StrikeRow {
+            variant: s.content.variant,
             process: s.vm,
             shared: s.shared,
             at_ms: wall_ms.saturating_sub(now.ms_since(s.at)),
--- a/crates/mustard-gateway/src/peers.rs
+++ b/crates/mustard-gateway/src/peers.rs
@@ -23,7 +23,7 @@
 use mustard_core::clock::Moment;
 use mustard_core::collections::Map;
 use mustard_core::fingerprint::Fingerprint;
-use mustard_policy::quarantine::Clearance;
+use mustard_policy::quarantine::{Clearance, Content};
 
 use crate::app::{App, ConfigStamp};
 use crate::crossing_share::{self, CrossingMessage};
@@ -284,6 +284,29 @@
     content: Fingerprint,
     #[serde(rename = "a")]
     age_ms: u64,
+    /// The variant of the content; absent in messages of older versions, which don't tell them apart.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    variant: Option<Fingerprint>,
+}
+
+impl ClearedMessage {
+    fn encode(now: Moment, clearance: Clearance) -> Self {
+        ClearedMessage {
+            content: clearance.content.fingerprint,
+            age_ms: now.ms_since(clearance.at),
+            variant: clearance.content.variant,
+        }
+    }
+
+    fn decode(self, now: Moment) -> Clearance {
+        Clearance {
+            content: Content {
+                fingerprint: self.content,
+                variant: self.variant,
+            },
+            at: now - Duration::from_millis(self.age_ms),
+        }
+    }
 }
 
 /// A message between gateways.
@@ -338,13 +361,16 @@
     /// Encodes the message by position, for gateways of versions that decode nothing else. They have exactly
     /// these fields and can't decode a longer message; fields added since are left out.
     fn encode_positions(&self) -> Option<Vec<u8>> {
+        let strikes: Vec<_> = self.strikes.iter().map(StrikeMessage::positions).collect();
+        let positions = |c: &ClearedMessage| (c.content, c.age_ms);
+        let cleared: Vec<_> = self.cleared.iter().map(positions).collect();
         let fields = (
             self.from,
             self.config,
             self.confirmed_ms,
             &self.peers,
-            &self.strikes,
-            &self.cleared,
+            strikes,
+            cleared,
             &self.segment_strikes,
             &self.cleared_segments,
             &self.limits,
@@ -368,10 +394,7 @@
     let filter = app.segments.borrow();
     let segment_strikes = filter.strikes_to_share(now, MAX_SEGMENT_ITEMS);
     let cleared_segments = filter.clearances_to_share(now, MAX_SEGMENT_ITEMS);
-    let to_message = |c: Clearance| ClearedMessage {
-        content: c.fingerprint,
-        age_ms: now.ms_since(c.at),
-    };
+    let to_message = |c: Clearance| ClearedMessage::encode(now, c);
     let peers = app.peers.borrow();
     PeerMessage {
         from: peers.own_addr,
@@ -413,10 +436,7 @@
         info!(log, "peers: A gateway answers."; "peer" => %message.from);
     }
     for cleared in message.cleared {
-        let clearance = Clearance {
-            fingerprint: cleared.content,
-            at: now - Duration::from_millis(cleared.age_ms),
-        };
+        let clearance = cleared.decode(now);
         app.quarantine.borrow_mut().apply_clearance(now, clearance);
     }
     for strike in message.strikes {
@@ -450,10 +470,7 @@
 ) {
     let now = app.now();
     for cleared in cleared {
-        let clearance = Clearance {
-            fingerprint: cleared.content,
-            at: now - Duration::from_millis(cleared.age_ms),
-        };
+        let clearance = cleared.decode(now);
         app.segments.borrow_mut().apply_clearance(now, clearance);
     }
     for strike in strikes {
--- a/crates/mustard-gateway/src/strike_news.rs
+++ b/crates/mustard-gateway/src/strike_news.rs
@@ -12,7 +12,7 @@
 use mustard_core::clock::Moment;
 use mustard_core::collections::Map;
 use mustard_core::fingerprint::Fingerprint;
-use mustard_policy::quarantine::Strike;
+use mustard_policy::quarantine::{Content, Strike};
 use mustard_policy::segments::SegmentStrike;
 use mustard_policy::strike_news::StrikeNews;
 
@@ -44,22 +44,34 @@
     shared: u32,
     #[serde(rename = "a")]
     age_ms: u64,
+    /// The variant of the content; absent in messages of older versions, which don't tell them apart.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    variant: Option<Fingerprint>,
 }
 
 impl StrikeMessage {
     /// Encodes a strike.
     pub fn encode(now: Moment, strike: Strike) -> Self {
         StrikeMessage {
-            content: strike.fingerprint,
+            content: strike.content.fingerprint,
+            variant: strike.content.variant,
             server: strike.vm,
             shared: strike.shared,
             age_ms: now.ms_since(strike.at),
         }
     }
 
+    /// Returns the fields that versions know which decode messages by position.
+    pub fn positions(&self) -> (Fingerprint, &str, u32, u64) {
+        (self.content, &self.server, self.shared, self.age_ms)
+    }
+
     fn decode(self, now: Moment) -> Strike {
         Strike {
-            fingerprint: self.content,
+            content: Content {
+                fingerprint: self.content,
+                variant: self.variant,
+            },
             vm: self.server,
             shared: self.shared,
             at: now - Duration::from_millis(self.age_ms),
@@ -128,9 +140,10 @@
 impl NewsMessage {
     /// Encodes the message by position; see [`peer_codec`].
     fn encode_positions(&self) -> Option<Vec<u8>> {
+        let strikes: Vec<_> = self.strikes.iter().map(StrikeMessage::positions).collect();
         let fields = (
             self.from,
-            &self.strikes,
+            strikes,
             &self.segment_strikes,
             self.is_settled,
             &self.outliers,
@@ -150,9 +163,10 @@
     /// Records a strike that was seen here, and whether its content became quarantined by it.
     pub fn record_content(&mut self, strike: Strike, is_settled: bool) {
         if is_settled {
-            self.contents.record_settled(strike.fingerprint);
+            self.contents.record_settled(strike.content.fingerprint);
         }
-        self.contents.record_seen(strike.fingerprint, strike);
+        self.contents
+            .record_seen(strike.content.fingerprint, strike);
     }
 
     /// Records a strike against a segment that was seen here, and whether it became blocked by it.
@@ -177,7 +191,7 @@
         metric::count_strike("peer");
         if let Some(log) = app.log.logger_for(Topic::Server) {
             info!(log, "peers: A content is quarantined by a peer's strikes.";
-                "content" => %strike.fingerprint, "peer" => %from);
+                "content" => %strike.content.fingerprint, "peer" => %from);
         }
     }
     is_settled
--- a/crates/mustard-gateway/src/strikes.rs
+++ b/crates/mustard-gateway/src/strikes.rs
@@ -15,7 +15,7 @@
 use mustard_core::clock::{Clock, Moment};
 use mustard_core::fingerprint::Fingerprint;
 use mustard_net::CallError;
-use mustard_policy::quarantine::{Standing, Strike};
+use mustard_policy::quarantine::{Content, Standing, Strike};
 use mustard_policy::segments::{Admission, PROOF_WRITTEN, SegmentStrike, TRIAL_TURN};
 
 use crate::app::App;
@@ -60,7 +60,7 @@
 #[derive(Clone, Debug)]
 pub struct FailedRun {
     /// The digest of the request's content, its prompt included.
-    pub content: Fingerprint,
+    pub content: Content,
     /// The segments of its prompt that other prompts may share.
     pub segments: Rc<[Fingerprint]>,
     /// For how long its servers had been writing.
@@ -81,7 +81,7 @@
     /// The segments of its prompt that other prompts may share.
     pub segments: Rc<[Fingerprint]>,
     /// The digest of the request's content, its prompt included.
-    pub content: Fingerprint,
+    pub content: Content,
     /// For how long its servers had been writing.
     pub written: Duration,
     /// The processes that it used, in the order of the path.
@@ -118,7 +118,7 @@
 }
 
 /// Returns whether a content may not run, as too many servers ended under it.
-pub fn is_quarantined(app: &App, content: Fingerprint) -> bool {
+pub fn is_quarantined(app: &App, content: Content) -> bool {
     let standing = app.quarantine.borrow().standing(app.now(), content);
     matches!(standing, Standing::Quarantined(_))
 }
@@ -151,7 +151,7 @@
         };
         if let Some(log) = app.log.logger_for(Topic::Server) {
             info!(log, "request: A server ended under a request."; "request" => &run.request,
-                "content" => %run.content, "server" => %process.addr, "process" => %process,
+                "content" => %run.content.fingerprint, "server" => %process.addr, "process" => %process,
                 "certain" => is_certain, "segments" => format_segments(&run.segments),
                 "written_ms" => run.written.as_millis() as u64,
                 "after_ms" => app.now().ms_since(failed_at));
@@ -168,7 +168,13 @@
             watch_ended(&app, &run, failed_at).await
         };
         if let Some(process) = process {
-            strike_segments(&app, &run.segments, run.content, &process, failed_at);
+            strike_segments(
+                &app,
+                &run.segments,
+                run.content.fingerprint,
+                &process,
+                failed_at,
+            );
         }
     });
 }
@@ -190,7 +196,13 @@
             run.processes.iter().find(has_ended).cloned()
         };
         if let Some(ended) = ended {
-            return strike_segments(&app, &run.segments, run.content, &ended, finished_at);
+            return strike_segments(
+                &app,
+                &run.segments,
+                run.content.fingerprint,
+                &ended,
+                finished_at,
+            );
         }
         let first = run.processes.first();
         if first.is_some_and(|p| app.fleet.borrow().is_silent(p.key)) {
@@ -212,9 +224,9 @@
     }
 }
 
-fn strike_content(app: &App, content: Fingerprint, ended: &ServerProcess, at: Moment) {
+fn strike_content(app: &App, content: Content, ended: &ServerProcess, at: Moment) {
     let strike = Strike {
-        fingerprint: content,
+        content,
         vm: ended.to_string(),
         shared: 1,
         at,
@@ -225,14 +237,14 @@
     if is_quarantined {
         if let Some(log) = app.log.logger_for(Topic::Server) {
             warn!(log, "request: Content was quarantined after servers died running it.";
-                "content" => %content);
+                "content" => %content.fingerprint);
         }
         app.quarantined.notify_waiters();
     }
     app.news.borrow_mut().record_content(strike, is_quarantined);
     app.has_news.notify_one();
     // Single strikes are frequent while servers fail, and the next round is early enough for them.
-    if quarantine.strikes_of(content).count() >= URGENT_STRIKES {
+    if quarantine.death_count(content.fingerprint) >= URGENT_STRIKES {
         app.strike_news.notify_one();
     }
 }
--- a/crates/mustard-gateway/tests/gateway/harness.rs
+++ b/crates/mustard-gateway/tests/gateway/harness.rs
@@ -203,7 +203,20 @@
         path: &str,
         headers: &[(&str, &str)],
     ) -> Option<Answer> {
-        let answer = self.send_without_limit(to, method, path, headers);
+        let body = format!("{BODY_PREFIX} of {path}");
+        self.send_body(to, method, path, headers, body).await
+    }
+
+    /// Sends a request with the given headers and body, as [`Caller::send`] does.
+    pub(crate) async fn send_body(
+        &self,
+        to: SocketAddr,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: String,
+    ) -> Option<Answer> {
+        let answer = self.send_without_limit(to, method, path, headers, body);
         let answer = tokio::time::timeout(ANSWER_LIMIT, answer).await;
         answer.unwrap_or_else(|_| panic!("{method} {path} {headers:?}: the gateway leaves it open"))
     }
@@ -214,6 +227,7 @@
         method: &str,
         path: &str,
         headers: &[(&str, &str)],
+        body: String,
     ) -> Option<Answer> {
         let mut list = vec![(
             HeaderName::from_static("host"),
@@ -228,7 +242,7 @@
             method: Method::try_from(method).unwrap(),
             path: path.to_owned(),
             headers: list,
-            body: Bytes::from(format!("{BODY_PREFIX} of {path}")),
+            body: Bytes::from(body),
         };
         let mut answer = match forward_request(&request, CONNECT_LIMIT).await {
             Ok(answer) => answer,
--- a/crates/mustard-gateway/tests/gateway/main.rs
+++ b/crates/mustard-gateway/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod outliers;
 mod peer_messages;
 mod poison;
+mod poison_variants;
 mod priorities;
 mod refused_body;
 mod restored;
--- a/crates/mustard-policy/src/quarantine.rs
+++ b/crates/mustard-policy/src/quarantine.rs
@@ -14,8 +14,14 @@
 //!
 //! A content that ran to its end is cleared: strikes for deaths before that end no longer count,
 //! even if they arrive later from other processes.
+//!
+//! Requests with the same content may still differ, in which case each is a *variant* of the content. A crash of one
+//! variant is evidence against that variant, and a run to the end clears that variant only. All variants are
+//! quarantined if enough servers died while they ran any of them, none of them ran to its end lately, and no single
+//! variant explains these deaths.
 
 use std::cmp::Reverse;
+use std::hash::Hash;
 use std::time::Duration;
 
 use mustard_core::clock::Moment;
@@ -29,6 +35,12 @@
 
 /// How long after a content ran to its end without a failed run deaths don't count against it.
 const PROOF_TIME: Duration = Duration::from_secs(60);
+/// The most deaths of a content under which its quarantined variant didn't run while all other variants still may; they
+/// may have had another cause.
+const MAX_UNEXPLAINED: usize = 1;
+/// The most variants of a content that are kept for a death, and that are sent to other processes.
+const MAX_VARIANTS: usize = 64;
+const SHARED_VARIANTS: usize = 4;
 
 /// Settings of the quarantine.
 #[derive(Clone, Copy, Debug)]
@@ -53,11 +65,29 @@
     }
 }
 
+/// A content, or a variant of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Content {
+    /// The fingerprint of the content.
+    pub fingerprint: Fingerprint,
+    /// The fingerprint of the variant; `None` stands for all variants.
+    pub variant: Option<Fingerprint>,
+}
+
+impl From<Fingerprint> for Content {
+    fn from(fingerprint: Fingerprint) -> Self {
+        Content {
+            fingerprint,
+            variant: None,
+        }
+    }
+}
+
 /// The death of a server that ran a content, as evidence against that content.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Strike {
-    /// The fingerprint of the content.
-    pub fingerprint: Fingerprint,
+    /// The content that ran.
+    pub content: Content,
     /// The VM whose server died.
     pub vm: String,
     /// The number of contents that got a strike for this death.
@@ -69,8 +99,8 @@
 /// The moment up to which strikes against a content no longer count.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Clearance {
-    /// The fingerprint of the content.
-    pub fingerprint: Fingerprint,
+    /// The content.
+    pub content: Content,
     /// When it ran to its end, or an operator released it.
     pub at: Moment,
 }
@@ -92,6 +122,15 @@
     vm: String,
     shared: u32,
     at: Moment,
+    /// The variants that ran; `None` stands for all.
+    variants: Vec<Option<Fingerprint>>,
+}
+
+impl Death {
+    /// Returns whether the death counts against a variant.
+    fn counts_against(&self, variant: Option<Fingerprint>) -> bool {
+        variant.is_none() || self.variants.contains(&None) || self.variants.contains(&variant)
+    }
 }
 
 /// The deaths that count against a content.
@@ -104,20 +143,117 @@
 }
 
 impl ContentRecord {
-    fn exceeds_threshold(&self, min_deaths: usize) -> bool {
-        let weights = self.deaths.iter().map(|d| 1.0 / f64::from(d.shared));
-        self.deaths.len() >= min_deaths && weights.sum::<f64>() > WEIGHT_THRESHOLD
+    /// Returns the number of deaths that count against a variant.
+    fn count(&self, variant: Option<Fingerprint>) -> usize {
+        self.deaths
+            .iter()
+            .filter(|d| d.counts_against(variant))
+            .count()
+    }
+
+    fn condemns_variant(&self, variant: Option<Fingerprint>, min_deaths: usize) -> bool {
+        let deaths = self.deaths.iter().filter(|d| d.counts_against(variant));
+        exceeds_threshold(deaths, min_deaths)
+    }
+
+    /// Returns whether the deaths since `sound`, when a variant last showed that the content is sound, tell against
+    /// all variants, as no single variant explains them.
+    fn condemns_all(&self, sound: Option<Moment>, min_deaths: usize) -> bool {
+        let counts = |d: &&Death| sound.is_none_or(|at| d.at >= at);
+        let deaths = || self.deaths.iter().filter(counts);
+        if !exceeds_threshold(deaths(), min_deaths) {
+            return false;
+        }
+        let explains = |v: &Option<Fingerprint>| {
+            let others = deaths().filter(|d| !d.counts_against(*v)).count();
+            v.is_some() && others <= MAX_UNEXPLAINED && self.condemns_variant(*v, min_deaths)
+        };
+        let mut variants = deaths().flat_map(|d| &d.variants);
+        !variants.any(explains)
+    }
+
+    fn add(&mut self, strike: &Strike) {
+        let shared = strike.shared.max(1);
+        let index = self.deaths.iter().position(|d| d.vm == strike.vm);
+        let index = index.unwrap_or_else(|| {
+            self.deaths.push(Death {
+                vm: strike.vm.clone(),
+                shared,
+                at: strike.at,
+                variants: Vec::new(),
+            });
+            self.deaths.len() - 1
+        });
+        let death = &mut self.deaths[index];
+        death.shared = shared.min(death.shared);
+        death.at = death.at.max(strike.at);
+        self.add_variant(index, strike.content.variant);
+    }
+
+    /// Removes the deaths until a moment from those that count against a variant.
+    fn clear(&mut self, variant: Option<Fingerprint>, until: Moment) {
+        for death in self.deaths.iter_mut().filter(|d| d.at <= until) {
+            if variant.is_none() || death.variants.contains(&None) {
+                death.variants.clear();
+            } else {
+                death.variants.retain(|v| *v != variant);
+            }
+        }
+        self.deaths.retain(|d| !d.variants.is_empty());
+    }
+
+    /// Adds a variant to a death; if there are too many, in place of the oldest that ran at no other death.
+    fn add_variant(&mut self, index: usize, variant: Option<Fingerprint>) {
+        let variants = &self.deaths[index].variants;
+        if variants.contains(&variant) {
+            return;
+        }
+        if variants.len() >= MAX_VARIANTS {
+            let is_elsewhere = |v: &Option<Fingerprint>| {
+                let mut others = self.deaths.iter().enumerate().filter(|(i, _)| *i != index);
+                others.any(|(_, d)| d.variants.contains(v))
+            };
+            let Some(single) = variants.iter().position(|v| !is_elsewhere(v)) else {
+                return;
+            };
+            self.deaths[index].variants.remove(single);
+        }
+        self.deaths[index].variants.push(variant);
+    }
+
+    /// Returns the variants of a death that matter most to other processes: those that ran at the most deaths.
+    fn shared_variants(&self, death: &Death) -> Vec<Option<Fingerprint>> {
+        let mut variants = death.variants.clone();
+        variants.sort_by_cached_key(|v| (Reverse(self.count(*v)), *v));
+        variants.truncate(SHARED_VARIANTS);
+        variants
     }
 }
 
+fn exceeds_threshold<'a>(deaths: impl Iterator<Item = &'a Death>, min_deaths: usize) -> bool {
+    let (count, weight) = deaths.fold((0, 0.0), |(count, weight), d| {
+        (count + 1, weight + 1.0 / f64::from(d.shared))
+    });
+    count >= min_deaths && weight > WEIGHT_THRESHOLD
+}
+
+/// A variant that ran to its end.
+#[derive(Clone, Copy, Debug)]
+struct Sound {
+    variant: Fingerprint,
+    at: Moment,
+}
+
 /// The strikes and clearances of contents, and the quarantine that follows from them.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     settings: Settings,
     records: Map<Fingerprint, ContentRecord>,
-    cleared: Map<Fingerprint, Moment>,
+    cleared: Map<Content, Moment>,
     /// When each content last ran to its end without a failed run.
-    proven: Map<Fingerprint, Moment>,
+    proven: Map<Content, Moment>,
+    /// Which variant of each content last ran to its end, here or at another process, and when.
+    sound: Map<Fingerprint, Sound>,
 }
 
 impl Quarantine {
@@ -130,17 +266,36 @@
     }
 
     /// Returns whether and how a content may run.
-    pub fn standing(&self, now: Moment, fingerprint: Fingerprint) -> Standing {
-        match self.records.get(&fingerprint) {
-            Some(r) if r.until <= now => Standing::Clear,
-            Some(r) if r.exceeds_threshold(self.settings.min_deaths) => {
-                Standing::Quarantined(now.until(r.until))
-            }
-            Some(_) => Standing::Suspect,
-            None => Standing::Clear,
+    pub fn standing(&self, now: Moment, content: impl Into<Content>) -> Standing {
+        let content = content.into();
+        let record = self.records.get(&content.fingerprint);
+        match record.filter(|r| r.until > now) {
+            Some(r) if self.condemns(r, content) => Standing::Quarantined(now.until(r.until)),
+            Some(r) if r.count(content.variant) > 0 => Standing::Suspect,
+            _ => Standing::Clear,
         }
     }
 
+    /// Returns whether the strikes of a record are enough for a content.
+    fn condemns(&self, record: &ContentRecord, content: Content) -> bool {
+        let min_deaths = self.settings.min_deaths;
+        record.condemns_variant(content.variant, min_deaths)
+            || record.condemns_all(self.sound_until(content.fingerprint), min_deaths)
+    }
+
+    /// Returns whether the strikes of a record are enough for any variant of its content.
+    fn condemns_any(&self, fingerprint: Fingerprint, record: &ContentRecord) -> bool {
+        let mut variants = record.deaths.iter().flat_map(|d| &d.variants);
+        let min_deaths = self.settings.min_deaths;
+        record.condemns_all(self.sound_until(fingerprint), min_deaths)
+            || variants.any(|v| record.condemns_variant(*v, min_deaths))
+    }
+
+    /// Returns until when deaths don't count against all variants of a content, as one of them ran to its end.
+    fn sound_until(&self, fingerprint: Fingerprint) -> Option<Moment> {
+        self.sound.get(&fingerprint).map(|s| s.at + PROOF_TIME)
+    }
+
     /// Returns the strikes for a server's death, given the contents that ran there.
     ///
     /// Nothing is recorded yet: the calling code passes the strikes to
@@ -160,8 +315,8 @@
             suspects
         };
         let shared = blamed.len() as u32;
-        let strike = |fingerprint| Strike {
-            fingerprint,
+        let strike = |fingerprint: Fingerprint| Strike {
+            content: fingerprint.into(),
             vm: vm.to_owned(),
             shared,
             at: now,
@@ -173,83 +328,115 @@
     /// quarantined by it. Strikes may arrive in any order and more than once.
     pub fn record_strike(&mut self, now: Moment, strike: &Strike) -> bool {
         self.make_room(now);
-        let until = strike.at + self.settings.ttl;
-        let cleared = self.cleared.get(&strike.fingerprint);
-        if until <= now || cleared.is_some_and(|at| *at >= strike.at) {
+        let (content, at) = (strike.content, strike.at);
+        let until = at + self.settings.ttl;
+        if until <= now || self.is_cleared(content, at) {
             return false;
         }
-        let proven = self.proven.get(&strike.fingerprint);
-        if proven.is_some_and(|at| *at + PROOF_TIME > strike.at) {
+        let proven = self.proven.get(&content);
+        if proven.is_some_and(|proven| *proven + PROOF_TIME > at) {
             // Also releases the content at the process that the strike came from.
-            let clearance = Clearance {
-                fingerprint: strike.fingerprint,
-                at: strike.at,
-            };
-            self.apply_clearance(now, clearance);
+            self.apply_clearance(now, Clearance { content, at });
             return false;
         }
-        let min_deaths = self.settings.min_deaths;
-        let record = self
-            .records
-            .entry(strike.fingerprint)
-            .or_insert(ContentRecord {
-                deaths: Vec::new(),
-                until,
-            });
-        let was_quarantined = record.exceeds_threshold(min_deaths);
-        let shared = strike.shared.max(1);
-        match record.deaths.iter_mut().find(|d| d.vm == strike.vm) {
-            Some(known) => {
-                known.shared = shared.min(known.shared);
-                known.at = known.at.max(strike.at);
-            }
-            None => record.deaths.push(Death {
-                vm: strike.vm.clone(),
-                shared,
-                at: strike.at,
-            }),
-        }
+        self.dispute_sound(content, at);
+        let was_quarantined = self.is_condemned(content);
+        let fingerprint = content.fingerprint;
+        let record = self.records.entry(fingerprint).or_insert(ContentRecord {
+            deaths: Vec::new(),
+            until,
+        });
         record.until = record.until.max(until);
-        !was_quarantined && record.exceeds_threshold(min_deaths)
+        record.add(strike);
+        !was_quarantined && self.is_condemned(content)
+    }
+
+    fn is_condemned(&self, content: Content) -> bool {
+        let record = self.records.get(&content.fingerprint);
+        record.is_some_and(|r| self.condemns(r, content))
+    }
+
+    /// Returns whether strikes for deaths at a moment no longer count against a content.
+    fn is_cleared(&self, content: Content, at: Moment) -> bool {
+        let all = Content::from(content.fingerprint);
+        let mut cleared = [content, all]
+            .into_iter()
+            .filter_map(|c| self.cleared.get(&c));
+        cleared.any(|cleared| *cleared >= at)
+    }
+
+    /// Makes other processes know that another variant ran to its end, if that was shortly before a death.
+    fn dispute_sound(&mut self, content: Content, at: Moment) {
+        let Some(sound) = self.sound.get(&content.fingerprint).copied() else {
+            return;
+        };
+        if sound.at + PROOF_TIME > at && content.variant != Some(sound.variant) {
+            let variant = Some(sound.variant);
+            let cleared = self.cleared.entry(Content { variant, ..content });
+            let cleared = cleared.or_insert(sound.at);
+            *cleared = sound.at.max(*cleared);
+        }
     }
 
     /// Clears a content that ran to its end or that an operator released; returns whether any
     /// strike against it was known.
-    pub fn clear(&mut self, now: Moment, fingerprint: Fingerprint) -> bool {
-        let known = self.records.contains_key(&fingerprint);
+    pub fn clear(&mut self, now: Moment, content: impl Into<Content>) -> bool {
+        let content = content.into();
+        let record = self.records.get(&content.fingerprint);
+        let known = record.is_some_and(|r| r.count(content.variant) > 0);
         if known {
             let at = now;
-            self.apply_clearance(now, Clearance { fingerprint, at });
+            self.apply_clearance(now, Clearance { content, at });
         }
         known
     }
 
     /// Records that a content ran to its end without a failed run. This clears it, and strikes for
     /// deaths within [`PROOF_TIME`] don't count: servers that died meanwhile ran it beside others.
-    pub fn record_success(&mut self, now: Moment, fingerprint: Fingerprint) {
-        self.clear(now, fingerprint);
-        if self.proven.len() >= self.settings.capacity {
+    pub fn record_success(&mut self, now: Moment, content: impl Into<Content>) {
+        let content = content.into();
+        self.clear(now, content);
+        let capacity = self.settings.capacity;
+        if self.proven.len() >= capacity {
             self.proven.retain(|_, at| *at + PROOF_TIME > now);
-            evict_lowest(&mut self.proven, self.settings.capacity, |at| *at);
+            evict_lowest(&mut self.proven, capacity, |at| *at);
+        }
+        self.proven.insert(content, now);
+        self.record_sound(now, content, now);
+    }
+
+    fn record_sound(&mut self, now: Moment, content: Content, at: Moment) {
+        let Some(variant) = content.variant else {
+            return;
+        };
+        let capacity = self.settings.capacity;
+        if self.sound.len() >= capacity {
+            self.sound.retain(|_, s| s.at + PROOF_TIME > now);
+            evict_lowest(&mut self.sound, capacity, |s| s.at);
+        }
+        let newer = Sound { variant, at };
+        let known = self.sound.entry(content.fingerprint).or_insert(newer);
+        if at > known.at {
+            *known = newer;
         }
-        self.proven.insert(fingerprint, now);
     }
 
     /// Records a clearance, from this or another process.
     pub fn apply_clearance(&mut self, now: Moment, clearance: Clearance) {
-        let Clearance { fingerprint, at } = clearance;
+        let Clearance { content, at } = clearance;
         if at + self.settings.ttl <= now {
             return;
         }
         self.make_room(now);
-        let cleared_at = self.cleared.entry(fingerprint).or_insert(at);
+        let cleared_at = self.cleared.entry(content).or_insert(at);
         *cleared_at = at.max(*cleared_at);
-        let Some(record) = self.records.get_mut(&fingerprint) else {
+        self.record_sound(now, content, at);
+        let Some(record) = self.records.get_mut(&content.fingerprint) else {
             return;
         };
-        record.deaths.retain(|d| d.at > at);
+        record.clear(content.variant, at);
         if record.deaths.is_empty() {
-            self.records.remove(&fingerprint);
+            self.records.remove(&content.fingerprint);
         }
     }
 
@@ -257,8 +444,8 @@
     pub fn clearances(&self, now: Moment) -> impl Iterator<Item = Clearance> {
         let ttl = self.settings.ttl;
         let valid = self.cleared.iter().filter(move |(_, at)| **at + ttl > now);
-        valid.map(|(fingerprint, at)| Clearance {
-            fingerprint: *fingerprint,
+        valid.map(|(content, at)| Clearance {
+            content: *content,
             at: *at,
         })
     }
@@ -267,19 +454,32 @@
     pub fn quarantined(&self, now: Moment) -> impl Iterator<Item = (Fingerprint, Vec<&str>)> {
         self.records
             .iter()
-            .filter(move |(_, r)| r.exceeds_threshold(self.settings.min_deaths) && r.until > now)
+            .filter(move |(f, r)| r.until > now && self.condemns_any(**f, r))
             .map(|(f, r)| (*f, r.deaths.iter().map(|d| d.vm.as_str()).collect()))
     }
 
+    /// Returns the number of servers that died while they ran a content.
+    pub fn death_count(&self, fingerprint: Fingerprint) -> usize {
+        let record = self.records.get(&fingerprint);
+        record.map_or(0, |r| r.deaths.len())
+    }
+
     /// Returns the strikes that count against a content, whether they have expired or not.
     pub fn strikes_of(&self, fingerprint: Fingerprint) -> impl Iterator<Item = Strike> {
         let record = self.records.get(&fingerprint);
-        let deaths = record.into_iter().flat_map(|r| &r.deaths);
-        deaths.map(move |d| Strike {
-            fingerprint,
-            vm: d.vm.clone(),
-            shared: d.shared,
-            at: d.at,
+        record.into_iter().flat_map(move |r| {
+            r.deaths.iter().flat_map(move |d| {
+                let variants = r.shared_variants(d).into_iter();
+                variants.map(move |variant| Strike {
+                    content: Content {
+                        fingerprint,
+                        variant,
+                    },
+                    vm: d.vm.clone(),
+                    shared: d.shared,
+                    at: d.at,
+                })
+            })
         })
     }
 
@@ -332,16 +532,18 @@
 }
 
 /// Removes the entries of the lowest rank until one more fits.
-fn evict_lowest<T, R: Ord>(
-    entries: &mut Map<Fingerprint, T>,
+fn evict_lowest<K: Copy + Ord + Hash, T, R: Ord>(
+    entries: &mut Map<K, T>,
     capacity: usize,
     rank: impl Fn(&T) -> R,
 ) {
     while entries.len() >= capacity {
-        let lowest = entries.iter().min_by_key(|(f, entry)| (rank(entry), **f));
-        let Some((&fingerprint, _)) = lowest else {
+        let lowest = entries
+            .iter()
+            .min_by_key(|(key, entry)| (rank(entry), **key));
+        let Some((&key, _)) = lowest else {
             return;
         };
-        entries.remove(&fingerprint);
+        entries.remove(&key);
     }
 }
--- a/crates/mustard-policy/src/segments.rs
+++ b/crates/mustard-policy/src/segments.rs
@@ -294,7 +294,8 @@
 
     /// Records that a run with a segment went well at another process.
     pub fn apply_clearance(&mut self, now: Moment, clearance: Clearance) {
-        let Clearance { fingerprint, at } = clearance;
+        let Clearance { content, at } = clearance;
+        let fingerprint = content.fingerprint;
         if at + PROOF_TIME <= now {
             return;
         }
@@ -359,7 +360,7 @@
             .filter(|(_, at)| **at + PROOF_TIME > now);
         let mut newest: Vec<Clearance> = valid
             .map(|(fingerprint, at)| Clearance {
-                fingerprint: *fingerprint,
+                content: (*fingerprint).into(),
                 at: *at,
             })
             .collect();
--- a/crates/mustard-policy/tests/quarantine.rs
+++ b/crates/mustard-policy/tests/quarantine.rs
@@ -11,7 +11,7 @@
 
 use mustard_core::clock::Moment;
 use mustard_core::fingerprint::Fingerprint;
-use mustard_policy::quarantine::{Quarantine, Settings, Standing, Strike};
+use mustard_policy::quarantine::{Content, Quarantine, Settings, Standing, Strike};
 
 /// The content that gets strikes; where servers die of it, it is the poison content.
 const SUSPECT: Fingerprint = Fingerprint(7);
@@ -87,7 +87,7 @@
             let mut rng = ChaCha8Rng::seed_from_u64(*seed);
             let mut strikes: Vec<Strike> = (0..20)
                 .map(|_| Strike {
-                    fingerprint: Fingerprint(rng.random_range(0..4)),
+                    content: Fingerprint(rng.random_range(0..4)).into(),
                     vm: format!("vm-{}", rng.random_range(0..3)),
                     shared: rng.random_range(1..5),
                     at: NOW,
@@ -124,7 +124,7 @@
         q.record_strike(
             NOW,
             &Strike {
-                fingerprint,
+                content: fingerprint.into(),
                 vm,
                 shared,
                 at: NOW,
@@ -148,7 +148,7 @@
     let now = Moment::from_millis(1);
     let mut strike = |vm: &str| {
         let strike = Strike {
-            fingerprint: content,
+            content: content.into(),
             vm: vm.to_owned(),
             shared: 1,
             at: now,
@@ -163,7 +163,7 @@
 
 fn strike_at(vm: usize, at: Moment) -> Strike {
     Strike {
-        fingerprint: SUSPECT,
+        content: SUSPECT.into(),
         vm: format!("vm-{vm}"),
         shared: 1,
         at,
@@ -248,7 +248,7 @@
     let later = NOW + Duration::from_secs(1);
     for n in 0..2 * Settings::default().capacity {
         let strike = Strike {
-            fingerprint: Fingerprint(1_000 + n as u128),
+            content: Fingerprint(1_000 + n as u128).into(),
             vm: "vm-other".to_owned(),
             shared: 1,
             at: later,
@@ -257,3 +257,178 @@
     }
     assert!(is_quarantined(&q, SUSPECT));
 }
+
+const BAD: u128 = 900;
+
+fn variant(number: u128) -> Content {
+    Content {
+        fingerprint: SUSPECT,
+        variant: Some(Fingerprint(number)),
+    }
+}
+
+fn new_with_three() -> Quarantine {
+    Quarantine::new(Settings {
+        min_deaths: 3,
+        ..Settings::default()
+    })
+}
+
+fn variant_strike(number: u128, vm: usize, at: Moment) -> Strike {
+    Strike {
+        content: variant(number),
+        ..strike_at(vm, at)
+    }
+}
+
+fn later(ms: u64) -> Moment {
+    NOW + Duration::from_millis(ms)
+}
+
+fn may_run(q: &Quarantine, now: Moment, number: u128) -> bool {
+    !matches!(q.standing(now, variant(number)), Standing::Quarantined(_))
+}
+
+/// Guards against a request that isn't stopped, as others with the same content but another query run to their end.
+#[test]
+fn record_success_other_variant() {
+    let mut q = new_with_three();
+    for vm in 0..3 {
+        let at = later(1_000 * vm as u64);
+        q.record_success(at, variant(1));
+        q.record_strike(at, &variant_strike(BAD, vm, at));
+        q.record_success(at, variant(2));
+    }
+    assert!(!may_run(&q, later(3_000), BAD));
+    assert!((1..4).all(|n| may_run(&q, later(3_000), n)));
+}
+
+/// Guards against refusing sound requests, none of which was served before, beside one that ends servers. Some of them
+/// ran on these servers too.
+#[test]
+fn record_strike_one_variant() {
+    let mut q = new_with_three();
+    for vm in 0..3 {
+        let at = later(vm as u64);
+        q.record_strike(at, &variant_strike(BAD, vm, at));
+        q.record_strike(at, &variant_strike(vm as u128, vm, at));
+    }
+    assert!(!may_run(&q, later(3), BAD));
+    assert!((0..9).all(|n| may_run(&q, later(3), n)));
+}
+
+/// Guards against a request that escapes by another query at each of its attempts.
+#[test]
+fn record_strike_each_another_variant() {
+    let mut q = new_with_three();
+    let newly: Vec<bool> = (0..3)
+        .map(|vm| q.record_strike(NOW, &variant_strike(vm as u128, vm, NOW)))
+        .collect();
+    assert_eq!(newly, [false, false, true]);
+    assert!((0..9).all(|n| !may_run(&q, NOW, n)));
+    // Any variant that runs to its end shows that not all of them end servers.
+    q.record_success(later(10), variant(0));
+    assert!((0..9).all(|n| may_run(&q, later(10), n)));
+}
+
+/// The same if it came with one of the queries until that was refused; one more end may have another cause.
+#[test]
+fn record_strike_variants_after_one() {
+    let mut q = new_with_three();
+    for vm in 0..3 {
+        q.record_strike(NOW, &variant_strike(BAD, vm, NOW));
+    }
+    q.record_strike(NOW, &variant_strike(1, 3, NOW));
+    assert!(may_run(&q, NOW, 1) && may_run(&q, NOW, 2));
+    q.record_strike(NOW, &variant_strike(2, 4, NOW));
+    assert!((0..9).all(|n| !may_run(&q, NOW, n)));
+}
+
+/// Guards against a process that goes on refusing all variants while another one serves some of them, and against one
+/// that releases the bad one by that: each of them knows a half.
+#[test]
+fn apply_clearance_other_variant() {
+    let (mut struck, mut serving) = (new_with_three(), new_with_three());
+    serving.record_success(NOW, variant(1));
+    for vm in 0..3 {
+        struck.record_strike(later(10), &variant_strike(BAD, vm, later(10)));
+        struck.record_strike(
+            later(10),
+            &variant_strike(vm as u128 + 5, vm + 3, later(10)),
+        );
+    }
+    assert!(!may_run(&struck, later(10), 1));
+    for strike in struck.strikes_to_share(later(20), 64) {
+        serving.record_strike(later(20), &strike);
+    }
+    for clearance in serving.clearances_to_share(later(30), 64) {
+        struck.apply_clearance(later(30), clearance);
+    }
+    for q in [&struck, &serving] {
+        assert!(!may_run(q, later(30), BAD));
+        assert!((0..9).all(|n| may_run(q, later(30), n)));
+    }
+}
+
+/// Strikes of versions that don't tell variants apart count against all of them.
+#[test]
+fn record_strike_unknown_variant() {
+    let mut q = new_with_three();
+    q.record_strike(NOW, &strike_at(0, NOW));
+    q.record_strike(NOW, &strike_at(1, NOW));
+    assert!(may_run(&q, NOW, BAD));
+    q.record_strike(NOW, &variant_strike(BAD, 2, NOW));
+    assert!(!may_run(&q, NOW, BAD));
+    assert!(may_run(&q, NOW, 1));
+    q.record_strike(NOW, &strike_at(2, NOW));
+    assert!(!may_run(&q, NOW, 1));
+}
+
+/// Many requests run on a server that ends: the one that runs at all ends must not be lost among them, neither here
+/// nor at a process that is told.
+#[test]
+fn record_strike_many_variants() {
+    let (mut q, mut told) = (new_with_three(), new_with_three());
+    for vm in 0..3 {
+        let others = (0..90).map(|n| 100 * (vm as u128 + 1) + n);
+        for number in others.chain([BAD]) {
+            q.record_strike(NOW, &variant_strike(number, vm, NOW));
+        }
+    }
+    for strike in q.strikes_to_share(NOW, 64) {
+        told.record_strike(NOW, &strike);
+    }
+    for q in [&q, &told] {
+        assert!(!may_run(q, NOW, BAD));
+        assert!(may_run(q, NOW, 1));
+    }
+}
+
+/// Processes that receive the strikes and clearances of variants in different order agree.
+#[test]
+fn record_strike_variants_any_order() {
+    check!()
+        .with_iterations(300)
+        .with_type::<u64>()
+        .for_each(|seed| {
+            let mut rng = ChaCha8Rng::seed_from_u64(*seed);
+            let mut strikes: Vec<Strike> = (0..12)
+                .map(|_| {
+                    let number = rng.random_range(0..4);
+                    variant_strike(number, rng.random_range(0..5), NOW)
+                })
+                .collect();
+            let standings = |strikes: &[Strike]| {
+                let mut q = new_with_three();
+                for strike in strikes {
+                    q.record_strike(NOW, strike);
+                }
+                let all = (0..6).map(|n| q.standing(NOW, variant(n)));
+                all.collect::<Vec<_>>()
+            };
+            let first = standings(&strikes);
+            strikes.extend_from_within(0..5);
+            strikes.shuffle(&mut rng);
+            assert_eq!(first, standings(&strikes));
+        });
+}
--- a/crates/mustard-policy/tests/segments.rs
+++ b/crates/mustard-policy/tests/segments.rs
@@ -120,7 +120,7 @@
     assert_eq!(filter.clearances_to_share(at(5), 9), []);
     filter.record_strike(at(20), &strike(1, 1, 10));
     let expected = Clearance {
-        fingerprint: SEGMENT,
+        content: SEGMENT.into(),
         at: at(5),
     };
     assert_eq!(filter.clearances_to_share(at(20), 9), [expected]);
--- a/crates/mustard-policy/tests/separation.rs
+++ b/crates/mustard-policy/tests/separation.rs
@@ -128,7 +128,7 @@
         let strikes = self.quarantines[request.process].strikes(NOW);
         strikes
             .iter()
-            .filter(|s| s.fingerprint == request.content)
+            .filter(|s| s.content.fingerprint == request.content)
             .count()
     }
 
--- a/crates/mustard-policy/tests/strike_spread.rs
+++ b/crates/mustard-policy/tests/strike_spread.rs
@@ -61,7 +61,7 @@
 
     fn strike(&mut self, gateway: usize, content: Fingerprint, process: String) {
         let strike = Strike {
-            fingerprint: content,
+            content: content.into(),
             vm: process,
             shared: 1,
             at: self.now,
@@ -86,7 +86,7 @@
                 let to = peers[peer];
                 for strike in strikes.iter().filter(|_| !self.lost.contains(&to)) {
                     if self.gateways[to].record_strike(self.now, strike) {
-                        self.news[to].record_settled(strike.fingerprint);
+                        self.news[to].record_settled(strike.content.fingerprint);
                     }
                 }
             }
