Read all answers by one reader, and cut off what a failed connection ends

Cause: while a part of the request was unsent, each wake-up wrote first. The write took the error of the reset off the socket and dropped it, and the read after it saw the regular end of the connection.

Fix: a connection reads before it writes and keeps in mind that a write failed; a body that only the end of the connection delimits is cut off then. Calls over kept connections (reports, orders, peers, store, messages, engines, mustardctl) use the same reader now, with connections of their own, in place of the HTTP library's client, which couldn't read such a body: a GET was sent once more, and the answer to any other request counted as lost.

exchange_unframed asked that such an answer to a POST is lost, as the library's client couldn't read it. It asks now that it is read, and that neither request is sent twice (the server accepts one connection each).

--- a/crates/mustard-agent/examples/group_commit.rs
+++ b/crates/mustard-agent/examples/group_commit.rs
@@ -82,7 +82,7 @@
 
 async fn run_load(options: &Options, agent: SocketAddr) -> CallStats {
     let process = Process::new("bench", 16);
-    let client = MessageClient::new(process).await;
+    let client = MessageClient::new(process);
     let end = Instant::now() + Duration::from_secs(options.seconds);
     let workers: Vec<_> = (0..options.flight)
         .map(|_| tokio::task::spawn_local(book_until(client.clone(), agent, end)))
--- a/crates/mustard-agent/src/run.rs
+++ b/crates/mustard-agent/src/run.rs
@@ -39,8 +39,7 @@
     // After the first refusal of new work the process runs for at least `notice`, and it ends after
     // `grace` although work is still running.
     let (notice, grace) = (settings.notice(), settings.grace());
-    let (write_queue, writer) =
-        WriteQueue::new(new_table(&settings).await, batch_options(&settings));
+    let (write_queue, writer) = WriteQueue::new(new_table(&settings), batch_options(&settings));
     tokio::task::spawn_local(writer.run());
     let shared = Shared::new(
         Arc::clone(&process),
@@ -70,8 +69,8 @@
     Ok(code)
 }
 
-async fn new_table(settings: &AgentSettings) -> HttpService {
-    let http = Rc::new(http::new_client().await);
+fn new_table(settings: &AgentSettings) -> HttpService {
+    let http = Rc::new(http::new_client());
     let timeout = Duration::from_millis(settings.claims.table_ms);
     HttpService::new(http, settings.table, timeout, "table")
 }
--- a/crates/mustard-agent/src/worker.rs
+++ b/crates/mustard-agent/src/worker.rs
@@ -44,9 +44,9 @@
 impl Worker {
     /// Creates the connections of the calling thread, which alone can use them.
     pub async fn new(shared: Arc<Shared>) -> Self {
-        let client = MessageClient::new(Arc::clone(&shared.process)).await;
+        let client = MessageClient::new(Arc::clone(&shared.process));
         let http = Rc::new(client.http().clone());
-        let unpooled = Rc::new(new_client().await);
+        let unpooled = Rc::new(new_client());
         let server = HttpBackend::new(Rc::clone(&http), unpooled, shared.settings.server);
         let timeout = Duration::from_millis(shared.settings.claims.table_ms);
         let table = HttpService::new(http, shared.settings.table, timeout, "table");
--- a/crates/mustard-backend/src/http.rs
+++ b/crates/mustard-backend/src/http.rs
@@ -4,14 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ntex::client::Client as HttpClient;
 use ntex::http::Method;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use mustard_core::ids::Fence;
 use mustard_net::CallError;
-use mustard_net::http::{Answer, CONNECTION_CLOSE, Request, exchange};
+use mustard_net::http::{Answer, CONNECTION_CLOSE, HttpClient, Request, exchange};
 use mustard_proto::agent::Load;
 
 use crate::engine::{Engine, KvCache, LoadOrder, LoadedLayers, SeqId, StepOutput, StepRequest};
--- a/crates/mustard-bench/src/load/booking.rs
+++ b/crates/mustard-bench/src/load/booking.rs
@@ -3,12 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ntex::client::Client as HttpClient;
 use ntex::http::Method;
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
-use mustard_net::http::{self, Request};
+use mustard_net::http::{self, HttpClient, Request};
 
 use super::Args;
 use super::arrivals::{Arrival, Kind};
--- a/crates/mustard-bench/src/load/mod.rs
+++ b/crates/mustard-bench/src/load/mod.rs
@@ -14,11 +14,10 @@
 use std::time::Duration;
 
 use anyhow::{Context, anyhow};
-use ntex::client::Client as HttpClient;
 use ntex::rt::{DefaultRuntime, System};
 use tokio::time::{Instant, sleep_until};
 
-use mustard_net::http;
+use mustard_net::http::{self, HttpClient};
 
 pub(crate) use arrivals::Scenario;
 pub(crate) use arrivals::{Arrival, Kind};
@@ -110,7 +109,7 @@
 
 /// Sends the requests of one thread, each when it is due, and waits for their answers.
 async fn send_arrivals(args: Args, arrivals: Vec<Arrival>, start: Instant) -> Tally {
-    let client = http::new_client().await;
+    let client = http::new_client();
     let args = Rc::new(args);
     let mut tasks = Vec::with_capacity(arrivals.len());
     for arrival in arrivals {
@@ -139,7 +138,7 @@
 ) -> RequestResult {
     let to = args.entry[arrival.number % args.entry.len()];
     match arrival.kind {
-        Kind::Draft => draft::send(&client, to, &args, &arrival, due).await,
+        Kind::Draft => draft::send(to, &args, &arrival, due).await,
         Kind::Booking => booking::book(&client, to, &args, &arrival, due).await,
         Kind::Read => booking::read(&client, to, &args, due).await,
     }
--- a/crates/mustard-bench/src/slopes/control.rs
+++ b/crates/mustard-bench/src/slopes/control.rs
@@ -166,7 +166,7 @@
 
 /// Sends heartbeats under the name of an entry process until stopped.
 async fn send_heartbeats(number: usize, to: SocketAddr, stopped: Arc<AtomicBool>) {
-    let client = MessageClient::new(Process::new(&format!("entry-{number}"), 4)).await;
+    let client = MessageClient::new(Process::new(&format!("entry-{number}"), 4));
     while !stopped.load(Ordering::SeqCst) {
         let from = format!("entry-{number}");
         let _ = client
--- a/crates/mustard-bench/src/slopes/propagation.rs
+++ b/crates/mustard-bench/src/slopes/propagation.rs
@@ -117,7 +117,7 @@
 fn read_delays(fleet: &Fleet, start_seq: u64) -> anyhow::Result<Vec<u64>> {
     let addrs: Vec<_> = fleet.entries.iter().map(Child::addr).collect();
     let events = System::new("timeline", DefaultRuntime).block_on(async move {
-        let client = MessageClient::new(Process::new("bench", 4)).await;
+        let client = MessageClient::new(Process::new("bench", 4));
         let mut events = Vec::new();
         for addr in addrs {
             let request = TimelineRequest {
--- a/crates/mustard-bench/src/slopes/requests.rs
+++ b/crates/mustard-bench/src/slopes/requests.rs
@@ -188,7 +188,7 @@
     let args = load_args(fleet);
     std::thread::spawn(move || {
         System::new("customers", DefaultRuntime).block_on(async move {
-            let http = http::new_client().await;
+            let http = http::new_client();
             let end = Instant::now() + time;
             while Instant::now() < end {
                 let due = Instant::now();
--- a/crates/mustard-bench/src/slopes/tokens.rs
+++ b/crates/mustard-bench/src/slopes/tokens.rs
@@ -69,8 +69,8 @@
     let agents: Vec<_> = fleet.stages.iter().map(|s| s.agent.addr()).collect();
     let system = System::new("tokens", DefaultRuntime);
     let (through, direct) = system.block_on(async move {
-        let client = MessageClient::new(Process::new("bench", 4)).await;
-        let http = http::new_client().await;
+        let client = MessageClient::new(Process::new("bench", 4));
+        let http = http::new_client();
         let chain = fetch_chain(&client, &agents).await?;
         let (mut through, mut direct) = (TokenLatencies::new()?, TokenLatencies::new()?);
         for number in 0..drafts + WARMUP_DRAFTS {
--- a/crates/mustard-entry/src/app.rs
+++ b/crates/mustard-entry/src/app.rs
@@ -177,7 +177,7 @@
 impl Worker {
     /// Creates the state of the calling thread.
     pub async fn new(shared: Arc<Shared>) -> Rc<Self> {
-        let client = MessageClient::new(Arc::clone(&shared.process)).await;
+        let client = MessageClient::new(Arc::clone(&shared.process));
         let platform = PlatformClients::new(&shared.settings.platform, &client);
         let store = Arc::clone(&shared.catalogue);
         Rc::new(Worker {
--- a/crates/mustard-fakes/src/site/http.rs
+++ b/crates/mustard-fakes/src/site/http.rs
@@ -175,6 +175,17 @@
 
 /// Answers a request to one of the servers, according to its fault.
 async fn answer_by_fault(site: &Site, index: usize, call: Call) -> Response {
+    if let Some(id) = call.header("attempt-id") {
+        let bytes = {
+            let mut state = site.lock();
+            let bytes = state.servers[index].raw_answer.clone();
+            state.ledger.raw_answers += usize::from(bytes.is_some());
+            bytes
+        };
+        if let Some(bytes) = bytes {
+            return raw::send_bytes(&call, &id, &bytes).await;
+        }
+    }
     let (fault, model) = {
         let mut state = site.lock();
         if let Some(id) = call.header("attempt-id") {
--- a/crates/mustard-fakes/src/site/mod.rs
+++ b/crates/mustard-fakes/src/site/mod.rs
@@ -176,6 +176,8 @@
     pub(crate) leaving: bool,
     // The requests a second that each answer says the server takes from all clients together.
     pub(crate) limit: Option<f64>,
+    // The bytes that requests are answered with.
+    pub(crate) raw_answer: Option<Vec<u8>>,
 }
 
 impl Server {
@@ -197,6 +199,7 @@
             draining: false,
             leaving: false,
             limit: None,
+            raw_answer: None,
         }
     }
 
@@ -231,6 +234,8 @@
     pub arrivals: Vec<Arrival>,
     /// The ends of servers caused by poison contents, in order.
     pub ended: Vec<EndedServer>,
+    /// The number of requests that were answered with [`Site::set_raw_answer`].
+    pub raw_answers: usize,
     /// For each answer without an end how many bytes were sent and for how long, once it was over.
     pub endless: Vec<(u64, Duration)>,
 }
@@ -499,6 +504,12 @@
         self.lock().servers[server].limit = limit;
     }
 
+    /// Makes a server answer each request with these bytes and close the connection, or no longer; `{id}` in them
+    /// stands for the id of the request.
+    pub fn set_raw_answer(&self, server: usize, bytes: Option<Vec<u8>>) {
+        self.lock().servers[server].raw_answer = bytes;
+    }
+
     /// Sets which servers a poison content ends, and how long they stay away.
     pub fn set_poison(&self, target: PoisonTarget, down_time: Duration) {
         let mut state = self.lock();
--- a/crates/mustard-fakes/src/site/raw.rs
+++ b/crates/mustard-fakes/src/site/raw.rs
@@ -110,6 +110,22 @@
     std::future::pending().await
 }
 
+/// Sends bytes in which `{id}` stands for the id of the request, and closes the connection.
+pub(super) async fn send_bytes(call: &Call, id: &str, bytes: &[u8]) -> Response {
+    const PLACE: &[u8] = b"{id}";
+    let Some(io) = call.connection() else {
+        return Response::InternalServerError().finish();
+    };
+    let place = bytes.windows(PLACE.len()).position(|w| w == PLACE);
+    let bytes = match place {
+        Some(at) => [&bytes[..at], id.as_bytes(), &bytes[at + PLACE.len()..]].concat(),
+        None => bytes.to_vec(),
+    };
+    write(&io, &bytes);
+    io.close();
+    std::future::pending().await
+}
+
 /// Sends a refusal, and a little later the same bytes again on the same connection, which stays open.
 pub(super) async fn send_refusal_twice(call: &Call) -> Response {
     let Some(io) = call.connection() else {
--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -7,7 +7,6 @@
 use std::sync::atomic::{self, AtomicBool};
 use std::time::Duration;
 
-use ntex::client::Client;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
@@ -18,7 +17,7 @@
 use mustard_core::deployment::{Config, Engine, ServerKey};
 use mustard_core::fingerprint::Fingerprint;
 use mustard_core::ids::{Era, Incarnation};
-use mustard_net::http::{MAX_ANSWER_BYTES, new_client, new_limited_client};
+use mustard_net::http::{HttpClient, MAX_ANSWER_BYTES, new_client, new_limited_client};
 use mustard_net::shutdown::RequestGate;
 use mustard_net::{ClientBudget, ClientLimits};
 use mustard_policy::hedge;
@@ -115,9 +114,9 @@
     /// The clock; times the leases and log limits too.
     pub clock: SystemClock,
     /// The HTTP client for reports of backend servers and orders to them.
-    pub client: Client,
+    pub client: HttpClient,
     /// The HTTP client for peers.
-    pub peer_client: Client,
+    pub peer_client: HttpClient,
     /// The client of the platform's store.
     pub store: Store,
     /// The log, limited in lines a second for each topic.
@@ -208,12 +207,12 @@
     ) -> Rc<Self> {
         let clock = SystemClock::default();
         let started_at = clock.now();
-        let store = Store::new(new_client().await, node.store);
+        let store = Store::new(new_client(), node.store);
         let peers = Peers::new(&node);
         Rc::new(App {
             incarnation: Incarnation::random(),
-            client: new_limited_client(CONNECT_TIMEOUT, MAX_REPORT_BYTES).await,
-            peer_client: new_limited_client(CONNECT_TIMEOUT, MAX_ANSWER_BYTES).await,
+            client: new_limited_client(CONNECT_TIMEOUT, MAX_REPORT_BYTES),
+            peer_client: new_limited_client(CONNECT_TIMEOUT, MAX_ANSWER_BYTES),
             store,
             clients: ClientBudget::new(limits, log.clone()),
             log: LimitedLog::new(log, clock.clone()),
--- a/crates/mustard-net/src/chunked.rs
+++ b/crates/mustard-net/src/chunked.rs
@@ -29,6 +29,11 @@
 }
 
 impl ChunkedDecoder {
+    /// Returns whether the body has ended.
+    pub(crate) fn is_over(&self) -> bool {
+        self.state == State::End
+    }
+
     /// Removes and returns the next piece of the body, empty at its end; `None` if more bytes are
     /// needed.
     ///
--- a/crates/mustard-net/src/client.rs
+++ b/crates/mustard-net/src/client.rs
@@ -5,14 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ntex::client::Client as HttpClient;
 use ntex::http::Method;
 
 use mustard_core::ids::Incarnation;
 use mustard_proto::{Envelope, Message, codec};
 
 use crate::errors::{CallError, Result};
-use crate::http::{self, Request};
+use crate::http::{self, HttpClient, Request};
 use crate::process::Process;
 use crate::traffic;
 
@@ -27,9 +26,9 @@
 
 impl MessageClient {
     /// Creates a client for the calling thread.
-    pub async fn new(process: Arc<Process>) -> Self {
+    pub fn new(process: Arc<Process>) -> Self {
         MessageClient {
-            http: Rc::new(http::new_client().await),
+            http: Rc::new(http::new_client()),
             process,
         }
     }
--- a/crates/mustard-net/src/forward.rs
+++ b/crates/mustard-net/src/forward.rs
@@ -1,30 +1,26 @@
-//! Forwards requests to other servers, each over a connection of its own, and reads the responses.
+//! Sends requests to other servers and reads the responses.
 //!
-//! Unlike the HTTP client of [`crate::http`], this one reads bodies that only the end of the
-//! connection delimits. What it buffers of a response is limited, and so is the time from the first
-//! byte of a response to the end of its head.
+//! All responses are read here, also those to the client of [`crate::http`]. What is a response, and where its body
+//! ends, is decided in `response_head.rs`. What is buffered of a response is limited, and so is the time from its
+//! first byte to the end of its head.
 
 use std::io::{ErrorKind, Write};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ntex::http::header::{
-    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue, TRANSFER_ENCODING,
-};
+use ntex::http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue};
 use ntex::http::{HeaderMap, Method};
 use ntex::util::{Bytes, BytesMut};
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::chunked::ChunkedDecoder;
 use crate::errors::{CallError, Result};
-use crate::http::{Answer, CONNECTION_CLOSE, MAX_ANSWER_BYTES, Request, is_connect_error};
+use crate::http::{Answer, CONNECTION_CLOSE, MAX_ANSWER_BYTES, Request};
+use crate::response_head::{Framing, Head, has_empty_line, parse_head};
 
 /// The largest head of a response, interim responses included.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
-/// The most headers of a response.
-const MAX_HEADERS: usize = 128;
 /// The time from the first byte of a response to the end of its head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
 /// The largest body that is sent in one piece with the head.
@@ -68,33 +64,27 @@
 pub struct ResponseBody {
     connection: Connection,
     framing: Framing,
+    /// Whether the connection may carry another request once the body has ended.
+    is_kept: bool,
     /// How the body goes on after the bytes that were returned last, if that was read with them.
     next: Option<Result<Bytes>>,
     /// The bytes that were read since other tasks had a turn.
     turn_bytes: usize,
 }
 
-/// A connection on which one request is sent and its response read.
+/// A connection on which requests are sent one after the other.
 #[derive(Debug)]
-struct Connection {
+pub(crate) struct Connection {
     stream: TcpStream,
     /// What is still to be sent; a receiver may respond before it has read a long body.
     unsent: Vec<Bytes>,
+    /// Whether the connection failed while a request was being sent. Sending takes the error off the socket, so that
+    /// reading sees the end of the connection only.
+    has_failed: bool,
     /// What was read and not yet used.
     buffer: BytesMut,
 }
 
-/// What says where a body ends.
-#[derive(Debug)]
-enum Framing {
-    /// So many bytes are left.
-    Length(u64),
-    /// The last chunk.
-    Chunked(ChunkedDecoder),
-    /// The end of the connection, unless it is reset.
-    Connection,
-}
-
 /// Forwards a request and returns the head of the response. Dropping the future or the response
 /// closes the connection.
 ///
@@ -106,23 +96,8 @@
     request: &ForwardedRequest,
     connect_timeout: Duration,
 ) -> Result<ForwardedResponse> {
-    let stream = connect(request.to, connect_timeout).await?;
-    let mut connection = Connection {
-        unsent: encode(request),
-        stream,
-        buffer: BytesMut::new(),
-    };
-    let (status, headers, framing) = connection.read_head(&request.method).await?;
-    Ok(ForwardedResponse {
-        status,
-        headers,
-        body: ResponseBody {
-            connection,
-            framing,
-            next: None,
-            turn_bytes: 0,
-        },
-    })
+    let connection = Connection::open(request.to, connect_timeout).await?;
+    connection.send(request, false).await
 }
 
 /// Sends a request over a connection of its own and reads the complete answer, of at most
@@ -139,35 +114,55 @@
 }
 
 async fn exchange_once(request: &Request<'_>) -> Result<Answer> {
+    let connect_timeout = request.timeout.min(CONNECT_TIMEOUT);
+    let response = forward_request(&new_request(request), connect_timeout).await?;
+    let (answer, _) = response.read_answer(MAX_ANSWER_BYTES).await?;
+    Ok(answer)
+}
+
+/// Returns the request to send for a call.
+pub(crate) fn new_request(call: &Request<'_>) -> ForwardedRequest {
     let header = |name: &str, value: &str| {
         let name = HeaderName::try_from(name).ok()?;
         Some((name, HeaderValue::from_str(value).ok()?))
     };
     let own = [
-        ("host", request.to.to_string()),
-        ("content-type", request.content_type.to_owned()),
+        ("host", call.to.to_string()),
+        ("content-type", call.content_type.to_owned()),
     ];
     let own = own.iter().map(|(n, v)| (*n, v.as_str()));
-    let given = request.headers.iter().copied();
+    let given = call.headers.iter().copied();
     let given = given.filter(|h| *h != CONNECTION_CLOSE);
-    let outgoing = ForwardedRequest {
-        to: request.to,
-        method: request.method.clone(),
-        path: request.path.to_owned(),
+    ForwardedRequest {
+        to: call.to,
+        method: call.method.clone(),
+        path: call.path.to_owned(),
         headers: own.chain(given).filter_map(|(n, v)| header(n, v)).collect(),
-        body: Bytes::from(request.body.clone()),
-    };
-    let connect_timeout = request.timeout.min(CONNECT_TIMEOUT);
-    let mut response = forward_request(&outgoing, connect_timeout).await?;
-    let body = response.body.read_all(MAX_ANSWER_BYTES).await?;
-    let content_type = response.headers.get(CONTENT_TYPE);
-    let content_type = content_type.and_then(|v| v.to_str().ok());
-    Ok(Answer {
-        status: response.status,
-        content_type: content_type.unwrap_or_default().to_owned(),
-        headers: response.headers,
-        body,
-    })
+        body: Bytes::from(call.body.clone()),
+    }
+}
+
+impl ForwardedResponse {
+    /// Reads the complete answer, of at most `max_bytes`. Returns the connection too if it may carry another request.
+    ///
+    /// # Errors
+    ///
+    /// As for [`ResponseBody::read_all`].
+    pub(crate) async fn read_answer(
+        mut self,
+        max_bytes: usize,
+    ) -> Result<(Answer, Option<Connection>)> {
+        let body = self.body.read_all(max_bytes).await?;
+        let content_type = self.headers.get(CONTENT_TYPE);
+        let content_type = content_type.and_then(|v| v.to_str().ok());
+        let answer = Answer {
+            status: self.status,
+            content_type: content_type.unwrap_or_default().to_owned(),
+            headers: self.headers,
+            body,
+        };
+        Ok((answer, self.body.into_connection()))
+    }
 }
 
 async fn connect(to: SocketAddr, limit: Duration) -> Result<TcpStream> {
@@ -187,10 +182,18 @@
     }
 }
 
+/// Returns whether an error can only occur while connecting.
+fn is_connect_error(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::AddrNotAvailable | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable
+    )
+}
+
 /// Returns the bytes of a request, the last piece first. A small body is sent together with the head:
 /// a second small segment would wait until the receiver has acknowledged the first one.
-fn encode(request: &ForwardedRequest) -> Vec<Bytes> {
-    let mut head = encode_head(request);
+fn encode(request: &ForwardedRequest, is_kept: bool) -> Vec<Bytes> {
+    let mut head = encode_head(request, is_kept);
     if request.body.len() <= MAX_JOINED_BODY {
         head.extend_from_slice(&request.body);
         vec![Bytes::from(head)]
@@ -199,7 +202,7 @@
     }
 }
 
-fn encode_head(request: &ForwardedRequest) -> Vec<u8> {
+fn encode_head(request: &ForwardedRequest, is_kept: bool) -> Vec<u8> {
     let mut head = Vec::with_capacity(512);
     // Writing to a vector doesn't fail.
     let _ = write!(head, "{} {} HTTP/1.1\r\n", request.method, request.path);
@@ -214,13 +217,63 @@
     if has_body {
         let _ = write!(head, "{CONTENT_LENGTH}: {}\r\n", request.body.len());
     }
-    let _ = write!(head, "{CONNECTION}: close\r\n\r\n");
+    if !is_kept {
+        let _ = write!(head, "{CONNECTION}: close\r\n");
+    }
+    head.extend_from_slice(b"\r\n");
     head
 }
 
 impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// As for [`forward_request`].
+    pub(crate) async fn open(to: SocketAddr, limit: Duration) -> Result<Self> {
+        Ok(Connection {
+            stream: connect(to, limit).await?,
+            unsent: Vec::new(),
+            has_failed: false,
+            buffer: BytesMut::new(),
+        })
+    }
+
+    /// Returns whether neither further bytes nor the end of the connection came since the last response.
+    pub(crate) fn is_silent(&self) -> bool {
+        let read = self.stream.try_read(&mut [0; 1]);
+        matches!(read, Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Sends a request, after which the connection is kept or not, and reads the head of the response.
+    ///
+    /// # Errors
+    ///
+    /// As for [`forward_request`].
+    pub(crate) async fn send(
+        mut self,
+        request: &ForwardedRequest,
+        is_kept: bool,
+    ) -> Result<ForwardedResponse> {
+        self.unsent = encode(request, is_kept);
+        let head = self.read_head(&request.method).await?;
+        Ok(ForwardedResponse {
+            status: head.status,
+            headers: head.headers,
+            body: ResponseBody {
+                connection: self,
+                framing: head.framing,
+                is_kept: is_kept && head.is_kept,
+                next: None,
+                turn_bytes: 0,
+            },
+        })
+    }
+
     /// Waits for further bytes and reads them, at most [`READ_BYTES`], while the rest of the request is
     /// sent. Returns 0 at the end of the connection. Cancel-safe.
+    ///
+    /// Reads before it sends, as a connection that was reset tells so only once.
     async fn read_more(&mut self) -> Result<usize> {
         loop {
             let interest = if self.unsent.is_empty() {
@@ -228,17 +281,14 @@
             } else {
                 Interest::READABLE | Interest::WRITABLE
             };
-            let ready = self.stream.ready(interest).await.map_err(|e| lost(&e))?;
-            if ready.is_writable() {
-                self.write_some();
-            }
+            self.stream.ready(interest).await.map_err(|e| lost(&e))?;
             let mut bytes = [0; READ_BYTES];
             match self.stream.try_read(&mut bytes) {
                 Ok(count) => {
                     self.buffer.extend_from_slice(&bytes[..count]);
                     return Ok(count);
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => self.write_some(),
                 Err(e) => return Err(lost(&e)),
             }
         }
@@ -254,13 +304,16 @@
             match self.stream.try_write(bytes) {
                 Ok(count) => bytes.advance_to(count),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                // The receiver may have responded before it closed the connection; reading shows that.
-                Err(_) => self.unsent.clear(),
+                // The receiver may have responded before; what it sent is still read.
+                Err(_) => {
+                    self.has_failed = true;
+                    self.unsent.clear();
+                }
             }
         }
     }
 
-    async fn read_head(&mut self, method: &Method) -> Result<(u16, HeaderMap, Framing)> {
+    async fn read_head(&mut self, method: &Method) -> Result<Head> {
         if self.read_more().await? == 0 {
             return Err(CallError::Lost("connection closed".to_owned()));
         }
@@ -270,7 +323,7 @@
         }
     }
 
-    async fn read_rest_of_head(&mut self, method: &Method) -> Result<(u16, HeaderMap, Framing)> {
+    async fn read_rest_of_head(&mut self, method: &Method) -> Result<Head> {
         let mut interim_bytes = 0;
         // A head that comes in small pieces isn't parsed anew for each of them.
         let (mut parsed, mut searched) = (0, 0);
@@ -280,16 +333,15 @@
             searched = self.buffer.len();
             let head = if is_due {
                 parsed = self.buffer.len();
-                parse_head(&self.buffer)?
+                parse_head(&self.buffer, method)?
             } else {
                 None
             };
-            if let Some((status, headers, len)) = head {
+            if let Some((head, len)) = head {
                 self.buffer.advance_to(len);
                 (parsed, searched) = (0, 0);
-                if !(100..200).contains(&status) {
-                    let framing = find_framing(status, &headers, method)?;
-                    return Ok((status, headers, framing));
+                if !head.is_interim() {
+                    return Ok(head);
                 }
                 interim_bytes += len;
             } else if self.read_more().await? == 0 {
@@ -302,66 +354,13 @@
     }
 }
 
-/// Tells whether there is an empty line, which ends a head.
-fn has_empty_line(bytes: &[u8]) -> bool {
-    let mut pairs = bytes.windows(2);
-    let mut triples = bytes.windows(3);
-    pairs.any(|w| w == b"\n\n") || triples.any(|w| w == b"\n\r\n")
-}
-
-/// Returns the status, the headers and the length of a head; `None` if it is incomplete.
-fn parse_head(bytes: &[u8]) -> Result<Option<(u16, HeaderMap, usize)>> {
-    let mut list = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut response = httparse::Response::new(&mut list);
-    let parsed = response.parse(bytes);
-    let httparse::Status::Complete(len) = parsed.map_err(|e| CallError::Lost(e.to_string()))?
-    else {
-        return Ok(None);
-    };
-    let mut headers = HeaderMap::with_capacity(response.headers.len());
-    for header in response.headers.iter() {
-        let name = HeaderName::from_bytes(header.name.as_bytes());
-        let value = HeaderValue::from_bytes(header.value);
-        let (Ok(name), Ok(value)) = (name, value) else {
-            return Err(CallError::Lost(format!("header {}", header.name)));
-        };
-        headers.append(name, value);
-    }
-    Ok(Some((response.code.unwrap_or_default(), headers, len)))
-}
-
-/// Returns what says where the body ends (RFC 9112, section 6.3).
-fn find_framing(status: u16, headers: &HeaderMap, method: &Method) -> Result<Framing> {
-    if *method == Method::HEAD || matches!(status, 204 | 304) {
-        return Ok(Framing::Length(0));
-    }
-    let text = |v: &HeaderValue| v.to_str().map(str::to_ascii_lowercase).unwrap_or_default();
-    let codings: Vec<String> = headers.get_all(TRANSFER_ENCODING).map(text).collect();
-    if !codings.is_empty() {
-        return if codings == ["chunked"] {
-            Ok(Framing::Chunked(ChunkedDecoder::default()))
-        } else {
-            Err(CallError::Lost(format!("transfer coding {codings:?}")))
-        };
-    }
-    let lengths: Vec<String> = headers.get_all(CONTENT_LENGTH).map(text).collect();
-    let Some((first, rest)) = lengths.split_first() else {
-        return Ok(Framing::Connection);
-    };
-    let is_number = !first.is_empty() && first.bytes().all(|b| b.is_ascii_digit());
-    match first.parse() {
-        Ok(length) if is_number && rest.iter().all(|l| l == first) => Ok(Framing::Length(length)),
-        _ => Err(CallError::Lost(format!("length {lengths:?}"))),
-    }
-}
-
 impl ResponseBody {
     /// Reads the next piece of the body; `None` at its end. Cancel-safe.
     ///
     /// # Errors
     ///
     /// Returns an error if the body was cut off. One that only the end of the connection delimits was
-    /// cut off if the connection was reset.
+    /// cut off if the connection was reset, or failed while the request was being sent.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>> {
         loop {
             if let Some(piece) = self.take_pieces()? {
@@ -374,7 +373,7 @@
             match self.connection.read_more().await? {
                 0 => {
                     return match self.framing {
-                        Framing::Connection => Ok(None),
+                        Framing::Connection if !self.connection.has_failed => Ok(None),
                         _ => Err(CallError::Lost("connection closed in the body".to_owned())),
                     };
                 }
@@ -409,6 +408,15 @@
         }
     }
 
+    /// Returns the connection if it may carry another request: the body has ended, nothing follows it, and the whole
+    /// request was sent.
+    fn into_connection(self) -> Option<Connection> {
+        let connection = &self.connection;
+        let has_sent = connection.unsent.iter().all(Bytes::is_empty) && !connection.has_failed;
+        let is_over = self.framing.is_over() && connection.buffer.is_empty();
+        (self.is_kept && has_sent && is_over).then_some(self.connection)
+    }
+
     /// Returns whether the head says how long the body is.
     pub fn has_length(&self) -> bool {
         matches!(self.framing, Framing::Length(_))
--- a/crates/mustard-net/src/undecoded.rs
+++ b/crates/mustard-net/src/undecoded.rs
@@ -1,8 +1,6 @@
 //! Limits what a connection holds below the HTTP decoder, which keeps incomplete lines without a limit.
 
-use std::io;
-
-use ntex::io::{FilterBuf, FilterLayer};
+use ntex::io::FilterBuf;
 
 use crate::server::MAX_HEADER_BYTES;
 
@@ -10,24 +8,6 @@
 /// it: reading pauses long before, while the bytes of a body or of further messages wait.
 pub(crate) const MAX_UNDECODED: usize = 2 * MAX_HEADER_BYTES;
 
-/// The layer of a connection that closes it when too many bytes wait to be decoded.
-#[derive(Debug)]
-pub(crate) struct UndecodedLimit;
-
-impl FilterLayer for UndecodedLimit {
-    fn process_read_buf(&self, buf: &FilterBuf<'_>) -> io::Result<()> {
-        if pass_received(buf) > MAX_UNDECODED {
-            return Err(io::ErrorKind::InvalidData.into());
-        }
-        Ok(())
-    }
-
-    fn process_write_buf(&self, buf: &FilterBuf<'_>) -> io::Result<()> {
-        pass_written(buf);
-        Ok(())
-    }
-}
-
 /// Passes received bytes on to the decoder and returns the number of those that wait for it.
 pub(crate) fn pass_received(buf: &FilterBuf<'_>) -> usize {
     buf.with_read_buffers(|received, undecoded| {
--- a/crates/mustard-platform/src/http.rs
+++ b/crates/mustard-platform/src/http.rs
@@ -4,13 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ntex::client::Client as HttpClient;
 use ntex::http::Method;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use mustard_net::CallError;
-use mustard_net::http::{Answer, PooledClient, Request};
+use mustard_net::http::{Answer, HttpClient, PooledClient, Request};
 use mustard_net::traffic;
 use mustard_proto::Execution;
 
--- a/crates/mustard-tests/src/lib.rs
+++ b/crates/mustard-tests/src/lib.rs
@@ -5,12 +5,14 @@
 
 #![forbid(unsafe_code)]
 
+pub mod bad_answers;
 pub mod caller;
 pub mod child;
 pub mod cluster;
 pub mod errors;
 pub mod golden;
 pub mod http;
+pub mod kept;
 pub mod node;
 pub mod operator;
 pub mod plan;
--- a/crates/mustardctl/src/client.rs
+++ b/crates/mustardctl/src/client.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ntex::client::Client as HttpClient;
 use ntex::http::Method;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -11,7 +10,7 @@
 use tokio::time::{self, Instant};
 
 use mustard_core::outcome::Outcome;
-use mustard_net::http::{self, Answer, Request};
+use mustard_net::http::{self, Answer, HttpClient, Request};
 use mustard_proto::Execution;
 
 use crate::cli::Cli;
@@ -38,7 +37,7 @@
     pub async fn new(cli: &Cli) -> Result<Self> {
         let key = cli.key.as_ref().ok_or(CtlError::Usage(UsageError::NoKey))?;
         Ok(AdminClient {
-            http: http::new_client().await,
+            http: http::new_client(),
             entry_addrs: cli.entry.clone(),
             bearer: format!("Bearer {key}"),
             retry_time: Duration::from_secs(cli.wait),
--- a/crates/mustardctl/src/commands/timeline.rs
+++ b/crates/mustardctl/src/commands/timeline.rs
@@ -37,7 +37,7 @@
 pub(super) async fn run(cli: &Cli, args: &cli::TimelineArgs, client: &AdminClient) -> Result<()> {
     let status: Status = client.get("/admin/status").await?;
     let mut sources = list_sources(&status);
-    let messages = MessageClient::new(Process::new("mustardctl", EVENT_CAPACITY)).await;
+    let messages = MessageClient::new(Process::new("mustardctl", EVENT_CAPACITY));
     loop {
         let events = read_events(&messages, &mut sources, args).await;
         for event in &events {
