Take nothing for an answer that is none in the protocol

The server kept its share of the requests. A plain service's 000 went through an agent to the caller.

Cause: what the parser let through counted as the server's answer everywhere after it.

Fix: one place decides what is an answer: a status from 100 to 599 and not 101, nothing before the status line, chunks only in HTTP/1.1 and without a length beside them. What isn't one is lost, like a broken connection: it counts against the server and is tried elsewhere where the route allows. All readers use it.

--- a/crates/mustard-gateway/tests/gateway/main.rs
+++ b/crates/mustard-gateway/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod bad_answers;
 mod faulty_answers;
 mod framing;
 mod harness;
--- a/crates/mustard-net/src/response_head.rs
+++ b/crates/mustard-net/src/response_head.rs
@@ -10,11 +10,15 @@
 
 /// The most headers of a response.
 const MAX_HEADERS: usize = 128;
+/// What a response begins with. The parser would skip empty lines before it.
+const PROTOCOL: &[u8] = b"HTTP/1.";
+/// The status with which a receiver goes over to another protocol, which is never asked for.
+const SWITCHING_PROTOCOLS: u16 = 101;
 
 /// The head of a response.
 #[derive(Debug)]
 pub(crate) struct Head {
-    /// The status.
+    /// The status, from 100 to 599.
     pub(crate) status: u16,
     /// The headers as received.
     pub(crate) headers: HeaderMap,
@@ -27,7 +31,7 @@
 impl Head {
     /// Returns whether the head of another response follows this one.
     pub(crate) fn is_interim(&self) -> bool {
-        (100..200).contains(&self.status)
+        self.status < 200
     }
 }
 
@@ -66,6 +70,10 @@
 ///
 /// Returns an error if the bytes don't begin a response whose end can be told.
 pub(crate) fn parse_head(bytes: &[u8], method: &Method) -> Result<Option<(Head, usize)>> {
+    let begin = &bytes[..bytes.len().min(PROTOCOL.len())];
+    if !PROTOCOL.starts_with(begin) {
+        return Err(malformed("no status line"));
+    }
     let mut list = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut response = httparse::Response::new(&mut list);
     let parsed = response.parse(bytes);
@@ -74,6 +82,9 @@
         return Ok(None);
     };
     let status = response.code.unwrap_or_default();
+    if !(100..600).contains(&status) || status == SWITCHING_PROTOCOLS {
+        return Err(malformed(&format!("status {status:03}")));
+    }
     let mut headers = HeaderMap::with_capacity(response.headers.len());
     for header in response.headers.iter() {
         let name = HeaderName::from_bytes(header.name.as_bytes());
@@ -86,28 +97,36 @@
     let is_old = response.version == Some(0);
     let head = Head {
         status,
-        framing: find_framing(status, &headers, method)?,
+        framing: find_framing(status, &headers, method, is_old)?,
         is_kept: !is_old && !closes_connection(&headers),
         headers,
     };
     Ok(Some((head, len)))
 }
 
-/// Returns what says where the body ends (RFC 9112, section 6.3).
-fn find_framing(status: u16, headers: &HeaderMap, method: &Method) -> Result<Framing> {
+/// Returns what says where the body ends (RFC 9112, section 6.3); `is_old` means HTTP/1.0, which has no chunks.
+fn find_framing(
+    status: u16,
+    headers: &HeaderMap,
+    method: &Method,
+    is_old: bool,
+) -> Result<Framing> {
     if *method == Method::HEAD || matches!(status, 100..200 | 204 | 304) {
         return Ok(Framing::Length(0));
     }
     let text = |v: &HeaderValue| v.to_str().map(str::to_ascii_lowercase).unwrap_or_default();
     let codings: Vec<String> = headers.get_all(TRANSFER_ENCODING).map(text).collect();
+    let lengths: Vec<String> = headers.get_all(CONTENT_LENGTH).map(text).collect();
     if !codings.is_empty() {
-        return if codings == ["chunked"] {
+        // A length beside chunks may come from a sender that smuggles a response in another one's body.
+        return if codings == ["chunked"] && lengths.is_empty() && !is_old {
             Ok(Framing::Chunked(ChunkedDecoder::default()))
         } else {
-            Err(malformed(&format!("transfer coding {codings:?}")))
+            Err(malformed(&format!(
+                "transfer coding {codings:?}, length {lengths:?}"
+            )))
         };
     }
-    let lengths: Vec<String> = headers.get_all(CONTENT_LENGTH).map(text).collect();
     let Some((first, rest)) = lengths.split_first() else {
         return Ok(Framing::Connection);
     };
