Count ends of servers under a request that ran well shortly before

Cause: a success counted as proof for a minute after it. Ends within it were dropped, and told to others as clearances.

A harmless one runs well in between or when it is tried again. Others are told when it ran well instead of that its ends don't count.

--- a/crates/mustard-fakes/src/site/mod.rs
+++ b/crates/mustard-fakes/src/site/mod.rs
@@ -314,6 +314,8 @@
     // The newest configuration of the operators.
     pub(crate) config: Option<Vec<u8>>,
     pub(crate) poison: PoisonTarget,
+    // Whether poison contents run like others for now.
+    pub(crate) is_poison_sound: bool,
     // How long a server that a poison content ended stays away.
     pub(crate) down_time: Duration,
 }
@@ -381,6 +383,7 @@
                 paths: BTreeMap::new(),
                 config: None,
                 poison: PoisonTarget::default(),
+                is_poison_sound: false,
                 down_time: DOWN_TIME,
             })),
         };
@@ -517,6 +520,11 @@
         state.down_time = down_time;
     }
 
+    /// Makes plain servers run poison contents like others, or no longer, as after a change of their software.
+    pub fn set_poison_sound(&self, is_sound: bool) {
+        self.lock().is_poison_sound = is_sound;
+    }
+
     /// Makes servers that a poison content ends go silent, as a machine without power does.
     pub fn set_silent_ends(&self) {
         for server in &mut self.lock().servers {
--- a/crates/mustard-fakes/src/site/plain.rs
+++ b/crates/mustard-fakes/src/site/plain.rs
@@ -66,7 +66,7 @@
     }
     let id = record_run(site, index, &call);
     sleep(CALL_TIME).await;
-    if call.is_poison() {
+    if call.is_poison() && !site.lock().is_poison_sound {
         site.end_server(index, &id, None);
         return call.end_with_server(site, index).await;
     }
--- a/crates/mustard-gateway/tests/gateway/poison_variants.rs
+++ b/crates/mustard-gateway/tests/gateway/poison_variants.rs
@@ -2,6 +2,7 @@
 //!
 //! After three ends, a request reaches servers in at most three more retries, and sound ones are served.
 
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
@@ -88,6 +89,25 @@
     assert!(late <= MAX_RETRIES, "{late} arrivals after three ends");
 }
 
+/// Checks that few of the bad requests reached servers later than the third end; each may reach a second one before
+/// the first end is known.
+fn expect_few_retries(site: &Site) {
+    let ledger = site.ledger();
+    let ended = &ledger.ended;
+    let late = ended.get(2).expect("three servers ended").at + CONTACT_TIME;
+    let ids: BTreeSet<_> = ended
+        .iter()
+        .filter(|e| e.at > late)
+        .map(|e| &e.id)
+        .collect();
+    let times: Vec<_> = ended.iter().map(|e| e.at - ended[0].at).collect();
+    assert!(
+        ids.len() <= MAX_RETRIES,
+        "{} retries, ends at {times:?}",
+        ids.len()
+    );
+}
+
 /// Sends sound requests until each was served or some time has passed; returns the statuses of the last ones.
 async fn send_sound(gateway: &Gateway, sound: &[Request]) -> Vec<u16> {
     let caller = Caller::new().await;
@@ -176,6 +196,40 @@
     assert_eq!(send_sound(&gateway, &sound_reads()).await, [200; 4]);
 }
 
+/// Guards against a request that isn't stopped as it ran well until the software of its servers was replaced.
+#[ntex::test]
+async fn bad_query_after_release() {
+    let (site, gateway, _caller) = start_ready_without_stream(options()).await;
+    site.set_poison(PoisonTarget::First, DOWN_TIME);
+    site.set_poison_sound(true);
+    let bad = |_| read(POISON);
+    let both = (&gateway, &gateway);
+    send_rounds(both, bad, &sound_reads(), Duration::from_secs(1)).await;
+    assert!(site.ledger().ended.is_empty());
+    site.set_poison_sound(false);
+    let time = CONTACT_TIME + Duration::from_secs(9);
+    let statuses = send_rounds(both, bad, &sound_reads(), time).await;
+    expect_few_retries(&site);
+    let half = statuses.len() / 2;
+    let refused = statuses[half..].iter().filter(|s| **s == 503).count();
+    assert_eq!(refused, 0, "of {half} sound requests");
+}
+
+/// Guards against the same at a gateway that learns of the ends from another one, and knows that it ran well.
+#[ntex::test]
+async fn bad_query_after_release_at_other_gateway() {
+    let site = start_site(options());
+    let [one, two] = start_two(&site).await;
+    site.set_poison(PoisonTarget::First, DOWN_TIME);
+    site.set_poison_sound(true);
+    let bad = |_| read(POISON);
+    send_rounds((&two, &two), bad, &[], Duration::from_secs(1)).await;
+    site.set_poison_sound(false);
+    let time = CONTACT_TIME + Duration::from_secs(9);
+    send_rounds((&one, &two), bad, &[read(POISON)], time).await;
+    expect_few_retries(&site);
+}
+
 async fn start_two(site: &Site) -> [Gateway; 2] {
     let caller = Caller::new().await;
     let ips = [1, 2].map(|n| Ipv4Addr::new(127, 0, 0, n));
--- a/crates/mustard-policy/src/quarantine.rs
+++ b/crates/mustard-policy/src/quarantine.rs
@@ -15,6 +15,9 @@
 //! A content that ran to its end is cleared: strikes for deaths before that end no longer count,
 //! even if they arrive later from other processes.
 //!
+//! A content that ran to its end a short while before needs more deaths, over a longer time: servers that die of another
+//! cause run it beside others. It is quarantined for a short time first, and for a longer one after each further death.
+//!
 //! Requests with the same content may still differ, in which case each is a *variant* of the content. A crash of one
 //! variant is evidence against that variant, and a run to the end clears that variant only. All variants are
 //! quarantined if enough servers died while they ran any of them, none of them ran to its end lately, and no single
@@ -33,8 +36,19 @@
 /// The sum of weights that the strikes of a content must exceed.
 const WEIGHT_THRESHOLD: f64 = 1.0;
 
-/// How long after a content ran to its end without a failed run deaths don't count against it.
+/// How long after a content ran to its end without a failed run more deaths are needed.
 const PROOF_TIME: Duration = Duration::from_secs(60);
+/// The deaths, and the time from the first to the last, that quarantine a variant which ran to its end shortly before
+/// them. A harmless one runs to its end at other servers meanwhile, even if many servers die at once.
+const PROVEN_DEATHS: usize = 4;
+const PROVEN_SPAN: Duration = Duration::from_millis(1_500);
+/// How long such a variant is quarantined after each death, from the one on that was enough. One that is harmless
+/// after all shows it then.
+const PROVEN_TIMES: [Duration; 3] = [
+    Duration::from_secs(6),
+    Duration::from_secs(60),
+    Duration::from_secs(300),
+];
 /// The most deaths of a content under which its quarantined variant didn't run while all other variants still may; they
 /// may have had another cause.
 const MAX_UNEXPLAINED: usize = 1;
@@ -151,6 +165,23 @@
             .count()
     }
 
+    /// Returns when the first server died that ran a variant.
+    fn first_death(&self, variant: Option<Fingerprint>) -> Option<Moment> {
+        let deaths = self.deaths.iter().filter(|d| d.counts_against(variant));
+        deaths.map(|d| d.at).min()
+    }
+
+    /// Returns until when a variant is quarantined that ran to its end shortly before the first death; `None` if the
+    /// deaths aren't enough.
+    fn proven_end(&self, variant: Option<Fingerprint>) -> Option<Moment> {
+        let deaths = || self.deaths.iter().filter(|d| d.counts_against(variant));
+        let (first, last) = (self.first_death(variant)?, deaths().map(|d| d.at).max()?);
+        let extra = deaths().count().checked_sub(PROVEN_DEATHS)?;
+        let time = PROVEN_TIMES.get(extra);
+        let end = time.map_or(self.until, |time| last + *time);
+        (last.since(first) >= PROVEN_SPAN).then_some(end)
+    }
+
     fn condemns_variant(&self, variant: Option<Fingerprint>, min_deaths: usize) -> bool {
         let deaths = self.deaths.iter().filter(|d| d.counts_against(variant));
         exceeds_threshold(deaths, min_deaths)
@@ -269,26 +300,49 @@
     pub fn standing(&self, now: Moment, content: impl Into<Content>) -> Standing {
         let content = content.into();
         let record = self.records.get(&content.fingerprint);
-        match record.filter(|r| r.until > now) {
-            Some(r) if self.condemns(r, content) => Standing::Quarantined(now.until(r.until)),
-            Some(r) if r.count(content.variant) > 0 => Standing::Suspect,
+        let Some(record) = record.filter(|r| r.until > now) else {
+            return Standing::Clear;
+        };
+        match self.quarantine_end(record, content) {
+            Some(end) if end > now => Standing::Quarantined(now.until(end)),
+            _ if record.count(content.variant) > 0 => Standing::Suspect,
             _ => Standing::Clear,
         }
     }
 
-    /// Returns whether the strikes of a record are enough for a content.
-    fn condemns(&self, record: &ContentRecord, content: Content) -> bool {
+    /// Returns until when the strikes of a record quarantine a content; `None` if they aren't enough.
+    fn quarantine_end(&self, record: &ContentRecord, content: Content) -> Option<Moment> {
         let min_deaths = self.settings.min_deaths;
-        record.condemns_variant(content.variant, min_deaths)
-            || record.condemns_all(self.sound_until(content.fingerprint), min_deaths)
-    }
-
-    /// Returns whether the strikes of a record are enough for any variant of its content.
-    fn condemns_any(&self, fingerprint: Fingerprint, record: &ContentRecord) -> bool {
-        let mut variants = record.deaths.iter().flat_map(|d| &d.variants);
-        let min_deaths = self.settings.min_deaths;
-        record.condemns_all(self.sound_until(fingerprint), min_deaths)
-            || variants.any(|v| record.condemns_variant(*v, min_deaths))
+        let proven = self.proven.get(&content).map(|at| *at + PROOF_TIME);
+        let own = match proven {
+            Some(until) if record.first_death(content.variant) < Some(until) => {
+                record.proven_end(content.variant)
+            }
+            _ if record.condemns_variant(content.variant, min_deaths) => Some(record.until),
+            _ => None,
+        };
+        let sound = self.sound_until(content.fingerprint);
+        let all = record.condemns_all(sound, min_deaths);
+        own.max(all.then_some(record.until))
+    }
+
+    /// Returns whether any variant of a content is quarantined.
+    fn is_any_quarantined(&self, now: Moment, fingerprint: Fingerprint) -> bool {
+        let record = self.records.get(&fingerprint).filter(|r| r.until > now);
+        record.is_some_and(|r| {
+            let mut variants = r.deaths.iter().flat_map(|d| &d.variants);
+            variants.any(|v| {
+                let variant = *v;
+                let end = self.quarantine_end(
+                    r,
+                    Content {
+                        fingerprint,
+                        variant,
+                    },
+                );
+                end.is_some_and(|end| end > now)
+            })
+        })
     }
 
     /// Returns until when deaths don't count against all variants of a content, as one of them ran to its end.
@@ -333,14 +387,20 @@
         if until <= now || self.is_cleared(content, at) {
             return false;
         }
-        let proven = self.proven.get(&content);
-        if proven.is_some_and(|proven| *proven + PROOF_TIME > at) {
-            // Also releases the content at the process that the strike came from.
-            self.apply_clearance(now, Clearance { content, at });
-            return false;
+        let proven = self.proven.get(&content).copied();
+        if let Some(proven) = proven.filter(|proven| *proven + PROOF_TIME > at) {
+            if content.variant.is_none() {
+                // Also releases the content at the process that the strike came from.
+                self.apply_clearance(now, Clearance { content, at });
+                return false;
+            }
+            self.dispute(content, proven);
+            if proven >= at {
+                return false;
+            }
         }
         self.dispute_sound(content, at);
-        let was_quarantined = self.is_condemned(content);
+        let was_quarantined = self.is_quarantined(now, content);
         let fingerprint = content.fingerprint;
         let record = self.records.entry(fingerprint).or_insert(ContentRecord {
             deaths: Vec::new(),
@@ -348,12 +408,17 @@
         });
         record.until = record.until.max(until);
         record.add(strike);
-        !was_quarantined && self.is_condemned(content)
+        !was_quarantined && self.is_quarantined(now, content)
     }
 
-    fn is_condemned(&self, content: Content) -> bool {
-        let record = self.records.get(&content.fingerprint);
-        record.is_some_and(|r| self.condemns(r, content))
+    fn is_quarantined(&self, now: Moment, content: Content) -> bool {
+        matches!(self.standing(now, content), Standing::Quarantined(_))
+    }
+
+    /// Makes other processes know when a content with strikes ran to its end.
+    fn dispute(&mut self, content: Content, proven: Moment) {
+        let cleared = self.cleared.entry(content).or_insert(proven);
+        *cleared = proven.max(*cleared);
     }
 
     /// Returns whether strikes for deaths at a moment no longer count against a content.
@@ -372,9 +437,7 @@
         };
         if sound.at + PROOF_TIME > at && content.variant != Some(sound.variant) {
             let variant = Some(sound.variant);
-            let cleared = self.cleared.entry(Content { variant, ..content });
-            let cleared = cleared.or_insert(sound.at);
-            *cleared = sound.at.max(*cleared);
+            self.dispute(Content { variant, ..content }, sound.at);
         }
     }
 
@@ -391,25 +454,25 @@
         known
     }
 
-    /// Records that a content ran to its end without a failed run. This clears it, and strikes for
-    /// deaths within [`PROOF_TIME`] don't count: servers that died meanwhile ran it beside others.
+    /// Records that a content ran to its end without a failed run. This clears it, and within
+    /// [`PROOF_TIME`] more deaths are needed.
     pub fn record_success(&mut self, now: Moment, content: impl Into<Content>) {
         let content = content.into();
         self.clear(now, content);
+        self.record_proof(now, content, now);
+    }
+
+    fn record_proof(&mut self, now: Moment, content: Content, at: Moment) {
         let capacity = self.settings.capacity;
         if self.proven.len() >= capacity {
             self.proven.retain(|_, at| *at + PROOF_TIME > now);
             evict_lowest(&mut self.proven, capacity, |at| *at);
         }
-        self.proven.insert(content, now);
-        self.record_sound(now, content, now);
-    }
-
-    fn record_sound(&mut self, now: Moment, content: Content, at: Moment) {
+        let proven = self.proven.entry(content).or_insert(at);
+        *proven = at.max(*proven);
         let Some(variant) = content.variant else {
             return;
         };
-        let capacity = self.settings.capacity;
         if self.sound.len() >= capacity {
             self.sound.retain(|_, s| s.at + PROOF_TIME > now);
             evict_lowest(&mut self.sound, capacity, |s| s.at);
@@ -430,7 +493,10 @@
         self.make_room(now);
         let cleared_at = self.cleared.entry(content).or_insert(at);
         *cleared_at = at.max(*cleared_at);
-        self.record_sound(now, content, at);
+        // One without a variant may be an operator's, which proves nothing.
+        if content.variant.is_some() {
+            self.record_proof(now, content, at);
+        }
         let Some(record) = self.records.get_mut(&content.fingerprint) else {
             return;
         };
@@ -454,7 +520,7 @@
     pub fn quarantined(&self, now: Moment) -> impl Iterator<Item = (Fingerprint, Vec<&str>)> {
         self.records
             .iter()
-            .filter(move |(f, r)| r.until > now && self.condemns_any(**f, r))
+            .filter(move |(f, _)| self.is_any_quarantined(now, **f))
             .map(|(f, r)| (*f, r.deaths.iter().map(|d| d.vm.as_str()).collect()))
     }
 
--- a/crates/mustard-policy/tests/quarantine.rs
+++ b/crates/mustard-policy/tests/quarantine.rs
@@ -432,3 +432,72 @@
             assert_eq!(first, standings(&strikes));
         });
 }
+
+/// Guards against a request that isn't stopped as it ran well before: the software of its servers was replaced. It is
+/// tried again after a while, as a harmless one would run well then.
+#[test]
+fn record_strike_proven_variant() {
+    let mut q = new_with_three();
+    q.record_success(NOW, variant(BAD));
+    for vm in 1..4 {
+        let at = later(1_000 * vm as u64);
+        assert!(!q.record_strike(at, &variant_strike(BAD, vm, at)));
+        assert!(may_run(&q, at, BAD));
+    }
+    let mut at = later(4_000);
+    for (vm, seconds) in [(4, 6), (5, 60), (6, 300)] {
+        assert!(q.record_strike(at, &variant_strike(BAD, vm, at)));
+        let end = at + Duration::from_secs(seconds);
+        assert!(!may_run(&q, end - Duration::from_millis(1), BAD));
+        assert!(may_run(&q, end, BAD));
+        at = end;
+    }
+    q.record_success(at, variant(BAD));
+    assert_eq!(q.standing(at, variant(BAD)), Standing::Clear);
+}
+
+/// Guards against the quarantine of a request that ran on many servers which died at once, and of one that runs well
+/// between deaths.
+#[test]
+fn record_strike_proven_variant_harmless() {
+    let mut q = new_with_three();
+    q.record_success(NOW, variant(1));
+    for vm in 0..10 {
+        let at = later(1_000 + 100 * vm as u64);
+        q.record_strike(at, &variant_strike(1, vm, at));
+        assert!(may_run(&q, at, 1));
+    }
+    for vm in 10..30 {
+        let at = later(2_000 * vm as u64);
+        q.record_success(at, variant(1));
+        let death = at + Duration::from_millis(1);
+        q.record_strike(death, &variant_strike(1, vm, death));
+        assert!(may_run(&q, death, 1));
+    }
+}
+
+/// Processes that saw the success and those that saw the deaths agree once they have told each other.
+#[test]
+fn record_strike_proven_variant_told() {
+    let (mut serving, mut struck) = (new_with_three(), new_with_three());
+    serving.record_success(NOW, variant(BAD));
+    let tell = |from: &Quarantine, to: &mut Quarantine, now| {
+        for clearance in from.clearances_to_share(now, 64) {
+            to.apply_clearance(now, clearance);
+        }
+        for strike in from.strikes_to_share(now, 64) {
+            to.record_strike(now, &strike);
+        }
+    };
+    for vm in 1..5 {
+        let at = later(1_000 * vm as u64);
+        struck.record_strike(at, &variant_strike(BAD, vm, at));
+        tell(&struck, &mut serving, at);
+        tell(&serving, &mut struck, at);
+        for q in [&serving, &struck] {
+            assert_eq!(may_run(q, at, BAD), vm < 4, "{vm}");
+        }
+    }
+    let end = later(4_000) + Duration::from_secs(6);
+    assert!(may_run(&serving, end, BAD) && may_run(&struck, end, BAD));
+}
