Discard the rest of a refused body while it keeps coming

Callers saw nothing yet: a client that is still sending 2 s after its request was refused would have had its connection reset, and might have lost the answer. The rest is discarded for 10 s now, until nothing has come for 2 s. Connections that only discard are closed first when others need room, as before.

--- a/crates/mustard-net/src/request_body.rs
+++ b/crates/mustard-net/src/request_body.rs
@@ -16,14 +16,16 @@
 use ntex::http::header::CONTENT_LENGTH;
 use ntex::http::{ConnectionType, Payload, Request, Response, StatusCode};
 use ntex::util::{Bytes, Stream};
-use tokio::time::{Sleep, sleep};
+use tokio::time::{Instant, Sleep, sleep};
 
 use crate::client_budget::RequestGuard;
 
 /// How long, and how much of, the rest of a body is discarded: closing a connection with unread bytes resets it, and
 /// the client might never see the answer.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(10);
 const MAX_DISCARD_BYTES: usize = 16 * 1024 * 1024;
+/// How long a client may send nothing of the rest of a body.
+const QUIET_TIMEOUT: Duration = Duration::from_secs(2);
 /// The largest announced body whose connection is kept although its rest hasn't arrived yet, in bytes.
 const MAX_KEPT_BODY: u64 = 64 * 1024;
 
@@ -146,7 +148,7 @@
                 source,
                 guard,
                 discarded: 0,
-                timeout: None,
+                timing: None,
             };
             ResponseBody::new(Body::from_message(discarding))
         })
@@ -161,7 +163,28 @@
     guard: Option<RequestGuard>,
     discarded: usize,
     /// Set once the whole answer was handed to the connection.
-    timeout: Option<Pin<Box<Sleep>>>,
+    timing: Option<Timing>,
+}
+
+/// How long the rest of a body is waited for.
+struct Timing {
+    end: Instant,
+    quiet: Pin<Box<Sleep>>,
+}
+
+impl Timing {
+    fn begin() -> Self {
+        Timing {
+            end: Instant::now() + DISCARD_TIMEOUT,
+            quiet: Box::pin(sleep(QUIET_TIMEOUT)),
+        }
+    }
+
+    /// Records that something has arrived.
+    fn extend(&mut self) {
+        let end = self.end.min(Instant::now() + QUIET_TIMEOUT);
+        self.quiet.as_mut().reset(end);
+    }
 }
 
 impl MessageBody for DiscardingBody {
@@ -177,8 +200,8 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, Rc<dyn Error>>>> {
-        let timeout = match &mut self.timeout {
-            Some(timeout) => timeout,
+        let timing = match &mut self.timing {
+            Some(timing) => timing,
             None => {
                 if let Some(piece) = ready!(self.answer.poll_next_chunk(cx)) {
                     return Poll::Ready(Some(piece));
@@ -186,16 +209,20 @@
                 if let Some(guard) = &self.guard {
                     guard.set_discarding();
                 }
-                self.timeout.insert(Box::pin(sleep(DISCARD_TIMEOUT)))
+                self.timing.insert(Timing::begin())
             }
         };
         let mut source = self.source.borrow_mut();
-        self.discarded += source.discard(cx, MAX_DISCARD_BYTES.saturating_sub(self.discarded));
+        let count = source.discard(cx, MAX_DISCARD_BYTES.saturating_sub(self.discarded));
         if source.has_ended {
             return Poll::Ready(None);
         }
+        self.discarded += count;
+        if count > 0 {
+            timing.extend();
+        }
         let is_too_large = self.discarded > MAX_DISCARD_BYTES;
-        if is_too_large || timeout.as_mut().poll(cx).is_ready() {
+        if is_too_large || timing.quiet.as_mut().poll(cx).is_ready() {
             // The HTTP server closes a connection whose body nobody reads.
             source.payload = Payload::None;
             return Poll::Ready(None);
--- a/crates/mustard-net/tests/refused_body.rs
+++ b/crates/mustard-net/tests/refused_body.rs
@@ -20,6 +20,8 @@
 const RECORD: &str = "POST /inner HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n";
 const RECORDS: usize = 12;
 const READ_TIME: Duration = Duration::from_millis(60);
+/// Longer than a client may send nothing while others need its room.
+const STALL: Duration = Duration::from_millis(2_500);
 
 /// What a handler does with the body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -129,6 +131,25 @@
     }
 }
 
+/// A body that is given up for another one, as its client sends nothing for a while, and then goes on.
+#[ntex::test]
+async fn answer_before_end_evicted() {
+    for framing in Framing::ALL {
+        let server = start_server(Handling::Limits(usize::MAX), 300);
+        let stalled = upload(framing, RECORDS).stalling(STALL);
+        let first = ntex::rt::spawn(send(server.addr, stalled));
+        tokio::time::sleep(STALL / 2).await;
+        // Needs the room of the first one once that has stalled.
+        while server.handled.get() < 3 {
+            let second = send(server.addr, upload(Framing::Length, 4)).await;
+            assert!(matches!(second.statuses[..], [200 | 503]), "{second:?}");
+        }
+        let first = first.await.unwrap();
+        assert_eq!(first.statuses, [503], "{framing:?}: {}", first.text);
+        assert_eq!(server.handled.get(), 3, "{framing:?}");
+    }
+}
+
 /// A body that ends soon doesn't cost its client the connection.
 #[ntex::test]
 async fn answer_before_end_small_body() {
--- a/crates/mustard-net/tests/unframed.rs
+++ b/crates/mustard-net/tests/unframed.rs
@@ -464,6 +464,8 @@
     Reset,
     /// It sends nothing more, and reads the request to its end.
     HalfClosed,
+    /// It closes the connection. As it hasn't read the request, that resets the connection.
+    Closed,
 }
 
 /// The size of a request that doesn't fit in the buffers of a connection.
@@ -489,6 +491,7 @@
                     stream.shutdown(Shutdown::Write).unwrap();
                     let _ = std::io::copy(&mut stream, &mut std::io::sink());
                 }
+                End::Closed => drop(stream),
             }
         }
     });
@@ -524,6 +527,22 @@
     }
 }
 
+/// Guards against the same if the server takes its answer for whole: what arrived of it is all of it, or it is lost.
+#[ntex::test]
+async fn exchange_unframed_closed_while_sending() {
+    for pause_ms in [0, 1, 5, 20] {
+        for _ in 0..10 {
+            let to = start_early_server(End::Closed, Duration::from_millis(pause_ms));
+            for answer in read_early(to).await {
+                match answer {
+                    Ok(answer) => assert_eq!(answer.body, BODY.as_bytes()),
+                    Err(e) => assert!(matches!(e, CallError::Lost(_)), "{e:?}"),
+                }
+            }
+        }
+    }
+}
+
 /// A server may end its answer before it has read the request.
 #[ntex::test]
 async fn exchange_unframed_half_closed() {
--- a/crates/mustard-tests/src/upload.rs
+++ b/crates/mustard-tests/src/upload.rs
@@ -7,6 +7,8 @@
 
 /// The pause before each piece of the body, which makes it arrive by itself.
 const PIECE_PAUSE: Duration = Duration::from_millis(12);
+/// The segment before which an upload stalls: head, size of the chunk and some pieces were sent.
+const STALL_SEGMENT: usize = 5;
 /// How long the client waits for further answers after the last one.
 const QUIET_TIME: Duration = Duration::from_millis(700);
 /// How long it waits for the first answer.
@@ -36,6 +38,7 @@
     framing: Framing,
     next: Option<String>,
     is_joined: bool,
+    stall: Duration,
 }
 
 /// What a client received on a connection.
@@ -59,6 +62,7 @@
             framing,
             next: None,
             is_joined: false,
+            stall: Duration::ZERO,
         }
     }
 
@@ -69,6 +73,13 @@
         self
     }
 
+    /// Sends nothing for a time after the first pieces of the body.
+    #[must_use]
+    pub fn stalling(mut self, time: Duration) -> Self {
+        self.stall = time;
+        self
+    }
+
     /// Sends everything in one piece.
     #[must_use]
     pub fn joined(mut self) -> Self {
@@ -114,8 +125,11 @@
         stream.set_nodelay(true)?;
         let reader = stream.try_clone()?;
         let reading = thread::spawn(move || read_answers(reader));
-        for segment in self.segments() {
+        for (number, segment) in self.segments().into_iter().enumerate() {
             thread::sleep(PIECE_PAUSE);
+            if number == STALL_SEGMENT {
+                thread::sleep(self.stall);
+            }
             // The receiver may have closed the connection after its answer.
             if stream.write_all(segment.as_bytes()).is_err() {
                 break;
