Refuse to send a path or a header that would end its line

Found when reading the change of the reader: paths of calls to plain services are decoded, and the HTTP library's client refused those with blanks or line ends as URLs; the project's own reader wrote what it was given, since for calls over kept connections and before that for those over connections of their own. Such a call isn't sent now, as with the library's client; a header that can't be sent was left out there and refuses the call now.

exchange_line_ends: six paths and a header, both kinds of connections, no connection is opened. Also names and doc comments in the quarantine.

--- a/crates/mustard-gateway/src/strikes.rs
+++ b/crates/mustard-gateway/src/strikes.rs
@@ -119,8 +119,7 @@
 
 /// Returns whether a content may not run, as too many servers ended under it.
 pub fn is_quarantined(app: &App, content: Content) -> bool {
-    let standing = app.quarantine.borrow().standing(app.now(), content);
-    matches!(standing, Standing::Quarantined(_))
+    app.quarantine.borrow().is_quarantined(app.now(), content)
 }
 
 /// Returns whether servers ended under a request's content or a segment of its prompt, though maybe too few
@@ -168,13 +167,8 @@
             watch_ended(&app, &run, failed_at).await
         };
         if let Some(process) = process {
-            strike_segments(
-                &app,
-                &run.segments,
-                run.content.fingerprint,
-                &process,
-                failed_at,
-            );
+            let content = run.content.fingerprint;
+            strike_segments(&app, &run.segments, content, &process, failed_at);
         }
     });
 }
@@ -196,13 +190,8 @@
             run.processes.iter().find(has_ended).cloned()
         };
         if let Some(ended) = ended {
-            return strike_segments(
-                &app,
-                &run.segments,
-                run.content.fingerprint,
-                &ended,
-                finished_at,
-            );
+            let content = run.content.fingerprint;
+            return strike_segments(&app, &run.segments, content, &ended, finished_at);
         }
         let first = run.processes.first();
         if first.is_some_and(|p| app.fleet.borrow().is_silent(p.key)) {
--- a/crates/mustard-net/src/forward.rs
+++ b/crates/mustard-net/src/forward.rs
@@ -115,16 +115,25 @@
 
 async fn exchange_once(request: &Request<'_>) -> Result<Answer> {
     let connect_timeout = request.timeout.min(CONNECT_TIMEOUT);
-    let response = forward_request(&new_request(request), connect_timeout).await?;
+    let response = forward_request(&new_request(request)?, connect_timeout).await?;
     let (answer, _) = response.read_answer(MAX_ANSWER_BYTES).await?;
     Ok(answer)
 }
 
 /// Returns the request to send for a call.
-pub(crate) fn new_request(call: &Request<'_>) -> ForwardedRequest {
-    let header = |name: &str, value: &str| {
-        let name = HeaderName::try_from(name).ok()?;
-        Some((name, HeaderValue::from_str(value).ok()?))
+///
+/// # Errors
+///
+/// [`CallError::NotSent`] if the path or a header would end its line.
+pub(crate) fn new_request(call: &Request<'_>) -> Result<ForwardedRequest> {
+    let unsendable = |what: &str| CallError::NotSent(format!("{what:?} can't be sent"));
+    if !call.path.starts_with('/') || call.path.bytes().any(|b| b <= b' ' || b == 0x7f) {
+        return Err(unsendable(call.path));
+    }
+    let header = |(name, value): (&str, &str)| {
+        let pair = HeaderName::try_from(name).ok();
+        let pair = pair.zip(HeaderValue::from_str(value).ok());
+        pair.ok_or_else(|| unsendable(name))
     };
     let own = [
         ("host", call.to.to_string()),
@@ -133,13 +142,13 @@
     let own = own.iter().map(|(n, v)| (*n, v.as_str()));
     let given = call.headers.iter().copied();
     let given = given.filter(|h| *h != CONNECTION_CLOSE);
-    ForwardedRequest {
+    Ok(ForwardedRequest {
         to: call.to,
         method: call.method.clone(),
         path: call.path.to_owned(),
-        headers: own.chain(given).filter_map(|(n, v)| header(n, v)).collect(),
+        headers: own.chain(given).map(header).collect::<Result<_>>()?,
         body: Bytes::from(call.body.clone()),
-    }
+    })
 }
 
 impl ForwardedResponse {
--- a/crates/mustard-net/src/http.rs
+++ b/crates/mustard-net/src/http.rs
@@ -68,13 +68,14 @@
 impl HttpClient {
     /// Sends a request and reads the complete answer, without a time limit.
     async fn exchange(&self, request: &Request<'_>) -> Result<Answer> {
+        let outgoing = new_request(request)?;
         let is_kept = !request.headers.contains(&CONNECTION_CLOSE);
         let kept = is_kept.then(|| self.kept.borrow_mut().take(request.to));
         let connection = match kept.flatten() {
             Some(connection) => connection,
             None => Connection::open(request.to, self.connect_timeout).await?,
         };
-        let response = connection.send(&new_request(request), is_kept).await?;
+        let response = connection.send(&outgoing, is_kept).await?;
         let (answer, connection) = response.read_answer(self.max_bytes).await?;
         if let Some(connection) = connection {
             self.kept.borrow_mut().keep(request.to, connection);
@@ -155,5 +156,5 @@
 ///
 /// As for [`exchange`].
 pub async fn send(request: &Request<'_>) -> Result<ForwardedResponse> {
-    forward_request(&new_request(request), request.timeout).await
+    forward_request(&new_request(request)?, request.timeout).await
 }
--- a/crates/mustard-net/tests/kept_connections.rs
+++ b/crates/mustard-net/tests/kept_connections.rs
@@ -7,6 +7,8 @@
 
 use ntex::http::Method;
 
+use mustard_net::CallError;
+use mustard_net::forward::exchange_unpooled;
 use mustard_net::http::{Request, exchange, new_client};
 use mustard_tests::kept::start_keeping_server;
 
@@ -50,3 +52,33 @@
         assert_eq!(opened.load(Ordering::SeqCst), connections, "{answer:?}");
     }
 }
+
+/// Guards against a path or a header that begins another request on the connection.
+#[ntex::test]
+async fn exchange_line_ends() {
+    let (to, opened) = start_keeping_server(vec![String::new()]).unwrap();
+    let client = new_client();
+    let paths = [
+        "/a b",
+        "/a\r\nx: y",
+        "/a HTTP/1.1\r\n\r\nGET /b",
+        "/a\0",
+        "a",
+        "",
+    ];
+    let bad_paths = paths.map(|path| Request {
+        path,
+        ..request(to)
+    });
+    let bad_header = Request {
+        headers: &[("x", "a\r\ny: b")],
+        ..request(to)
+    };
+    for request in bad_paths.into_iter().chain([bad_header]) {
+        let unpooled = exchange_unpooled(&request).await;
+        for answer in [unpooled, exchange(&client, request).await] {
+            assert!(matches!(answer, Err(CallError::NotSent(_))), "{answer:?}");
+        }
+    }
+    assert_eq!(opened.load(Ordering::SeqCst), 0);
+}
--- a/crates/mustard-policy/src/quarantine.rs
+++ b/crates/mustard-policy/src/quarantine.rs
@@ -182,6 +182,7 @@
         (last.since(first) >= PROVEN_SPAN).then_some(end)
     }
 
+    /// Returns whether the deaths are enough for a variant that hadn't run to its end before.
     fn condemns_variant(&self, variant: Option<Fingerprint>, min_deaths: usize) -> bool {
         let deaths = self.deaths.iter().filter(|d| d.counts_against(variant));
         exceeds_threshold(deaths, min_deaths)
@@ -331,16 +332,12 @@
         let record = self.records.get(&fingerprint).filter(|r| r.until > now);
         record.is_some_and(|r| {
             let mut variants = r.deaths.iter().flat_map(|d| &d.variants);
-            variants.any(|v| {
-                let variant = *v;
-                let end = self.quarantine_end(
-                    r,
-                    Content {
-                        fingerprint,
-                        variant,
-                    },
-                );
-                end.is_some_and(|end| end > now)
+            variants.any(|variant| {
+                let content = Content {
+                    fingerprint,
+                    variant: *variant,
+                };
+                self.quarantine_end(r, content).is_some_and(|end| end > now)
             })
         })
     }
@@ -411,7 +408,8 @@
         !was_quarantined && self.is_quarantined(now, content)
     }
 
-    fn is_quarantined(&self, now: Moment, content: Content) -> bool {
+    /// Returns whether a content may not run.
+    pub fn is_quarantined(&self, now: Moment, content: impl Into<Content>) -> bool {
         matches!(self.standing(now, content), Standing::Quarantined(_))
     }
 
