--- a/crates/mustard-gateway/tests/gateway/poison_variants.rs
+++ b/crates/mustard-gateway/tests/gateway/poison_variants.rs
@@ -108,7 +108,7 @@
     );
 }
 
-/// Sends sound requests until each was served or some time has passed; returns the statuses of the last ones.
+/// Sends each of the sound requests once; returns their statuses.
 async fn send_sound(gateway: &Gateway, sound: &[Request]) -> Vec<u16> {
     let caller = Caller::new().await;
     let mut statuses = Vec::new();
