Refuse heads whose lines end without CR, and check the framing of answers without a body

Callers saw: an answer in whose head a name began with a line feed ended there for the reader, so that the rest of the head was passed on as the body, as whole and with the server's seal.

Cause: RFC 9112 allows to take a line that ends with LF alone, and the parser does; an empty one ends the head. The framing was looked at only where a body may follow.

Fix: such a line makes the head no head, and what frames a body is checked whatever the status.

--- a/crates/mustard-net/src/response_head.rs
+++ b/crates/mustard-net/src/response_head.rs
@@ -64,6 +64,14 @@
     pairs.any(|w| w == b"\n\n") || triples.any(|w| w == b"\n\r\n")
 }
 
+/// Tells whether a line ends without CR. The parser takes such a line, also an empty one that ends the head within the
+/// name of a header.
+fn has_bare_line_end(head: &[u8]) -> bool {
+    let mut previous = b' ';
+    head.iter()
+        .any(|byte| std::mem::replace(&mut previous, *byte) != b'\r' && *byte == b'\n')
+}
+
 /// Returns the head of the response to a request and its length; `None` if it is incomplete.
 ///
 /// # Errors
@@ -81,6 +89,9 @@
     else {
         return Ok(None);
     };
+    if has_bare_line_end(&bytes[..len]) {
+        return Err(malformed("a line of the head ends without CR"));
+    }
     let status = response.code.unwrap_or_default();
     if !(100..600).contains(&status) || status == SWITCHING_PROTOCOLS {
         return Err(malformed(&format!("status {status:03}")));
@@ -111,9 +122,15 @@
     method: &Method,
     is_old: bool,
 ) -> Result<Framing> {
+    let framing = find_stated_framing(headers, is_old)?;
     if *method == Method::HEAD || matches!(status, 100..200 | 204 | 304) {
         return Ok(Framing::Length(0));
     }
+    Ok(framing)
+}
+
+/// Returns the framing that the headers state, for a response that may have a body.
+fn find_stated_framing(headers: &HeaderMap, is_old: bool) -> Result<Framing> {
     let text = |v: &HeaderValue| v.to_str().map(str::to_ascii_lowercase).unwrap_or_default();
     let codings: Vec<String> = headers.get_all(TRANSFER_ENCODING).map(text).collect();
     let lengths: Vec<String> = headers.get_all(CONTENT_LENGTH).map(text).collect();
--- a/crates/mustard-tests/src/bad_answers.rs
+++ b/crates/mustard-tests/src/bad_answers.rs
@@ -90,6 +90,7 @@
         "\r\nHTTP/1.1 200 OK",
         " HTTP/1.1 200 OK",
         "HTTP/1.1 200 O\x01K",
+        "HTTP/1.1 200 OK\nx: 1",
     ];
     let answer = |line: &&str| {
         bad(
@@ -105,7 +106,7 @@
 
 /// Returns answers with a header that is none.
 fn bad_headers(headers: &str, body: &str) -> Vec<BadAnswer> {
-    let lines: [&[u8]; 20] = [
+    let lines: [&[u8]; 24] = [
         b"x y: 1",
         b"x : 1",
         b"x\t: 1",
@@ -114,6 +115,10 @@
         b"x\x7fy: 1",
         b"x\xe9y: 1",
         b"x\ry: 1",
+        b"\ny: 1",
+        b"x\ny: 1",
+        b"\n",
+        b"x: a\ny: 1",
         b"x(y): 1",
         b"x/y: 1",
         b": 1",
@@ -215,6 +220,12 @@
         )
     };
     let mut answers: Vec<_> = cases.iter().map(answer).collect();
+    // An answer that has no body states its framing like others.
+    for status in ["204 No Content", "304 Not Modified", "103 Early Hints"] {
+        let both = format!("content-length: 0\r\n{CHUNKED}\r\n\r\n");
+        let bytes = format!("HTTP/1.1 {status}\r\n{headers}{both}");
+        answers.push(bad(&format!("{status}, length and chunks"), bytes));
+    }
     let chunk = fill(CHUNK, body);
     let old = format!("HTTP/1.0 200 OK\r\n{headers}{CHUNKED}\r\n\r\n{chunk}");
     answers.push(bad("chunks in HTTP/1.0", old));
