Refuse new variants of a content when servers end under ever new ones beside sound ones

Cause: the success of one variant kept all others of its content from being refused, though it says nothing about those that never ran well.

Fix: newcomers, which didn't run well within the last minute, are refused after four ends over 1.5 s under newcomers that no single variant explains, since one of them last ran well; for 6 s, and after further ends for 60 s, 300 s and ten minutes. Known variants go on, and a newcomer that runs well releases the others.

Evidence: with the quarantine of bad_another_query_beside_sound_queries, bad_another_query_at_other_gateway and record_strike_newcomers fail; green now, as are the other tests of variants (each run by itself or with its group) and of the quarantine. record_strike_newcomers_harmless is green on both. A form that counted trials instead of ends failed bad_query_after_release (4 retries where 3 are allowed) and was given up.

--- a/crates/mustard-gateway/tests/gateway/poison_variants.rs
+++ b/crates/mustard-gateway/tests/gateway/poison_variants.rs
@@ -184,6 +184,29 @@
     expect_stopped(&site);
 }
 
+/// Guards against the same beside sound reads with queries that come again.
+#[ntex::test]
+async fn bad_another_query_beside_sound_queries() {
+    let bad = |round: usize| read(&format!("{POISON}&page={round}"));
+    check_beside_sound(bad, &sound_reads()).await;
+}
+
+/// The same at a gateway that learns of the ends from another one, and serves the sound reads.
+#[ntex::test]
+async fn bad_another_query_at_other_gateway() {
+    let site = start_site(options());
+    let [one, two] = start_two(&site).await;
+    site.set_poison(PoisonTarget::First, DOWN_TIME);
+    let bad = |round: usize| read(&format!("{POISON}&page={round}"));
+    let time = CONTACT_TIME + Duration::from_secs(4);
+    let statuses = send_rounds((&one, &two), bad, &sound_reads(), time).await;
+    let half = statuses.len() / 2;
+    assert!(statuses[half..].iter().all(|s| *s == 200), "{statuses:?}");
+    let caller = Caller::new().await;
+    send(&caller, &two, &bad(usize::MAX), "bad-two").await;
+    expect_few_retries(&site);
+}
+
 /// Guards against sound reads that are refused as one bad read of their path ended servers, none of them having been
 /// served before.
 #[ntex::test]
--- a/crates/mustard-policy/src/quarantine.rs
+++ b/crates/mustard-policy/src/quarantine.rs
@@ -21,7 +21,8 @@
 //! Requests with the same content may still differ, in which case each is a *variant* of the content. A crash of one
 //! variant is evidence against that variant, and a run to the end clears that variant only. All variants are
 //! quarantined if enough servers died while they ran any of them, none of them ran to its end lately, and no single
-//! variant explains these deaths.
+//! variant explains these deaths. If some did run to their end lately, only the other ones are, the *newcomers*, and only
+//! until one of these runs to its end.
 
 use std::cmp::Reverse;
 use std::hash::Hash;
@@ -39,11 +40,12 @@
 /// How long after a content ran to its end without a failed run more deaths are needed.
 const PROOF_TIME: Duration = Duration::from_secs(60);
 /// The deaths, and the time from the first to the last, that quarantine a variant which ran to its end shortly before
-/// them. A harmless one runs to its end at other servers meanwhile, even if many servers die at once.
+/// them, or newcomers beside variants that did. Harmless ones run to their end at other servers meanwhile, even if many
+/// servers die at once.
 const PROVEN_DEATHS: usize = 4;
 const PROVEN_SPAN: Duration = Duration::from_millis(1_500);
-/// How long such a variant is quarantined after each death, from the one on that was enough. One that is harmless
-/// after all shows it then.
+/// How long they are quarantined after each death, from the one on that was enough. Those that are harmless after all
+/// show it then.
 const PROVEN_TIMES: [Duration; 3] = [
     Duration::from_secs(6),
     Duration::from_secs(60),
@@ -171,12 +173,11 @@
         deaths.map(|d| d.at).min()
     }
 
-    /// Returns until when a variant is quarantined that ran to its end shortly before the first death; `None` if the
-    /// deaths aren't enough.
-    fn proven_end(&self, variant: Option<Fingerprint>) -> Option<Moment> {
-        let deaths = || self.deaths.iter().filter(|d| d.counts_against(variant));
-        let (first, last) = (self.first_death(variant)?, deaths().map(|d| d.at).max()?);
-        let extra = deaths().count().checked_sub(PROVEN_DEATHS)?;
+    /// Returns until when deaths after a run to the end quarantine what ran at them; `None` if they aren't enough.
+    fn proven_end(&self, counts: impl Fn(&Death) -> bool) -> Option<Moment> {
+        let times = || self.deaths.iter().filter(|d| counts(d)).map(|d| d.at);
+        let (first, last) = (times().min()?, times().max()?);
+        let extra = times().count().checked_sub(PROVEN_DEATHS)?;
         let time = PROVEN_TIMES.get(extra);
         let end = time.map_or(self.until, |time| last + *time);
         (last.since(first) >= PROVEN_SPAN).then_some(end)
@@ -188,11 +189,9 @@
         exceeds_threshold(deaths, min_deaths)
     }
 
-    /// Returns whether the deaths since `sound`, when a variant last showed that the content is sound, tell against
-    /// all variants, as no single variant explains them.
-    fn condemns_all(&self, sound: Option<Moment>, min_deaths: usize) -> bool {
-        let counts = |d: &&Death| sound.is_none_or(|at| d.at >= at);
-        let deaths = || self.deaths.iter().filter(counts);
+    /// Returns whether deaths tell against variants that didn't run at them, as no single variant explains them.
+    fn condemns_all(&self, counts: impl Fn(&Death) -> bool, min_deaths: usize) -> bool {
+        let deaths = || self.deaths.iter().filter(|d| counts(d));
         if !exceeds_threshold(deaths(), min_deaths) {
             return false;
         }
@@ -269,11 +268,13 @@
     count >= min_deaths && weight > WEIGHT_THRESHOLD
 }
 
-/// A variant that ran to its end.
+/// The variant of a content that last ran to its end.
 #[derive(Clone, Copy, Debug)]
 struct Sound {
     variant: Fingerprint,
     at: Moment,
+    /// When a newcomer last did.
+    newcomer_at: Moment,
 }
 
 /// The strikes and clearances of contents, and the quarantine that follows from them.
@@ -314,17 +315,40 @@
     /// Returns until when the strikes of a record quarantine a content; `None` if they aren't enough.
     fn quarantine_end(&self, record: &ContentRecord, content: Content) -> Option<Moment> {
         let min_deaths = self.settings.min_deaths;
+        let variant = content.variant;
         let proven = self.proven.get(&content).map(|at| *at + PROOF_TIME);
         let own = match proven {
-            Some(until) if record.first_death(content.variant) < Some(until) => {
-                record.proven_end(content.variant)
+            Some(until) if record.first_death(variant) < Some(until) => {
+                record.proven_end(|d| d.counts_against(variant))
             }
-            _ if record.condemns_variant(content.variant, min_deaths) => Some(record.until),
+            _ if record.condemns_variant(variant, min_deaths) => Some(record.until),
             _ => None,
         };
-        let sound = self.sound_until(content.fingerprint);
-        let all = record.condemns_all(sound, min_deaths);
+        let sound_until = self.sound_until(content.fingerprint);
+        let counts = |d: &Death| sound_until.is_none_or(|until| d.at >= until);
+        let all = record.condemns_all(counts, min_deaths);
         own.max(all.then_some(record.until))
+            .max(self.newcomers_end(record, content))
+    }
+
+    /// Returns until when a content is quarantined as a newcomer; `None` if it isn't.
+    fn newcomers_end(&self, record: &ContentRecord, content: Content) -> Option<Moment> {
+        let fingerprint = content.fingerprint;
+        let sound = self.sound.get(&fingerprint)?;
+        let is_newcomer = |variant: Option<Fingerprint>, at: Moment| {
+            let proven = self.proven.get(&Content {
+                fingerprint,
+                variant,
+            });
+            variant.is_some() && proven.is_none_or(|proven| *proven + PROOF_TIME <= at)
+        };
+        let counts = |d: &Death| {
+            d.at > sound.newcomer_at && d.variants.iter().any(|v| is_newcomer(*v, d.at))
+        };
+        let last = record.deaths.iter().filter(|d| counts(d)).map(|d| d.at);
+        let is_condemned = is_newcomer(content.variant, last.max()?)
+            && record.condemns_all(counts, self.settings.min_deaths);
+        record.proven_end(counts).filter(|_| is_condemned)
     }
 
     /// Returns whether any variant of a content is quarantined.
@@ -466,8 +490,8 @@
             self.proven.retain(|_, at| *at + PROOF_TIME > now);
             evict_lowest(&mut self.proven, capacity, |at| *at);
         }
-        let proven = self.proven.entry(content).or_insert(at);
-        *proven = at.max(*proven);
+        let known = self.proven.get(&content).copied();
+        self.proven.insert(content, known.map_or(at, |k| k.max(at)));
         let Some(variant) = content.variant else {
             return;
         };
@@ -475,10 +499,17 @@
             self.sound.retain(|_, s| s.at + PROOF_TIME > now);
             evict_lowest(&mut self.sound, capacity, |s| s.at);
         }
-        let newer = Sound { variant, at };
-        let known = self.sound.entry(content.fingerprint).or_insert(newer);
-        if at > known.at {
-            *known = newer;
+        let newcomer_at = at;
+        let sound = self.sound.entry(content.fingerprint).or_insert(Sound {
+            variant,
+            at,
+            newcomer_at,
+        });
+        if at > sound.at {
+            (sound.variant, sound.at) = (variant, at);
+        }
+        if known.is_none_or(|k| k + PROOF_TIME <= at) {
+            sound.newcomer_at = sound.newcomer_at.max(at);
         }
     }
 
--- a/crates/mustard-policy/tests/quarantine.rs
+++ b/crates/mustard-policy/tests/quarantine.rs
@@ -476,6 +476,56 @@
     }
 }
 
+/// Guards against a request that isn't stopped as it comes with another query each time, beside others with the same
+/// content that run to their end; these aren't refused for it.
+#[test]
+fn record_strike_newcomers() {
+    let mut q = new_with_three();
+    let known = || (0..3).map(variant);
+    known().for_each(|v| q.record_success(NOW, v));
+    let mut at = NOW;
+    let mut vm = 0;
+    for pause in [6, 60, 300] {
+        while vm < 12 && may_run(&q, at, BAD + vm as u128) {
+            at = at + Duration::from_millis(500);
+            q.record_strike(at, &variant_strike(BAD + vm as u128, vm, at));
+            vm += 1;
+            let runs: Vec<bool> = known().map(|v| !q.is_quarantined(at, v)).collect();
+            assert_eq!(runs, [true; 3], "{vm}");
+            known().for_each(|v| q.record_success(at, v));
+        }
+        for _ in 0..pause {
+            assert!(!may_run(&q, at, BAD + vm as u128));
+            at = at + Duration::from_secs(1);
+            known().for_each(|v| q.record_success(at, v));
+        }
+    }
+    assert_eq!(vm, 6);
+}
+
+/// Guards against the refusal of new queries for deaths of another cause: one that runs well between them speaks for
+/// the others, and deaths under known ones don't count.
+#[test]
+fn record_strike_newcomers_harmless() {
+    let mut q = new_with_three();
+    q.record_success(NOW, variant(0));
+    for vm in 0..20 {
+        let at = later(1_000 + 2_000 * vm as u64);
+        q.record_success(at, variant(0));
+        q.record_strike(at, &variant_strike(vm as u128, vm, at));
+        q.record_success(at + Duration::from_millis(1), variant(100 + vm as u128));
+        assert!(may_run(&q, at, BAD));
+    }
+    let mut q = new_with_three();
+    (0..4).for_each(|n| q.record_success(NOW, variant(n)));
+    for vm in 0..20 {
+        let at = later(1_000 + 500 * vm as u64);
+        q.record_strike(at, &variant_strike(vm as u128 % 4, vm, at));
+        q.record_success(at + Duration::from_millis(1), variant(vm as u128 % 4));
+        assert!(may_run(&q, at, BAD));
+    }
+}
+
 /// Processes that saw the success and those that saw the deaths agree once they have told each other.
 #[test]
 fn record_strike_proven_variant_told() {
