--- a/crates/mustard-gateway/tests/gateway/framing.rs
+++ b/crates/mustard-gateway/tests/gateway/framing.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use mustard_fakes::site::{Endless, ServerFault, Site, SiteOptions};
+use mustard_fakes::site::{Arrival, Endless, ServerFault, Site, SiteOptions};
 use mustard_tests::site_soak::stream_text;
 
 use super::harness::{Caller, Gateway, wait_until};
@@ -68,6 +68,12 @@
             is_resumed(),
             "no stream ran at the server that cuts them off"
         );
+        // None that it began is whole without another run.
+        let ledger = site.ledger();
+        let is_begun = |a: &&Arrival| a.server == 0 && a.id.starts_with("cut-");
+        for arrival in ledger.arrivals.iter().filter(is_begun) {
+            assert!(ledger.runs[&arrival.id] > 1, "{}", arrival.id);
+        }
     }
 }
 
