--- a/review/standin-3/deployment.py
+++ b/review/standin-3/deployment.py
@@ -388,7 +388,7 @@
         log = open(os.path.join(self.folder, f"{self.name}.log"), "a")
         # The metrics port of the deploy file is the same for all machines.
         self.process = await asyncio.create_subprocess_exec(
-            PROGRAM, "--metrics-port", str(free_port("0.0.0.0")), cwd=ROOT, env=env, stdout=log, stderr=log)
+            PROGRAM, "--metrics-port", str(free_port()), cwd=ROOT, env=env, stdout=log, stderr=log)
         log.close()
 
     async def is_ready(self):
