--- a/crates/mustard-core/src/deployment.rs
+++ b/crates/mustard-core/src/deployment.rs
@@ -367,8 +367,10 @@
     pub state: ServerState,
     /// How much longer the server stays slow after its start, in milliseconds.
     pub warmup_ms: f64,
-    /// When its process started, in milliseconds since the Unix epoch; zero if the row doesn't say.
+    /// When its process started, in milliseconds since the Unix epoch.
     pub started_ms: u64,
+    /// The number of rows that its process had written, this one included.
+    pub row_number: u64,
     /// The name of its accelerator's type, if the row gives one.
     pub accelerator: Option<String>,
     /// The layers that it holds, if any.
--- a/crates/mustard-fakes/src/site/mod.rs
+++ b/crates/mustard-fakes/src/site/mod.rs
@@ -169,6 +169,8 @@
     pub(crate) fence: u64,
     // Counts the starts of the server.
     pub(crate) incarnation: u64,
+    // Counts the rows that were written since the start.
+    pub(crate) rows: u64,
     // Whether the store has a row of the server.
     pub(crate) listed: bool,
     pub(crate) draining: bool,
@@ -195,6 +197,7 @@
             orders: 0,
             fence: 0,
             incarnation: 1,
+            rows: 0,
             listed: true,
             draining: false,
             leaving: false,
@@ -228,6 +231,8 @@
     pub path_changes: u32,
     /// The parts after the first that streams kept when they were moved.
     pub kept_parts: usize,
+    /// The number of health checks of plain servers.
+    pub health_checks: usize,
     /// Orders that started a load: the server's index, the first layer and the excluded end.
     pub placements: Vec<(usize, u32, u32)>,
     /// The requests that reached servers, run or turned away, in order.
@@ -486,6 +491,7 @@
             s.orders = 0;
             s.fence = 0;
             s.incarnation += 1;
+            s.rows = 0;
             s.fault = ServerFault::None;
             s.ended = false;
             s.draining = false;
@@ -669,6 +675,7 @@
         {
             let mut state = self.lock();
             let addr = state.addrs[server];
+            state.servers[server].rows += 1;
             let s = state.servers[server].clone();
             let value = s
                 .listed
@@ -756,13 +763,15 @@
         "service": server.service,
         "address": addr.to_string(), "zone": format!("d{}", server.domain), "version": "v1",
         "slots": 64, "state": if server.draining { "draining" } else { "ready" },
-        "warmup_ms": 0, "seq": 1, "born": server.incarnation,
+        "warmup_ms": 0, "seq": server.rows, "born": server.incarnation,
     });
     if server.model {
         row["kind"] = json!("card");
-        if let Some((first, end)) = server.layers {
-            row["layers"] = json!([{"from": first, "to": end, "version": 1}]);
-        }
+        let held = server.layers;
+        row["layers"] = held.map_or(
+            Value::Null,
+            |(first, end)| json!([{"from": first, "to": end, "version": 1}]),
+        );
     }
     row
 }
--- a/crates/mustard-fakes/src/site/plain.rs
+++ b/crates/mustard-fakes/src/site/plain.rs
@@ -58,6 +58,7 @@
         return misdirected_response();
     }
     if call.path == "/health" {
+        site.lock().ledger.health_checks += 1;
         return answer_health(site, index);
     }
     if call.header("attempt-id").is_none() {
--- a/crates/mustard-gateway/tests/fleet.rs
+++ b/crates/mustard-gateway/tests/fleet.rs
@@ -73,6 +73,7 @@
         state: ServerState::Ready,
         warmup_ms: 0.0,
         started_ms: 1,
+        row_number: 1,
         accelerator: Some("card".to_owned()),
         held: layers.map(held),
     }
--- a/crates/mustard-gateway/tests/gateway/reused_addresses.rs
+++ b/crates/mustard-gateway/tests/gateway/reused_addresses.rs
@@ -114,8 +114,8 @@
     let former = |server| format!("z-former-{server}");
     for server in MODEL_SERVERS {
         let row = format!(
-            r#"{{"service":"{MODELS}","address":"{}","zone":"d0","slots":64,"state":"ready","born":0,
-            "kind":"card","layers":[{{"from":0,"to":4,"version":1}}]}}"#,
+            r#"{{"service":"{MODELS}","address":"{}","zone":"d0","version":"v1","slots":64,"state":"ready",
+            "warmup_ms":0,"seq":9,"born":0,"kind":"card","layers":[{{"from":0,"to":4,"version":1}}]}}"#,
             site.addrs()[server]
         );
         site.write_raw_row(&former(server), row.as_bytes());
--- a/crates/mustard-gateway/tests/leave_unlisted.rs
+++ b/crates/mustard-gateway/tests/leave_unlisted.rs
@@ -101,6 +101,7 @@
                 state: ServerState::Ready,
                 warmup_ms: 0.0,
                 started_ms: 1,
+                row_number: 1,
                 accelerator: Some(if i % 9 == 0 { "large" } else { "middle" }.to_owned()),
                 held: None,
             };
