--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -174,6 +174,8 @@
     pub gate: Arc<RequestGate>,
     /// Whether a stop signal has arrived.
     pub stop: Arc<StopFlag>,
+    /// Wakes the task that asks about rows which are held back.
+    pub row_held: Notify,
     /// Wakes requests that wait for a configuration or a path, whenever either may have changed.
     pub changed: Notify,
     /// Whether a request has arrived since the start of the process.
@@ -246,6 +248,7 @@
             peers: RefCell::new(peers),
             gate,
             stop,
+            row_held: Notify::new(),
             changed: Notify::new(),
             had_request: Cell::new(false),
             store_failed: Cell::new(false),
--- a/crates/mustard-gateway/src/fleet/mod.rs
+++ b/crates/mustard-gateway/src/fleet/mod.rs
@@ -1,11 +1,14 @@
 //! The backend servers as this gateway knows them, from the server list, reports and failures.
 
 mod addresses;
+mod held_rows;
 mod load;
 mod outliers;
 mod reports;
 mod server;
 
+pub use addresses::Presence;
+pub use held_rows::HeldQuestion;
 pub use load::{LoadGuard, ServerLoad};
 pub use mustard_core::deployment::ServerKey;
 pub use reports::{ProcessLoad, ProcessReport};
@@ -19,12 +22,16 @@
 use mustard_core::clock::Moment;
 use mustard_core::collections::Map;
 use mustard_core::deployment::{Engine, ServerEntry, ServerProcessMark, ServerReport, ServerState};
+use mustard_core::fingerprint::Fingerprint;
 use mustard_policy::backoff::Fault;
 use mustard_policy::outlier::Outliers;
 use mustard_policy::pipeline::{LayerHolder, PlacementServer};
 
 use crate::metric;
 
+use addresses::{NamedServices, Occupants};
+use held_rows::HeldRow;
+
 /// How long a server whose row vanished while the store was unstable is kept; the store is unstable
 /// during an outage and shortly after it.
 const MISSING_ROW_GRACE: Duration = Duration::from_millis(2_200);
@@ -55,6 +62,8 @@
     Left,
     /// The layers that it holds changed.
     Holds,
+    /// The row contradicts what is known of the server, and isn't applied for now.
+    Held,
     /// None of these changed.
     Same,
 }
@@ -64,13 +73,17 @@
 pub struct Fleet {
     servers: Arena<Server, ServerProcessMark>,
     ids: Map<String, ServerKey>,
-    /// The processes whose rows name an address, in the order in which these were read.
-    addrs: Map<SocketAddr, Vec<ServerKey>>,
+    /// The processes whose rows name an address.
+    addrs: Map<SocketAddr, Occupants>,
+    /// The services that the configuration names.
+    named: NamedServices,
+    /// The rows that contradict what is known of their servers, by id.
+    held_rows: Map<String, HeldRow>,
     /// The servers whose load is exchanged, by the digests of their processes.
     processes: Map<u64, ServerKey>,
     domains: Vec<String>,
-    /// The processes that were removed lately, by their ids.
-    departed: Map<String, Departed>,
+    /// The processes that were removed lately, by their digests.
+    departed: Map<u64, Departed>,
     /// The outcomes of attempts at the servers of each service, by its name.
     outliers: Map<String, Outliers<ServerKey>>,
 }
@@ -78,12 +91,19 @@
 /// A server process that was removed from the list.
 #[derive(Clone, Copy, Debug)]
 struct Departed {
-    started_ms: u64,
     /// Whether it had announced that it is leaving, after which it never becomes ready again.
     has_announced: bool,
+    addr: SocketAddr,
+    /// Until when it wants nothing from this gateway.
+    paused_until: Moment,
     at: Moment,
 }
 
+/// Returns a digest of a process, by which gateways tell each other of it.
+fn process_digest(id: &str, started_ms: u64) -> u64 {
+    Fingerprint::of(&[id.as_bytes(), &started_ms.to_le_bytes()]).0 as u64
+}
+
 impl Fleet {
     /// Returns a server.
     pub fn get(&self, key: ServerKey) -> Option<&Server> {
@@ -190,32 +210,42 @@
         let domain = self.domain_index(&entry.domain);
         let id = entry.id.clone();
         if let Some(key) = self.key_of(&id) {
-            match self.servers.get_mut(key) {
-                Some(server) if server.is_process_of(&entry) => {
-                    return server.update(now, entry, unconfirmed_until.is_none());
+            if let Some(server) = self.servers.get_mut(key) {
+                if server.is_process_of(&entry) {
+                    let change = server.update(now, entry, unconfirmed_until.is_none());
+                    self.held_rows.remove(&id);
+                    self.record_row(now, key);
+                    return change;
                 }
                 // The row of the process before.
-                Some(server)
-                    if server.is_unlisted && entry.started_ms < server.entry.started_ms =>
-                {
+                if server.is_unlisted && entry.started_ms < server.entry.started_ms {
                     return RowChange::Same;
                 }
-                // What is known of the former process doesn't hold for the one in its place.
-                _ => self.remove_key(now, key),
             }
+            if self.hold_row(now, key, &entry) {
+                return RowChange::Held;
+            }
+            // What is known of the former process doesn't hold for the one in its place.
+            self.remove_key(now, key);
         }
-        let departed = self.departed.remove(&entry.id);
-        let departed = departed.filter(|d| d.started_ms == entry.started_ms);
-        if departed.is_some_and(|d| d.has_announced) {
+        self.held_rows.remove(&id);
+        let digest = process_digest(&id, entry.started_ms);
+        let departed = self.departed.remove(&digest);
+        let has_announced = departed.is_some_and(|d| d.has_announced);
+        if has_announced {
             entry.state = ServerState::Leaving;
         }
         let leaving = entry.state == ServerState::Leaving;
         let addr = entry.addr;
         let mut server = Server::new(now, entry, domain);
+        server.left_at_row = server.left_at_row.filter(|_| !has_announced);
         server.unconfirmed_until = unconfirmed_until.filter(|_| departed.is_some());
+        if let Some(departed) = departed.filter(|d| d.addr == addr) {
+            server.paused_until = departed.paused_until;
+        }
         let key = self.servers.insert(server);
         self.ids.insert(id, key);
-        self.add_address(addr, key);
+        self.add_address(now, addr, key);
         if leaving {
             RowChange::Left
         } else {
@@ -270,13 +300,15 @@
         if let Some(server) = self.servers.remove(key) {
             self.departed.retain(|_, d| now.since(d.at) < DEPARTED_TIME);
             let departed = Departed {
-                started_ms: server.entry.started_ms,
                 has_announced: server.entry.state == ServerState::Leaving,
+                addr: server.entry.addr,
+                paused_until: server.paused_until,
                 at: now,
             };
-            self.departed.insert(server.entry.id.clone(), departed);
+            self.departed.insert(server.process_digest(), departed);
             self.ids.remove(&server.entry.id);
-            self.remove_address(server.entry.addr, key);
+            self.held_rows.remove(&server.entry.id);
+            self.remove_address(now, server.entry.addr, key);
             self.forget_outcomes(key);
         }
     }
@@ -289,7 +321,11 @@
         };
         let was_used = !server.backoff.is_backing_off(now);
         server.backoff.record_fault(now, fault);
-        was_used && server.backoff.is_backing_off(now)
+        let is_newly_unused = was_used && server.backoff.is_backing_off(now);
+        if matches!(fault, Fault::Silent | Fault::Broken) {
+            self.record_doubt(now, key);
+        }
+        is_newly_unused
     }
 
     /// Records how long an answer of a server took, at least if it was cancelled.
@@ -352,7 +388,7 @@
             self.record_replaced(now, key);
             return None;
         };
-        self.record_present(sender);
+        self.record_present(now, sender);
         if let Some(server) = self.servers.get_mut(sender) {
             server.apply_report(now, report);
         }
@@ -392,11 +428,16 @@
 
     /// Returns what is known of a process at or after `since`.
     pub fn process_state(&self, process: &ServerProcess, since: Moment) -> ProcessState {
-        if let Some(server) = self.get(process.key) {
+        // Its row may have gone and come back.
+        let listed = self.get(process.key).or_else(|| {
+            let key = self.find_process(&process.id, process.started_ms)?;
+            self.get(key)
+        });
+        if let Some(server) = listed {
             return server.process_state(since);
         }
-        let departed = self.departed.get(&process.id);
-        let departed = departed.filter(|d| d.started_ms == process.started_ms);
+        let digest = process_digest(&process.id, process.started_ms);
+        let departed = self.departed.get(&digest);
         if departed.is_some_and(|d| d.has_announced) {
             ProcessState::Running
         } else {
@@ -405,16 +446,17 @@
     }
 
     /// Records that nothing listens at the address of a server.
-    pub fn record_no_listener(&mut self, key: ServerKey) {
+    pub fn record_no_listener(&mut self, now: Moment, key: ServerKey) {
         if let Some(server) = self.servers.get_mut(key) {
             server.has_no_listener = true;
+            self.record_doubt(now, key);
         }
     }
 
     /// Records that a server announced in an answer that it is leaving; tells whether this is new.
     pub fn record_leaving(&mut self, process: &ServerProcess) -> bool {
-        let departed = self.departed.get_mut(&process.id);
-        if let Some(departed) = departed.filter(|d| d.started_ms == process.started_ms) {
+        let digest = process_digest(&process.id, process.started_ms);
+        if let Some(departed) = self.departed.get_mut(&digest) {
             departed.has_announced = true;
         }
         let Some(server) = self.servers.get_mut(process.key) else {
@@ -422,6 +464,7 @@
         };
         let is_new = server.is_ready();
         server.entry.state = ServerState::Leaving;
+        server.left_at_row = None;
         is_new
     }
 
@@ -456,6 +499,7 @@
         let newly_silent = server.silent_since.is_none();
         server.silent_since.get_or_insert(now);
         server.backoff.record_fault(now, Fault::Silent);
+        self.record_doubt(now, key);
         newly_silent
     }
 
@@ -470,8 +514,9 @@
         let others = self.iter().filter(|(key, s)| {
             *key != without
                 && s.entry.held.is_some()
+                && self.named.allows(&s.entry)
                 && s.silent_since.is_none()
-                && !s.is_replaced
+                && !s.presence.is_away()
                 && !s.is_paused(now)
         });
         others.map(|(key, _)| key).collect()
@@ -484,7 +529,7 @@
 
     /// Returns the servers that didn't answer the last call and may be called.
     pub fn silent_servers(&self, now: Moment) -> Vec<ServerKey> {
-        let is_gone = |s: &Server| s.is_replaced && self.is_shared(s.entry.addr);
+        let is_gone = |s: &Server| s.presence.is_away() && self.is_shared(s.entry.addr);
         let silent = self
             .iter()
             .filter(|(_, s)| s.silent_since.is_some() && !is_gone(s) && !s.is_paused(now));
--- a/crates/mustard-gateway/src/fleet/reports.rs
+++ b/crates/mustard-gateway/src/fleet/reports.rs
@@ -60,7 +60,7 @@
         let asked = self.iter().filter_map(|(key, server)| {
             let load = server.load.as_ref()?;
             let may_ask = server.is_ready()
-                && !server.is_replaced
+                && !server.presence.is_away()
                 && server.silent_since.is_none()
                 && !server.is_paused(now);
             may_ask.then_some(Candidate {
--- a/crates/mustard-gateway/src/fleet/server.rs
+++ b/crates/mustard-gateway/src/fleet/server.rs
@@ -9,7 +9,6 @@
 use mustard_core::deployment::{
     Engine, HeldLayers, ServerEntry, ServerKey, ServerReport, ServerState,
 };
-use mustard_core::fingerprint::Fingerprint;
 use mustard_core::ids::Layers;
 use mustard_policy::backoff::ServerBackoff;
 use mustard_policy::balance::AnswerTime;
@@ -22,7 +21,7 @@
 use crate::limits::NamedLimit;
 use crate::metric;
 
-use super::{ProcessLoad, RowChange};
+use super::{Presence, ProcessLoad, RowChange, process_digest};
 
 /// How long a server whose row is missing gets requests that no listed server can serve; shorter
 /// than the time for which a leaving server goes on serving.
@@ -104,8 +103,10 @@
     pub refusals: RefusalWatch,
     /// When it last refused a request, until a report shows whether it had room.
     pub refused_at: Option<Moment>,
-    /// Whether another process is at its address, though its row is still listed.
-    pub is_replaced: bool,
+    /// Whether it is the one at its address.
+    pub presence: Presence,
+    /// The number of the row in which it announced that it is leaving, unless it has said so itself.
+    pub left_at_row: Option<u64>,
     /// Whether its report was read before any row of this process.
     pub is_unlisted: bool,
     /// When its row vanished, if that happened while the store was unstable.
@@ -144,13 +145,14 @@
     /// Creates a server from its first row.
     pub fn new(_now: Moment, entry: ServerEntry, domain: u32) -> Self {
         Server {
+            left_at_row: (entry.state == ServerState::Leaving).then_some(entry.row_number),
             entry,
             domain,
             backoff: ServerBackoff::default(),
             standing: Standing::InUse,
             refusals: RefusalWatch::default(),
             refused_at: None,
-            is_replaced: false,
+            presence: Presence::default(),
             is_unlisted: false,
             missing_since: None,
             unconfirmed_until: None,
@@ -170,10 +172,15 @@
         }
     }
 
-    /// Tells whether a row is of this process: it has the same id and start, and it hasn't moved.
+    /// Tells whether a row is of this process: it has the same id and start, it hasn't moved, and it names the same
+    /// service and accelerator.
     pub fn is_process_of(&self, entry: &ServerEntry) -> bool {
         let own = &self.entry;
-        own.id == entry.id && own.started_ms == entry.started_ms && own.addr == entry.addr
+        own.id == entry.id
+            && own.started_ms == entry.started_ms
+            && own.addr == entry.addr
+            && own.service == entry.service
+            && own.accelerator == entry.accelerator
     }
 
     /// Applies a row of the same process; `is_current` unless it may be older than the one before.
@@ -185,10 +192,14 @@
         if is_current {
             self.unconfirmed_until = None;
         }
-        // A server that is leaving never becomes ready again without a restart.
+        // A server that is leaving never becomes ready again without a restart. If its later rows say that it is
+        // ready, the one that said otherwise wasn't its own.
         let state = self.entry.state;
+        let is_later = self.left_at_row.is_some_and(|row| entry.row_number > row);
         self.entry = entry;
-        if state == ServerState::Leaving {
+        if leaves {
+            self.left_at_row = Some(self.entry.row_number);
+        } else if state == ServerState::Leaving && !(is_current && is_later) {
             self.entry.state = ServerState::Leaving;
         }
         self.record_held(now);
@@ -206,8 +217,7 @@
 
     /// Returns a digest of the current process, by which gateways tell each other of it.
     pub fn process_digest(&self) -> u64 {
-        let started_ms = self.entry.started_ms.to_le_bytes();
-        Fingerprint::of(&[self.entry.id.as_bytes(), &started_ms]).0 as u64
+        process_digest(&self.entry.id, self.entry.started_ms)
     }
 
     /// Returns the current process; `key` is that of the server.
@@ -224,7 +234,7 @@
     pub fn process_state(&self, since: Moment) -> ProcessState {
         let reported = self.last_report.as_ref();
         let reported = reported.filter(|(at, _)| *at >= since);
-        if self.has_no_listener || self.is_replaced {
+        if self.has_no_listener || self.presence == Presence::Replaced {
             ProcessState::Ended
         } else if reported.is_some() && self.silent_since.is_none() {
             ProcessState::Running
@@ -285,7 +295,7 @@
     /// Tells whether the server is listed and answers, so that it serves requests sooner or later.
     pub fn is_present(&self, now: Moment) -> bool {
         self.is_ready()
-            && !self.is_replaced
+            && !self.presence.is_away()
             && self.silent_since.is_none()
             && self.missing_since.is_none()
             && self.is_confirmed(now)
@@ -328,7 +338,7 @@
             .missing_since
             .is_none_or(|m| now.since(m) < LAST_RESORT_TIME);
         self.is_ready()
-            && !self.is_replaced
+            && !self.presence.is_away()
             && self.silent_since.is_none()
             && missing
             && self.is_confirmed(now)
@@ -456,11 +466,15 @@
             accepts_orders: order.is_none()
                 && !is_stuck
                 && !declines
-                && !self.is_replaced
+                && !self.presence.is_away()
                 && self.silent_since.is_none()
                 && self.missing_since.is_none()
                 && !self.is_paused(now),
-            is_staying: self.is_ready() && !self.is_replaced && !lost && !is_stuck && !declines,
+            is_staying: self.is_ready()
+                && !self.presence.is_away()
+                && !lost
+                && !is_stuck
+                && !declines,
         })
     }
 
@@ -476,7 +490,9 @@
     /// Tells whether the server is carrying out an order and no report says since `oldest` how far it is.
     pub fn is_load_unreported(&self, now: Moment, oldest: Moment) -> bool {
         let reported = self.last_report.as_ref();
-        self.is_loading(now) && !self.is_replaced && reported.is_none_or(|(at, _)| *at < oldest)
+        self.is_loading(now)
+            && !self.presence.is_away()
+            && reported.is_none_or(|(at, _)| *at < oldest)
     }
 
     /// Tells whether the server is carrying out an order.
--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -16,7 +16,7 @@
 use mustard_policy::outlier;
 
 use crate::app::App;
-use crate::fleet::{LoadGuard, Server, ServerProcess};
+use crate::fleet::{LoadGuard, Presence, Server, ServerProcess};
 use crate::log_limit::Topic;
 use crate::metric;
 use crate::outliers;
@@ -400,10 +400,12 @@
     let now = app.now();
     let is_new = |key| !tried.contains(&key);
     // Servers that failed or refused lately are used if there are no others, and ejected ones only after them.
+    // That another row names a server's address keeps it out of use only once something else has answered there, as
+    // a request that names the server runs nowhere else.
     let is_fallback = |s: &Server| {
         s.is_last_resort(now)
             || (s.is_ready()
-                && !s.is_replaced
+                && s.presence != Presence::Replaced
                 && s.missing_since.is_none()
                 && s.is_confirmed(now)
                 && !s.is_paused(now))
--- a/crates/mustard-gateway/src/forward/send.rs
+++ b/crates/mustard-gateway/src/forward/send.rs
@@ -114,9 +114,21 @@
             _ => SendError::Lost,
         })?;
     record_announcements(app, target, &response);
+    record_presence(app, &request.params.id, target, &response);
     check_response(&request.params.id, target, response)
 }
 
+/// Records whether a response shows that the server which the request names is at its address.
+fn record_presence(app: &App, id: &str, target: &Target, response: &ForwardedResponse) {
+    let mut fleet = app.fleet.borrow_mut();
+    if responses::is_sealed(id, &response.headers) {
+        fleet.record_present(app.now(), target.server);
+    } else if response.status == 421 && target.path.is_empty() {
+        // That of a server with layers may mean those.
+        fleet.record_misdirected(app.now(), target.server);
+    }
+}
+
 /// Records what a response says about its server, whoever asked for it: that it is leaving, that it
 /// wants nothing more for a time, or how much it takes.
 fn record_announcements(app: &App, target: &Target, response: &ForwardedResponse) {
--- a/crates/mustard-gateway/src/lib.rs
+++ b/crates/mustard-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 
 pub mod active_streams;
+mod address_watch;
 pub mod app;
 pub mod crossing_share;
 pub mod errors;
--- a/crates/mustard-gateway/src/placement.rs
+++ b/crates/mustard-gateway/src/placement.rs
@@ -555,7 +555,9 @@
         app.answers.borrow_mut().record_answer(sent);
     }
     if matches!(result, Err(CallError::NoListener(_))) {
-        app.fleet.borrow_mut().record_no_listener(server.key);
+        app.fleet
+            .borrow_mut()
+            .record_no_listener(app.now(), server.key);
     }
     let answer = result?;
     if answer.status == orders::MISDIRECTED {
--- a/crates/mustard-gateway/src/serve.rs
+++ b/crates/mustard-gateway/src/serve.rs
@@ -26,8 +26,8 @@
 use crate::errors::{GatewayError, Result};
 use crate::log_limit::Topic;
 use crate::{
-    forward, metric, own_rows, peers, placement, server_load, server_probe, store_watch,
-    stream_watch, strike_news,
+    address_watch, forward, metric, own_rows, peers, placement, server_load, server_probe,
+    store_watch, stream_watch, strike_news,
 };
 
 /// How long new requests are still accepted after a stop signal. The load balancer checks readiness
@@ -187,6 +187,7 @@
     keep_running(app, "placement", placement::run);
     keep_running(app, "streams", stream_watch::run);
     keep_running(app, "silent_servers", server_probe::retry_silent_servers);
+    keep_running(app, "address_watch", address_watch::run);
     keep_running(app, "peers", peers::run);
     keep_running(app, "strike_news", strike_news::run);
     keep_running(app, "own_rows", own_rows::run);
--- a/crates/mustard-gateway/src/store_watch.rs
+++ b/crates/mustard-gateway/src/store_watch.rs
@@ -332,6 +332,7 @@
     }
     log_findings(app, &config);
     metric::set_config_version(config.version);
+    app.fleet.borrow_mut().set_services(app.now(), &config);
     *app.config.borrow_mut() = Some(Rc::new(config));
     *app.config_text.borrow_mut() = Rc::new(text);
     app.changed.notify_waiters();
@@ -347,15 +348,13 @@
         app.store_failed.get() || recovered.is_some_and(|r| now.since(r) < OUTAGE_GRACE);
     let mut listed = Vec::new();
     for row in changes.rows {
+        if is_snapshot && row.value.is_some() {
+            listed.push(row.key.clone());
+        }
         let change = match &row.value {
             None => app.fleet.borrow_mut().remove(now, &row.key, store_unstable),
             Some(bytes) => match servers::decode(&row.key, bytes) {
-                Ok(entry) => {
-                    if is_snapshot {
-                        listed.push(row.key.clone());
-                    }
-                    app.fleet.borrow_mut().upsert(now, entry, unconfirmed_until)
-                }
+                Ok(entry) => app.fleet.borrow_mut().upsert(now, entry, unconfirmed_until),
                 Err(e) => {
                     if let Some(log) = app.log.logger_for(Topic::Server) {
                         warn!(log, "servers: A row can't be decoded."; "id" => &row.key,
@@ -365,6 +364,9 @@
                 }
             },
         };
+        if change == RowChange::Held {
+            app.row_held.notify_one();
+        }
         if change != RowChange::Same
             && let Some(log) = app.log.logger_for(Topic::Server)
         {
--- a/crates/mustard-gateway/tests/gateway/main.rs
+++ b/crates/mustard-gateway/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 
 mod bad_answers;
 mod faulty_answers;
+mod foreign_rows;
 mod framing;
 mod harness;
 mod leaving;
