--- a/crates/mustard-fakes/src/site/mod.rs
+++ b/crates/mustard-fakes/src/site/mod.rs
@@ -621,6 +621,22 @@
         self.changed.notify_waiters();
     }
 
+    /// Writes a row in a table of the store.
+    pub fn put_row(&self, table: &str, key: &str, bytes: &[u8]) {
+        self.lock().store.put(table, key, Some(bytes.to_vec()));
+        self.changed.notify_waiters();
+    }
+
+    /// Returns how many transactions wrote rows in a table of the store.
+    pub fn store_commits(&self, table: &str) -> usize {
+        self.lock().store.commits(table)
+    }
+
+    /// Returns the size of the largest row in a table of the store, in bytes.
+    pub fn largest_row(&self, table: &str) -> usize {
+        self.lock().store.largest_row(table)
+    }
+
     /// Deletes a row that was written with [`Site::write_raw_row`].
     pub fn delete_raw_row(&self, key: &str) {
         self.lock().store.put("servers", key, None);
--- a/crates/mustard-fakes/src/site/store.rs
+++ b/crates/mustard-fakes/src/site/store.rs
@@ -43,6 +43,8 @@
     revision: u64,
     /// Rises by one each time the store is restored from a copy.
     era: u64,
+    /// How many transactions wrote rows in each table.
+    commits: BTreeMap<String, usize>,
     /// All writes in order, from which a copy of any age is made.
     writes: Vec<LoggedWrite>,
     /// The clients' ends of all connections that calls came in on.
@@ -58,6 +60,7 @@
             rows: BTreeMap::new(),
             revision: 0,
             era: 1,
+            commits: BTreeMap::new(),
             writes: Vec::new(),
             connections: BTreeSet::new(),
             silent: BTreeSet::new(),
@@ -103,6 +106,18 @@
         rows.map(|((_, key), _)| key.clone()).collect()
     }
 
+    /// Returns how many transactions wrote rows in a table.
+    pub(crate) fn commits(&self, table: &str) -> usize {
+        self.commits.get(table).copied().unwrap_or(0)
+    }
+
+    /// Returns the size of the largest row in a table, in bytes.
+    pub(crate) fn largest_row(&self, table: &str) -> usize {
+        let rows = self.rows.iter().filter(|((t, _), _)| t == table);
+        let sizes = rows.filter_map(|(_, r)| Some(r.value.as_ref()?.len()));
+        sizes.max().unwrap_or(0)
+    }
+
     /// Writes a row, or deletes it if there is no value.
     pub(crate) fn put(&mut self, table: &str, key: &str, value: Option<Vec<u8>>) {
         self.revision += 1;
@@ -154,6 +169,10 @@
         if list("precondition").iter().any(is_stale) {
             return json_response(412, &self.rows_body(&[]));
         }
+        let tables: BTreeSet<String> = list("set_keys").iter().map(|r| text(r, "table")).collect();
+        for table in tables {
+            *self.commits.entry(table).or_default() += 1;
+        }
         for row in list("set_keys") {
             let value = STANDARD.decode(text(&row, "value")).unwrap_or_default();
             self.put(&text(&row, "table"), &text(&row, "key"), Some(value));
--- a/crates/mustard-gateway/src/app.rs
+++ b/crates/mustard-gateway/src/app.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
+use mustard_adapter::store::OwnTable;
 use mustard_adapter::{NodeSettings, Store};
 use mustard_core::clock::{Clock, Moment, SystemClock};
 use mustard_core::deployment::{Config, Engine, ServerKey};
@@ -30,6 +31,7 @@
 
 use crate::active_streams::ActiveStreams;
 use crate::crossing_share::{self, Crossings};
+use crate::evidence::Evidence;
 use crate::fleet::Fleet;
 use crate::forward::{Hedging, WaitingQueues};
 use crate::log_limit::LimitedLog;
@@ -161,6 +163,12 @@
     pub news: RefCell<News>,
     /// Wakes the task that tells them.
     pub has_news: Notify,
+    /// The evidence against contents and segments that is to be written to the store.
+    pub evidence: RefCell<Evidence>,
+    /// Wakes the task that writes it.
+    pub has_evidence: Notify,
+    /// The client of the table that holds it.
+    pub evidence_store: Store,
     /// Wakes the exchange with peers when an urgent strike was recorded here.
     pub strike_news: Notify,
     /// Wakes the task that keeps the own rows of the store when a content was quarantined or a segment
@@ -210,6 +218,7 @@
         let clock = SystemClock::default();
         let started_at = clock.now();
         let store = Store::new(new_client(), node.store);
+        let evidence_store = store.with_table(OwnTable::Evidence);
         let peers = Peers::new(&node);
         Rc::new(App {
             incarnation: Incarnation::random(),
@@ -243,6 +252,9 @@
             segments: RefCell::default(),
             news: RefCell::default(),
             has_news: Notify::new(),
+            evidence: RefCell::default(),
+            has_evidence: Notify::new(),
+            evidence_store,
             strike_news: Notify::new(),
             quarantined: Notify::new(),
             peers: RefCell::new(peers),
--- a/crates/mustard-gateway/src/lib.rs
+++ b/crates/mustard-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod app;
 pub mod crossing_share;
 pub mod errors;
+pub mod evidence;
 pub mod fleet;
 pub mod forward;
 pub mod limits;
--- a/crates/mustard-gateway/src/serve.rs
+++ b/crates/mustard-gateway/src/serve.rs
@@ -26,8 +26,8 @@
 use crate::errors::{GatewayError, Result};
 use crate::log_limit::Topic;
 use crate::{
-    address_watch, forward, metric, own_rows, peers, placement, server_load, server_probe,
-    store_watch, stream_watch, strike_news,
+    address_watch, evidence, forward, metric, own_rows, peers, placement, server_load,
+    server_probe, store_watch, stream_watch, strike_news,
 };
 
 /// How long new requests are still accepted after a stop signal. The load balancer checks readiness
@@ -191,6 +191,8 @@
     keep_running(app, "peers", peers::run);
     keep_running(app, "strike_news", strike_news::run);
     keep_running(app, "own_rows", own_rows::run);
+    keep_running(app, "evidence", evidence::write);
+    keep_running(app, "kept_evidence", evidence::read);
     keep_running(app, "server_load", server_load::run);
     keep_running(app, "gauges", set_gauges);
 }
--- a/crates/mustard-gateway/src/strikes.rs
+++ b/crates/mustard-gateway/src/strikes.rs
@@ -230,6 +230,8 @@
         }
         app.quarantined.notify_waiters();
     }
+    app.evidence.borrow_mut().record_end(strike.clone());
+    app.has_evidence.notify_one();
     app.news.borrow_mut().record_content(strike, is_quarantined);
     app.has_news.notify_one();
     // Single strikes are frequent while servers fail, and the next round is early enough for them.
@@ -246,6 +248,10 @@
     at: Moment,
 ) {
     let now = app.now();
+    let process = ended.to_string();
+    let mut evidence = app.evidence.borrow_mut();
+    evidence.record_segments(segments, content, process, at);
+    app.has_evidence.notify_one();
     let mut filter = app.segments.borrow_mut();
     for segment in segments {
         let strike = SegmentStrike {
--- a/crates/mustard-gateway/tests/gateway/main.rs
+++ b/crates/mustard-gateway/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod foreign_rows;
 mod framing;
 mod harness;
+mod kept_evidence;
 mod leaving;
 mod limits;
 mod logs;
--- a/crates/mustard-policy/src/lib.rs
+++ b/crates/mustard-policy/src/lib.rs
@@ -71,6 +71,7 @@
 pub mod balance;
 pub mod breaker;
 pub mod budget_share;
+pub mod clearance_log;
 pub mod demand_share;
 pub mod estimators;
 pub mod fleet;
--- a/crates/mustard-policy/src/quarantine.rs
+++ b/crates/mustard-policy/src/quarantine.rs
@@ -32,6 +32,8 @@
 use mustard_core::collections::Map;
 use mustard_core::fingerprint::Fingerprint;
 
+use crate::clearance_log::ClearanceLog;
+
 /// The default of [`Settings::min_deaths`].
 const DEFAULT_MIN_DEATHS: usize = 2;
 /// The sum of weights that the strikes of a content must exceed.
@@ -287,6 +289,8 @@
     proven: Map<Content, Moment>,
     /// Which variant of each content last ran to its end, here or at another process, and when.
     sound: Map<Fingerprint, Sound>,
+    /// The clearances that arose here, to be kept beside the strikes.
+    log: ClearanceLog<Content>,
 }
 
 impl Quarantine {
@@ -415,7 +419,7 @@
                 self.apply_clearance(now, Clearance { content, at });
                 return false;
             }
-            self.dispute(content, proven);
+            self.dispute(content, proven, at);
             if proven >= at {
                 return false;
             }
@@ -437,8 +441,9 @@
         matches!(self.standing(now, content), Standing::Quarantined(_))
     }
 
-    /// Makes other processes know when a content with strikes ran to its end.
-    fn dispute(&mut self, content: Content, proven: Moment) {
+    /// Makes other processes know when a content with a strike for a death at `strike_at` ran to its end.
+    fn dispute(&mut self, content: Content, proven: Moment, strike_at: Moment) {
+        self.log.record_proof(content, proven, strike_at);
         let cleared = self.cleared.entry(content).or_insert(proven);
         *cleared = proven.max(*cleared);
     }
@@ -459,7 +464,7 @@
         };
         if sound.at + PROOF_TIME > at && content.variant != Some(sound.variant) {
             let variant = Some(sound.variant);
-            self.dispute(Content { variant, ..content }, sound.at);
+            self.dispute(Content { variant, ..content }, sound.at, at);
         }
     }
 
@@ -471,6 +476,7 @@
         let known = record.is_some_and(|r| r.count(content.variant) > 0);
         if known {
             let at = now;
+            self.log.record(content, at);
             self.apply_clearance(now, Clearance { content, at });
         }
         known
@@ -535,6 +541,15 @@
         }
     }
 
+    /// Removes the clearances that arose here since the last call and are to be kept beside the strikes that they answer,
+    /// and returns them.
+    pub fn take_clearances(&mut self) -> Vec<Clearance> {
+        let fresh = self.log.take().into_iter();
+        fresh
+            .map(|(content, at)| Clearance { content, at })
+            .collect()
+    }
+
     /// Returns the clearances that still count, to be sent to other processes.
     pub fn clearances(&self, now: Moment) -> impl Iterator<Item = Clearance> {
         let ttl = self.settings.ttl;
--- a/crates/mustard-policy/src/segments.rs
+++ b/crates/mustard-policy/src/segments.rs
@@ -21,6 +21,7 @@
 use mustard_core::collections::Map;
 use mustard_core::fingerprint::Fingerprint;
 
+use crate::clearance_log::ClearanceLog;
 use crate::quarantine::Clearance;
 
 /// For how long a run must write to show that its segments don't end servers.
@@ -178,6 +179,8 @@
     proven: Map<Fingerprint, Moment>,
     /// The same for the segments that have got strikes, to be sent to other processes.
     disputed: Map<Fingerprint, Moment>,
+    /// The acquittals that arose here, to be kept beside the strikes.
+    log: ClearanceLog<Fingerprint>,
     /// When the last trial of each segment began here.
     trials: Map<Fingerprint, Moment>,
     /// The fewest suspects of a prompt with a blocked segment that came here lately, and when.
@@ -266,6 +269,7 @@
         if let Some(proven) = self.proven.get(&segment).copied() {
             if proven + PROOF_TIME > strike.at {
                 self.disputed.insert(segment, proven);
+                self.log.record_proof(segment, proven, strike.at);
             }
             if proven >= strike.at {
                 return false;
@@ -287,6 +291,7 @@
         let known = self.records.contains_key(&segment);
         if known {
             self.disputed.insert(segment, now);
+            self.log.record(segment, now);
         }
         self.acquit(now, segment, now);
         known
@@ -297,13 +302,32 @@
         let Clearance { content, at } = clearance;
         let fingerprint = content.fingerprint;
         if at + PROOF_TIME <= now {
-            return;
+            return self.remove_ends(fingerprint, at);
         }
         let disputed = self.disputed.entry(fingerprint).or_insert(at);
         *disputed = at.max(*disputed);
         self.acquit(now, fingerprint, at);
     }
 
+    /// Removes the acquittals that arose here since the last call and are to be kept beside the strikes that they
+    /// answer, and returns them.
+    pub fn take_clearances(&mut self) -> Vec<Clearance> {
+        let fresh = self.log.take().into_iter();
+        fresh
+            .map(|(segment, at)| Clearance {
+                content: segment.into(),
+                at,
+            })
+            .collect()
+    }
+
+    /// Returns whether a process ended in a trial of a segment.
+    pub fn ended_in_trial(&self, segment: Fingerprint, process: &str) -> bool {
+        let record = self.records.get(&segment);
+        let mut ends = record.into_iter().flat_map(|r| &r.ends);
+        ends.any(|e| e.process == process && e.is_trial)
+    }
+
     /// Returns the blocked segments.
     pub fn blocked(&self, now: Moment) -> impl Iterator<Item = Fingerprint> {
         let segments = self.records.keys().copied();
@@ -376,6 +400,11 @@
         }
         let proven = self.proven.entry(segment).or_insert(at);
         *proven = at.max(*proven);
+        self.remove_ends(segment, at);
+    }
+
+    /// Removes the ends up to a moment from those that count against a segment.
+    fn remove_ends(&mut self, segment: Fingerprint, at: Moment) {
         let Some(record) = self.records.get_mut(&segment) else {
             return;
         };
