Ask at once who is at an address where nobody has answered lately

Cause, traced: nothing had been answered by any server, so the row with the latest start was presumed to be there; it turned the booking away with 421, which counted as the only attempt that its route allows. A gateway that has just started has earned no repeat either.

Fix: such a question is asked at once instead of after 250 ms, where a plain server may be meant and nobody there has answered within 2.5 s; none is asked before a configuration names the health checks. A 421 of a plain server, which isn't the one that was meant, no longer counts as an attempt, but as a repeat in the retry budget.

--- a/crates/mustard-gateway/src/fleet/addresses.rs
+++ b/crates/mustard-gateway/src/fleet/addresses.rs
@@ -227,7 +227,9 @@
     /// that isn't settled.
     pub fn take_questions(&mut self, now: Moment) -> Vec<Vec<ServerKey>> {
         let mut due = Vec::new();
-        for (addr, occupants) in &mut self.addrs {
+        // Without a configuration nobody can be asked.
+        let addrs = self.addrs.iter_mut();
+        for (addr, occupants) in addrs.filter(|_| self.named.services.is_some()) {
             if let Some(question) = &mut occupants.question
                 && question.take_turn(now)
             {
@@ -247,6 +249,12 @@
         asked.collect()
     }
 
+    /// Returns whether there are new questions that nothing answers which is known, so that requests may go to the wrong
+    /// process until they are asked.
+    pub fn take_urgent(&mut self) -> bool {
+        std::mem::take(&mut self.has_urgent)
+    }
+
     /// Tells whether it isn't settled which process is at the address of a server.
     pub fn is_unsettled(&self, key: ServerKey) -> bool {
         let addr = self.get(key).map(|s| s.entry.addr);
@@ -349,6 +357,12 @@
         }
         if contenders.len() > 1 {
             self.open_question(now, addr);
+            // The answers of model servers come without requests.
+            let is_plain = |key: &ServerKey| {
+                let server = self.get(*key);
+                server.is_some_and(|s| s.entry.accelerator.is_none())
+            };
+            self.has_urgent |= !is_shown && contenders.iter().any(is_plain);
         } else if let Some(occupants) = self.addrs.get_mut(&addr) {
             occupants.question = None;
         }
--- a/crates/mustard-gateway/src/fleet/mod.rs
+++ b/crates/mustard-gateway/src/fleet/mod.rs
@@ -77,6 +77,8 @@
     addrs: Map<SocketAddr, Occupants>,
     /// The services that the configuration names.
     named: NamedServices,
+    /// Whether a question about an address is to be asked at once.
+    has_urgent: bool,
     /// The rows that contradict what is known of their servers, by id.
     held_rows: Map<String, HeldRow>,
     /// The servers whose load is exchanged, by the digests of their processes.
--- a/crates/mustard-gateway/src/forward/plain.rs
+++ b/crates/mustard-gateway/src/forward/plain.rs
@@ -9,6 +9,7 @@
 use slog::info;
 use tokio::time::timeout;
 
+use mustard_adapter::orders::MISDIRECTED;
 use mustard_adapter::responses;
 use mustard_core::clock::Moment;
 use mustard_core::deployment::{RouteKind, ServerKey};
@@ -27,7 +28,7 @@
 use super::send::{SendError, Target, send_request};
 use super::{AdmittedRequest, ENDS_SERVERS, GatewayResponse, record_served, spend_retry};
 
-/// A request is given up after this many sends that didn't reach a server.
+/// A request is given up after this many sends that didn't reach the server that was meant.
 const MAX_UNSENT: u32 = 3;
 /// Retry delay for callers if no server is available or all are full.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -91,6 +92,7 @@
     let mut unsent = 0;
     let mut last_result: Option<Result<ServerResponse, SendError>> = None;
     let mut attempt = 0;
+    let mut has_arrived = false;
     while attempt < request.route.max_attempts {
         if let Some(retry_after) = strikes::refusal(app, request) {
             if tried.is_empty() {
@@ -100,7 +102,7 @@
             }
             break;
         }
-        if attempt > 0 && !spend_retry(app, request) {
+        if has_arrived && !spend_retry(app, request) {
             break;
         }
         let Some(target) = choose_server(app, request, tried) else {
@@ -119,11 +121,20 @@
             }
         };
         attempt += sends.cancelled;
+        has_arrived |= sends.cancelled > 0;
         let mut is_final = false;
         for sent in sends.results {
             match &sent.result {
                 Err(SendError::NotSent) => unsent += 1,
-                _ => attempt += 1,
+                // Another server than the one that was meant turned it away.
+                Err(SendError::NotRun(MISDIRECTED, _)) => {
+                    unsent += 1;
+                    has_arrived = true;
+                }
+                _ => {
+                    attempt += 1;
+                    has_arrived = true;
+                }
             }
             is_final |= match &sent.result {
                 Ok(response) => !repeatable || response.status < 500,
--- a/crates/mustard-gateway/src/store_watch.rs
+++ b/crates/mustard-gateway/src/store_watch.rs
@@ -335,9 +335,17 @@
     app.fleet.borrow_mut().set_services(app.now(), &config);
     *app.config.borrow_mut() = Some(Rc::new(config));
     *app.config_text.borrow_mut() = Rc::new(text);
+    ask_urgent(app);
     app.changed.notify_waiters();
 }
 
+/// Lets the servers be asked at once about addresses of which nothing else tells who is there.
+fn ask_urgent(app: &App) {
+    if app.fleet.borrow_mut().take_urgent() {
+        app.row_held.notify_one();
+    }
+}
+
 fn apply_servers(app: &App, changes: Changes, source: RowSource) {
     let now = app.now();
     let is_snapshot = source != RowSource::Feed;
@@ -380,5 +388,6 @@
             .retain_listed(now, &listed, store_unstable);
         app.list_read.set(true);
     }
+    ask_urgent(app);
     app.changed.notify_waiters();
 }
--- a/crates/mustard-gateway/tests/gateway/foreign_rows.rs
+++ b/crates/mustard-gateway/tests/gateway/foreign_rows.rs
@@ -8,7 +8,7 @@
 use mustard_tests::site_soak::stream_text;
 
 use super::harness::{Caller, Gateway};
-use super::{EVENT_COUNT, start_ready};
+use super::{EVENT_COUNT, start_ready, start_site};
 
 const MODEL_SERVERS: std::ops::Range<usize> = 0..6;
 const PLAIN_SERVERS: std::ops::Range<usize> = 6..8;
@@ -177,6 +177,21 @@
     assert_eq!(ran.iter().filter(is_misplaced).count(), 0, "streams");
 }
 
+/// Guards against a booking that is refused as the first server that it is sent to, by the word of a row, is another
+/// one: nothing has answered yet when a gateway starts beside such rows.
+#[ntex::test]
+async fn request_first_beside_rows() {
+    let site = start_site(SiteOptions::default());
+    write_beside(&site, PLAIN_SERVERS, "other", |i| row(&site, i, DESK));
+    let caller = Caller::new().await;
+    for n in 0..4 {
+        let gateway = Gateway::start_ready(&site, &caller).await;
+        let id = format!("first-{n}");
+        let answer = caller.request(&gateway, "/book/x", &id).await.unwrap();
+        assert_eq!(answer.status, 200, "{id}");
+    }
+}
+
 /// Guards against servers that are out of use whenever a row comes or goes, and against questions to servers without
 /// end: several rows name one address, and each comes and goes many times.
 #[ntex::test]
