Bound the evidence that waits while the store is away

Found by reading: while the store's tables can't be followed, ends of servers were collected without a limit, as only a failed write dropped the oldest.

--- a/crates/mustard-gateway/src/evidence.rs
+++ b/crates/mustard-gateway/src/evidence.rs
@@ -90,7 +90,7 @@
 impl Evidence {
     /// Records an end under a content.
     pub fn record_end(&mut self, strike: Strike) {
-        self.pending.push(Item::End(strike));
+        self.add(vec![Item::End(strike)]);
     }
 
     /// Records an end under segments of a prompt.
@@ -101,20 +101,31 @@
         process: String,
         at: Moment,
     ) {
-        self.pending.push(Item::SegmentEnd(SegmentEnd {
+        self.add(vec![Item::SegmentEnd(SegmentEnd {
             segments: segments.to_vec(),
             content,
             process,
             at,
-        }));
+        })]);
     }
 
-    /// Puts items back that couldn't be written; the oldest are dropped if there are too many.
+    /// Adds items to those that wait.
+    fn add(&mut self, mut items: Vec<Item>) {
+        self.pending.append(&mut items);
+        self.drop_oldest();
+    }
+
+    /// Puts items back that couldn't be written, before those that came since.
     fn put_back(&mut self, mut items: Vec<Item>) {
         items.append(&mut self.pending);
-        let excess = items.len().saturating_sub(MAX_PENDING);
-        items.drain(..excess);
         self.pending = items;
+        self.drop_oldest();
+    }
+
+    /// Drops the oldest items if there are too many, as while the store is away for long.
+    fn drop_oldest(&mut self) {
+        let excess = self.pending.len().saturating_sub(MAX_PENDING);
+        self.pending.drain(..excess);
     }
 }
 
@@ -295,7 +306,7 @@
     items.extend(segment_ends.map(Item::SegmentEnd));
     items.extend(cleared.map(Item::Cleared));
     items.extend(acquitted.map(Item::ClearedSegment));
-    app.evidence.borrow_mut().put_back(items);
+    app.evidence.borrow_mut().add(items);
 }
 
 /// Removes the pending items, together with the clearances that arose since, and returns them.
