--- a/crates/mustard-gateway/src/evidence.rs
+++ b/crates/mustard-gateway/src/evidence.rs
@@ -165,8 +165,9 @@
     content: Fingerprint,
     #[serde(rename = "p")]
     process: String,
-    #[serde(rename = "x", default)]
-    is_trial: bool,
+    /// Those of the segments for which the run was a trial.
+    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+    tried: Vec<Fingerprint>,
     #[serde(rename = "t")]
     at_ms: u64,
 }
@@ -370,7 +371,9 @@
                 segments: end.segments.clone(),
                 content: end.content,
                 process: end.process.clone(),
-                is_trial: (end.segments.iter()).any(|s| filter.ended_in_trial(*s, &end.process)),
+                tried: (end.segments.iter().copied())
+                    .filter(|s| filter.ended_in_trial(*s, &end.process))
+                    .collect(),
                 at_ms: at_ms(end.at),
             }),
             Item::Cleared(clearance) => row.cleared.push(encode_cleared(clearance)),
@@ -519,7 +522,7 @@
                 process: item.process.clone(),
                 content: item.content,
                 at: at(item.at_ms),
-                is_trial: item.is_trial,
+                is_trial: item.tried.contains(segment),
             };
             if filter.record_strike(now, &strike) {
                 metric::count_segment_strike("row");
